Group decision: repair, merge, preempt, drain, roll versions, form without fragments

Cause: the decision only formed missing replicas; a broken group waited for ever. It is now a pure function that builds a plan whose orders are applied one by one, so each later choice sees the effect of those before. Waiting against repairing is a rent-or-buy choice at the load time; loads take their turns at the weight store by value per time.

--- a/packages/controller/src/controller.ts
+++ b/packages/controller/src/controller.ts
@@ -1,5 +1,5 @@
 /** A controller: its tasks, wired together. */
-import type { Ledger } from '@hingescale/core';
+import type { FailureDomainId, Ledger } from '@hingescale/core';
 import { ProblemError } from '@hingescale/core';
 import { LINK_REQUESTS, LinkPool, LinkServer } from '@hingescale/link';
 import {
@@ -257,6 +257,8 @@
         certificateMs: timing['certificate-ms'],
         drainMs: timing['drain-ms'],
       },
+      remote: () => this.#remotes.groups(),
+      absent: () => this.#absent(),
       periodMs: timing['heartbeat-ms'],
       orderRetryMs: orders['retry-ms'],
       parallelLoads: orders['parallel-loads'],
@@ -269,6 +271,11 @@
     this.#groups.start();
   }
 
+  #absent(): FailureDomainId[] {
+    const domains = this.#holder.configuration?.deployment['failure-domains'] ?? [];
+    return this.#remotes.absent(domains, this.#settings.timing['absent-ms']);
+  }
+
   #status(): ControllerStatus {
     const { process: self } = this.#settings;
     const view = this.#domain?.view;
--- a/packages/controller/src/groups/group-task.ts
+++ b/packages/controller/src/groups/group-task.ts
@@ -3,9 +3,11 @@
   Configuration,
   ContractTimes,
   DecisionInput,
+  FailureDomainId,
   HostId,
   Ledger,
   LedgerOrder,
+  RemoteGroup,
 } from '@hingescale/core';
 import {
   ageKey,
@@ -42,6 +44,10 @@
   readonly prober: MemberProber;
   readonly memory: HostMemory;
   readonly times: ContractTimes;
+  /** Groups of other failure domains, as far as they are known. */
+  readonly remote: () => readonly RemoteGroup[];
+  /** Failure domains that have not been heard for long. */
+  readonly absent: () => readonly FailureDomainId[];
   readonly periodMs: number;
   readonly orderRetryMs: number;
   readonly parallelLoads: number;
@@ -108,12 +114,16 @@
     }
     const now = monotonicMs();
     const own = hosts.hosts.filter(host => host.failureDomain === failureDomain);
+    const ownLedgers = this.ownLedgers().map(stored => stored.value);
     return {
       failureDomain,
       configuration,
       hosts: memory.facts(own, prober.observations, now),
-      ledgers: this.ownLedgers().map(stored => stored.value),
-      now,
+      ledgers: ownLedgers,
+      ages: this.#ages(ownLedgers, now),
+      times: this.#options.times,
+      remote: this.#options.remote(),
+      absent: this.#options.absent(),
     };
   }
 
@@ -148,29 +158,28 @@
   }
 
   async #turn(): Promise<void> {
-    const { holds, fence, metrics, times } = this.#options;
+    const { holds, fence, metrics, parallelLoads } = this.#options;
     const input = this.input();
     if (input === undefined || !holds()) {
       return;
     }
     const startedAt = monotonicMs();
-    const ages = this.#ages(input);
-    const forced = input.ledgers.flatMap(ledger => reconcile(input, ledger, ages, times));
+    const forced = input.ledgers.flatMap(ledger => reconcile(input, ledger));
     // Choices build on ledgers without pending facts, so that one turn writes each ledger once.
     const orders = forced.length > 0 ? forced : decide(input);
     metrics.histogram('decision').record(monotonicMs() - startedAt);
     await this.#createLedgers(input);
     await this.#writeLedgers(orders);
-    this.#sendOrders(dueOrders(input, fence()));
+    this.#sendOrders(dueOrders(input, fence(), parallelLoads));
   }
 
-  #ages(input: DecisionInput): Map<string, number> {
+  #ages(ledgers: readonly Ledger[], now: number): Map<string, number> {
     const ages = new Map<string, number>();
-    for (const group of input.ledgers.flatMap(ledger => ledger.groups)) {
+    for (const group of ledgers.flatMap(ledger => ledger.groups)) {
       const key = ageKey(group);
-      const since = this.#stateSince.get(key) ?? input.now;
+      const since = this.#stateSince.get(key) ?? now;
       this.#stateSince.set(key, since);
-      ages.set(key, input.now - since);
+      ages.set(key, now - since);
     }
     for (const key of this.#stateSince.keys()) {
       if (!ages.has(key)) {
--- a/packages/controller/src/groups/host-orders.ts
+++ b/packages/controller/src/groups/host-orders.ts
@@ -7,7 +7,7 @@
   HostOrder,
   Ledger,
 } from '@hingescale/core';
-import { answers } from '@hingescale/core';
+import { answers, loadingNow } from '@hingescale/core';
 
 /** An order to send to a host. */
 export type AddressedOrder = {
@@ -17,9 +17,16 @@
 };
 
 /** Orders whose effect is not seen yet; sending one again does no harm. */
-export function dueOrders(input: DecisionInput, fence: number): AddressedOrder[] {
+export function dueOrders(
+  input: DecisionInput,
+  fence: number,
+  parallelLoads: number,
+): AddressedOrder[] {
+  const loading = loadingNow(input, parallelLoads);
   return input.ledgers.flatMap(ledger => [
-    ...ledger.groups.flatMap(group => groupOrders(input, group, fence)),
+    ...ledger.groups
+      .filter(group => group.state !== 'loading' || loading.has(group.id))
+      .flatMap(group => groupOrders(input, group, fence)),
     ...unfencedOrders(input, ledger, fence),
   ]);
 }
--- a/packages/controller/src/views/remote-domains.ts
+++ b/packages/controller/src/views/remote-domains.ts
@@ -1,5 +1,5 @@
 /** What this controller knows of other failure domains, and which peers have which revision. */
-import type { Certificate, DomainView, FailureDomainId } from '@hingescale/core';
+import type { Certificate, DomainView, FailureDomainId, RemoteGroup } from '@hingescale/core';
 import type { KeyGrant, LoadReport, PollReply } from '@hingescale/link';
 import { monotonicMs } from '@hingescale/runtime';
 
@@ -50,6 +50,25 @@
     return [...this.#remotes.values()].flatMap(remote => remote.view ?? []);
   }
 
+  /** Groups of the other failure domains. */
+  groups(): RemoteGroup[] {
+    return this.views().flatMap(view =>
+      view.groups.map(({ failureDomain, group }) => ({
+        failureDomain,
+        content: group.content,
+        state: group.state,
+      })),
+    );
+  }
+
+  /** Failure domains among `all` that were heard once and then fell silent for long. */
+  absent(all: readonly FailureDomainId[], silentMs: number): FailureDomainId[] {
+    return all.filter(domain => {
+      const remote = this.#remotes.get(domain);
+      return remote !== undefined && age(remote) > silentMs;
+    });
+  }
+
   /** Certificates with what is left of them now. */
   certificates(): Certificate[] {
     return [...this.#remotes.values()].flatMap(remote =>
--- /dev/null
+++ b/packages/core/src/decision/formation.ts
@@ -0,0 +1,81 @@
+/** Which fabric domain and hosts form a wanted replica that is missing. */
+import type { Model } from '../configuration/objects.js';
+import type { Ledger } from '../groups/ledger.js';
+import type { FabricDomainId } from '../hosts/host.js';
+import { downRate, loadMs } from './costs.js';
+import { wantedReplicas } from './decision-input.js';
+import type { Alternative } from './ledger-order.js';
+import type { Plan } from './plan.js';
+
+type Candidate = { readonly fabricDomain: FabricDomainId; readonly free: number };
+
+/** Forms missing replicas, the most valuable per host first, as far as free hosts go. */
+export function formMissing(plan: Plan): void {
+  const models = [...plan.input.configuration.models].sort(
+    ([, a], [, b]) => valuePerHost(plan, b) - valuePerHost(plan, a),
+  );
+  for (const [name, model] of models) {
+    const wanted = wantedReplicas(plan.input, model);
+    while (plan.held(name) < wanted && formOne(plan, name, model)) {
+      // Each turn adds one group to the plan.
+    }
+  }
+}
+
+/** True when a missing replica of the model could be formed from free hosts now. */
+export function canForm(plan: Plan, model: Model): boolean {
+  return candidatesFor(plan, model).length > 0;
+}
+
+/** Forms one replica where the fewest hosts are left without use; false when none fits. */
+export function formOne(plan: Plan, name: string, model: Model): boolean {
+  const candidates = candidatesFor(plan, model);
+  const best = candidates.sort((a, b) => fragmentation(a, model) - fragmentation(b, model))[0];
+  if (best === undefined) {
+    return false;
+  }
+  const ledger = plan.ledger(best.fabricDomain);
+  const members = plan
+    .free(best.fabricDomain, model.upstream)
+    .slice(0, model.hosts)
+    .map(fact => fact.host.id);
+  const content = { model: name, version: model.version, adapters: model.adapters };
+  const reason = `a wanted replica is missing; ${best.free} hosts are free here`;
+  const alternatives: Alternative[] = candidates.map(candidate => ({
+    name: candidate.fabricDomain,
+    score: fragmentation(candidate, model),
+  }));
+  plan.add(
+    best.fabricDomain,
+    groupName(name, ledger),
+    reason,
+    { kind: 'form', content, members },
+    alternatives,
+  );
+  return true;
+}
+
+function candidatesFor(plan: Plan, model: Model): Candidate[] {
+  return plan
+    .ledgers()
+    .map(({ fabricDomain }) => ({
+      fabricDomain,
+      free: plan.free(fabricDomain, model.upstream).length,
+    }))
+    .filter(candidate => candidate.free >= model.hosts);
+}
+
+// Free hosts that remain should still make whole groups, else be as few as possible.
+function fragmentation(candidate: Candidate, model: Model): number {
+  const left = candidate.free - model.hosts;
+  return left % model.hosts;
+}
+
+function valuePerHost(plan: Plan, model: Model): number {
+  return downRate(plan.input, model) / (model.hosts * loadMs(plan.input, model, model.hosts));
+}
+
+// Epochs are never handed out twice, so neither are names.
+function groupName(model: string, ledger: Ledger): string {
+  return `${model}-${ledger.fabricDomain}-${ledger.lastEpoch + 1}`;
+}
--- a/packages/core/src/decision/ledger-order.ts
+++ b/packages/core/src/decision/ledger-order.ts
@@ -32,6 +32,7 @@
   | {
       readonly kind: 'repair';
       readonly replacements: ReadonlyMap<HostId, HostId>;
+      readonly content: GroupContent;
     }
   | { readonly kind: 'confirm-fenced'; readonly host: HostId }
   | { readonly kind: 'dissolve' }
@@ -45,7 +46,7 @@
     case 'move':
       return moveGroup(ledger, order.group, order.state, order.reason);
     case 'repair':
-      return repairGroup(ledger, order.group, order.replacements, order.reason);
+      return repairGroup(ledger, order.group, order.replacements, order.content, order.reason);
     case 'confirm-fenced':
       return confirmFenced(ledger, order.group, order.host);
     case 'dissolve':
--- a/packages/core/src/decision/reconcile.ts
+++ b/packages/core/src/decision/reconcile.ts
@@ -5,31 +5,20 @@
 import type { Group, Ledger } from '../groups/ledger.js';
 import type { HostId } from '../hosts/host.js';
 import type { DecisionInput, HostFact } from './decision-input.js';
-import { answers, memberIsLoaded } from './decision-input.js';
+import {
+  ageOf,
+  answers,
+  hasOutdatedAdapters,
+  isLeaving,
+  memberIsLoaded,
+} from './decision-input.js';
 import type { LedgerAction, LedgerOrder } from './ledger-order.js';
 
-/** How long a group has been in its state, as far as the observer saw it, in milliseconds. */
-export type GroupAges = ReadonlyMap<string, number>;
-
-/** Times that the contracts demand. */
-export type ContractTimes = {
-  /** Lifetime of certificates; fenced groups wait that long before their hosts are free. */
-  readonly certificateMs: number;
-  /** Longest time a draining group may finish its work. */
-  readonly drainMs: number;
-};
-
 /** Orders for one ledger that follow from facts. */
-export function reconcile(
-  input: DecisionInput,
-  ledger: Ledger,
-  ages: GroupAges,
-  times: ContractTimes,
-): LedgerOrder[] {
+export function reconcile(input: DecisionInput, ledger: Ledger): LedgerOrder[] {
   const orders: LedgerOrder[] = [];
   for (const group of ledger.groups) {
-    const age = ages.get(ageKey(group)) ?? 0;
-    orders.push(...reconcileGroup(input, ledger, group, age, times));
+    orders.push(...reconcileGroup(input, ledger, group));
   }
   const cleared = clearedHosts(input, ledger);
   if (cleared.size > 0) {
@@ -39,18 +28,7 @@
   return orders;
 }
 
-/** Key under which the age of a group's present state is kept. */
-export function ageKey(group: Group): string {
-  return `${group.id}/${group.epoch}/${group.state}`;
-}
-
-function reconcileGroup(
-  input: DecisionInput,
-  ledger: Ledger,
-  group: Group,
-  age: number,
-  times: ContractTimes,
-): LedgerOrder[] {
+function reconcileGroup(input: DecisionInput, ledger: Ledger, group: Group): LedgerOrder[] {
   const facts = group.members.map(member => input.hosts.get(member));
   switch (group.state) {
     case 'loading':
@@ -58,11 +36,11 @@
     case 'ready':
       return reconcileReady(ledger, group, facts);
     case 'suspended':
-      return reconcileSuspended(ledger, group, facts);
+      return reconcileSuspended(input, ledger, group, facts);
     case 'draining':
-      return reconcileDraining(ledger, group, facts, age, times);
+      return reconcileDraining(ledger, group, facts);
     case 'fencing':
-      return reconcileFencing(ledger, group, facts, age, times);
+      return reconcileFencing(input, ledger, group, facts);
   }
 }
 
@@ -94,10 +72,16 @@
 }
 
 function reconcileSuspended(
+  input: DecisionInput,
   ledger: Ledger,
   group: Group,
   facts: readonly (HostFact | undefined)[],
 ): LedgerOrder[] {
+  // A member that leaves is on its way out, even when it is back; so are outdated adapters.
+  const leaving = facts.some(fact => fact !== undefined && isLeaving(ledger, fact));
+  if (leaving || hasOutdatedAdapters(input, group)) {
+    return [];
+  }
   if (facts.every(fact => memberIsLoaded(group, fact))) {
     return [order(ledger, group.id, 'all members are back with their state', move('ready'))];
   }
@@ -112,29 +96,18 @@
   ledger: Ledger,
   group: Group,
   facts: readonly (HostFact | undefined)[],
-  age: number,
-  times: ContractTimes,
 ): LedgerOrder[] {
-  const missing = facts.some(fact => !memberIsLoaded(group, fact));
-  if (missing) {
-    return [order(ledger, group.id, 'a member was lost while draining', move('fencing'))];
-  }
-  // Gateways may send work until their certificates of before the drain have lapsed.
-  const settled = age >= times.certificateMs;
-  const running = facts[0]?.report?.running ?? 0;
-  if ((settled && running === 0) || age >= times.drainMs) {
-    const reason = running === 0 ? 'drained' : `drain time is over with ${running} running`;
-    return [order(ledger, group.id, reason, move('fencing'))];
+  if (facts.every(fact => memberIsLoaded(group, fact))) {
+    return [];
   }
-  return [];
+  return [order(ledger, group.id, 'a member was lost while draining', move('suspended'))];
 }
 
 function reconcileFencing(
+  input: DecisionInput,
   ledger: Ledger,
   group: Group,
   facts: readonly (HostFact | undefined)[],
-  age: number,
-  times: ContractTimes,
 ): LedgerOrder[] {
   const confirmed = group.members.filter(
     (member, index) =>
@@ -152,7 +125,7 @@
     (member, index) =>
       !group.fenced.includes(member) && !confirmed.includes(member) && answers(facts[index]),
   );
-  if (waiting.length === 0 && age >= times.certificateMs) {
+  if (waiting.length === 0 && ageOf(input, group) >= input.times.certificateMs) {
     orders.push(
       order(ledger, group.id, 'members are reset or silent', {
         kind: 'dissolve',
--- a/packages/core/src/groups/ledger.ts
+++ b/packages/core/src/groups/ledger.ts
@@ -204,6 +204,7 @@
   ledger: Ledger,
   id: GroupId,
   replacements: ReadonlyMap<HostId, HostId>,
+  content: GroupContent,
   reason: string,
 ): Ledger {
   const group = groupOf(ledger, id);
@@ -218,6 +219,7 @@
   }));
   const repaired: Group = {
     ...group,
+    content,
     state: 'loading',
     epoch,
     members,
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -21,4 +21,6 @@
 export * from './decision/decide.js';
 export * from './decision/decision-input.js';
 export * from './decision/ledger-order.js';
+export * from './decision/load-queue.js';
+export * from './decision/plan.js';
 export * from './decision/reconcile.js';
--- a/packages/runtime/src/settings.ts
+++ b/packages/runtime/src/settings.ts
@@ -64,6 +64,8 @@
   'key-memory-ms': integerField(1_000, 86_400_000).default(600_000),
   'clock-skew-ms': integerField(0, 600_000).default(5_000),
   'drain-ms': integerField(100, 3_600_000).default(120_000),
+  /** Silence after which other failure domains take over a domain's replicas. */
+  'absent-ms': integerField(100, 86_400_000).default(60_000),
 });
 
 /** `[log]`: how lines are written. */
