--- a/packages/gateway/src/callers/services.ts
+++ b/packages/gateway/src/callers/services.ts
@@ -1,7 +1,7 @@
 /** Calls of plain services under `/services/NAME/...`. */
 import type { Execution, Service } from '@hingescale/core';
 import { ProblemError } from '@hingescale/core';
-import { monotonicMs, sha256 } from '@hingescale/runtime';
+import { monotonicMs, newUuid, sha256 } from '@hingescale/runtime';
 import type { Request, Response } from 'express';
 import type { Dispatcher } from 'undici';
 
@@ -87,7 +87,7 @@
   for (let number = 0; number < Math.min(MAX_ATTEMPTS, runners.length); number++) {
     const timeoutMs = Math.min(service['timeout-ms'], context.deadline - monotonicMs());
     const call: ServiceCall = {
-      requestId: number === 0 ? context.requestId : `${context.requestId}.${number}`,
+      requestId: `${context.requestId}.${newUuid()}`,
       method: request.method as Dispatcher.HttpMethod,
       url: runners[number] + path,
       contentType: request.headers['content-type'],
--- a/packages/gateway/src/requests/completion-run.ts
+++ b/packages/gateway/src/requests/completion-run.ts
@@ -2,7 +2,7 @@
 import type { CompletionRequest, GroupView } from '@hingescale/core';
 import { ProblemError } from '@hingescale/core';
 import type { Metrics } from '@hingescale/runtime';
-import { monotonicMs } from '@hingescale/runtime';
+import { monotonicMs, newUuid } from '@hingescale/runtime';
 
 import type { GroupDirectory } from '../domain/group-directory.js';
 import type { Router } from '../routing/router.js';
@@ -78,7 +78,7 @@
       if (target === undefined) {
         throw problem ?? this.#noGroup();
       }
-      const end = await this.#attempt(target, number);
+      const end = await this.#attempt(target);
       if (end.kind === 'whole') {
         this.life.to('done');
         return { ranOn: placeOf(target), tokens: this.#tokens };
@@ -106,11 +106,12 @@
     });
   }
 
-  async #attempt(target: GroupView, number: number): Promise<AttemptEnd> {
+  async #attempt(target: GroupView): Promise<AttemptEnd> {
     const { router, engine, metrics } = this.#services;
     const { requestId, request, workspace, priority, repeatable, deadline } = this.#admitted;
     const attempt: Attempt = {
-      streamId: number === 0 ? requestId : `${requestId}.${number}`,
+      // Callers choose request ids, so two of them may choose the same.
+      streamId: `${requestId}.${newUuid()}`,
       request,
       workspace,
       target,
@@ -175,9 +176,7 @@
     if (this.#sink.streaming) {
       this.life.to('streaming');
     }
-    const { requestId } = this.#admitted;
-    const own = attempt.streamId === requestId;
-    return this.#sink.token(own ? data : data.replace(attempt.streamId, requestId));
+    return this.#sink.token(data.replace(attempt.streamId, this.#admitted.requestId));
   }
 
   #abortFor(target: GroupView): { signal: AbortSignal; dispose: () => void } {
--- a/packages/stand-ins/src/platform/object-store.ts
+++ b/packages/stand-ins/src/platform/object-store.ts
@@ -17,10 +17,13 @@
 /** What a write demands of the present object: `absent`, a version, or nothing. */
 export type WriteCondition = 'absent' | number | 'any';
 
+const KEPT_HISTORY = 20_000;
+
 /** The store; waiting watches are woken by every write. */
 export class ObjectStore {
   readonly #objects = new Map<string, StoredValue>();
   readonly #waiting = new Set<() => void>();
+  readonly #history: StoredValue[] = [];
   #version = 0;
 
   /** Version of the newest write. */
@@ -28,6 +31,11 @@
     return this.#version;
   }
 
+  /** Every version of the objects of a kind, oldest first, for the proofs. */
+  history(kind: string): StoredValue[] {
+    return this.#history.filter(stored => stored.kind === kind);
+  }
+
   /** Reads an object. */
   read(kind: string, name: string): StoredValue | undefined {
     return this.#objects.get(`${kind}/${name}`);
@@ -51,6 +59,10 @@
     }
     const stored = { kind, name, version: this.#nextVersion(), value };
     this.#objects.set(`${kind}/${name}`, stored);
+    this.#history.push(stored);
+    if (this.#history.length > KEPT_HISTORY) {
+      this.#history.shift();
+    }
     return { ok: true, stored };
   }
 
