--- a/packages/controller/src/groups/group-task.ts
+++ b/packages/controller/src/groups/group-task.ts
@@ -69,6 +69,7 @@
   readonly #options: GroupTaskOptions;
   readonly #stateSince = new Map<string, number>();
   readonly #orderSentAt = new Map<string, number>();
+  #held = false;
   #wake: (() => void) | undefined;
 
   constructor(options: GroupTaskOptions) {
@@ -159,8 +160,11 @@
 
   async #turn(): Promise<void> {
     const { holds, fence, metrics, parallelLoads } = this.#options;
+    if (!this.#beginTurn(holds())) {
+      return;
+    }
     const input = this.input();
-    if (input === undefined || !holds()) {
+    if (input === undefined) {
       return;
     }
     const startedAt = monotonicMs();
@@ -173,6 +177,15 @@
     this.#sendOrders(dueOrders(input, fence(), parallelLoads));
   }
 
+  // A candidate does not probe, so what it remembers of silence must not count once it holds.
+  #beginTurn(holds: boolean): boolean {
+    if (holds && !this.#held) {
+      this.#options.memory.forget();
+    }
+    this.#held = holds;
+    return holds;
+  }
+
   #ages(ledgers: readonly Ledger[], now: number): Map<string, number> {
     const ages = new Map<string, number>();
     for (const group of ledgers.flatMap(ledger => ledger.groups)) {
--- a/packages/controller/src/groups/host-memory.ts
+++ b/packages/controller/src/groups/host-memory.ts
@@ -21,6 +21,12 @@
     this.#silentAfterMs = silentAfterMs;
   }
 
+  /** Forgets everything; for an observer that starts to probe. */
+  forget(): void {
+    this.#memories.clear();
+    this.#firstSeen.clear();
+  }
+
   /** The facts at a moment, by host. */
   facts(
     hosts: readonly Host[],
@@ -31,7 +37,7 @@
     for (const host of hosts) {
       facts.set(host.id, this.#fact(host, observations.get(host.id), now));
     }
-    this.#forget(facts);
+    this.#dropUnlisted(facts);
     return facts;
   }
 
@@ -68,7 +74,7 @@
     return memory.losses.length;
   }
 
-  #forget(listed: ReadonlyMap<HostId, HostFact>): void {
+  #dropUnlisted(listed: ReadonlyMap<HostId, HostFact>): void {
     for (const id of this.#memories.keys()) {
       if (!listed.has(id)) {
         this.#memories.delete(id);
--- a/packages/controller/src/views/domain-task.ts
+++ b/packages/controller/src/views/domain-task.ts
@@ -59,7 +59,11 @@
     const stored = [...ledgers.objects.values()].map(object => object.value);
     const view = buildView(failureDomain, configuration, own, stored);
     const probing = this.#options.vouches();
-    const targets = own.map(host => ({ host: host.id, address: host.address }));
+    // Runners of plain services are on the list too; they do not speak the engines' protocol.
+    const engines = new Set([...configuration.models.values()].map(model => model.upstream));
+    const targets = own
+      .filter(host => engines.has(host.upstream))
+      .map(host => ({ host: host.id, address: host.address }));
     prober.retarget(probing ? targets : []);
     const ready = view.groups.filter(entry => entry.group.state === 'ready');
     const leaders = ready.map(({ group, members }) => ({
--- a/packages/core/src/decision/reconcile.ts
+++ b/packages/core/src/decision/reconcile.ts
@@ -64,7 +64,7 @@
   group: Group,
   facts: readonly (HostFact | undefined)[],
 ): LedgerOrder[] {
-  const missing = group.members.filter((_member, index) => !memberIsLoaded(group, facts[index]));
+  const missing = group.members.filter((_member, index) => isMissing(group, facts[index]));
   if (missing.length === 0) {
     return [];
   }
@@ -97,7 +97,7 @@
   group: Group,
   facts: readonly (HostFact | undefined)[],
 ): LedgerOrder[] {
-  if (facts.every(fact => memberIsLoaded(group, fact))) {
+  if (!facts.some(fact => isMissing(group, fact))) {
     return [];
   }
   return [order(ledger, group.id, 'a member was lost while draining', move('suspended'))];
@@ -148,6 +148,11 @@
   return cleared;
 }
 
+// A host that this observer has not heard yet is not known to be missing.
+function isMissing(group: Group, fact: HostFact | undefined): boolean {
+  return isLost(fact) || (fact?.report !== undefined && !memberIsLoaded(group, fact));
+}
+
 function isLost(fact: HostFact | undefined): boolean {
   return fact === undefined || fact.silentMs > 0;
 }
--- a/packages/gateway/src/callers/services.ts
+++ b/packages/gateway/src/callers/services.ts
@@ -112,7 +112,7 @@
   throw problemOf(end, ran);
 }
 
-// Runners of the own failure domain come first, each group in turn from another start.
+// Runners of the own failure domain come first.
 function runnersOf(services: CallerServices, service: Service): string[] {
   const own: string[] = [];
   const others: string[] = [];
@@ -124,14 +124,15 @@
     }
     (item.slice(0, at) === services.failureDomain ? own : others).push(url);
   }
-  return [...rotate(own), ...rotate(others)];
+  turn += 1;
+  return [...rotate(own, turn), ...rotate(others, turn)];
 }
 
+// Calls in a row start at different runners.
 let turn = 0;
 
-function rotate(urls: readonly string[]): string[] {
-  turn += 1;
-  const start = urls.length === 0 ? 0 : turn % urls.length;
+function rotate(urls: readonly string[], by: number): string[] {
+  const start = urls.length === 0 ? 0 : by % urls.length;
   return [...urls.slice(start), ...urls.slice(0, start)];
 }
 
--- a/packages/gateway/src/domain/controller-task.ts
+++ b/packages/gateway/src/domain/controller-task.ts
@@ -63,8 +63,8 @@
     this.#vouchedAt = monotonicMs();
     this.run(async () => {
       while (!this.stopped) {
-        const vouches = await this.#poll(this.#current);
-        if (!vouches) {
+        const keep = await this.#poll(this.#current);
+        if (!keep) {
           this.#next();
         }
         await Promise.race([
@@ -82,6 +82,7 @@
     this.#wake?.();
   }
 
+  // True when the present controller is the one to ask next time.
   async #poll(address: string): Promise<boolean> {
     const { links, periodMs, holder, directory, metrics } = this.#options;
     if (address === '') {
@@ -101,8 +102,7 @@
     }
     this.#sendConfiguration = reply.wantConfiguration;
     if (!reply.vouching) {
-      this.#follow(reply.activeAddress);
-      return false;
+      return this.#follow(reply.activeAddress);
     }
     this.#current = address;
     this.#vouchedAt = sentAt;
@@ -114,10 +114,13 @@
     return true;
   }
 
-  #follow(activeAddress: string): void {
-    if (activeAddress !== '' && activeAddress !== this.#current) {
+  // True when there is another controller to ask next.
+  #follow(activeAddress: string): boolean {
+    const other = activeAddress !== '' && activeAddress !== this.#current;
+    if (other) {
       this.#current = activeAddress;
     }
+    return other;
   }
 
   #next(): void {
--- a/packages/gateway/src/keys/key-ownership.ts
+++ b/packages/gateway/src/keys/key-ownership.ts
@@ -87,21 +87,21 @@
 
   /** Judges a key. */
   judge(key: KeyName, now: number, wallMs: number): Ownership {
-    if (key.home !== undefined) {
-      return this.#judgeIssued(key, key.home.instance);
+    if (key.home?.instance === this.#options.instance) {
+      return { kind: 'own' };
     }
     const table = this.#table;
     if (table === undefined || table.owners.length === 0) {
-      return {
-        kind: 'unsure',
-        detail: 'no key owners are known',
-        retryAfterMs: 1_000,
-      };
+      return { kind: 'unsure', detail: 'no key owners are known', retryAfterMs: 1_000 };
     }
-    const owner = this.ownerIn(table, key.text);
+    const owner = this.#homeIn(table, key) ?? this.ownerIn(table, key.text);
     if (owner !== undefined && owner.instance !== this.#options.instance) {
       return { kind: 'other', owner };
     }
+    // An issued key whose home is gone has an heir, who knows only what was handed over.
+    if (key.home !== undefined && !this.#covered.has(homeId(key.home.instance))) {
+      return { kind: 'lost', detail: 'the gateway that issued the key is gone' };
+    }
     if (now >= this.#confirmedUntil) {
       const detail = 'ownership of keys is not confirmed at present';
       return { kind: 'unsure', detail, retryAfterMs: 1_000 };
@@ -116,24 +116,9 @@
     return table.owners.find(owner => owner.instance === instance);
   }
 
-  // The home alone decides, for ever: no other gateway runs a key it issued.
-  #judgeIssued(key: KeyName, home: string): Ownership {
-    if (home === this.#options.instance) {
-      return { kind: 'own' };
-    }
-    const table = this.#table;
-    const present = table?.owners.find(owner => owner.instance === home);
-    if (present !== undefined) {
-      return { kind: 'other', owner: present };
-    }
-    if (this.#covered.has(homeId(home))) {
-      return { kind: 'own' };
-    }
-    const heir = table === undefined ? undefined : this.ownerIn(table, key.text);
-    if (heir !== undefined && heir.instance !== this.#options.instance) {
-      return { kind: 'other', owner: heir };
-    }
-    return { kind: 'lost', detail: 'the gateway that issued the key is gone' };
+  // While the home is there it alone decides about the keys it issued.
+  #homeIn(table: KeyOwnerTable, key: KeyName): KeyOwner | undefined {
+    return table.owners.find(owner => owner.instance === key.home?.instance);
   }
 
   #judgeMoved(table: KeyOwnerTable, key: KeyName, now: number, wallMs: number): Ownership {
--- a/packages/gateway/src/requests/completion-run.ts
+++ b/packages/gateway/src/requests/completion-run.ts
@@ -107,7 +107,7 @@
   }
 
   async #attempt(target: GroupView): Promise<AttemptEnd> {
-    const { router, engine, metrics } = this.#services;
+    const { router, engine, metrics, directory } = this.#services;
     const { requestId, request, workspace, priority, repeatable, deadline } = this.#admitted;
     const attempt: Attempt = {
       // Callers choose request ids, so two of them may choose the same.
@@ -118,6 +118,7 @@
       priority,
       deadlineMs: deadline - monotonicMs(),
       freshConnection: !repeatable,
+      mayStart: () => directory.certified(target.group.id, target.group.epoch),
     };
     const abort = this.#abortFor(target);
     const route = router.enter(target);
--- a/packages/gateway/src/requests/engine-client.ts
+++ b/packages/gateway/src/requests/engine-client.ts
@@ -1,4 +1,6 @@
 /** One attempt of a generation on an engine: sends, follows and resumes its stream. */
+import type { IncomingHttpHeaders } from 'node:http';
+
 import type { CompletionRequest, GroupView } from '@hingescale/core';
 import {
   CACHE_SALT_HEADER,
@@ -12,9 +14,11 @@
   SseReader,
 } from '@hingescale/core';
 import type { Log } from '@hingescale/runtime';
-import type { Dispatcher } from 'undici';
 import { Agent, request } from 'undici';
 
+import type { ExchangeEnd, ExchangeObserver, ExchangeRequest } from './exchange.js';
+import { exchange } from './exchange.js';
+
 /** How an attempt ended. */
 export type AttemptEnd =
   /** The engine did not start it. */
@@ -39,6 +43,8 @@
   readonly deadlineMs: number;
   /** A connection of its own, so that no stale one can lose the request. */
   readonly freshConnection: boolean;
+  /** Asked right before the request leaves: true while the group is certified. */
+  readonly mayStart: () => boolean;
 };
 
 /** Receives what an attempt brings; `token` may ask to wait while the caller is slow. */
@@ -51,13 +57,7 @@
 const CONNECT_TIMEOUT_MS = 1_000;
 const HEADERS_TIMEOUT_MS = 600_000;
 const CANCEL_TIMEOUT_MS = 2_000;
-
-const NEVER_CONNECTED: readonly string[] = [
-  'ECONNREFUSED',
-  'EHOSTUNREACH',
-  'ENETUNREACH',
-  'UND_ERR_CONNECT_TIMEOUT',
-];
+const MAX_REFUSAL_CHARACTERS = 1_000;
 
 /** Sends generations to group leaders. */
 export class EngineClient {
@@ -80,13 +80,15 @@
   async generate(attempt: Attempt, sink: AttemptSink, signal: AbortSignal): Promise<AttemptEnd> {
     const path = attempt.request.shape === 'chat' ? '/v1/chat/completions' : '/v1/completions';
     const { model, version } = attempt.target.group.content;
-    const body = JSON.stringify({
-      ...attempt.request.body,
-      model,
-      version,
-      stream: true,
-    });
-    return this.#follow(attempt, sink, signal, { method: 'POST', path, body });
+    const body = JSON.stringify({ ...attempt.request.body, model, version, stream: true });
+    this.#log.message('engine', `POST ${path}`, { group: attempt.target.group.id });
+    const url = leaderOf(attempt) + path;
+    return this.#follow(
+      attempt,
+      { url, method: 'POST', headers: headersOf(attempt), body },
+      sink,
+      signal,
+    );
   }
 
   /** Attaches to a running stream at an offset in tokens. */
@@ -96,21 +98,19 @@
     sink: AttemptSink,
     signal: AbortSignal,
   ): Promise<AttemptEnd> {
-    const path = `/v1/streams/${encodeURIComponent(attempt.streamId)}?offset=${offset}`;
-    const end = await this.#follow(attempt, sink, signal, {
-      method: 'GET',
-      path,
-    });
+    const url = `${streamUrl(attempt)}?offset=${offset}`;
+    this.#log.message('engine', 'GET /v1/streams', { group: attempt.target.group.id });
+    const call: ExchangeRequest = { url, method: 'GET', headers: {}, body: undefined };
+    const end = await this.#follow(attempt, call, sink, signal);
     // An engine that does not know the stream may still find the request in its socket.
     return end.kind === 'not-run' ? { kind: 'lost', detail: end.detail } : end;
   }
 
   /** Tells the engine that nobody wants the stream any more. */
   cancel(attempt: Attempt): void {
-    const url = `${leaderOf(attempt)}/v1/streams/${encodeURIComponent(attempt.streamId)}`;
     const signal = AbortSignal.timeout(CANCEL_TIMEOUT_MS);
     this.#log.message('engine', 'DELETE /v1/streams');
-    request(url, { method: 'DELETE', dispatcher: this.#agent, signal }).then(
+    request(streamUrl(attempt), { method: 'DELETE', dispatcher: this.#agent, signal }).then(
       response => response.body.dump(),
       () => undefined,
     );
@@ -123,26 +123,13 @@
 
   async #follow(
     attempt: Attempt,
+    call: ExchangeRequest,
     sink: AttemptSink,
     signal: AbortSignal,
-    call: { method: 'GET' | 'POST'; path: string; body?: string },
   ): Promise<AttemptEnd> {
-    let response: Dispatcher.ResponseData;
-    this.#log.message('engine', `${call.method} ${call.path.split(/[?]|streams\//)[0]}`, {
-      group: attempt.target.group.id,
-    });
-    try {
-      response = await request(leaderOf(attempt) + call.path, {
-        method: call.method,
-        body: call.body,
-        dispatcher: attempt.freshConnection ? this.#freshAgent : this.#agent,
-        headers: headersOf(attempt),
-        signal,
-      });
-    } catch (error) {
-      return classify(error as Error & { code?: string });
-    }
-    return readResponse(attempt, response, sink);
+    const agent = attempt.freshConnection ? this.#freshAgent : this.#agent;
+    const reading = new StreamReading(attempt, sink);
+    return reading.judge(await exchange(agent, call, reading, signal));
   }
 }
 
@@ -150,6 +137,10 @@
   return attempt.target.members[0].address;
 }
 
+function streamUrl(attempt: Attempt): string {
+  return `${leaderOf(attempt)}/v1/streams/${encodeURIComponent(attempt.streamId)}`;
+}
+
 function headersOf(attempt: Attempt): Record<string, string> {
   const { group } = attempt.target;
   return {
@@ -163,36 +154,93 @@
   };
 }
 
-function classify(error: Error & { code?: string }): AttemptEnd {
-  const never = NEVER_CONNECTED.includes(error.code ?? '');
-  return { kind: never ? 'not-run' : 'lost', detail: error.message };
-}
+/** Reads one answer of an engine and checks that it is the own one. */
+class StreamReading implements ExchangeObserver {
+  readonly mayStart: () => boolean;
+  readonly #attempt: Attempt;
+  readonly #sink: AttemptSink;
+  readonly #reader = new SseReader();
+  readonly #decoder = new TextDecoder();
+  readonly #ownStart: string;
+  #status = 0;
+  #refusal = '';
+  #refusedBeforeRun = false;
+  #mismatch: string | undefined;
+  #whole = false;
+
+  constructor(attempt: Attempt, sink: AttemptSink) {
+    this.mayStart = attempt.mayStart;
+    this.#attempt = attempt;
+    this.#sink = sink;
+    this.#ownStart = `{"id":${JSON.stringify(attempt.streamId)},`;
+  }
+
+  head(status: number, headers: IncomingHttpHeaders): boolean {
+    this.#status = status;
+    if (status !== 200) {
+      this.#refusedBeforeRun = headers[EXECUTION_HEADER] === 'not-run' || status === 404;
+      return true;
+    }
+    this.#mismatch = mismatchOf(this.#attempt, headers);
+    if (this.#mismatch === undefined) {
+      this.#sink.accepted();
+    }
+    return this.#mismatch === undefined;
+  }
+
+  data(bytes: Buffer): Promise<void> | undefined {
+    const text = this.#decoder.decode(bytes, { stream: true });
+    if (this.#status !== 200) {
+      this.#refusal = (this.#refusal + text).slice(0, MAX_REFUSAL_CHARACTERS);
+      return undefined;
+    }
+    let wait: Promise<void> | undefined;
+    for (const event of this.#reader.feed(text)) {
+      wait = this.#take(event.data) ?? wait;
+    }
+    return wait;
+  }
 
-async function readResponse(
-  attempt: Attempt,
-  response: Dispatcher.ResponseData,
-  sink: AttemptSink,
-): Promise<AttemptEnd> {
-  const { headers, statusCode, body } = response;
-  if (statusCode !== 200) {
-    const detail = `status ${statusCode}: ${await body.text().catch(() => '')}`;
-    const refused = headers[EXECUTION_HEADER] === 'not-run' || statusCode === 404;
-    return { kind: refused ? 'not-run' : 'lost', detail };
+  /** What the exchange amounted to. */
+  judge(end: ExchangeEnd): AttemptEnd {
+    if (this.#mismatch !== undefined) {
+      return { kind: 'mismatch', detail: this.#mismatch };
+    }
+    if (this.#whole) {
+      return { kind: 'whole' };
+    }
+    const detail = end.kind === 'ended' ? 'the stream ended without its end marker' : end.detail;
+    if (end.kind === 'never-sent') {
+      return { kind: 'not-run', detail };
+    }
+    if (this.#status === 200) {
+      return { kind: 'cut', detail };
+    }
+    if (this.#status === 0 || end.kind === 'broken') {
+      return { kind: 'lost', detail };
+    }
+    const refusal = `status ${this.#status}: ${this.#refusal}`;
+    return { kind: this.#refusedBeforeRun ? 'not-run' : 'lost', detail: refusal };
   }
-  const mismatch = mismatchOf(attempt, headers);
-  if (mismatch !== undefined) {
-    body.destroy();
-    body.on('error', () => undefined);
-    return { kind: 'mismatch', detail: mismatch };
+
+  #take(data: string): Promise<void> | undefined {
+    if (this.#mismatch !== undefined || this.#whole) {
+      return undefined;
+    }
+    if (data === END_MARKER) {
+      this.#whole = true;
+      return undefined;
+    }
+    const own = data.startsWith(this.#ownStart) || namesStream(data, this.#attempt.streamId);
+    if (!own) {
+      this.#mismatch = 'an event names another request';
+      return undefined;
+    }
+    return this.#sink.token(data);
   }
-  sink.accepted();
-  return readStream(attempt, body, sink);
 }
 
-function mismatchOf(
-  attempt: Attempt,
-  headers: Dispatcher.ResponseData['headers'],
-): string | undefined {
+function mismatchOf(attempt: Attempt, headers: IncomingHttpHeaders): string | undefined {
   if (headers[REQUEST_ID_HEADER] !== attempt.streamId) {
     return 'the answer names another request';
   }
@@ -202,35 +250,6 @@
   return undefined;
 }
 
-async function readStream(
-  attempt: Attempt,
-  body: Dispatcher.ResponseData['body'],
-  sink: AttemptSink,
-): Promise<AttemptEnd> {
-  const reader = new SseReader();
-  const decoder = new TextDecoder();
-  const ownStart = `{"id":${JSON.stringify(attempt.streamId)},`;
-  try {
-    for await (const bytes of body) {
-      for (const event of reader.feed(decoder.decode(bytes as Uint8Array, { stream: true }))) {
-        if (event.data === END_MARKER) {
-          return { kind: 'whole' };
-        }
-        if (!event.data.startsWith(ownStart) && !namesStream(event.data, attempt.streamId)) {
-          return { kind: 'mismatch', detail: 'an event names another request' };
-        }
-        const wait = sink.token(event.data);
-        if (wait !== undefined) {
-          await wait;
-        }
-      }
-    }
-  } catch (error) {
-    return { kind: 'cut', detail: (error as Error).message };
-  }
-  return { kind: 'cut', detail: 'the stream ended without its end marker' };
-}
-
 // Engines may order the members of an event in another way.
 function namesStream(data: string, streamId: string): boolean {
   try {
--- a/packages/gateway/src/requests/service-client.ts
+++ b/packages/gateway/src/requests/service-client.ts
@@ -1,10 +1,14 @@
 /** Calls of plain services: one answer, whole or not at all. */
+import type { IncomingHttpHeaders } from 'node:http';
+
 import { REQUEST_ID_HEADER } from '@hingescale/core';
 import type { Log } from '@hingescale/runtime';
 import type { Dispatcher } from 'undici';
-import { Agent, request } from 'undici';
+import { Agent } from 'undici';
 
 import type { AttemptEnd } from './engine-client.js';
+import type { ExchangeEnd, ExchangeObserver } from './exchange.js';
+import { exchange } from './exchange.js';
 
 /** A call of a plain service. */
 export type ServiceCall = {
@@ -31,24 +35,12 @@
   | Exclude<AttemptEnd, { kind: 'whole' }>;
 
 const CONNECT_TIMEOUT_MS = 1_000;
-const NEVER_CONNECTED: readonly string[] = [
-  'ECONNREFUSED',
-  'EHOSTUNREACH',
-  'ENETUNREACH',
-  'UND_ERR_CONNECT_TIMEOUT',
-];
 
 /** Sends calls to services. */
 export class ServiceClient {
   readonly #log: Log;
-  readonly #agent = new Agent({
-    connect: { timeout: CONNECT_TIMEOUT_MS },
-    pipelining: 1,
-  });
-  readonly #freshAgent = new Agent({
-    connect: { timeout: CONNECT_TIMEOUT_MS },
-    pipelining: 0,
-  });
+  readonly #agent = new Agent({ connect: { timeout: CONNECT_TIMEOUT_MS }, pipelining: 1 });
+  readonly #freshAgent = new Agent({ connect: { timeout: CONNECT_TIMEOUT_MS }, pipelining: 0 });
 
   constructor(log: Log) {
     this.#log = log;
@@ -57,21 +49,12 @@
   /** Makes one call. */
   async call(call: ServiceCall): Promise<ServiceEnd> {
     this.#log.message('service', `${call.method} service`);
-    let response: Dispatcher.ResponseData;
-    try {
-      response = await request(call.url, {
-        method: call.method,
-        dispatcher: call.freshConnection ? this.#freshAgent : this.#agent,
-        headers: headersOf(call),
-        body: call.body,
-        signal: AbortSignal.timeout(call.timeoutMs),
-      });
-    } catch (error) {
-      const { code, message } = error as Error & { code?: string };
-      const never = NEVER_CONNECTED.includes(code ?? '');
-      return { kind: never ? 'not-run' : 'lost', detail: message };
-    }
-    return readAnswer(call, response);
+    const { url, method, body, timeoutMs, freshConnection } = call;
+    const agent = freshConnection ? this.#freshAgent : this.#agent;
+    const reading = new AnswerReading(call.requestId);
+    const signal = AbortSignal.timeout(timeoutMs);
+    const request = { url, method, headers: headersOf(call), body };
+    return reading.judge(await exchange(agent, request, reading, signal));
   }
 
   /** Closes the connections. */
@@ -81,34 +64,53 @@
 }
 
 function headersOf(call: ServiceCall): Record<string, string> {
-  const headers: Record<string, string> = {
-    [REQUEST_ID_HEADER]: call.requestId,
-  };
+  const headers: Record<string, string> = { [REQUEST_ID_HEADER]: call.requestId };
   if (call.contentType !== undefined) {
     headers['content-type'] = call.contentType;
   }
   return headers;
 }
 
-// The library checks the announced length, so a text that was read to its end is whole.
-async function readAnswer(
-  call: ServiceCall,
-  response: Dispatcher.ResponseData,
-): Promise<ServiceEnd> {
-  const { headers, statusCode, body } = response;
-  if (headers[REQUEST_ID_HEADER] !== call.requestId) {
-    body.on('error', () => undefined);
-    body.destroy();
-    return { kind: 'mismatch', detail: 'the answer names another request' };
+/** Reads one answer; the library checks the announced length, so one that ends is whole. */
+class AnswerReading implements ExchangeObserver {
+  readonly #requestId: string;
+  readonly #parts: Buffer[] = [];
+  #status = 0;
+  #contentType = '';
+  #own = false;
+
+  constructor(requestId: string) {
+    this.#requestId = requestId;
+  }
+
+  mayStart(): boolean {
+    return true;
+  }
+
+  head(status: number, headers: IncomingHttpHeaders): boolean {
+    this.#status = status;
+    this.#contentType = String(headers['content-type'] ?? 'application/octet-stream');
+    this.#own = headers[REQUEST_ID_HEADER] === this.#requestId;
+    return this.#own;
   }
-  try {
-    const text = await body.text();
-    const contentType = String(headers['content-type'] ?? 'application/octet-stream');
-    return {
-      kind: 'answer',
-      answer: { status: statusCode, contentType, body: text },
-    };
-  } catch (error) {
-    return { kind: 'cut', detail: (error as Error).message };
+
+  data(bytes: Buffer): undefined {
+    this.#parts.push(bytes);
+  }
+
+  /** What the exchange amounted to. */
+  judge(end: ExchangeEnd): ServiceEnd {
+    if (this.#status !== 0 && !this.#own) {
+      return { kind: 'mismatch', detail: 'the answer names another request' };
+    }
+    if (end.kind === 'ended') {
+      const body = Buffer.concat(this.#parts).toString('utf8');
+      const answer = { status: this.#status, contentType: this.#contentType, body };
+      return { kind: 'answer', answer };
+    }
+    if (end.kind === 'never-sent') {
+      return { kind: 'not-run', detail: end.detail };
+    }
+    return { kind: this.#status === 0 ? 'lost' : 'cut', detail: end.detail };
   }
 }
--- a/packages/proofs/src/deployment/deployment.ts
+++ b/packages/proofs/src/deployment/deployment.ts
@@ -1,4 +1,5 @@
 /** A whole deployment on loopback: stand-ins in this process, gateways and controllers as children. */
+import type { Host } from '@hingescale/core';
 import { acceptChange, PlatformClient, readRevision } from '@hingescale/platform';
 import { silentLog, sleep } from '@hingescale/runtime';
 import type {
@@ -147,13 +148,14 @@
   }
 
   /** Puts the hosts on the platform's list, some of them leaving. */
-  listHosts(leaving: readonly string[] = []): void {
+  listHosts(leaving: readonly string[] = [], more: readonly Host[] = []): void {
     const count = this.#options.hostsPerDomain ?? 4;
     const hosts = profileHosts(this.profile, count, id => this.engine.addresses.get(id) ?? '');
     const own = hosts.filter(host => this.domains.includes(host.failureDomain));
-    this.platform.setHosts(
-      own.map(host => (leaving.includes(host.id) ? { ...host, state: 'leaving' as const } : host)),
+    const marked = own.map(host =>
+      leaving.includes(host.id) ? { ...host, state: 'leaving' as const } : host,
     );
+    this.platform.setHosts([...marked, ...more]);
   }
 
   /** Makes a configuration the next revision; gives its number. */
