Group decision measured against the naive one and a lower bound

Causes: a displaced group was repaired in place, and its freed hosts were taken by the model that had just made room.

--- /dev/null
+++ b/packages/bench/src/bin-groups.ts
@@ -0,0 +1,122 @@
+/** `npm run bench:groups`: what the group decision costs against the naive one and a bound. */
+import { decide } from '@hingescale/core';
+import yargs from 'yargs';
+import { hideBin } from 'yargs/helpers';
+
+import { lowerBound } from './groups/bound.js';
+import type { FleetResult } from './groups/fleet.js';
+import { Fleet } from './groups/fleet.js';
+import { decideNaively } from './groups/naive.js';
+import { scenario, SCENARIOS } from './groups/scenario.js';
+import { makeTrace, readTrace } from './groups/trace.js';
+
+const options = await yargs(hideBin(process.argv))
+  .option('profile', { choices: SCENARIOS, default: 'acquiring' as const })
+  .option('seed', { type: 'number', default: 1, describe: 'first seed' })
+  .option('seeds', { type: 'number', default: 1, describe: 'number of seeds' })
+  .option('baseline', { type: 'boolean', default: true, describe: 'run the naive decision too' })
+  .option('trace', { type: 'string', describe: 'file of JSON lines instead of a seeded trace' })
+  .option('json', { type: 'boolean', default: false })
+  .strict()
+  .parseAsync();
+
+type Row = {
+  readonly seed: number;
+  readonly events: number;
+  readonly ours: FleetResult;
+  readonly naive: FleetResult | undefined;
+  readonly bound: number;
+};
+
+const rows: Row[] = [];
+for (let seed = options.seed; seed < options.seed + options.seeds; seed++) {
+  const fleet = scenario(options.profile);
+  const trace =
+    options.trace === undefined
+      ? makeTrace(fleet.hosts, fleet.days, seed)
+      : readTrace(options.trace);
+  const ours = new Fleet(fleet, decide).run(trace);
+  const naive = options.baseline ? new Fleet(fleet, decideNaively).run(trace) : undefined;
+  rows.push({ seed, events: trace.length, ours, naive, bound: lowerBound(fleet, trace) });
+}
+if (options.json) {
+  process.stdout.write(JSON.stringify(rows.map(withoutTimes), undefined, 2) + '\n');
+} else {
+  print();
+}
+
+function withoutTimes(row: Row): object {
+  const strip = (result: FleetResult | undefined): object | undefined =>
+    result && {
+      ...result,
+      decisionMs: undefined,
+      p50: percentile(result, 0.5),
+      p99: percentile(result, 0.99),
+    };
+  return { ...row, ours: strip(row.ours), naive: strip(row.naive) };
+}
+
+function print(): void {
+  const head = ['seed', 'events', 'who', 'cost', 'down share', 'stranded share', 'loads', 'moves'];
+  console.log([...head, 'decisions', 'p50 ms', 'p99 ms'].map(text => text.padStart(14)).join(''));
+  for (const { seed, events, ours, naive, bound } of rows) {
+    printRow(seed, events, 'ours', ours);
+    if (naive !== undefined) {
+      printRow(seed, events, 'naive', naive);
+      console.log(`${''.padStart(28)}${compare(ours.cost, naive.cost, bound)}`);
+    }
+  }
+  summarize();
+}
+
+// What lies above the bound is all that a decision can save.
+function compare(ours: number, naive: number, bound: number): string {
+  const excess = (ours - bound) / (naive - bound);
+  return [
+    `ours/naive ${(ours / naive).toFixed(3)}`,
+    `above the bound ${excess.toFixed(3)} of naive`,
+    `bound/naive ${(bound / naive).toFixed(3)}`,
+    `ours/bound ${(ours / bound).toFixed(2)}`,
+  ].join(', ');
+}
+
+function printRow(seed: number, events: number, who: string, result: FleetResult): void {
+  const cells = [
+    String(seed),
+    String(events),
+    who,
+    result.cost.toFixed(0),
+    (result.groupDowntime / result.replicaSeconds).toExponential(3),
+    (result.stranded / result.acceleratorSeconds).toExponential(3),
+    String(result.loads),
+    String(result.moves),
+    String(result.decisions),
+    percentile(result, 0.5).toFixed(3),
+    percentile(result, 0.99).toFixed(3),
+  ];
+  console.log(cells.map(cell => cell.padStart(14)).join(''));
+}
+
+function summarize(): void {
+  const compared = rows.filter(row => row.naive !== undefined);
+  const sum = (pick: (row: Row) => number): number =>
+    compared.reduce((total, row) => total + pick(row), 0);
+  const ours = sum(row => row.ours.cost);
+  const naive = sum(row => row.naive?.cost ?? 0);
+  const bound = sum(row => row.bound);
+  const ratios = compared.map(row => row.ours.cost / (row.naive?.cost ?? 1));
+  const heap = process.memoryUsage().heapUsed / 1e6;
+  console.log(`
+${options.profile}, ${rows.length} seeds: ${compare(ours, naive, bound)}`);
+  const worst = Math.max(...ratios).toFixed(3);
+  const best = Math.min(...ratios).toFixed(3);
+  console.log(`ours/naive by seed: best ${best}, worst ${worst}; heap ${heap.toFixed(0)} MB`);
+}
+
+function percentile(result: FleetResult, share: number): number {
+  const index = Math.min(
+    result.decisionMs.length - 1,
+    Math.floor(result.decisionMs.length * share),
+  );
+  return result.decisionMs[index] ?? 0;
+}
--- /dev/null
+++ b/packages/bench/src/groups/naive.ts
@@ -0,0 +1,49 @@
+/**
+ * The naive decision: a broken group is rebuilt at once from the first free hosts, first fit. It
+ * is obviously right and serves as the baseline of the benchmark and of differential tests.
+ */
+import type { DecisionInput, LedgerOrder } from '@hingescale/core';
+import { isDrained, isLeaving, Plan, wantedReplicas } from '@hingescale/core';
+
+/** Decides without weighing anything. */
+export function decideNaively(input: DecisionInput): LedgerOrder[] {
+  const plan = new Plan(input);
+  for (const { ledger, group } of plan.groups()) {
+    const leaving = group.members.some(member => {
+      const fact = input.hosts.get(member);
+      return fact !== undefined && isLeaving(ledger, fact);
+    });
+    const move = (state: 'draining' | 'fencing', reason: string): void => {
+      plan.add(ledger.fabricDomain, group.id, reason, { kind: 'move', state });
+    };
+    if (group.state === 'suspended') {
+      move('fencing', 'broken');
+    } else if (group.state === 'ready' && leaving) {
+      move('draining', 'leaving');
+    } else if (group.state === 'loading' && leaving) {
+      move('fencing', 'leaving');
+    } else if (group.state === 'draining' && isDrained(input, group)) {
+      move('fencing', 'drained');
+    }
+  }
+  for (const [name, model] of input.configuration.models) {
+    const wanted = wantedReplicas(input, model);
+    for (const ledger of plan.ledgers()) {
+      while (plan.held(name) < wanted) {
+        const free = plan.free(ledger.fabricDomain, model.upstream);
+        if (free.length < model.hosts) {
+          break;
+        }
+        const members = free
+          .map(fact => fact.host.id)
+          .sort()
+          .slice(0, model.hosts);
+        const content = { model: name, version: model.version, adapters: model.adapters };
+        const epoch = plan.ledger(ledger.fabricDomain).lastEpoch + 1;
+        const group = `${name}-${ledger.fabricDomain}-${epoch}`;
+        plan.add(ledger.fabricDomain, group, 'missing', { kind: 'form', content, members });
+      }
+    }
+  }
+  return plan.orders;
+}
--- /dev/null
+++ b/packages/bench/src/groups/trace.ts
@@ -0,0 +1,162 @@
+/** Seeded traces of what happens to hosts, and traces from files of JSON lines. */
+import { readFileSync } from 'node:fs';
+
+import type { Host } from '@hingescale/core';
+import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
+import { z } from 'zod';
+
+/**
+ * What happens to a host. `die`: it is lost with its state. `pause`: it falls silent and keeps its
+ * state. `resume`: a paused host answers again. `return`: a new, empty host takes its place.
+ * `notice`: the platform lists it as leaving.
+ */
+export const TRACE_KINDS = ['die', 'pause', 'resume', 'return', 'notice'] as const;
+
+/** One event of a trace, at a time in seconds. */
+export type TraceEvent = z.infer<typeof eventSchema>;
+const eventSchema = z.strictObject({
+  at: z.number().min(0),
+  kind: z.enum(TRACE_KINDS),
+  host: z.string(),
+});
+
+/** Rates of the fleet per host and day, from the letter where it gives them. */
+export const RATES = {
+  /** 13 hosts of 1,220 fail on an ordinary day. */
+  death: 13 / 1220,
+  /** 100 of 1,220 are restarted or replaced. */
+  notice: 100 / 1220,
+  /** Short silences; the letter names them without a rate. */
+  pause: 0.05,
+  /** Hosts that begin to flap. */
+  flap: 0.004,
+  /** Racks lost per 1,220 hosts and day: one every month and a half. */
+  rack: 1 / 45,
+  /** Failure domains lost per deployment and day: one every two months. */
+  domain: 1 / 60,
+};
+
+const DAY_S = 86_400;
+const RACK_HOSTS = 6;
+const NOTICE_S = 120;
+
+/** Reads a trace from a file: one JSON object `{"at", "kind", "host"}` a line. */
+export function readTrace(file: string): TraceEvent[] {
+  const lines = readFileSync(file, 'utf8').split('\n');
+  const events = lines
+    .filter(line => line.trim() !== '')
+    .map(line => eventSchema.parse(JSON.parse(line)));
+  return events.sort((a, b) => a.at - b.at);
+}
+
+/** Makes the trace of a seed. */
+export function makeTrace(hosts: readonly Host[], days: number, seed: number): TraceEvent[] {
+  const maker = new TraceMaker(seed);
+  for (const host of hosts) {
+    maker.liveThrough(host.id, days * DAY_S);
+  }
+  maker.loseTogether(hosts, days * DAY_S);
+  return maker.events.sort((a, b) => a.at - b.at || a.host.localeCompare(b.host));
+}
+
+class TraceMaker {
+  readonly events: TraceEvent[] = [];
+  readonly #random;
+
+  constructor(seed: number) {
+    this.#random = xoroshiro128plus(seed);
+  }
+
+  /** Single events of one host; after each it is whole again before the next. */
+  liveThrough(host: string, endS: number): void {
+    const perDay = RATES.death + RATES.notice + RATES.pause + RATES.flap;
+    let at = this.#exponential(DAY_S / perDay);
+    while (at < endS) {
+      const kind = this.#uniform() * perDay;
+      at = this.#happen(host, at, kind) + this.#exponential(DAY_S / perDay);
+    }
+  }
+
+  /** Racks and failure domains that go as a whole. */
+  loseTogether(hosts: readonly Host[], endS: number): void {
+    const rackMeanS = DAY_S / ((RATES.rack * Math.max(hosts.length, 200)) / 1220);
+    for (let at = this.#exponential(rackMeanS); at < endS; at += this.#exponential(rackMeanS)) {
+      const first = this.#index(hosts.length);
+      const fabric = hosts[first].fabricDomain;
+      const rack = hosts.slice(first, first + RACK_HOSTS).filter(h => h.fabricDomain === fabric);
+      const backAt = at + 1_800 + this.#exponential(3_600);
+      rack.forEach(host => {
+        this.#lose(host.id, at, backAt);
+      });
+    }
+    const domainMeanS = DAY_S / RATES.domain;
+    for (let at = this.#exponential(domainMeanS); at < endS; at += this.#exponential(domainMeanS)) {
+      const { failureDomain } = hosts[this.#index(hosts.length)];
+      const backAt = at + 600 + this.#exponential(1_800);
+      hosts
+        .filter(host => host.failureDomain === failureDomain)
+        .forEach(host => {
+          this.#lose(host.id, at, backAt);
+        });
+    }
+  }
+
+  #happen(host: string, at: number, kind: number): number {
+    if (kind < RATES.death) {
+      const backAt = at + 1_800 + this.#exponential(5_400);
+      this.#lose(host, at, backAt);
+      return backAt;
+    }
+    if (kind < RATES.death + RATES.notice) {
+      const goneAt = at + NOTICE_S;
+      const backAt = goneAt + 300 + this.#exponential(3_600);
+      this.events.push({ at, kind: 'notice', host });
+      this.#lose(host, goneAt, backAt);
+      return backAt;
+    }
+    if (kind < RATES.death + RATES.notice + RATES.pause) {
+      return this.#pause(host, at);
+    }
+    return this.#flap(host, at);
+  }
+
+  #flap(host: string, at: number): number {
+    const endAt = at + 1_800 + this.#exponential(3_600);
+    let next = at;
+    while (next < endAt) {
+      next = this.#pause(host, next) + 60 + this.#exponential(120);
+    }
+    return next;
+  }
+
+  // Most silences are short, a few are long: log-normal with a median of 20 s.
+  #pause(host: string, at: number): number {
+    const lengthS = 20 * Math.exp(1.2 * this.#normal());
+    this.events.push({ at, kind: 'pause', host });
+    this.events.push({ at: at + lengthS, kind: 'resume', host });
+    return at + lengthS;
+  }
+
+  #lose(host: string, at: number, backAt: number): void {
+    this.events.push({ at, kind: 'die', host });
+    this.events.push({ at: backAt, kind: 'return', host });
+  }
+
+  #uniform(): number {
+    return uniformFloat64(this.#random);
+  }
+
+  #index(length: number): number {
+    return Math.floor(this.#uniform() * length);
+  }
+
+  #exponential(mean: number): number {
+    return -Math.log(1 - this.#uniform()) * mean;
+  }
+
+  #normal(): number {
+    const radius = Math.sqrt(-2 * Math.log(1 - this.#uniform()));
+    return radius * Math.cos(2 * Math.PI * this.#uniform());
+  }
+}
--- a/packages/core/src/decision/broken-groups.ts
+++ b/packages/core/src/decision/broken-groups.ts
@@ -12,6 +12,7 @@
 import { downRate, loadMs, strandedRate } from './costs.js';
 import type { DecisionInput, HostFact } from './decision-input.js';
 import { ageOf, answers, FLAPPING_LOSSES, isLeaving } from './decision-input.js';
+import { canForm } from './formation.js';
 import { hostLossAnswer } from './host-loss.js';
 import type { Alternative } from './ledger-order.js';
 import type { PlacedGroup, Plan } from './plan.js';
@@ -48,6 +49,7 @@
     }
   }
   if (open.length > 0) {
+    moveElsewhere(plan, open);
     completeByMerging(plan, open);
     completeByPreempting(plan, open);
   }
@@ -139,9 +141,18 @@
   ];
 }
 
+// A group that can not be completed here is given up when a new one can stand elsewhere.
+function moveElsewhere(plan: Plan, open: readonly Broken[]): void {
+  for (const entry of open) {
+    if (canForm(plan, entry.model)) {
+      fence(plan, entry, 'a new replica can be formed elsewhere');
+    }
+  }
+}
+
 // Of two groups that can not be completed alone, the one worth more is completed from the other.
 function completeByMerging(plan: Plan, open: readonly Broken[]): void {
-  const donors = new Set<string>();
+  const donors = new Set<string>(givenUp(plan));
   for (const entry of open) {
     if (donors.has(entry.group.id)) {
       continue;
@@ -165,7 +176,11 @@
 }
 
 function completeByPreempting(plan: Plan, open: readonly Broken[]): void {
+  const done = givenUp(plan);
   for (const entry of open) {
+    if (done.includes(entry.group.id)) {
+      continue;
+    }
     const victim = plan
       .groups()
       .filter(other => mayYield(plan, entry, other))
@@ -185,6 +200,13 @@
   }
 }
 
+// Groups that this plan has already decided to give up.
+function givenUp(plan: Plan): string[] {
+  return plan.orders
+    .filter(order => order.kind === 'move' && order.state === 'fencing')
+    .map(order => order.group);
+}
+
 const DRAIN = { kind: 'move', state: 'draining' } as const;
 
 function mayYield(plan: Plan, entry: Broken, other: PlacedGroup): boolean {
--- a/packages/core/src/decision/costs.ts
+++ b/packages/core/src/decision/costs.ts
@@ -18,6 +18,11 @@
   return input.configuration.deployment['downtime-weight'] * model.importance;
 }
 
+/** Cost per second that each host of a replica avoids while the replica is up. */
+export function valuePerHost(input: DecisionInput, model: Model): number {
+  return downRate(input, model) / model.hosts;
+}
+
 /** Cost per second of so many hosts of a group that sit idle. */
 export function strandedRate(input: DecisionInput, group: Group, hosts: number): number {
   return input.configuration.deployment['stranded-weight'] * acceleratorsOf(input, group) * hosts;
--- a/packages/core/src/decision/decide.ts
+++ b/packages/core/src/decision/decide.ts
@@ -1,6 +1,7 @@
 /** The group decision: a pure function from facts and wishes to orders with reasons. */
 import { treatBroken } from './broken-groups.js';
 import type { DecisionInput } from './decision-input.js';
+import { displaceForMissing } from './displacement.js';
 import { drainExcess, drainLeaving, endDrained, rollVersions } from './drains.js';
 import { formMissing } from './formation.js';
 import type { LedgerOrder } from './ledger-order.js';
@@ -14,6 +15,7 @@
   endDrained(plan);
   treatBroken(plan);
   formMissing(plan);
+  displaceForMissing(plan);
   rollVersions(plan);
   return plan.orders;
 }
--- a/packages/core/src/decision/drains.ts
+++ b/packages/core/src/decision/drains.ts
@@ -3,7 +3,14 @@
 import type { Group } from '../groups/ledger.js';
 import type { FailureDomainId } from '../hosts/host.js';
 import type { DecisionInput } from './decision-input.js';
-import { ageOf, domainsOf, isLeaving, memberIsLoaded, wantedReplicas } from './decision-input.js';
+import {
+  ageOf,
+  domainsOf,
+  hasOutdatedAdapters,
+  isLeaving,
+  memberIsLoaded,
+  wantedReplicas,
+} from './decision-input.js';
 import { canForm, formOne } from './formation.js';
 import type { PlacedGroup, Plan } from './plan.js';
 
@@ -159,5 +166,7 @@
     const fact = plan.input.hosts.get(member);
     return fact === undefined || isLeaving(ledger, fact);
   });
-  return plan.free(ledger.fabricDomain, model.upstream).length >= leaving.length;
+  // A group that drains for another reason, such as to make room, must not come back in its place.
+  const wantsRepair = leaving.length > 0 || hasOutdatedAdapters(plan.input, group);
+  return wantsRepair && plan.free(ledger.fabricDomain, model.upstream).length >= leaving.length;
 }
--- a/packages/core/src/decision/formation.ts
+++ b/packages/core/src/decision/formation.ts
@@ -2,23 +2,45 @@
 import type { Model } from '../configuration/objects.js';
 import type { Ledger } from '../groups/ledger.js';
 import type { FabricDomainId } from '../hosts/host.js';
-import { downRate, loadMs } from './costs.js';
+import { valuePerHost } from './costs.js';
 import { wantedReplicas } from './decision-input.js';
 import type { Alternative } from './ledger-order.js';
 import type { Plan } from './plan.js';
 
 type Candidate = { readonly fabricDomain: FabricDomainId; readonly free: number };
 
-/** Forms missing replicas, the most valuable per host first, as far as free hosts go. */
+/**
+ * Forms missing replicas as far as free hosts go: the most valuable per host first, of equal ones
+ * the larger, which finds room less easily. Hosts that a more valuable replica waits for are not
+ * taken by a lesser one.
+ */
 export function formMissing(plan: Plan): void {
   const models = [...plan.input.configuration.models].sort(
-    ([, a], [, b]) => valuePerHost(plan, b) - valuePerHost(plan, a),
+    ([, a], [, b]) =>
+      valuePerHost(plan.input, b) - valuePerHost(plan.input, a) || b.hosts - a.hosts,
   );
+  const reserved = new Set<FabricDomainId>();
   for (const [name, model] of models) {
     const wanted = wantedReplicas(plan.input, model);
-    while (plan.held(name) < wanted && formOne(plan, name, model)) {
+    while (plan.held(name) < wanted && formOne(plan, name, model, reserved)) {
       // Each turn adds one group to the plan.
     }
+    if (plan.held(name) < wanted) {
+      reserveRoom(plan, model, reserved);
+    }
+  }
+}
+
+// Fabric domains in which enough hosts for the replica are free or about to be.
+function reserveRoom(plan: Plan, model: Model, reserved: Set<FabricDomainId>): void {
+  for (const ledger of plan.ledgers()) {
+    const pending = ledger.groups
+      .filter(group => group.state === 'draining' || group.state === 'fencing')
+      .reduce((sum, group) => sum + group.members.length, 0);
+    const free = plan.free(ledger.fabricDomain, model.upstream).length;
+    if (pending > 0 && free + pending >= model.hosts) {
+      reserved.add(ledger.fabricDomain);
+    }
   }
 }
 
@@ -28,8 +50,15 @@
 }
 
 /** Forms one replica where the fewest hosts are left without use; false when none fits. */
-export function formOne(plan: Plan, name: string, model: Model): boolean {
-  const candidates = candidatesFor(plan, model);
+export function formOne(
+  plan: Plan,
+  name: string,
+  model: Model,
+  reserved: ReadonlySet<FabricDomainId> = new Set(),
+): boolean {
+  const candidates = candidatesFor(plan, model).filter(
+    candidate => !reserved.has(candidate.fabricDomain),
+  );
   const best = candidates.sort((a, b) => fragmentation(a, model) - fragmentation(b, model))[0];
   if (best === undefined) {
     return false;
@@ -71,10 +100,6 @@
   return left % model.hosts;
 }
 
-function valuePerHost(plan: Plan, model: Model): number {
-  return downRate(plan.input, model) / (model.hosts * loadMs(plan.input, model, model.hosts));
-}
-
 // Epochs are never handed out twice, so neither are names.
 function groupName(model: string, ledger: Ledger): string {
   return `${model}-${ledger.fabricDomain}-${ledger.lastEpoch + 1}`;
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -20,6 +20,7 @@
 export * from './requests/sse.js';
 export * from './decision/decide.js';
 export * from './decision/decision-input.js';
+export * from './decision/drains.js';
 export * from './decision/ledger-order.js';
 export * from './decision/load-queue.js';
 export * from './decision/plan.js';
--- a/packages/proofs/src/index.ts
+++ b/packages/proofs/src/index.ts
@@ -2,3 +2,4 @@
 export * from './deployment/caller.js';
 export * from './deployment/deployment.js';
 export * from './deployment/profile.js';
+export * from './sessions/golden.js';
