--- a/packages/bench/src/bin-groups.ts
+++ b/packages/bench/src/bin-groups.ts
@@ -4,8 +4,8 @@
 import { hideBin } from 'yargs/helpers';
 
 import { lowerBound } from './groups/bound.js';
-import type { FleetResult } from './groups/fleet.js';
 import { Fleet } from './groups/fleet.js';
+import type { FleetResult } from './groups/fleet-meter.js';
 import { decideNaively } from './groups/naive.js';
 import { scenario, SCENARIOS } from './groups/scenario.js';
 import { makeTrace, readTrace } from './groups/trace.js';
--- a/packages/bench/src/groups/fleet.ts
+++ b/packages/bench/src/groups/fleet.ts
@@ -2,7 +2,6 @@
 import type {
   DecisionInput,
   Group,
-  Host,
   HostFact,
   HostStateReport,
   Ledger,
@@ -17,6 +16,8 @@
   reconcile,
 } from '@hingescale/core';
 
+import type { FakeHost, FleetResult } from './fleet-meter.js';
+import { FleetMeter } from './fleet-meter.js';
 import type { Scenario } from './scenario.js';
 import type { TraceEvent } from './trace.js';
 
@@ -31,35 +32,6 @@
   readonly onOrder?: (order: LedgerOrder, at: number) => void;
 };
 
-/** What a run cost. */
-export type FleetResult = {
-  /** Seconds of missing replicas, each weighed by its importance. */
-  readonly weightedDowntime: number;
-  /** Seconds of missing replicas. */
-  readonly groupDowntime: number;
-  /** Accelerator-seconds idle because a wanted replica was not complete. */
-  readonly stranded: number;
-  readonly cost: number;
-  readonly loads: number;
-  readonly moves: number;
-  readonly decisions: number;
-  /** Milliseconds of each decision, sorted. */
-  readonly decisionMs: readonly number[];
-  /** Replica-seconds and accelerator-seconds of the whole run, for shares. */
-  readonly replicaSeconds: number;
-  readonly acceleratorSeconds: number;
-};
-
-type FakeHost = {
-  host: Host;
-  alive: boolean;
-  silentSince: number;
-  report: HostStateReport;
-  losses: number[];
-  /** Gigabytes that are still to be read. */
-  left: number;
-};
-
 const TIMES = { certificateMs: 1_500, drainMs: 120_000 };
 const SILENT_AFTER_S = 1.5;
 const TICK_S = 5;
@@ -82,7 +54,7 @@
   readonly #ledgers = new Map<string, Ledger>();
   readonly #since = new Map<string, number>();
   readonly #decisionMs: number[] = [];
-  readonly #measured = { weighted: 0, downtime: 0, stranded: 0, loads: 0, moves: 0 };
+  readonly #meter: FleetMeter;
   #now = 0;
   #measuring = false;
   #start = 0;
@@ -94,6 +66,7 @@
     this.#scenario = scenario;
     this.#decide = decide;
     this.#options = options;
+    this.#meter = new FleetMeter(scenario, this.#hosts);
     for (const host of scenario.hosts) {
       const report = emptyReport(host.id, 0);
       this.#hosts.set(host.id, { host, alive: true, silentSince: 0, report, losses: [], left: 0 });
@@ -116,7 +89,7 @@
       this.#turn();
     }
     this.#advanceTo(start + days * 86_400);
-    return this.#result(days * 86_400);
+    return this.#meter.result(days * 86_400, this.#decisionMs);
   }
 
   /** Lets every host come back empty or as it was, and time pass until nothing moves. */
@@ -176,7 +149,7 @@
 
   #pass(seconds: number): void {
     if (this.#measuring) {
-      this.#measure(seconds);
+      this.#meter.pass(this.ledgers(), seconds);
     }
     const loading = [...this.#hosts.values()].filter(host => host.left > 0);
     const rate = this.#loadRate(loading.length);
@@ -246,7 +219,7 @@
       }
     }
     const groups = this.ledgers().flatMap(ledger => ledger.groups);
-    const calm = groups.every(group => group.state === 'ready' && this.#serves(group));
+    const calm = groups.every(group => group.state === 'ready' && this.#meter.serves(group));
     this.#quiet = !acted && calm && this.#now - this.#lastEvent > SETTLE_S;
   }
 
@@ -274,7 +247,7 @@
       this.#options.onOrder?.(order, this.#now - this.#start);
     }
     if (this.#measuring && order.kind !== 'confirm-fenced' && order.kind !== 'clear-unfenced') {
-      this.#measured.moves += 1;
+      this.#meter.moves += 1;
     }
   }
 
@@ -323,7 +296,7 @@
     host.report = { ...base, loaded: kept };
     if (!kept) {
       host.left = this.#scenario.configuration.models.get(model)?.['gigabytes-per-host'] ?? 1;
-      this.#measured.loads += this.#measuring ? 1 : 0;
+      this.#meter.loads += this.#measuring ? 1 : 0;
     }
   }
 
@@ -381,66 +354,6 @@
     }
     return ages;
   }
-
-  #measure(seconds: number): void {
-    const { configuration } = this.#scenario;
-    const groups = this.ledgers().flatMap(ledger => ledger.groups);
-    let missingAny = false;
-    for (const [name, model] of configuration.models) {
-      const up = groups.filter(group => group.content.model === name && this.#serves(group)).length;
-      const missing = Math.max(0, model.replicas - up);
-      missingAny ||= missing > 0;
-      this.#measured.downtime += missing * seconds;
-      this.#measured.weighted += missing * model.importance * seconds;
-    }
-    if (missingAny) {
-      this.#measured.stranded += this.#idleAccelerators(groups) * seconds;
-    }
-  }
-
-  #serves(group: Group): boolean {
-    return (
-      group.state === 'ready' && group.members.every(id => this.#hosts.get(id)?.alive === true)
-    );
-  }
-
-  // Idle: alive, not reclaimed, and neither in a serving group nor loading for one.
-  #idleAccelerators(groups: readonly Group[]): number {
-    const busy = new Set<string>();
-    for (const group of groups) {
-      const working =
-        group.state === 'loading' || group.state === 'draining' || this.#serves(group);
-      if (working) {
-        group.members.forEach(member => busy.add(member));
-      }
-    }
-    let idle = 0;
-    for (const [id, host] of this.#hosts) {
-      if (host.alive && host.host.state === 'live' && !busy.has(id)) {
-        idle += host.host.accelerators;
-      }
-    }
-    return idle;
-  }
-
-  #result(seconds: number): FleetResult {
-    const { deployment, models } = this.#scenario.configuration;
-    const { weighted, downtime, stranded, loads, moves } = this.#measured;
-    const replicas = [...models.values()].reduce((sum, model) => sum + model.replicas, 0);
-    const accelerators = this.#scenario.hosts.reduce((sum, host) => sum + host.accelerators, 0);
-    return {
-      weightedDowntime: weighted,
-      groupDowntime: downtime,
-      stranded,
-      cost: deployment['downtime-weight'] * weighted + deployment['stranded-weight'] * stranded,
-      loads,
-      moves,
-      decisions: this.#decisionMs.length,
-      decisionMs: [...this.#decisionMs].sort((a, b) => a - b),
-      replicaSeconds: replicas * seconds,
-      acceleratorSeconds: accelerators * seconds,
-    };
-  }
 }
 
 function emptyReport(host: string, at: number): HostStateReport {
--- a/packages/bench/src/index.ts
+++ b/packages/bench/src/index.ts
@@ -1,4 +1,5 @@
 /** Benchmarks: commands that measure, never tests on time. */
+export * from './groups/fleet-meter.js';
 export * from './groups/fleet.js';
 export * from './groups/naive.js';
 export * from './groups/scenario.js';
--- a/packages/controller/src/controller.ts
+++ b/packages/controller/src/controller.ts
@@ -263,6 +263,7 @@
       remotes: this.#remotes,
       ownView: () => domain.view,
       loads: () => this.#collector.reports(),
+      cacheEvents: from => this.#collector.cacheEvents(from),
     });
     this.#groups = new GroupTask({
       failureDomain,
--- a/packages/controller/src/views/peer-task.ts
+++ b/packages/controller/src/views/peer-task.ts
@@ -124,6 +124,7 @@
       revision: holder.revision,
       configuration: peer.sendConfiguration ? holder.current : undefined,
       views: remotes.versions(),
+      cacheFrom: {},
       leaving: false,
       usage: [],
     };
--- a/packages/controller/src/views/poll-handler.ts
+++ b/packages/controller/src/views/poll-handler.ts
@@ -1,7 +1,13 @@
 /** Answers polls of gateways and of other controllers. */
 import type { Certificate, DomainView } from '@hingescale/core';
 import { certificateExpiry } from '@hingescale/core';
-import type { KeyGrant, LoadReport, PollReply, PollRequest } from '@hingescale/link';
+import type {
+  GroupCacheEvents,
+  KeyGrant,
+  LoadReport,
+  PollReply,
+  PollRequest,
+} from '@hingescale/link';
 import type { ConfigurationHolder } from '@hingescale/platform';
 import { monotonicMs } from '@hingescale/runtime';
 import type { MemberProber } from '@hingescale/upstream';
@@ -23,6 +29,7 @@
   /** The own view, or undefined while this process does not vouch for it. */
   readonly ownView: () => DomainView | undefined;
   readonly loads: () => readonly LoadReport[];
+  readonly cacheEvents: (from: Readonly<Record<string, number>>) => readonly GroupCacheEvents[];
 };
 
 /** Answers polls. */
@@ -53,6 +60,7 @@
       configuration: poll.revision < holder.revision ? holder.current : undefined,
       wantConfiguration: poll.revision > holder.revision,
       usage: fromGateway ? roster.usageWithout(poll.instance) : [],
+      cacheEvents: fromGateway ? this.#options.cacheEvents(poll.cacheFrom) : [],
       ...this.#domains(poll, view, fromGateway),
     };
   }
--- a/packages/core/src/requests/prefix.ts
+++ b/packages/core/src/requests/prefix.ts
@@ -1,5 +1,7 @@
 /** Prompt prefixes by which requests find a group that has their start in its cache. */
 
+import { createHash } from 'node:crypto';
+
 /** Characters of one block; prefixes end at block borders. */
 export const PREFIX_BLOCK_CHARACTERS = 256;
 /** Blocks of a prompt that are looked at. */
@@ -15,11 +17,7 @@
  * Hashes of the prefixes of a prompt at block borders, shortest first. The salt is the workspace,
  * so that no workspace can find out what another one asked.
  */
-export function prefixHashes(
-  salt: string,
-  prompt: string,
-  hash: (text: string) => string,
-): PromptPrefix[] {
+export function prefixHashes(salt: string, prompt: string): PromptPrefix[] {
   const prefixes: PromptPrefix[] = [];
   let before = salt;
   for (let block = 0; block < MAX_PREFIX_BLOCKS; block++) {
@@ -27,8 +25,14 @@
     if (end > prompt.length) {
       break;
     }
-    before = hash(`${before}\0${prompt.slice(end - PREFIX_BLOCK_CHARACTERS, end)}`);
+    before = prefixHash(`${before}\0${prompt.slice(end - PREFIX_BLOCK_CHARACTERS, end)}`);
     prefixes.push({ characters: end, hash: before });
   }
   return prefixes;
 }
+
+const HASH_CHARACTERS = 16;
+
+function prefixHash(text: string): string {
+  return createHash('sha1').update(text).digest('hex').slice(0, HASH_CHARACTERS);
+}
--- a/packages/gateway/src/domain/controller-task.ts
+++ b/packages/gateway/src/domain/controller-task.ts
@@ -20,6 +20,7 @@
   readonly directory: GroupDirectory;
   readonly leaving: () => boolean;
   readonly usage: () => readonly WorkspaceUsage[];
+  readonly cacheFrom: () => Readonly<Record<string, number>>;
   readonly log: Log;
   readonly metrics: Metrics;
 };
@@ -139,6 +140,7 @@
       revision: holder.revision,
       configuration: this.#sendConfiguration ? holder.current : undefined,
       views: directory.versions(),
+      cacheFrom: this.#options.cacheFrom(),
       leaving: leaving(),
       usage: usage(),
     };
--- a/packages/gateway/src/gateway-settings.ts
+++ b/packages/gateway/src/gateway-settings.ts
@@ -10,6 +10,8 @@
 } from '@hingescale/runtime';
 import { z } from 'zod';
 
+import { ROUTING_STRATEGIES } from './routing/router.js';
+
 /** Schema of the settings file. */
 export const gatewaySchema = {
   process: processSection,
@@ -30,6 +32,12 @@
     'tls-certificate': textField().optional(),
     'tls-key': textField().optional(),
   }),
+  routing: z.strictObject({
+    /** How groups are chosen; all but `expected` are for comparison. */
+    strategy: z
+      .enum(ROUTING_STRATEGIES, { message: `must be one of ${ROUTING_STRATEGIES.join(', ')}` })
+      .default('expected'),
+  }),
   limits: z.strictObject({
     /** Requests that may wait per model. */
     'queue-length': integerField(0, 1_000_000).default(2_000),
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -31,6 +31,7 @@
 import { EngineClient } from './requests/engine-client.js';
 import { RetryBudget } from './requests/retry-budget.js';
 import { ServiceClient } from './requests/service-client.js';
+import { PrefixIndex } from './routing/prefix-index.js';
 import { Router } from './routing/router.js';
 
 /** Cost in milliseconds of using a group of another failure domain. */
@@ -54,6 +55,7 @@
   readonly #services: ServiceClient;
   readonly #policies: GatewayPolicies;
   readonly #elsewhere = new UsageElsewhere();
+  readonly #prefixes = new PrefixIndex();
   readonly #admission: Admission;
   readonly #router: Router;
   #keys: KeyTask | undefined;
@@ -98,6 +100,8 @@
       directory: this.#directory,
       failureDomain,
       remoteCostMs: REMOTE_COST_MS,
+      prefixes: this.#prefixes,
+      strategy: settings.routing.strategy,
       random: xoroshiro128plus(randomInt(MAX_SEED)),
     });
     this.#admission = new Admission({
@@ -213,6 +217,7 @@
       directory: this.#directory,
       leaving: () => this.#leaving,
       usage: (): WorkspaceUsage[] => this.#admission.usage(),
+      cacheFrom: () => this.#prefixes.cursors(),
       log: this.#log,
       metrics: this.#metrics,
     });
@@ -241,6 +246,7 @@
 
   #takeReply(reply: PollReply, sentAt: number): void {
     this.#router.takeLoads(reply.loads);
+    this.#prefixes.take(reply.cacheEvents);
     this.#elsewhere.take(reply.usage);
     this.#keys?.takeGrants(reply.keys, sentAt);
     this.#admission.refresh();
--- a/packages/gateway/src/requests/completion-run.ts
+++ b/packages/gateway/src/requests/completion-run.ts
@@ -5,7 +5,7 @@
 import { monotonicMs, newUuid } from '@hingescale/runtime';
 
 import type { GroupDirectory } from '../domain/group-directory.js';
-import type { Router } from '../routing/router.js';
+import type { Route, Router } from '../routing/router.js';
 import type { Attempt, AttemptEnd, EngineClient } from './engine-client.js';
 import { RequestLife } from './request-life.js';
 import type { RetryBudget } from './retry-budget.js';
@@ -60,6 +60,8 @@
   readonly #tried = new Set<string>();
   #tokens = 0;
   #startedAt = 0;
+  #sentAt = 0;
+  #route: Route | undefined;
   #lastTokenAt = 0;
 
   constructor(services: RunServices, admitted: AdmittedRequest, sink: AnswerSink) {
@@ -121,16 +123,17 @@
       mayStart: () => directory.certified(target.group.id, target.group.epoch),
     };
     const abort = this.#abortFor(target);
-    const route = router.enter(target);
+    const route = router.enter(target, request.prompt, workspace);
+    this.#route = route;
     this.life.to('dispatching');
-    const sentAt = monotonicMs();
+    this.#sentAt = monotonicMs();
     try {
       const end = await this.#follow(attempt, abort.signal);
       metrics.count('attempts_total', { end: end.kind });
       if (end.kind !== 'whole' && end.kind !== 'not-run') {
         engine.cancel(attempt);
       }
-      route.leave(end.kind === 'whole' ? 'whole' : end.kind, monotonicMs() - sentAt);
+      route.leave(end.kind === 'whole' ? 'whole' : end.kind, monotonicMs() - this.#sentAt);
       return end;
     } finally {
       abort.dispose();
@@ -169,6 +172,7 @@
     const now = monotonicMs();
     if (this.#tokens === 0) {
       metrics.histogram('first_token').record(now - this.#startedAt);
+      this.#route?.firstToken(now - this.#sentAt);
     } else {
       metrics.histogram('between_tokens').record(now - this.#lastTokenAt);
     }
--- a/packages/gateway/src/routing/group-load.ts
+++ b/packages/gateway/src/routing/group-load.ts
@@ -8,6 +8,9 @@
 /** Weight of the newest value in moving averages. */
 const SMOOTHING = 0.1;
 const FIRST_SERVICE_MS = 1_000;
+const FIRST_BLOCK_MS = 5;
+/** Time in which what was learned of a group's slowness loses two thirds of its weight. */
+const RESIDUAL_DECAY_MS = 5_000;
 
 /** Load of one group as this gateway sees it. */
 export class GroupLoad {
@@ -16,6 +19,9 @@
   #reported = 0;
   #measuredAt = -Infinity;
   #serviceMs = FIRST_SERVICE_MS;
+  #blockMs = FIRST_BLOCK_MS;
+  #residualMs = 0;
+  #residualAt = 0;
 
   /** Requests of this gateway on the group. */
   get inFlight(): number {
@@ -27,6 +33,11 @@
     return this.#serviceMs;
   }
 
+  /** Smoothed time of one block of prompt that is not cached, in milliseconds. */
+  get blockMs(): number {
+    return this.#blockMs;
+  }
+
   /** Takes a report that was measured `ageMs` before `now`. */
   takeReport(report: LoadReport, now: number): void {
     const measuredAt = now - report.ageMs;
@@ -49,6 +60,21 @@
     }
   }
 
+  /** Learns from a first token: what was expected, and what came. */
+  learn(now: number, expectedMs: number, actualMs: number, blocks: number, waited: boolean): void {
+    if (!waited && blocks > 0) {
+      this.#blockMs += SMOOTHING * (actualMs / (blocks + 1) - this.#blockMs);
+    }
+    const before = this.residualMs(now);
+    this.#residualMs = before + SMOOTHING * (actualMs - expectedMs - before);
+    this.#residualAt = now;
+  }
+
+  /** How much later first tokens came than expected of late; fades, so that a group is tried again. */
+  residualMs(now: number): number {
+    return this.#residualMs * Math.exp(-(now - this.#residualAt) / RESIDUAL_DECAY_MS);
+  }
+
   /** Requests expected on the group now: the report, plus the own change since it was measured. */
   expected(): number {
     const before = this.#inFlightAt(this.#measuredAt);
--- a/packages/gateway/src/routing/router.ts
+++ b/packages/gateway/src/routing/router.ts
@@ -1,12 +1,22 @@
-/** Chooses the group for a request: the better of two random ones by expected first-token time. */
-import type { FailureDomainId, GroupId, GroupView } from '@hingescale/core';
+/**
+ * Chooses the group for a request: of two random groups and those that hold the prompt's start, the
+ * one with the least expected time to the first token.
+ */
+import type { FailureDomainId, GroupId, GroupView, PromptPrefix } from '@hingescale/core';
 import type { LoadReport } from '@hingescale/link';
 import { monotonicMs } from '@hingescale/runtime';
 import { uniformInt } from 'pure-rand/distribution/uniformInt';
 import type { RandomGenerator } from 'pure-rand/types/RandomGenerator';
 
 import type { GroupDirectory } from '../domain/group-directory.js';
+import { GroupHealth } from './group-health.js';
 import { GroupLoad } from './group-load.js';
+import type { PrefixIndex } from './prefix-index.js';
+
+/** How groups are chosen; all but `expected` are baselines. */
+export const ROUTING_STRATEGIES = ['expected', 'least-in-flight', 'round-robin', 'random'] as const;
+/** One of the ways groups are chosen. */
+export type RoutingStrategy = (typeof ROUTING_STRATEGIES)[number];
 
 /** What routing looks at. */
 export type RouteQuery = {
@@ -20,22 +30,31 @@
 
 /** A request on a group; to be left exactly once. */
 export type Route = {
+  /** The first token came so many milliseconds after the request was sent. */
+  readonly firstToken: (ms: number) => void;
   readonly leave: (end: string, serviceMs: number) => void;
 };
 
 /** Options of the router. */
 export type RouterOptions = {
-  readonly directory: GroupDirectory;
+  readonly directory: Pick<GroupDirectory, 'usable' | 'group'>;
   readonly failureDomain: FailureDomainId;
   /** Cost in milliseconds of using a group of another failure domain. */
   readonly remoteCostMs: number;
+  readonly prefixes: PrefixIndex;
+  readonly strategy: RoutingStrategy;
   readonly random: RandomGenerator;
 };
 
+/** At most this part of the groups of a model is avoided for failures. */
+const MAX_EJECTED_SHARE = 0.5;
+
 /** Chooses groups and keeps what is known of their load. */
 export class Router {
   readonly #options: RouterOptions;
   readonly #loads = new Map<GroupId, GroupLoad>();
+  readonly #health = new Map<GroupId, GroupHealth>();
+  #turn = 0;
 
   constructor(options: RouterOptions) {
     this.#options = options;
@@ -57,53 +76,105 @@
       .usable(query.model)
       .filter(({ group }) => adapter === undefined || group.content.adapters.includes(adapter))
       .filter(({ group }) => !exclude.has(group.id));
-    if (candidates.length <= 2) {
-      return this.#best(candidates);
+    const healthy = this.#withoutEjected(candidates);
+    switch (this.#options.strategy) {
+      case 'expected':
+        return this.#pickExpected(healthy, query);
+      case 'least-in-flight':
+        return best(healthy, view => this.#load(view.group.id).inFlight);
+      case 'round-robin':
+        return candidates[this.#turn++ % Math.max(1, candidates.length)];
+      case 'random':
+        return candidates.length === 0 ? undefined : candidates[this.#index(candidates.length)];
     }
-    return this.#best(this.#twoOf(candidates));
   }
 
   /** Notes that a request begins on a group. */
-  enter(target: GroupView): Route {
-    const load = this.#load(target.group.id);
+  enter(target: GroupView, prompt: string, workspace: string): Route {
+    const { prefixes } = this.#options;
+    const { id } = target.group;
+    const load = this.#load(id);
+    const prefix = prefixes.prefixesOf(workspace, prompt);
+    const expectedMs = this.expectedFirstTokenMs(target, prefix);
+    const waited = load.expected() >= target.slots;
+    const blocks = prefix.length - prefixes.cachedBlocks(id, prefix);
     load.enter(monotonicMs());
+    prefixes.expect(id, prefix);
     return {
+      firstToken: ms => {
+        load.learn(monotonicMs(), expectedMs, ms, blocks, waited);
+      },
       leave: (end, serviceMs) => {
-        load.leave(monotonicMs(), end === 'whole' ? serviceMs : undefined);
+        const whole = end === 'whole';
+        load.leave(monotonicMs(), whole ? serviceMs : undefined);
+        this.#judge(id, whole);
       },
     };
   }
 
   /** Expected milliseconds until a new request on the group gets its first token. */
-  expectedWaitMs(view: GroupView): number {
+  expectedFirstTokenMs(view: GroupView, prefix: readonly PromptPrefix[]): number {
+    const { failureDomain, remoteCostMs, prefixes } = this.#options;
     const load = this.#load(view.group.id);
-    const waiting = Math.max(0, load.expected() + 1 - view.slots);
+    const expected = load.expected();
+    const waiting = Math.max(0, expected + 1 - view.slots);
     const queueMs = (waiting / view.slots) * load.serviceMs;
-    const fillMs = load.expected() / view.slots;
-    const remote = view.failureDomain !== this.#options.failureDomain;
-    return queueMs + fillMs + (remote ? this.#options.remoteCostMs : 0);
+    const uncached = prefix.length - prefixes.cachedBlocks(view.group.id, prefix);
+    const prefillMs = (uncached + 1) * load.blockMs;
+    // Of groups without a queue the emptier one is better, by little.
+    const fillMs = expected / view.slots;
+    const remoteMs = view.failureDomain === failureDomain ? 0 : remoteCostMs;
+    return queueMs + prefillMs + fillMs + remoteMs + load.residualMs(monotonicMs());
   }
 
-  #best(candidates: readonly GroupView[]): GroupView | undefined {
-    let best: GroupView | undefined;
-    let bestMs = Infinity;
-    for (const candidate of candidates) {
-      const ms = this.expectedWaitMs(candidate);
-      if (ms < bestMs) {
-        best = candidate;
-        bestMs = ms;
-      }
-    }
-    return best;
+  #pickExpected(candidates: readonly GroupView[], query: RouteQuery): GroupView | undefined {
+    const { prefixes } = this.#options;
+    const prefix = prefixes.prefixesOf(query.workspace, query.prompt);
+    const holders =
+      prefix.length === 0
+        ? []
+        : candidates.filter(({ group }) => prefixes.cachedBlocks(group.id, prefix) > 0);
+    const compared = [...this.#twoOf(candidates), ...holders];
+    return best(compared, view => this.expectedFirstTokenMs(view, prefix));
   }
 
-  #twoOf(candidates: readonly GroupView[]): GroupView[] {
-    const { random } = this.#options;
-    const first = uniformInt(random, 0, candidates.length - 1);
-    const step = uniformInt(random, 1, candidates.length - 1);
+  #twoOf(candidates: readonly GroupView[]): readonly GroupView[] {
+    if (candidates.length <= 2) {
+      return candidates;
+    }
+    const first = this.#index(candidates.length);
+    const step = uniformInt(this.#options.random, 1, candidates.length - 1);
     return [candidates[first], candidates[(first + step) % candidates.length]];
   }
 
+  #withoutEjected(candidates: readonly GroupView[]): readonly GroupView[] {
+    const now = monotonicMs();
+    const healthy = candidates.filter(({ group }) => !this.#healthOf(group.id).ejected(now));
+    const enough = healthy.length >= candidates.length * (1 - MAX_EJECTED_SHARE);
+    return enough ? healthy : candidates;
+  }
+
+  #judge(id: GroupId, whole: boolean): void {
+    if (whole) {
+      this.#healthOf(id).succeed();
+    } else {
+      this.#healthOf(id).fail(monotonicMs());
+    }
+  }
+
+  #index(length: number): number {
+    return uniformInt(this.#options.random, 0, length - 1);
+  }
+
+  #healthOf(id: GroupId): GroupHealth {
+    let health = this.#health.get(id);
+    if (health === undefined) {
+      health = new GroupHealth();
+      this.#health.set(id, health);
+    }
+    return health;
+  }
+
   #load(id: GroupId): GroupLoad {
     let load = this.#loads.get(id);
     if (load === undefined) {
@@ -117,7 +188,24 @@
     for (const [id, load] of this.#loads) {
       if (load.inFlight === 0 && this.#options.directory.group(id) === undefined) {
         this.#loads.delete(id);
+        this.#health.delete(id);
       }
     }
   }
 }
+
+function best(
+  candidates: readonly GroupView[],
+  costOf: (view: GroupView) => number,
+): GroupView | undefined {
+  let found: GroupView | undefined;
+  let lowest = Infinity;
+  for (const candidate of candidates) {
+    const cost = costOf(candidate);
+    if (cost < lowest) {
+      found = candidate;
+      lowest = cost;
+    }
+  }
+  return found;
+}
--- a/packages/link/src/messages.ts
+++ b/packages/link/src/messages.ts
@@ -24,6 +24,15 @@
   readonly ageMs: number;
 };
 
+/** Cache events of a group's leader, renumbered by the controller that collected them. */
+export type GroupCacheEvents = {
+  readonly group: string;
+  /** Number to ask from next time. */
+  readonly next: number;
+  readonly stored: readonly string[];
+  readonly evicted: readonly string[];
+};
+
 /** Where the failure domain's keys are owned, with the time for which it is vouched for. */
 export type KeyGrant = {
   readonly failureDomain: FailureDomainId;
@@ -45,6 +54,8 @@
   readonly configuration?: ConfigurationRevision;
   /** Version of each failure domain's view that the asker holds. */
   readonly views: Readonly<Record<FailureDomainId, string>>;
+  /** Cache event number to go on from, by group. */
+  readonly cacheFrom: Readonly<Record<string, number>>;
   /** True when the asker leaves and must own no keys any more. */
   readonly leaving: boolean;
   /** Requests that the gateway runs per group, for limits that hold across gateways. */
@@ -76,6 +87,7 @@
   readonly views: readonly DomainView[];
   readonly certificates: readonly Certificate[];
   readonly loads: readonly LoadReport[];
+  readonly cacheEvents: readonly GroupCacheEvents[];
   readonly keys: readonly KeyGrant[];
   /** Usage of the other gateways of the failure domain, summed per workspace and model. */
   readonly usage: readonly WorkspaceUsage[];
--- a/packages/proofs/src/deployment/deployment.ts
+++ b/packages/proofs/src/deployment/deployment.ts
@@ -42,6 +42,8 @@
   readonly inTurn?: boolean;
   /** Further values of the gateways' `[callers]` section. */
   readonly callers?: Readonly<Record<string, number>>;
+  /** Values of the gateways' `[routing]` section. */
+  readonly routing?: Readonly<Record<string, string>>;
   /** Further values of the gateways' `[limits]` section. */
   readonly limits?: Readonly<Record<string, number>>;
   /** Address by which a process reaches the platform; for cuts. */
@@ -310,7 +312,10 @@
       const name = `${domain}-g${index + 1}`;
       const [link, address] = rest.slice(2 * index);
       const plan = this.#plan(name, domain, link, links, remote);
-      const settings = gatewaySettings(plan, address, this.#options.callers, this.#options.limits);
+      const settings = {
+        ...gatewaySettings(plan, address, this.#options.callers, this.#options.limits),
+        routing: this.#options.routing ?? {},
+      };
       const child = new Child('gateway', name, settings);
       this.gateways.push({ child, name, failureDomain: domain, address, link });
     }
--- a/packages/stand-ins/src/engine/prefix-cache.ts
+++ b/packages/stand-ins/src/engine/prefix-cache.ts
@@ -1,6 +1,4 @@
 /** Prefix cache of the engine stand-in: bounded, salted per workspace, with late and gappy events. */
-import { createHash } from 'node:crypto';
-
 import type { CacheEvent, CacheEvents } from '@hingescale/core';
 import { prefixHashes } from '@hingescale/core';
 
@@ -31,7 +29,7 @@
   /** Characters at the start of the prompt that are cached; stores the prompt's prefixes. */
   use(salt: string, prompt: string): number {
     let cached = 0;
-    for (const prefix of prefixHashes(salt, prompt, sha1)) {
+    for (const prefix of prefixHashes(salt, prompt)) {
       if (this.#stored.delete(prefix.hash)) {
         cached = prefix.characters;
       } else {
@@ -91,7 +89,3 @@
     }
   }
 }
-
-function sha1(text: string): string {
-  return createHash('sha1').update(text).digest('hex').slice(0, 16);
-}
