At most once: a handover speaks only for its sender; admission counts running time

Ruled out: late settlements and lost handovers, which leave a record or an open wait. Completeness is now a time per sender and step of the key table, folded step by step; a key without a record runs only where its owner before has told. Admission: requests were admitted that could not end before their deadline.

--- a/packages/bench/src/bin-load.ts
+++ b/packages/bench/src/bin-load.ts
@@ -136,10 +136,9 @@
 }
 
 function directTarget(deployment: Deployment): LoadTarget {
-  const leaders = Array.from({ length: GROUPS }, (_unused, index) => {
-    const id = `${profile.failureDomains[0]}-h${index * HOSTS_PER_GROUP + 1}`;
-    return deployment.engine.host(id);
-  });
+  const leaders = [...deployment.engine.addresses.keys()]
+    .map(id => deployment.engine.host(id))
+    .filter(played => played.host.leading);
   let turn = 0;
   return {
     ...target(deployment),
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -102,6 +102,7 @@
       remoteCostMs: REMOTE_COST_MS,
       prefixes: this.#prefixes,
       strategy: settings.routing.strategy,
+      gateways: () => Math.max(1, this.#keys?.ownerCount ?? 1),
       random: xoroshiro128plus(randomInt(MAX_SEED)),
     });
     this.#admission = new Admission({
--- a/packages/gateway/src/keys/key-messages.ts
+++ b/packages/gateway/src/keys/key-messages.ts
@@ -63,10 +63,19 @@
   readonly runMs: number;
 };
 
-/** Records that an earlier owner hands to a new one. */
+/** Records that an earlier owner hands to a new one; the last part says how complete they are. */
 export type HandoverRequest = {
   readonly from: string;
-  /** Earlier ownerships whose records are complete in this handover: `epoch/instance`. */
-  readonly covers: readonly string[];
+  /** Epoch of the key table that the handover leads to. */
+  readonly epoch: number;
   readonly records: readonly HandedRecord[];
+  readonly completeness: HandedCompleteness | undefined;
+};
+
+/** How far back the sender's knowledge of the keys it owned is complete. */
+export type HandedCompleteness = {
+  /** Wall time in milliseconds; undefined for ever. */
+  readonly knownSince: number | undefined;
+  /** Gateways that have left and whose issued keys are covered too. */
+  readonly homes: readonly string[];
 };
--- a/packages/gateway/src/keys/key-ownership.ts
+++ b/packages/gateway/src/keys/key-ownership.ts
@@ -1,10 +1,11 @@
 /**
- * Judges who owns a key and whether this gateway's records about it are complete.
+ * Judges who owns a key and whether this gateway would know if the key had been claimed before.
  *
  * Ownership rests on the failure domain's key table, which is confirmed by each lease renewal and
- * lapses here by itself. A key that moved to this gateway is answered from records handed over by
- * its earlier owner; where they were not handed over, deliveries of keys that the earlier owner
- * may have seen get `unknown`.
+ * lapses here by itself. With each change of the table every owner hands the moved records to their
+ * new owners, and says since which time its knowledge is complete. A key without a record runs only
+ * where the knowledge that came from its owner before reaches back to the key's time. A handover
+ * speaks for the keys that its sender owned, never for those of others.
  */
 import type { HashFunction, KeyOwner, KeyOwnerTable, PreviousOwners } from '@hingescale/core';
 import { ownerOf } from '@hingescale/core';
@@ -17,7 +18,6 @@
 /** Options of the ownership rules. */
 export type KeyOwnershipOptions = {
   readonly instance: string;
-  readonly keyMemoryMs: number;
   readonly clockSkewMs: number;
   readonly hash: HashFunction;
 };
@@ -35,13 +35,26 @@
   /** Nobody will ever know. */
   | { readonly kind: 'lost'; readonly detail: string };
 
+/** How far back the records of an owner are complete. */
+export type Completeness = {
+  /** Wall time in milliseconds; keys made since then are in the records if they were claimed. */
+  readonly knownSince: number;
+  /** Gateways that have left and whose issued keys are covered too. */
+  readonly homes: ReadonlySet<string>;
+};
+
+const COMPLETE: Completeness = { knownSince: -Infinity, homes: new Set() };
+
 /** The own failure domain's key table and what was handed over. */
 export class KeyOwnership {
   readonly #options: KeyOwnershipOptions;
-  readonly #covered = new Set<string>();
-  /** When this gateway first saw each set of owners replaced, by epoch. */
-  readonly #replacedSeenAt = new Map<number, number>();
+  /** Handovers by the epoch they lead to and by sender; they may come before the table does. */
+  readonly #handovers = new Map<number, Map<string, Completeness>>();
   #table: KeyOwnerTable | undefined;
+  #before: PreviousOwners | undefined;
+  /** Completeness of this gateway for the keys that it owned before the present epoch. */
+  #own: Completeness = COMPLETE;
+  #seenAt = 0;
   #confirmedUntil = -Infinity;
 
   constructor(options: KeyOwnershipOptions) {
@@ -53,40 +66,41 @@
     return this.#table;
   }
 
+  /** Completeness for the keys owned before the present epoch, to be told with handovers. */
+  get completeness(): Completeness {
+    return this.#own;
+  }
+
+  /** True when this gateway owned keys in the epoch before. */
+  get ownedBefore(): boolean {
+    return this.#before?.instances.includes(this.#options.instance) ?? false;
+  }
+
   /** Takes a table that is vouched for until `confirmedUntil`; true when its epoch is new. */
   take(table: KeyOwnerTable, confirmedUntil: number, now: number): boolean {
     const epoch = this.#table?.epoch ?? -1;
-    if (table.epoch < epoch) {
-      return false;
-    }
-    this.#confirmedUntil = Math.max(this.#confirmedUntil, confirmedUntil);
-    if (table.epoch === epoch) {
+    if (table.epoch <= epoch) {
+      if (table.epoch === epoch) {
+        this.#confirmedUntil = Math.max(this.#confirmedUntil, confirmedUntil);
+      }
       return false;
     }
+    this.#stepThrough(table, epoch);
     this.#table = table;
     this.#confirmedUntil = confirmedUntil;
-    for (const entry of table.previous) {
-      if (!this.#replacedSeenAt.has(entry.epoch)) {
-        this.#replacedSeenAt.set(entry.epoch, now);
-      }
-    }
+    this.#seenAt = now;
     return true;
   }
 
-  /** Notes that the records of earlier ownerships are complete here. */
-  cover(ownerships: readonly string[]): void {
-    ownerships.forEach(ownership => this.#covered.add(ownership));
-  }
-
-  /** Ended ownerships whose records this gateway holds completely, its own included. */
-  covers(): string[] {
-    const ended = this.#table?.previous ?? [];
-    const own = ended.map(entry => ownershipId(entry.epoch, this.#options.instance));
-    return [...this.#covered, ...own];
+  /** Notes a whole handover that leads to an epoch. */
+  noteHandover(epoch: number, from: string, completeness: Completeness): void {
+    const known = this.#handovers.get(epoch) ?? new Map<string, Completeness>();
+    known.set(from, completeness);
+    this.#handovers.set(epoch, known);
   }
 
   /** Judges a key. */
-  judge(key: KeyName, now: number, wallMs: number): Ownership {
+  judge(key: KeyName, now: number): Ownership {
     if (key.home?.instance === this.#options.instance) {
       return { kind: 'own' };
     }
@@ -98,15 +112,11 @@
     if (owner !== undefined && owner.instance !== this.#options.instance) {
       return { kind: 'other', owner };
     }
-    // An issued key whose home is gone has an heir, who knows only what was handed over.
-    if (key.home !== undefined && !this.#covered.has(homeId(key.home.instance))) {
-      return { kind: 'lost', detail: 'the gateway that issued the key is gone' };
-    }
     if (now >= this.#confirmedUntil) {
       const detail = 'ownership of keys is not confirmed at present';
       return { kind: 'unsure', detail, retryAfterMs: 1_000 };
     }
-    return this.#judgeMoved(table, key, now, wallMs);
+    return this.#judgeKnowledge(key, now);
   }
 
   /** The owner of a key by the present table. */
@@ -121,60 +131,81 @@
     return table.owners.find(owner => owner.instance === key.home?.instance);
   }
 
-  #judgeMoved(table: KeyOwnerTable, key: KeyName, now: number, wallMs: number): Ownership {
-    const { instance, clockSkewMs, keyMemoryMs, hash } = this.#options;
-    for (const entry of table.previous) {
-      if (entry.replacedAt < wallMs - keyMemoryMs) {
-        break;
-      }
-      if (this.#coversAll(entry)) {
-        continue;
-      }
-      const before = ownerOf(key.text, entry.instances, hash);
-      if (before === undefined || before === instance) {
-        continue;
-      }
-      if (this.#covered.has(ownershipId(entry.epoch, before))) {
-        continue;
-      }
-      const waitMs = this.#waitMs(table, entry, now);
+  #judgeKnowledge(key: KeyName, now: number): Ownership {
+    const home = key.home?.instance;
+    const source = this.#sourceOf(key);
+    const known = source === undefined ? this.#own : this.#fromSource(source);
+    if (known === undefined) {
+      const waitMs = this.#seenAt + this.#graceMs() - now;
       if (waitMs > 0) {
         const detail = 'the key is moving to another gateway';
         return { kind: 'unsure', detail, retryAfterMs: waitMs };
       }
-      const seenBefore = entry.replacedAt + table.leaseMs + CLAIM_TIMEOUT_MS + clockSkewMs;
-      if (key.time < seenBefore) {
-        return {
-          kind: 'lost',
-          detail: 'the gateway that kept the key is gone',
-        };
-      }
+    }
+    const since = known?.knownSince ?? this.#cutoff();
+    const homeKnown = home === undefined || (known?.homes.has(home) ?? false);
+    if (key.time < since || !homeKnown) {
+      return { kind: 'lost', detail: 'the gateway that kept the key is gone' };
     }
     return { kind: 'own' };
   }
 
-  // After a rolling restart there are many entries; most are covered as a whole.
-  #coversAll(entry: PreviousOwners): boolean {
-    return entry.instances.every(
-      instance =>
-        instance === this.#options.instance ||
-        this.#covered.has(ownershipId(entry.epoch, instance)),
+  // The owner before; for issued keys their home, as long as it was there.
+  #sourceOf(key: KeyName): string | undefined {
+    const instances = this.#before?.instances ?? [];
+    const home = key.home?.instance;
+    if (home !== undefined && instances.includes(home)) {
+      return home;
+    }
+    return ownerOf(key.text, instances, this.#options.hash);
+  }
+
+  #fromSource(source: string): Completeness | undefined {
+    if (source === this.#options.instance) {
+      return this.#own;
+    }
+    return this.#handovers.get(this.#table?.epoch ?? -1)?.get(source);
+  }
+
+  // Before a newer table is taken, what the present epoch brought becomes own knowledge.
+  #stepThrough(table: KeyOwnerTable, from: number): void {
+    const entries = table.previous.filter(entry => entry.epoch >= from);
+    for (const entry of [...entries].reverse()) {
+      this.#own = this.#fold(entry.epoch);
+      this.#before = entry;
+    }
+    if (entries.length === 0) {
+      this.#before = undefined;
+    }
+    for (const epoch of this.#handovers.keys()) {
+      if (epoch < table.epoch) {
+        this.#handovers.delete(epoch);
+      }
+    }
+  }
+
+  #fold(epoch: number): Completeness {
+    const handovers = this.#handovers.get(epoch);
+    const parts = (this.#before?.instances ?? []).map(instance =>
+      instance === this.#options.instance
+        ? this.#own
+        : (handovers?.get(instance) ?? { knownSince: this.#cutoff(), homes: new Set<string>() }),
     );
+    if (parts.length === 0) {
+      return this.#own;
+    }
+    const homes = [...parts[0].homes].filter(home => parts.every(part => part.homes.has(home)));
+    const knownSince = Math.max(...parts.map(part => part.knownSince));
+    return { knownSince, homes: new Set(homes) };
   }
 
   // An earlier owner that is not heard may rely on its last confirmation for a whole lease.
-  #waitMs(table: KeyOwnerTable, entry: PreviousOwners, now: number): number {
-    const seenAt = this.#replacedSeenAt.get(entry.epoch) ?? now;
-    return seenAt + table.leaseMs + CLAIM_TIMEOUT_MS - now;
+  #graceMs(): number {
+    return (this.#table?.leaseMs ?? 0) + CLAIM_TIMEOUT_MS;
   }
-}
-
-/** Name of the ownership of an instance in one epoch of the table. */
-export function ownershipId(epoch: number, instance: string): string {
-  return `${epoch}/${instance}`;
-}
 
-/** Name of the ownership of the keys that an instance issued. */
-export function homeId(instance: string): string {
-  return `home/${instance}`;
+  // Keys made before this may have been claimed at an earlier owner that was not heard.
+  #cutoff(): number {
+    return (this.#before?.replacedAt ?? 0) + this.#graceMs() + this.#options.clockSkewMs;
+  }
 }
--- a/packages/gateway/src/keys/key-records.ts
+++ b/packages/gateway/src/keys/key-records.ts
@@ -49,16 +49,22 @@
   /** Decides on a claim; the first one may run. */
   claim(request: ClaimRequest): ClaimReply {
     this.#dropExpired();
-    const id = recordId(request.workspace, request.key);
-    const record = this.#records.get(id);
-    if (record === undefined) {
-      this.#start(id, request);
-      return { kind: 'run' };
+    const known = this.lookUp(request);
+    if (known !== undefined) {
+      return known;
     }
-    if (record.fingerprint !== request.fingerprint) {
-      return { kind: 'mismatch' };
+    this.#start(recordId(request.workspace, request.key), request);
+    return { kind: 'run' };
+  }
+
+  /** What is known of a key; undefined when nothing is. */
+  lookUp(request: ClaimRequest): ClaimReply | undefined {
+    const record = this.#records.get(recordId(request.workspace, request.key));
+    if (record === undefined) {
+      return undefined;
     }
-    return this.#present(record);
+    const same = record.fingerprint === request.fingerprint;
+    return same ? this.#present(record) : { kind: 'mismatch' };
   }
 
   /** Takes what became of a run; only the delivery that claimed may settle. */
--- a/packages/gateway/src/keys/key-task.ts
+++ b/packages/gateway/src/keys/key-task.ts
@@ -9,6 +9,7 @@
 import type {
   ClaimReply,
   ClaimRequest,
+  HandedCompleteness,
   HandedRecord,
   HandoverRequest,
   KeyOutcome,
@@ -16,7 +17,8 @@
 } from './key-messages.js';
 import type { KeyName } from './key-name.js';
 import { issueKeyName, parseKeyName } from './key-name.js';
-import { CLAIM_TIMEOUT_MS, homeId, KeyOwnership } from './key-ownership.js';
+import type { Ownership } from './key-ownership.js';
+import { CLAIM_TIMEOUT_MS, KeyOwnership } from './key-ownership.js';
 import { KeyRecords } from './key-records.js';
 
 /** Options of the key task. */
@@ -76,6 +78,11 @@
     return this.#records.size;
   }
 
+  /** Gateways of the failure domain that own keys. */
+  get ownerCount(): number {
+    return this.#ownership.table?.owners.length ?? 0;
+  }
+
   /** True while the key table names this gateway. */
   get listed(): boolean {
     const owners = this.#ownership.table?.owners ?? [];
@@ -141,7 +148,7 @@
   async answerSettle(request: SettleRequest): Promise<void> {
     this.#records.settle(request);
     const name = parseKeyName(request.key);
-    const judged = name && this.#ownership.judge(name, monotonicMs(), Date.now());
+    const judged = name && this.#ownership.judge(name, monotonicMs());
     if (judged?.kind === 'other') {
       const { links } = this.#options;
       await links.to(judged.owner.address).request(LINK_REQUESTS.settle, request, CLAIM_TIMEOUT_MS);
@@ -151,7 +158,13 @@
   /** Takes records from an earlier owner. */
   answerHandover(request: HandoverRequest): void {
     this.#records.takeOver(request.records);
-    this.#ownership.cover(request.covers);
+    const { completeness, epoch, from } = request;
+    if (completeness !== undefined) {
+      this.#ownership.noteHandover(epoch, from, {
+        knownSince: completeness.knownSince ?? -Infinity,
+        homes: new Set(completeness.homes),
+      });
+    }
     this.#options.metrics.count('key_records_received_total', {}, request.records.length);
   }
 
@@ -173,7 +186,7 @@
   async #claimOnce(name: KeyName, request: ClaimRequest): Promise<ClaimReply> {
     const domain = this.#domainOf(name);
     if (domain === this.#options.failureDomain) {
-      const judged = this.#ownership.judge(name, monotonicMs(), Date.now());
+      const judged = this.#ownership.judge(name, monotonicMs());
       return judged.kind === 'other'
         ? this.#askOwner(judged.owner, request)
         : this.#decide(name, request);
@@ -204,7 +217,7 @@
     if (name.time < wallMs - keyMemoryMs + clockSkewMs) {
       return { kind: 'too-old' };
     }
-    const judged = this.#ownership.judge(name, monotonicMs(), wallMs);
+    const judged = this.#ownership.judge(name, monotonicMs());
     switch (judged.kind) {
       case 'own':
         return this.#leaving
@@ -221,13 +234,9 @@
           retryAfterMs: 300,
         };
       case 'unsure':
-        return {
-          kind: 'unknown',
-          detail: judged.detail,
-          retryAfterMs: judged.retryAfterMs,
-        };
       case 'lost':
-        return { kind: 'unknown', detail: judged.detail, retryAfterMs: 0 };
+        // What has a record is known, whatever else is not.
+        return this.#records.lookUp(request) ?? notKnown(judged);
     }
   }
 
@@ -249,7 +258,7 @@
     const domain = this.#domainOf(name);
     const judged =
       domain === this.#options.failureDomain
-        ? this.#ownership.judge(name, monotonicMs(), Date.now())
+        ? this.#ownership.judge(name, monotonicMs())
         : undefined;
     const owner = judged?.kind === 'other' ? judged.owner : undefined;
     const target = judged === undefined ? this.#remoteOwner(domain, name) : owner;
@@ -279,7 +288,7 @@
   // Every other owner gets a handover, an empty one too: it says that nothing was left out.
   #handOver(): void {
     const table = this.#ownership.table;
-    if (table === undefined) {
+    if (table === undefined || !this.#ownership.ownedBefore) {
       return;
     }
     const { instance, log } = this.#options;
@@ -287,19 +296,23 @@
       if (owner.instance === instance) {
         continue;
       }
-      const moved = (key: string): boolean => this.#movesTo(owner, key);
-      const records = this.#records.handOver(moved);
-      const covers = this.#ownership.covers();
-      if (this.#leaving && !this.listed) {
-        covers.push(homeId(instance));
-      }
+      const records = this.#records.handOver(key => this.#movesTo(owner, key));
       log.message('key', 'handover');
-      const sending = this.#sendHandover(owner, covers, records);
+      const sending = this.#sendHandover(owner, table.epoch, records);
       this.#handovers.add(sending);
       void sending.finally(() => this.#handovers.delete(sending));
     }
   }
 
+  #completeness(): HandedCompleteness {
+    const { knownSince, homes } = this.#ownership.completeness;
+    const left = this.#leaving && !this.listed ? [this.#options.instance] : [];
+    return {
+      knownSince: Number.isFinite(knownSince) ? knownSince : undefined,
+      homes: [...homes, ...left],
+    };
+  }
+
   #movesTo(owner: KeyOwner, key: string): boolean {
     const table = this.#ownership.table;
     const name = parseKeyName(key);
@@ -313,24 +326,22 @@
     return this.#ownership.ownerIn(table, key)?.instance === owner.instance;
   }
 
-  // Only the last part says what is covered, so that a handover cut short covers nothing.
+  // Only the last part says how complete it all is, so that a handover cut short says nothing.
   async #sendHandover(
     owner: KeyOwner,
-    covers: readonly string[],
+    epoch: number,
     records: readonly HandedRecord[],
   ): Promise<void> {
     const from = this.#options.instance;
+    const completeness = this.#completeness();
     const parts = splitRecords(records);
     for (const part of parts.slice(0, -1)) {
-      if (!(await this.#sendPart(owner, { from, covers: [], records: part }))) {
+      const request = { from, epoch, records: part, completeness: undefined };
+      if (!(await this.#sendPart(owner, request))) {
         return;
       }
     }
-    await this.#sendPart(owner, {
-      from,
-      covers,
-      records: parts[parts.length - 1],
-    });
+    await this.#sendPart(owner, { from, epoch, records: parts[parts.length - 1], completeness });
   }
 
   async #sendPart(owner: KeyOwner, request: HandoverRequest): Promise<boolean> {
@@ -364,6 +375,11 @@
   return parts;
 }
 
+function notKnown(judged: Exclude<Ownership, { kind: 'own' | 'other' }>): ClaimReply {
+  const retryAfterMs = judged.kind === 'unsure' ? judged.retryAfterMs : 0;
+  return { kind: 'unknown', detail: judged.detail, retryAfterMs };
+}
+
 function worthAskingAgain(reply: ClaimReply): boolean {
   return reply.kind === 'unknown' && reply.retryAfterMs > 0;
 }
--- a/packages/gateway/src/limits/admission.ts
+++ b/packages/gateway/src/limits/admission.ts
@@ -125,6 +125,7 @@
     const { workspace, model } = request;
     add(state.running, workspace, 1);
     state.total += 1;
+    const startedAt = monotonicMs();
     let released = false;
     return {
       release: () => {
@@ -134,7 +135,7 @@
         released = true;
         add(state.running, workspace, -1);
         state.total -= 1;
-        state.drain.note(monotonicMs());
+        state.drain.note(monotonicMs(), monotonicMs() - startedAt);
         this.#fill(model, state);
       },
     };
@@ -148,7 +149,7 @@
       throw this.#refusal(state, 'no-ready-group', `no group of model ${model} is ready`);
     }
     const expectedMs = state.drain.expectedMs(this.#ahead(state, request), monotonicMs());
-    if (monotonicMs() + expectedMs > deadline) {
+    if (monotonicMs() + expectedMs + state.drain.serviceMs > deadline) {
       const detail = `expected wait of ${Math.round(expectedMs)} ms is past the deadline`;
       throw this.#refusal(state, 'deadline-unreachable', detail);
     }
@@ -166,7 +167,7 @@
       if (capacity <= 0) {
         const detail = `no group of model ${model} is ready any more`;
         waiting.refuse(this.#refusal(state, 'no-ready-group', detail));
-      } else if (now + expectedMs > waiting.request.deadline) {
+      } else if (now + expectedMs + state.drain.serviceMs > waiting.request.deadline) {
         const detail = `expected wait of ${Math.round(expectedMs)} ms is past the deadline`;
         waiting.refuse(this.#refusal(state, 'deadline-unreachable', detail));
       }
--- a/packages/gateway/src/limits/drain-rate.ts
+++ b/packages/gateway/src/limits/drain-rate.ts
@@ -2,13 +2,23 @@
 
 const WINDOW_MS = 5_000;
 const KEPT_FINISHES = 512;
+/** Weight of the newest value in the smoothed running time. */
+const SMOOTHING = 0.05;
 
 /** Remembers when the last requests finished. */
 export class DrainRate {
   readonly #finishes: number[] = [];
+  #serviceMs = 0;
 
-  /** A request has finished. */
-  note(now: number): void {
+  /** Smoothed time that a request runs, in milliseconds; 0 while nothing is known. */
+  get serviceMs(): number {
+    return this.#serviceMs;
+  }
+
+  /** A request has finished that ran for so long. */
+  note(now: number, serviceMs: number): void {
+    const weight = this.#serviceMs === 0 ? 1 : SMOOTHING;
+    this.#serviceMs += weight * (serviceMs - this.#serviceMs);
     this.#finishes.push(now);
     if (this.#finishes.length > KEPT_FINISHES) {
       this.#finishes.shift();
--- a/packages/gateway/src/routing/group-load.ts
+++ b/packages/gateway/src/routing/group-load.ts
@@ -75,10 +75,13 @@
     return this.#residualMs * Math.exp(-(now - this.#residualAt) / RESIDUAL_DECAY_MS);
   }
 
-  /** Requests expected on the group now: the report, plus the own change since it was measured. */
-  expected(): number {
-    const before = this.#inFlightAt(this.#measuredAt);
-    return Math.max(this.#inFlight, this.#reported + this.#inFlight - before);
+  /**
+   * Requests expected on the group now: the report, plus the change since it was measured. Of that
+   * change each gateway sees its own part; the others' parts are taken to be alike.
+   */
+  expected(gateways: number): number {
+    const change = this.#inFlight - this.#inFlightAt(this.#measuredAt);
+    return Math.max(this.#inFlight, this.#reported + change * gateways);
   }
 
   #inFlightAt(time: number): number {
--- a/packages/gateway/src/routing/router.ts
+++ b/packages/gateway/src/routing/router.ts
@@ -43,12 +43,17 @@
   readonly remoteCostMs: number;
   readonly prefixes: PrefixIndex;
   readonly strategy: RoutingStrategy;
+  /** Gateways that send to the same groups, this one included. */
+  readonly gateways: () => number;
   readonly random: RandomGenerator;
 };
 
 /** At most this part of the groups of a model is avoided for failures. */
 const MAX_EJECTED_SHARE = 0.5;
 
+/** Least spread of the estimated number of requests on a group. */
+const MIN_SPREAD = 0.5;
+
 /** Chooses groups and keeps what is known of their load. */
 export class Router {
   readonly #options: RouterOptions;
@@ -96,7 +101,7 @@
     const load = this.#load(id);
     const prefix = prefixes.prefixesOf(workspace, prompt);
     const expectedMs = this.expectedFirstTokenMs(target, prefix);
-    const waited = load.expected() >= target.slots;
+    const waited = load.expected(this.#options.gateways()) >= target.slots;
     const blocks = prefix.length - prefixes.cachedBlocks(id, prefix);
     load.enter(monotonicMs());
     prefixes.expect(id, prefix);
@@ -116,9 +121,8 @@
   expectedFirstTokenMs(view: GroupView, prefix: readonly PromptPrefix[]): number {
     const { failureDomain, remoteCostMs, prefixes } = this.#options;
     const load = this.#load(view.group.id);
-    const expected = load.expected();
-    const waiting = Math.max(0, expected + 1 - view.slots);
-    const queueMs = (waiting / view.slots) * load.serviceMs;
+    const expected = load.expected(this.#options.gateways());
+    const queueMs = (likelyWaiting(expected, view.slots) / view.slots) * load.serviceMs;
     const uncached = prefix.length - prefixes.cachedBlocks(view.group.id, prefix);
     const prefillMs = (uncached + 1) * load.blockMs;
     // Of groups without a queue the emptier one is better, by little.
@@ -194,6 +198,13 @@
   }
 }
 
+// The number of requests is an estimate, so a group that seems just not full may well be: the
+// kink of max(0, x) is rounded by the estimate's spread.
+function likelyWaiting(expected: number, slots: number): number {
+  const spread = Math.max(MIN_SPREAD, Math.sqrt(expected) / 2);
+  return spread * Math.log1p(Math.exp((expected + 1 - slots) / spread));
+}
+
 function best(
   candidates: readonly GroupView[],
   costOf: (view: GroupView) => number,
--- a/packages/proofs/src/deployment/child.ts
+++ b/packages/proofs/src/deployment/child.ts
@@ -42,7 +42,7 @@
   /** Starts the process and waits until it says so. */
   async start(): Promise<void> {
     this.lines.length = 0;
-    const child = spawn(process.execPath, [this.#path, '--config', this.#file], {
+    const child = spawn(process.execPath, [...nodeOptions(), this.#path, '--config', this.#file], {
       stdio: ['ignore', 'ignore', 'pipe'],
     });
     this.#process = child;
@@ -118,3 +118,9 @@
     });
   }
 }
+
+// For profiles: options for the node of each process, separated by spaces.
+function nodeOptions(): string[] {
+  const options = process.env.HINGESCALE_NODE_OPTIONS ?? '';
+  return options === '' ? [] : options.split(' ');
+}
