--- a/packages/cli/src/index.ts
+++ b/packages/cli/src/index.ts
@@ -1,2 +1,5 @@
-/** The operators' command line. */
-export {};
+/** The operators' command line, as parts. */
+export * from './admin-client.js';
+export * from './files.js';
+export * from './output.js';
+export * from './wait-in-force.js';
--- /dev/null
+++ b/packages/cli/src/output.ts
@@ -0,0 +1,93 @@
+/** Output of the command line: text for people, JSON for programs. */
+import type { ControllerStatus, ExplainedOrder } from '@hingescale/controller';
+import type { ConfigurationFile, ConfigurationHead } from '@hingescale/core';
+
+/** Writes a line. */
+export function print(text: string): void {
+  process.stdout.write(text + '\n');
+}
+
+/** Writes a value as JSON. */
+export function printJson(value: unknown): void {
+  print(JSON.stringify(value, undefined, 2));
+}
+
+/** Status of failure domains as text: groups, hosts, processes, revisions. */
+export function statusText(statuses: readonly ControllerStatus[]): string {
+  return statuses
+    .filter(status => status.active)
+    .map(domainText)
+    .join('\n\n');
+}
+
+/** The changes of a configuration, newest first. */
+export function historyText(head: ConfigurationHead): string {
+  return [head, ...head.history]
+    .map(entry => [entry.revision, entry.acceptedAt, entry.operator, entry.note || '-'].join('  '))
+    .join('\n');
+}
+
+/** Orders with their reasons and the scores of the alternatives. */
+export function explanationText(orders: readonly ExplainedOrder[]): string {
+  return orders
+    .map(order => {
+      const scores = order.alternatives.map(({ name, score }) => `${name} ${format(score)}`);
+      const weighed = scores.length === 0 ? '' : ` [${scores.join('; ')}]`;
+      return `${order.at}  ${order.group || order.fabricDomain}: ${order.kind}: ${order.reason}${weighed}`;
+    })
+    .join('\n');
+}
+
+/** Lines that differ between two sets of files, per file. */
+export function diffText(
+  before: readonly ConfigurationFile[],
+  after: readonly ConfigurationFile[],
+): string {
+  const names = new Set([...before, ...after].map(file => file.name));
+  return [...names]
+    .sort()
+    .flatMap(name => {
+      const old = linesOf(before, name);
+      const fresh = linesOf(after, name);
+      const removed = old.filter(line => !fresh.includes(line)).map(line => `- ${line}`);
+      const added = fresh.filter(line => !old.includes(line)).map(line => `+ ${line}`);
+      const changes = [...removed, ...added];
+      return changes.length === 0 ? [] : [`${name}:`, ...changes];
+    })
+    .join('\n');
+}
+
+function domainText(status: ControllerStatus): string {
+  const certified = new Set(status.certificates.map(certificate => certificate.group));
+  const groups = status.groups.map(group => {
+    const mark = certified.has(group.id) ? 'certified' : 'not certified';
+    const { model, version } = group.content;
+    return `  group ${group.id}  ${group.state}  ${mark}  ${model}@${version}  epoch ${group.epoch}`;
+  });
+  const idle = status.hosts.filter(host => host.group === '');
+  const processes = [
+    `  controller ${status.controller}  revision ${status.revision}  active`,
+    ...status.controllers
+      .filter(peer => peer.controller !== '')
+      .map(peer => `  controller ${peer.controller}  revision ${peer.revision}`),
+    ...status.gateways.map(gateway => {
+      const leaving = gateway.leaving ? '  leaving' : '';
+      return `  gateway ${gateway.instance}  revision ${gateway.revision}${leaving}`;
+    }),
+  ];
+  return [
+    `${status.failureDomain}: lease epoch ${status.lease?.epoch ?? 0}, revision ${status.revision}`,
+    ...groups,
+    `  hosts: ${status.hosts.length}, of these free ${idle.length}, silent ${status.hosts.filter(host => !host.answering).length}, drained ${status.hosts.filter(host => host.cordoned).length}`,
+    ...processes,
+  ].join('\n');
+}
+
+function linesOf(files: readonly ConfigurationFile[], name: string): string[] {
+  const text = files.find(file => file.name === name)?.text ?? '';
+  return text.split('\n').filter(line => line.trim() !== '');
+}
+
+function format(score: number): string {
+  return Number.isFinite(score) ? score.toFixed(1) : 'impossible';
+}
--- a/packages/proofs/src/deployment/deployment.ts
+++ b/packages/proofs/src/deployment/deployment.ts
@@ -13,7 +13,7 @@
 
 import { Caller } from './caller.js';
 import { Child } from './child.js';
-import { freeAddresses } from './ports.js';
+import { freeAddresses, loopbackIp } from './ports.js';
 import type { ConfigurationOptions, Profile } from './profile.js';
 import {
   callerKey,
@@ -139,7 +139,7 @@
     this.engine = await startEngine({
       ...ENGINE_DEFAULTS,
       listen,
-      hosts: names.map(id => ({ id, listen })),
+      hosts: names.map(id => ({ id, listen: `${loopbackIp()}:0` })),
       platformUrl: `http://${this.platform.address}`,
       ...this.#options.engine,
     });
--- a/packages/proofs/src/sessions/golden.ts
+++ b/packages/proofs/src/sessions/golden.ts
@@ -76,5 +76,5 @@
   return result
     .replace(/[0-9a-f]{8}-[0-9a-f]{4}-7[0-9a-f]{3}-[0-9a-f]{4}-[0-9a-f]{12}/g, 'UUID')
     .replace(/\b[0-9a-f]{64}\b/g, 'SHA256')
-    .replace(/127\.0\.0\.1:\d+/g, 'ADDRESS');
+    .replace(/127(\.\d+){3}:\d+/g, 'ADDRESS');
 }
