--- a/packages/cli/src/admin-client.ts
+++ b/packages/cli/src/admin-client.ts
@@ -1,5 +1,5 @@
 /** Client of the administration API; finds the active controller by itself. */
-import type { ControllerStatus, ExplainedOrder } from '@hingescale/controller';
+import type { BurnReport, ControllerStatus, ExplainedOrder } from '@hingescale/controller';
 import type {
   ConfigurationFile,
   ConfigurationHead,
@@ -87,6 +87,23 @@
     return known;
   }
 
+  /** Burn reports of all failure domains, each from the controller that hears the gateways. */
+  async burn(): Promise<BurnReport[]> {
+    const answers = await Promise.allSettled(
+      this.#options.urls.map(url => this.#send(url, 'GET', '/v1/report/burn')),
+    );
+    const reports = answers
+      .filter(answer => answer.status === 'fulfilled')
+      .map(answer => checked(answer.value) as BurnReport);
+    if (reports.length === 0) {
+      throw new AdminError(
+        'unreachable',
+        `no controller answers at ${this.#options.urls.join(', ')}`,
+      );
+    }
+    return reports.filter(report => report.gateways.length + report.silent.length > 0);
+  }
+
   /** Drains a host, or takes that back, at the controller that is active for it. */
   async drain(host: string, draining: boolean): Promise<void> {
     const method = draining ? 'PUT' : 'DELETE';
--- a/packages/cli/src/bin-hingescale.ts
+++ b/packages/cli/src/bin-hingescale.ts
@@ -6,6 +6,7 @@
 import { hideBin } from 'yargs/helpers';
 
 import { AdminClient, AdminError } from './admin-client.js';
+import { burnHtml, burnText } from './burn-output.js';
 import { readFiles } from './files.js';
 import { diffText, explanationText, historyText, print, printJson, statusText } from './output.js';
 import { waitInForce } from './wait-in-force.js';
@@ -116,6 +117,22 @@
       print(`${argv.host}: ${argv.undo ? 'in use again' : 'draining'}`);
     },
   )
+  .command(
+    'report <kind>',
+    'burn of service levels per workspace and model',
+    builder =>
+      builder
+        .positional('kind', { choices: ['burn'] as const, demandOption: true })
+        .option('html', { type: 'boolean', default: false, describe: 'a page with bars' }),
+    async argv => {
+      const reports = await clientOf(argv).burn();
+      if (argv.json) {
+        printJson(reports);
+      } else {
+        print(argv.html ? burnHtml(reports) : burnText(reports));
+      }
+    },
+  )
   .completion('completion', 'print a script for shell completion')
   .epilogue(
     'Exit codes: 0 ok, 1 failure, 2 findings, 3 conflict, 4 unreachable, 5 not confirmed or unknown.',
--- a/packages/controller/src/admin/app.ts
+++ b/packages/controller/src/admin/app.ts
@@ -10,6 +10,7 @@
 import { z } from 'zod';
 
 import type { ExplainedOrder } from '../groups/order-history.js';
+import type { BurnReport } from './burn-report.js';
 import { authenticateOperator } from './operator-auth.js';
 import type { ControllerStatus } from './status.js';
 
@@ -22,6 +23,7 @@
   readonly ready: () => boolean;
   readonly status: () => ControllerStatus;
   readonly explain: (name: string) => ExplainedOrder[] | undefined;
+  readonly burn: () => Promise<BurnReport>;
   readonly setCordon: (host: string, cordoned: boolean) => Promise<void>;
   readonly offer: (revision: ConfigurationRevision) => void;
 };
@@ -55,6 +57,9 @@
   app.get('/v1/explain/:name', (request, response) => {
     response.json(explanation(options, request.params.name));
   });
+  app.get('/v1/report/burn', async (_request, response) => {
+    response.json(await options.burn());
+  });
   app.put('/v1/hosts/:id/drain', async (request, response) => {
     await cordon(options, request.params.id, true, response);
   });
--- a/packages/controller/src/controller.ts
+++ b/packages/controller/src/controller.ts
@@ -16,6 +16,8 @@
 import { HostClient, MemberProber } from '@hingescale/upstream';
 
 import { adminApp } from './admin/app.js';
+import type { BurnReport } from './admin/burn-report.js';
+import { collectBurn } from './admin/burn-report.js';
 import type { ControllerStatus } from './admin/status.js';
 import type { ControllerSettings } from './controller-settings.js';
 import { GroupTask } from './groups/group-task.js';
@@ -196,6 +198,7 @@
       ready: () => this.#holder.revision > 0,
       status: () => this.#status(),
       explain: name => this.#explain(name),
+      burn: () => this.#burn(),
       setCordon: (host, cordoned) => this.#setCordon(host, cordoned),
       offer: revision => {
         this.#holder.offer(revision);
@@ -324,6 +327,12 @@
     };
   }
 
+  #burn(): Promise<BurnReport> {
+    const failureDomain = this.#settings.process['failure-domain'];
+    const { configuration } = this.#holder;
+    return collectBurn(failureDomain, this.#roster.status(), this.#links, configuration);
+  }
+
   #explain(name: string): ExplainedOrder[] | undefined {
     const input = this.#groups?.input();
     const orders = this.#groups?.history.about(name) ?? [];
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -14,6 +14,7 @@
 export * from './hosts/host.js';
 export * from './hosts/host-protocol.js';
 export * from './policies/program.js';
+export * from './requests/burn.js';
 export * from './requests/completion.js';
 export * from './requests/engine-headers.js';
 export * from './requests/prefix.js';
--- a/packages/gateway/src/callers/caller-services.ts
+++ b/packages/gateway/src/callers/caller-services.ts
@@ -6,6 +6,7 @@
 import type { KeyTask } from '../keys/key-task.js';
 import type { Admission } from '../limits/admission.js';
 import type { GatewayPolicies } from '../limits/policies.js';
+import type { BurnRecorder } from '../reports/burn-recorder.js';
 import type { RunServices } from '../requests/completion-run.js';
 import type { ServiceClient } from '../requests/service-client.js';
 
@@ -18,6 +19,7 @@
   readonly keys: KeyTask;
   readonly admission: Admission;
   readonly policies: GatewayPolicies;
+  readonly burn: BurnRecorder;
   readonly run: RunServices;
   readonly services: ServiceClient;
   readonly ready: () => boolean;
--- a/packages/gateway/src/callers/completions.ts
+++ b/packages/gateway/src/callers/completions.ts
@@ -1,10 +1,11 @@
 /** Completions in the OpenAI shape, stream and plain. */
 import type { CompletionRequest, CompletionShape } from '@hingescale/core';
-import { estimateTokens, parseCompletion, ProblemError } from '@hingescale/core';
+import { estimateTokens, keepsLevel, parseCompletion, ProblemError } from '@hingescale/core';
 import { monotonicMs, sha256 } from '@hingescale/runtime';
 import type { Request, Response } from 'express';
 
 import type { StoredAnswer } from '../keys/key-messages.js';
+import type { Permit } from '../limits/admission.js';
 import type { AdmittedRequest } from '../requests/completion-run.js';
 import { CompletionRun } from '../requests/completion-run.js';
 import { PlainWriter, sendAnswer, StreamWriter } from './answer-writer.js';
@@ -123,22 +124,38 @@
   });
   const startedAt = monotonicMs();
   const admission = { model, workspace, priority, deadline, gone };
-  const permit = await services.admission.enter(admission);
-  services.metrics.histogram('queue_wait').record(monotonicMs() - startedAt);
-  const admitted: AdmittedRequest = {
-    requestId,
-    workspace,
-    request: completion,
-    repeatable: repeatable && context.key === undefined,
-    priority,
-    deadline,
-    gone,
-  };
+  let permit: Permit | undefined;
   try {
-    const run = new CompletionRun(services.run, admitted, sink);
-    const result = await run.run();
+    permit = await services.admission.enter(admission);
+    const waitedMs = monotonicMs() - startedAt;
+    services.metrics.histogram('queue_wait').record(waitedMs);
+    const admitted: AdmittedRequest = {
+      requestId,
+      workspace,
+      request: completion,
+      repeatable: repeatable && context.key === undefined,
+      priority,
+      deadline,
+      gone,
+    };
+    const result = await new CompletionRun(services.run, admitted, sink).run();
+    noteBurn(call, waitedMs + result.firstTokenMs, result.betweenTokensMs);
     return result.ranOn;
+  } catch (error) {
+    if (!gone.aborted) {
+      services.burn.note(workspace, model, false, undefined);
+    }
+    throw error;
   } finally {
-    permit.release();
+    permit?.release();
   }
 }
+
+// Models without a declared service level are good when their answer is whole.
+function noteBurn(call: CompletionCall, firstTokenMs: number, betweenTokensMs: number): void {
+  const { services, context, completion } = call;
+  const levels = [...context.configuration.serviceLevels.values()];
+  const level = levels.find(candidate => candidate.model === completion.model);
+  const good = level === undefined || keepsLevel(level, firstTokenMs, betweenTokensMs);
+  services.burn.note(context.workspace, completion.model, good, firstTokenMs);
+}
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -28,6 +28,7 @@
 import { Admission } from './limits/admission.js';
 import { GatewayPolicies } from './limits/policies.js';
 import { UsageElsewhere } from './limits/usage-elsewhere.js';
+import { BurnRecorder } from './reports/burn-recorder.js';
 import { EngineClient } from './requests/engine-client.js';
 import { RetryBudget } from './requests/retry-budget.js';
 import { ServiceClient } from './requests/service-client.js';
@@ -56,6 +57,7 @@
   readonly #policies: GatewayPolicies;
   readonly #elsewhere = new UsageElsewhere();
   readonly #prefixes = new PrefixIndex();
+  readonly #burn = new BurnRecorder();
   readonly #admission: Admission;
   readonly #router: Router;
   #keys: KeyTask | undefined;
@@ -197,6 +199,7 @@
         [LINK_REQUESTS.handover]: request => {
           keys.answerHandover(request);
         },
+        [LINK_REQUESTS.burn]: () => this.#burn.report(),
       },
     });
     this.#server.messages.on('rejected', () => {
@@ -278,6 +281,7 @@
       keys: this.#keys as KeyTask,
       admission: this.#admission,
       policies: this.#policies,
+      burn: this.#burn,
       run: {
         directory: this.#directory,
         router: this.#router,
--- a/packages/gateway/src/requests/completion-run.ts
+++ b/packages/gateway/src/requests/completion-run.ts
@@ -45,7 +45,13 @@
 };
 
 /** How a run ended when the whole answer came. */
-export type RunResult = { readonly ranOn: string; readonly tokens: number };
+export type RunResult = {
+  readonly ranOn: string;
+  readonly tokens: number;
+  readonly firstTokenMs: number;
+  /** Mean time between two tokens, in milliseconds. */
+  readonly betweenTokensMs: number;
+};
 
 const MAX_ATTEMPTS = 4;
 const MAX_RESUMES = 5;
@@ -62,6 +68,7 @@
   #startedAt = 0;
   #sentAt = 0;
   #route: Route | undefined;
+  #firstTokenAt = 0;
   #lastTokenAt = 0;
 
   constructor(services: RunServices, admitted: AdmittedRequest, sink: AnswerSink) {
@@ -83,7 +90,7 @@
       const end = await this.#attempt(target);
       if (end.kind === 'whole') {
         this.life.to('done');
-        return { ranOn: placeOf(target), tokens: this.#tokens };
+        return this.#result(target);
       }
       this.#tried.add(target.group.id);
       problem = this.#problemOf(end);
@@ -96,6 +103,16 @@
     throw problem ?? this.#noGroup();
   }
 
+  #result(target: GroupView): RunResult {
+    const gaps = Math.max(1, this.#tokens - 1);
+    return {
+      ranOn: placeOf(target),
+      tokens: this.#tokens,
+      firstTokenMs: this.#firstTokenAt - this.#startedAt,
+      betweenTokensMs: (this.#lastTokenAt - this.#firstTokenAt) / gaps,
+    };
+  }
+
   #pick(): GroupView | undefined {
     const { request, workspace } = this.#admitted;
     const { model, adapter, prompt } = request;
@@ -171,6 +188,7 @@
     const { metrics } = this.#services;
     const now = monotonicMs();
     if (this.#tokens === 0) {
+      this.#firstTokenAt = now;
       metrics.histogram('first_token').record(now - this.#startedAt);
       this.#route?.firstToken(now - this.#sentAt);
     } else {
--- a/packages/link/src/messages.ts
+++ b/packages/link/src/messages.ts
@@ -13,6 +13,7 @@
   claim: 'claim',
   settle: 'settle',
   handover: 'handover',
+  burn: 'burn',
 } as const;
 
 /** A load report of a group's leader, as the engine gave it. */
--- a/packages/proofs/src/sessions/operator.test.ts
+++ b/packages/proofs/src/sessions/operator.test.ts
@@ -114,6 +114,14 @@
     expect(cut.map(({ answer }) => answer.body)).to.deep.equal([]);
   });
 
+  it('reports the burn of service levels', async () => {
+    const text = (await hingescale('report', 'burn')).text;
+    expect(text).to.match(/bank-alpha +lm-pool +\d+ +\d+\.\d\d of [1-9]\d*/);
+    expect((await hingescale('report', 'burn', '--html')).text).to.include('<svg');
+    const json = JSON.parse((await hingescale('report', 'burn', '--json')).text) as unknown[];
+    expect(json).to.have.length(1);
+  });
+
   it('tells users what is wrong in one line', async () => {
     expect(await hingescale('explain', 'nobody')).to.include({ code: EXIT_CODES.failure });
     expect(await hingescale('frobnicate')).to.include({ code: EXIT_CODES.findings });
--- a/packages/runtime/src/metrics.ts
+++ b/packages/runtime/src/metrics.ts
@@ -1,6 +1,6 @@
 /** Counters and gauges by prom-client, histograms by hdr-histogram-js, in Prometheus text. */
 import type { Histogram } from 'hdr-histogram-js';
-import { build } from 'hdr-histogram-js';
+import { build, decodeFromCompressedBase64, encodeIntoCompressedBase64 } from 'hdr-histogram-js';
 import { Counter, Gauge, Registry } from 'prom-client';
 
 const SCALE = 1000;
@@ -23,6 +23,23 @@
     this.histogram.recordValue(Math.round(bounded * SCALE));
   }
 
+  /** Adds the values of another histogram. */
+  add(other: LatencyHistogram): void {
+    this.histogram.add(other.histogram);
+  }
+
+  /** The histogram as text, to be merged elsewhere. */
+  encode(): string {
+    return encodeIntoCompressedBase64(this.histogram);
+  }
+
+  /** Reads a histogram from text. */
+  static decode(text: string): LatencyHistogram {
+    const latency = new LatencyHistogram();
+    latency.histogram.add(decodeFromCompressedBase64(text, 32, false));
+    return latency;
+  }
+
   /** Milliseconds that a share of the values stays below. */
   quantile(share: number): number {
     return this.histogram.getValueAtPercentile(share * 100) / SCALE;
