TLS for callers and the administration API, reloaded without cutting streams

Cause: the settings named certificate and key files that nothing read. Links between the system's processes stay on the shared-key handshake and are not encrypted.

--- a/packages/controller/src/controller.ts
+++ b/packages/controller/src/controller.ts
@@ -12,7 +12,14 @@
   watchConfiguration,
 } from '@hingescale/platform';
 import type { HttpServer, Log, RunningServer } from '@hingescale/runtime';
-import { createLog, listenHttp, Metrics, newUuid } from '@hingescale/runtime';
+import {
+  createLog,
+  DEFAULT_HTTP_LIMITS,
+  listenHttp,
+  Metrics,
+  newUuid,
+  tlsFiles,
+} from '@hingescale/runtime';
 import { HostClient, MemberProber } from '@hingescale/upstream';
 
 import { adminApp } from './admin/app.js';
@@ -204,7 +211,8 @@
         this.#holder.offer(revision);
       },
     });
-    this.#admin = await listenHttp(app, admin.listen);
+    const tls = tlsFiles(admin['tls-certificate'], admin['tls-key']);
+    this.#admin = await listenHttp(app, admin.listen, { ...DEFAULT_HTTP_LIMITS, tls });
   }
 
   #startLease(): void {
@@ -214,7 +222,7 @@
       failureDomain: self['failure-domain'],
       holder: this.#instance,
       address: this.#address,
-      adminAddress: `http://${this.adminAddress}`,
+      adminAddress: `${this.#adminScheme()}://${this.adminAddress}`,
       durationMs: timing['lease-ms'],
       keyLeaseMs: timing['key-lease-ms'],
       log: this.#log,
@@ -294,6 +302,10 @@
     this.#groups.start();
   }
 
+  #adminScheme(): 'http' | 'https' {
+    return this.#settings.admin['tls-certificate'] === undefined ? 'http' : 'https';
+  }
+
   #absent(): FailureDomainId[] {
     const domains = this.#holder.configuration?.deployment['failure-domains'] ?? [];
     return this.#remotes.absent(domains, this.#settings.timing['absent-ms']);
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -14,6 +14,7 @@
   monotonicMs,
   newUuid,
   sleep,
+  tlsFiles,
 } from '@hingescale/runtime';
 import { HostClient } from '@hingescale/upstream';
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
@@ -302,6 +303,7 @@
       headersTimeoutMs: callers['headers-timeout-ms'],
       requestTimeoutMs: callers['request-timeout-ms'],
       maxConnections: callers['max-connections'],
+      tls: tlsFiles(callers['tls-certificate'], callers['tls-key']),
     });
   }
 
--- a/packages/runtime/src/http-server.ts
+++ b/packages/runtime/src/http-server.ts
@@ -1,6 +1,8 @@
 /** HTTP servers by express, with limits on slow and large requests and problem documents. */
 import type { Server } from 'node:http';
 import { createServer } from 'node:http';
+import type { Server as TlsServer } from 'node:https';
+import { createServer as createTlsServer } from 'node:https';
 import type { AddressInfo } from 'node:net';
 import type { Duplex } from 'node:stream';
 
@@ -8,6 +10,9 @@
 import type { Express, NextFunction, Request, Response } from 'express';
 import express from 'express';
 
+import type { TlsFiles } from './tls.js';
+import { readTlsFiles, reloadOnChange } from './tls.js';
+
 /** Limits of an HTTP server. */
 export type HttpLimits = {
   /** Longest time for a whole header, in milliseconds. */
@@ -15,6 +20,8 @@
   /** Longest time for a whole request, in milliseconds. */
   readonly requestTimeoutMs: number;
   readonly maxConnections: number;
+  /** Certificate and key files; without them the server speaks plain HTTP. */
+  readonly tls?: TlsFiles;
 };
 
 /** Limits that fit most servers. */
@@ -62,7 +69,12 @@
     keepAliveTimeout: KEEP_ALIVE_MS,
     noDelay: true,
   };
-  const server = createServer(options, app);
+  const { tls } = limits;
+  const server =
+    tls === undefined
+      ? createServer(options, app)
+      : createTlsServer({ ...options, ...readTlsFiles(tls) }, app);
+  const stopReloading = tls === undefined ? undefined : reloadOnChange(server as TlsServer, tls);
   server.maxConnections = limits.maxConnections;
   server.on('clientError', answerClientError);
   await new Promise<void>((resolve, reject) => {
@@ -74,7 +86,10 @@
     server,
     address: `${host}:${bound.port}`,
     drain: () => drainServer(server),
-    stop: () => stopServer(server),
+    stop: () => {
+      stopReloading?.();
+      return stopServer(server);
+    },
   };
 }
 
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -7,3 +7,4 @@
 export * from './metrics.js';
 export * from './settings.js';
 export * from './task.js';
+export * from './tls.js';
