--- a/packages/proofs/src/deployment/child.ts
+++ b/packages/proofs/src/deployment/child.ts
@@ -18,6 +18,12 @@
 const require = createRequire(import.meta.url);
 const START_TIMEOUT_MS = 15_000;
 
+/** Children that run; an interrupted session must not leave any behind. */
+const running = new Set<ChildProcess>();
+process.on('exit', () => {
+  running.forEach(child => child.kill('SIGKILL'));
+});
+
 /** Path of a binary's JavaScript file. */
 export function binaryPath(program: 'gateway' | 'controller' | 'stand-ins'): string {
   const entry = require.resolve(`@hingescale/${program}`);
@@ -46,6 +52,8 @@
       stdio: ['ignore', 'ignore', 'pipe'],
     });
     this.#process = child;
+    running.add(child);
+    child.once('exit', () => running.delete(child));
     this.#exit = new Promise(resolve => {
       child.on('exit', (code, signal) => {
         resolve(signal === null ? (code ?? 1) : 128);
