One way to connect to the platform; an unused cost function is gone

Found by reading the whole change: gateway and controller built the platform's client with the same lines, and brokenCost had no caller.

--- a/packages/controller/src/controller.ts
+++ b/packages/controller/src/controller.ts
@@ -3,11 +3,12 @@
 import { ProblemError } from '@hingescale/core';
 import type { PollReply, PollRequest } from '@hingescale/link';
 import { LINK_REQUESTS, LinkPool, LinkServer } from '@hingescale/link';
+import type { PlatformClient } from '@hingescale/platform';
 import {
   ConfigurationHolder,
+  connectPlatform,
   HostWatcher,
   ObjectWatcher,
-  PlatformClient,
   readRevision,
   watchConfiguration,
 } from '@hingescale/platform';
@@ -74,14 +75,7 @@
     const { process: self, platform, timing, links } = settings;
     this.#instance = `${self.name}/${newUuid()}`;
     this.#log = createLog({ process: self.name, ...settings.log });
-    this.#client = new PlatformClient({
-      url: platform.url,
-      timeoutMs: platform['timeout-ms'],
-      log: this.#log,
-      onCall: (call, outcome) => {
-        this.#metrics.count('platform_calls_total', { call, outcome });
-      },
-    });
+    this.#client = connectPlatform(platform, this.#log, this.#metrics);
     this.#hostClient = new HostClient({
       timeoutMs: timing['certificate-ms'],
       log: this.#log,
--- a/packages/core/src/decision/broken-groups.ts
+++ b/packages/core/src/decision/broken-groups.ts
@@ -10,7 +10,7 @@
 import type { Ledger } from '../groups/ledger.js';
 import type { HostId } from '../hosts/host.js';
 import { downRate, loadMs, strandedRate } from './costs.js';
-import type { DecisionInput, HostFact } from './decision-input.js';
+import type { HostFact } from './decision-input.js';
 import { ageOf, answers, FLAPPING_LOSSES, isLeaving } from './decision-input.js';
 import { canForm } from './formation.js';
 import { hostLossAnswer } from './host-loss.js';
@@ -271,11 +271,3 @@
   adapters: [],
   upstream: '',
 };
-
-/** Cost of the present state of all broken groups, for explanations. */
-export function brokenCost(input: DecisionInput, groups: readonly PlacedGroup[]): number {
-  return groups.reduce((sum, { group }) => {
-    const model = input.configuration.models.get(group.content.model);
-    return sum + (model === undefined ? 0 : downRate(input, model));
-  }, 0);
-}
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -4,7 +4,8 @@
 import type { Configuration, FailureDomainId } from '@hingescale/core';
 import type { PollReply, WorkspaceUsage } from '@hingescale/link';
 import { LINK_REQUESTS, LinkPool, LinkServer } from '@hingescale/link';
-import { ConfigurationHolder, PlatformClient, readRevision } from '@hingescale/platform';
+import type { PlatformClient } from '@hingescale/platform';
+import { ConfigurationHolder, connectPlatform, readRevision } from '@hingescale/platform';
 import type { HttpServer, Log, RunningServer } from '@hingescale/runtime';
 import {
   createLog,
@@ -75,14 +76,7 @@
     const { process: self, platform, timing, links, limits } = settings;
     this.#instance = `${self.name}-${newUuid()}`;
     this.#log = createLog({ process: self.name, ...settings.log });
-    this.#client = new PlatformClient({
-      url: platform.url,
-      timeoutMs: platform['timeout-ms'],
-      log: this.#log,
-      onCall: (call, outcome) => {
-        this.#metrics.count('platform_calls_total', { call, outcome });
-      },
-    });
+    this.#client = connectPlatform(platform, this.#log, this.#metrics);
     this.#hostClient = new HostClient({
       timeoutMs: timing['certificate-ms'],
       log: this.#log,
--- a/packages/platform/src/platform-client.ts
+++ b/packages/platform/src/platform-client.ts
@@ -1,6 +1,6 @@
 /** Client of the platform's object API: versions, conditional updates, long-poll watches. */
 import type { HostList } from '@hingescale/core';
-import type { Log } from '@hingescale/runtime';
+import type { Log, Metrics } from '@hingescale/runtime';
 import { Result } from 'true-myth';
 import { Agent, request } from 'undici';
 
@@ -168,6 +168,25 @@
   }
 }
 
+/** Settings of the platform that a process reads from its `[platform]` section. */
+export type PlatformSection = { readonly url: string; readonly 'timeout-ms': number };
+
+/** The client of a process, with its calls counted. */
+export function connectPlatform(
+  section: PlatformSection,
+  log: Log,
+  metrics: Metrics,
+): PlatformClient {
+  return new PlatformClient({
+    url: section.url,
+    timeoutMs: section['timeout-ms'],
+    log,
+    onCall: (call, outcome) => {
+      metrics.count('platform_calls_total', { call, outcome });
+    },
+  });
+}
+
 function objectPath(kind: ObjectKind, name: string): string {
   return `/v1/objects/${kind}/${encodeURIComponent(name)}`;
 }
