--- a/packages/proofs/src/deployment/deployment.ts
+++ b/packages/proofs/src/deployment/deployment.ts
@@ -38,7 +38,7 @@
   readonly engine?: Partial<EngineOptions>;
   readonly timing?: Readonly<Record<string, number>>;
   readonly logLevel?: string;
-  /** Starts gateways only once the controllers have formed the groups. */
+  /** Starts gateways one by one, once the controllers have formed the groups. */
   readonly inTurn?: boolean;
   /** Further values of the gateways' `[callers]` section. */
   readonly callers?: Readonly<Record<string, number>>;
@@ -215,7 +215,10 @@
     if (this.#options.inTurn === true) {
       await Promise.all(this.controllers.map(({ child }) => child.start()));
       await eventually('groups are ready', () => this.#groupsAreReady());
-      await Promise.all(this.gateways.map(({ child }) => child.start()));
+      for (const gateway of this.gateways) {
+        await gateway.child.start();
+        await eventually(`${gateway.name} owns keys`, () => this.#ownsKeys(gateway));
+      }
     } else {
       await Promise.all([...this.controllers, ...this.gateways].map(({ child }) => child.start()));
     }
@@ -277,6 +280,11 @@
     await Promise.all([this.engine, this.platform, ...this.services].map(item => item.stop()));
   }
 
+  async #ownsKeys({ address }: DeployedGateway): Promise<boolean> {
+    const call = { address, key: this.key(), path: '/v1/idempotency-keys', body: {} };
+    return (await this.caller.send(call)).status === 201;
+  }
+
   async #groupsAreReady(): Promise<boolean> {
     const states = await Promise.all(
       this.controllers.map(entry =>
--- a/packages/proofs/src/sessions/golden-session.test.ts
+++ b/packages/proofs/src/sessions/golden-session.test.ts
@@ -28,6 +28,10 @@
     const told: string[] = [];
     await serve(deployment, told);
     await restartMember(deployment, told);
+    // The first gateway hands keys to the second one, whenever that is done.
+    await deployment.gateways[0].child.waitForLine(
+      line => line.channel === 'link' && line.message === 'handover',
+    );
     const names = new Map(
       [...deployment.engine.addresses].map(([host, address]) => [address, host]),
     );
