--- a/eslint.config.js
+++ b/eslint.config.js
@@ -5,7 +5,7 @@
   { ignores: ['**/dist/**', '**/node_modules/**'] },
   ...tseslint.configs.strict,
   {
-    files: ['packages/**/*.ts'],
+    files: ['packages/**/*.ts', 'platform/**/*.ts'],
     languageOptions: {
       parserOptions: {
         projectService: true,
--- /dev/null
+++ b/packages/entry/src/configuration/configuration-holder.ts
@@ -0,0 +1,85 @@
+/** The configuration in force at this entry host, and how recently the store has confirmed it. */
+import type { Log } from '../server/log.js';
+import { monotonicMs } from '../server/time.js';
+import type { ObjectChange, ObjectList, StoredObject } from '../store/object-store.js';
+import { RouteTable } from './route-table.js';
+import type { ServingConfiguration } from './serving-configuration.js';
+
+/** Reads the configuration from the value of its object. */
+export type ConfigurationReader = (value: unknown) => ServingConfiguration;
+
+/** Options of a holder. */
+export type ConfigurationHolderOptions = {
+  readonly read: ConfigurationReader;
+  /** Name of the object that holds the configuration. */
+  readonly objectName: string;
+  readonly log: Log;
+};
+
+/** Keeps the newest version that was ever seen; nothing older is applied after it. */
+export class ConfigurationHolder {
+  readonly #options: ConfigurationHolderOptions;
+  #table: RouteTable | undefined;
+  #revision = -1;
+  #confirmedAt = -Infinity;
+
+  constructor(options: ConfigurationHolderOptions) {
+    this.#options = options;
+  }
+
+  /** Routes in force; undefined until the first configuration has come. */
+  get table(): RouteTable | undefined {
+    return this.#table;
+  }
+
+  /** Milliseconds since the store was last asked a question that it has answered. */
+  get confirmationAgeMs(): number {
+    return monotonicMs() - this.#confirmedAt;
+  }
+
+  /** Takes the whole list. */
+  takeList(list: ObjectList): void {
+    const object = list.objects.find(candidate => candidate.name === this.#options.objectName);
+    if (object !== undefined) {
+      this.#apply(object);
+    }
+  }
+
+  /** Takes one change. */
+  takeChange(change: ObjectChange): void {
+    if (!change.deleted && change.object.name === this.#options.objectName) {
+      this.#apply(change.object);
+    }
+  }
+
+  /** The store has answered a question that was sent at `sentAt` (monotonic milliseconds). */
+  confirm(sentAt: number): void {
+    this.#confirmedAt = Math.max(this.#confirmedAt, sentAt);
+  }
+
+  #apply(object: StoredObject): void {
+    if (object.revision <= this.#revision) {
+      return;
+    }
+    const { read, log } = this.#options;
+    let table: RouteTable;
+    try {
+      table = new RouteTable(read(object.value));
+    } catch (error) {
+      log.error('configuration unreadable', { revision: object.revision, cause: String(error) });
+      return;
+    }
+    const before = this.#table?.version;
+    if (before !== undefined && table.version < before) {
+      log.warn('older configuration ignored', { version: table.version, inForce: before });
+      return;
+    }
+    this.#revision = object.revision;
+    this.#table = table;
+    log.info('configuration applied', {
+      version: table.version,
+      revision: object.revision,
+      before,
+    });
+  }
+}
--- /dev/null
+++ b/packages/entry/src/groups/formation-plan.ts
@@ -0,0 +1,120 @@
+/** Decides which free hosts form which groups, and which are kept staged as spares. Pure. */
+import type { EngineProfile, GroupModel } from '../configuration/serving-configuration.js';
+import type { HostEntry } from '../hosts/host-entry.js';
+
+/** Free hosts of one fabric domain. */
+export type FreeDomain = {
+  readonly fabricDomain: string;
+  readonly hosts: readonly HostEntry[];
+};
+
+/** A group to be formed. */
+export type PlannedFormation = {
+  readonly model: GroupModel;
+  /** Head first. */
+  readonly hosts: readonly HostEntry[];
+  /** Expected time until all members are ready, in milliseconds. */
+  readonly readyMs: number;
+  /** Members that have to load from the weight store. */
+  readonly loads: number;
+};
+
+/** What the plan starts from. */
+export type FormationInput = {
+  readonly profile: EngineProfile;
+  readonly domains: readonly FreeDomain[];
+  /** Groups that serve or form, by model name. */
+  readonly groupCounts: ReadonlyMap<string, number>;
+  /** Hosts to be kept out of groups, over all domains. */
+  readonly spareTarget: number;
+  readonly loadsLeft: number;
+};
+
+/** Time of a join that needs no load, in milliseconds. */
+const REJOIN_MS = 200;
+/** A formation takes a spare below the target when it is ready within this time. */
+const QUICK_MS = 4_000;
+
+/** Formations in the order in which they are worth most. */
+export function planFormations(input: FormationInput): readonly PlannedFormation[] {
+  const free = new Map(input.domains.map(domain => [domain.fabricDomain, [...domain.hosts]]));
+  const counts = new Map(input.groupCounts);
+  const planned: PlannedFormation[] = [];
+  let loadsLeft = input.loadsLeft;
+  for (;;) {
+    const next = nextFormation(input, free, counts);
+    if (next === undefined || next.formation.loads > loadsLeft) {
+      return planned;
+    }
+    loadsLeft -= next.formation.loads;
+    planned.push(next.formation);
+    counts.set(next.formation.model.name, (counts.get(next.formation.model.name) ?? 0) + 1);
+    const taken = new Set(next.formation.hosts);
+    const rest = (free.get(next.fabricDomain) ?? []).filter(host => !taken.has(host));
+    free.set(next.fabricDomain, rest);
+  }
+}
+
+/** Time until a host is ready for a model, in milliseconds. */
+export function readyMsOf(host: HostEntry, model: GroupModel): number {
+  if (host.loadedModel === model.name) {
+    return REJOIN_MS;
+  }
+  return host.stagedModels.includes(model.name) ? model.warmMs : model.loadMs;
+}
+
+type Candidate = { readonly fabricDomain: string; readonly formation: PlannedFormation };
+
+function nextFormation(
+  input: FormationInput,
+  free: ReadonlyMap<string, readonly HostEntry[]>,
+  counts: ReadonlyMap<string, number>,
+): Candidate | undefined {
+  const freeHosts = [...free.values()].reduce((sum, hosts) => sum + hosts.length, 0);
+  const models = [...input.profile.models].sort((a, b) => needOf(b, counts) - needOf(a, counts));
+  for (const model of models) {
+    const candidates = [...free].flatMap(([fabricDomain, hosts]) => {
+      const formation = formationOf(model, hosts);
+      return formation === undefined ? [] : [{ fabricDomain, formation, left: hosts.length }];
+    });
+    candidates.sort((a, b) => a.formation.readyMs - b.formation.readyMs || b.left - a.left);
+    const best = candidates[0];
+    const sparesLeft = freeHosts - model.size;
+    const affordable = sparesLeft >= input.spareTarget || isRepair(model, best, counts);
+    if (best !== undefined && affordable) {
+      return best;
+    }
+  }
+  return undefined;
+}
+
+// Spares exist to be used: a quick formation may take them, and so may a model without groups.
+function isRepair(
+  model: GroupModel,
+  candidate: Candidate | undefined,
+  counts: ReadonlyMap<string, number>,
+): boolean {
+  if (candidate === undefined) {
+    return false;
+  }
+  return candidate.formation.readyMs <= QUICK_MS || (counts.get(model.name) ?? 0) === 0;
+}
+
+function needOf(model: GroupModel, counts: ReadonlyMap<string, number>): number {
+  return (model.workShare * model.pace) / ((counts.get(model.name) ?? 0) + 0.5);
+}
+
+function formationOf(model: GroupModel, hosts: readonly HostEntry[]): PlannedFormation | undefined {
+  if (hosts.length < model.size) {
+    return undefined;
+  }
+  const sorted = [...hosts].sort((a, b) => readyMsOf(a, model) - readyMsOf(b, model));
+  const members = sorted.slice(0, model.size);
+  const times = members.map(host => readyMsOf(host, model));
+  return {
+    model,
+    hosts: members,
+    readyMs: Math.max(...times),
+    loads: times.filter(time => time === model.loadMs).length,
+  };
+}
--- /dev/null
+++ b/packages/entry/src/groups/group-beliefs.ts
@@ -0,0 +1,64 @@
+/** What the order giver remembers between two plans; entries of hosts tell the rest. */
+import type { HostEntry } from '../hosts/host-entry.js';
+import type { HostOrder } from './host-orders.js';
+
+/** A formation that this order giver has begun. */
+export type Formation = {
+  readonly group: string;
+  readonly epoch: number;
+  readonly model: string;
+  /** Host ids, head first. */
+  readonly members: readonly string[];
+  /** Monotonic milliseconds after which it is given up. */
+  readonly deadline: number;
+};
+
+/** A model that is being brought onto a host. */
+export type Staging = {
+  readonly model: string;
+  /** Monotonic milliseconds after which it is asked again. */
+  readonly deadline: number;
+};
+
+/** The head a group was last seen with. */
+export type KnownHead = {
+  readonly host: HostEntry;
+  /** Monotonic milliseconds since when its entry does not name the group any more. */
+  readonly missingSince: number | undefined;
+  /** It confirmed that it has left the group. */
+  readonly left: boolean;
+};
+
+/** Beliefs, by group name or host id. */
+export type GroupBeliefs = {
+  readonly formations: ReadonlyMap<string, Formation>;
+  readonly stagings: ReadonlyMap<string, Staging>;
+  readonly heads: ReadonlyMap<string, KnownHead>;
+  /** When a group was first seen without all its members (monotonic milliseconds). */
+  readonly incompleteSince: ReadonlyMap<string, number>;
+  /** Hosts that did not answer when asked. */
+  readonly silent: ReadonlySet<string>;
+  /** Hosts whose entries went but that still answer. */
+  readonly unlisted: ReadonlyMap<string, HostEntry>;
+  /** Hosts with an order under way. */
+  readonly busy: ReadonlySet<string>;
+  /** Loads from the weight store that may begin now. */
+  readonly loadsLeft: number;
+};
+
+/** An order with its receiver, and why it is given. */
+export type PlannedOrder = {
+  readonly host: HostEntry;
+  readonly order: HostOrder;
+  readonly reason: OrderReason;
+};
+
+/** Why an order is given. */
+export type OrderReason =
+  | 'members-ready'
+  | 'member-lost'
+  | 'member-leaving'
+  | 'formation-expired'
+  | 'group-broken'
+  | 'form'
+  | 'spare';
--- /dev/null
+++ b/packages/entry/src/groups/group-repair.ts
@@ -0,0 +1,134 @@
+/** Decides what existing groups need: open, close, or dissolve at the head. Pure. */
+import type { EngineProfile } from '../configuration/serving-configuration.js';
+import type { HostEntry } from '../hosts/host-entry.js';
+import type { Formation, GroupBeliefs, PlannedOrder } from './group-beliefs.js';
+import type { OrderReason } from './group-beliefs.js';
+import type { HostOrder } from './host-orders.js';
+import type { ReplicaGroup } from './replica-groups.js';
+import { headState } from './replica-groups.js';
+
+/** Time that a group of another order giver has to become complete, in milliseconds. */
+const FOREIGN_FORMATION_MS = 3_000;
+
+/** What a group needs now; undefined when it can be left alone. */
+export function repairOf(
+  group: ReplicaGroup,
+  profile: EngineProfile,
+  beliefs: GroupBeliefs,
+  now: number,
+): PlannedOrder | undefined {
+  const head = group.head;
+  if (head === undefined) {
+    return undefined;
+  }
+  const size = sizeOf(group, profile, beliefs);
+  switch (headState(group)) {
+    case 'open':
+      return repairOpen(group, head, size, beliefs);
+    case 'closing':
+      return memberLost(group, size, beliefs) ? leave(group, head, 'member-lost') : undefined;
+    case 'broken':
+      return leave(group, head, 'group-broken');
+    default:
+      return advanceFormation(group, head, size, beliefs, now);
+  }
+}
+
+/** Hosts that the group's model needs; undefined while the model is not known. */
+export function sizeOf(
+  group: ReplicaGroup,
+  profile: EngineProfile,
+  beliefs: GroupBeliefs,
+): number | undefined {
+  const formation = beliefs.formations.get(group.name);
+  const model = formation?.model ?? group.model;
+  return profile.models.find(candidate => candidate.name === model)?.size;
+}
+
+function repairOpen(
+  group: ReplicaGroup,
+  head: HostEntry,
+  size: number | undefined,
+  beliefs: GroupBeliefs,
+): PlannedOrder | undefined {
+  if (memberLost(group, size, beliefs)) {
+    return leave(group, head, 'member-lost');
+  }
+  if (group.members.some(member => member !== undefined && !member.accepting)) {
+    const order: HostOrder = { kind: 'close', ...idOf(group), manner: 'pending' };
+    return { host: head, order, reason: 'member-leaving' };
+  }
+  return undefined;
+}
+
+function advanceFormation(
+  group: ReplicaGroup,
+  head: HostEntry,
+  size: number | undefined,
+  beliefs: GroupBeliefs,
+  now: number,
+): PlannedOrder | undefined {
+  const present = group.members.filter(member => member !== undefined);
+  if (present.some(member => !member.accepting || beliefs.silent.has(member.id))) {
+    return leave(group, head, 'member-leaving');
+  }
+  const allReady = present.every(member => member.membership?.state === 'ready');
+  if (size !== undefined && present.length === size && allReady) {
+    return { host: head, order: { kind: 'open', ...idOf(group) }, reason: 'members-ready' };
+  }
+  return formationExpired(group, size, beliefs, now)
+    ? leave(group, head, 'formation-expired')
+    : undefined;
+}
+
+function formationExpired(
+  group: ReplicaGroup,
+  size: number | undefined,
+  beliefs: GroupBeliefs,
+  now: number,
+): boolean {
+  const formation: Formation | undefined = beliefs.formations.get(group.name);
+  if (formation !== undefined) {
+    return now > formation.deadline || formation.members.some(id => beliefs.silent.has(id));
+  }
+  const present = group.members.filter(member => member !== undefined);
+  if (size === undefined || present.length < size) {
+    const since = beliefs.incompleteSince.get(group.name);
+    return since !== undefined && now - since > FOREIGN_FORMATION_MS;
+  }
+  return false;
+}
+
+// A member is lost when nobody holds its place, or when it does not answer.
+function memberLost(group: ReplicaGroup, size: number | undefined, beliefs: GroupBeliefs): boolean {
+  const places = Math.max(size ?? 0, group.members.length);
+  for (let rank = 0; rank < places; rank++) {
+    const member = group.members[rank];
+    if (member === undefined) {
+      if (!heldByUnlisted(group, rank, beliefs)) {
+        return true;
+      }
+    } else if (beliefs.silent.has(member.id)) {
+      return true;
+    }
+  }
+  return false;
+}
+
+function heldByUnlisted(group: ReplicaGroup, rank: number, beliefs: GroupBeliefs): boolean {
+  for (const host of beliefs.unlisted.values()) {
+    const place = host.membership;
+    if (place?.group === group.name && place.epoch === group.epoch && place.rank === rank) {
+      return !beliefs.silent.has(host.id);
+    }
+  }
+  return false;
+}
+
+function leave(group: ReplicaGroup, head: HostEntry, reason: OrderReason): PlannedOrder {
+  return { host: head, order: { kind: 'leave', ...idOf(group) }, reason };
+}
+
+function idOf(group: ReplicaGroup): { readonly group: string; readonly epoch: number } {
+  return { group: group.name, epoch: group.epoch };
+}
--- /dev/null
+++ b/packages/entry/src/groups/group-task.ts
@@ -0,0 +1,405 @@
+/**
+ * Gives orders to the hosts of one engine service while this process holds the lease.
+ *
+ * It keeps no record of its own in the store: groups are what the hosts tell of themselves, names
+ * are never used twice, and epochs rise with the lease's term.
+ */
+import type { EngineProfile } from '../configuration/serving-configuration.js';
+import type { HostEntry } from '../hosts/host-entry.js';
+import type { HostRegistry } from '../hosts/host-registry.js';
+import type { Log } from '../server/log.js';
+import type { Counters } from '../server/metrics.js';
+import { monotonicMs } from '../server/time.js';
+import type { Formation, GroupBeliefs, KnownHead, PlannedOrder, Staging } from './group-beliefs.js';
+import type { FreeDomain, PlannedFormation } from './formation-plan.js';
+import { planFormations } from './formation-plan.js';
+import type { ReleaseBounds } from './free-hosts.js';
+import { isFree } from './free-hosts.js';
+import { repairOf } from './group-repair.js';
+import type { HostOrder, OrderOutcome } from './host-orders.js';
+import { LoadBudget } from './load-budget.js';
+import type { MemberProber } from './member-prober.js';
+import type { GuardView } from './order-guard.js';
+import { refuseOrder } from './order-guard.js';
+import type { OrderSender } from './order-sender.js';
+import type { ReplicaGroup } from './replica-groups.js';
+import { replicaGroups } from './replica-groups.js';
+import { planStagings } from './spare-plan.js';
+
+/** Options of a group task. */
+export type GroupTaskOptions = {
+  readonly service: string;
+  readonly profile: () => EngineProfile | undefined;
+  readonly registry: HostRegistry;
+  readonly sender: OrderSender;
+  readonly prober: MemberProber;
+  readonly bounds: ReleaseBounds;
+  readonly loadWindowMs: number;
+  /** Share of the hosts that is kept out of groups as spares. */
+  readonly spareShare: number;
+  readonly log: Log;
+  readonly counters: Counters;
+};
+
+/** Groups that one term of the lease may form: epochs are `term * EPOCHS_PER_TERM + n`. */
+const EPOCHS_PER_TERM = 1_000;
+/** Time a formation has beyond what its loads should take, in milliseconds. */
+const FORMATION_SLACK_MS = 4_000;
+const STAGING_SLACK_MS = 10_000;
+const LOAD_SLACK_FACTOR = 2;
+/** Pause in which no new host may have come before groups are formed, in milliseconds. */
+const SETTLE_MS = 300;
+
+/** The order giver's decisions for one service. */
+export class GroupTask {
+  readonly #options: GroupTaskOptions;
+  readonly #formations = new Map<string, Formation>();
+  readonly #stagings = new Map<string, Staging>();
+  readonly #heads = new Map<string, KnownHead>();
+  readonly #incompleteSince = new Map<string, number>();
+  readonly #loads: LoadBudget;
+  #term = 0;
+  #formed = 0;
+  #mostHosts = 0;
+  #grownAt = -Infinity;
+
+  constructor(options: GroupTaskOptions) {
+    this.#options = options;
+    this.#loads = new LoadBudget(options.loadWindowMs);
+  }
+
+  /** Looks at the hosts and gives the orders that are due. Cheap when nothing is. */
+  step(term: number): void {
+    const profile = this.#options.profile();
+    if (profile === undefined || profile.models.length === 0) {
+      return;
+    }
+    this.#beginTerm(term);
+    const now = monotonicMs();
+    const hosts = this.#options.registry.ofService(this.#options.service);
+    const groups = replicaGroups(hosts);
+    this.#observe(hosts, groups, profile, now);
+    const beliefs = this.#beliefs(hosts, profile, now);
+    const view: GuardView = {
+      hosts,
+      beliefs,
+      bounds: this.#options.bounds,
+      sizeOf: name => profile.models.find(model => model.name === name)?.size,
+      now,
+    };
+    this.#repair(groups, profile, beliefs, view);
+    if (this.#settled(hosts, now)) {
+      this.#form(hosts, groups, profile, beliefs, view);
+    }
+  }
+
+  // While hosts are still coming in, a plan would be made from a part of a fabric domain.
+  #settled(hosts: readonly HostEntry[], now: number): boolean {
+    if (hosts.length > this.#mostHosts) {
+      this.#mostHosts = hosts.length;
+      this.#grownAt = now;
+    }
+    return now - this.#grownAt > SETTLE_MS;
+  }
+
+  #beginTerm(term: number): void {
+    if (term === this.#term) {
+      return;
+    }
+    this.#term = term;
+    this.#formed = 0;
+    this.#formations.clear();
+    this.#stagings.clear();
+  }
+
+  #observe(
+    hosts: readonly HostEntry[],
+    groups: readonly ReplicaGroup[],
+    profile: EngineProfile,
+    now: number,
+  ): void {
+    const { prober } = this.#options;
+    this.#observeHeads(groups, now);
+    this.#observeIncomplete(groups, profile, now);
+    for (const [id, staging] of this.#stagings) {
+      const host = hosts.find(candidate => candidate.id === id);
+      const done = host === undefined || host.stagedModels.includes(staging.model);
+      if (done || now > staging.deadline) {
+        this.#stagings.delete(id);
+      }
+    }
+    for (const [name, formation] of this.#formations) {
+      const group = groups.find(candidate => candidate.name === name);
+      const opened = group?.head?.membership?.state === 'open';
+      if (opened || (group === undefined && now > formation.deadline)) {
+        this.#formations.delete(name);
+      }
+    }
+    prober.watchDeparted(this.#options.registry.departedOf(this.#options.service));
+  }
+
+  #observeHeads(groups: readonly ReplicaGroup[], now: number): void {
+    const named = new Set(groups.map(group => group.name));
+    for (const group of groups) {
+      const known = this.#heads.get(group.name);
+      if (group.head !== undefined) {
+        this.#heads.set(group.name, { host: group.head, missingSince: undefined, left: false });
+      } else if (known === undefined) {
+        const anyMember = group.members.find(member => member !== undefined);
+        if (anyMember !== undefined) {
+          const host = { ...anyMember, id: '' };
+          this.#heads.set(group.name, { host, missingSince: now, left: false });
+        }
+      } else {
+        this.#noteHeadMissing(group.name, known, now);
+      }
+    }
+    for (const name of this.#heads.keys()) {
+      if (!named.has(name)) {
+        this.#heads.delete(name);
+      }
+    }
+  }
+
+  // A head whose entry is there but names another group, or none, has left for sure.
+  #noteHeadMissing(group: string, known: KnownHead, now: number): void {
+    const entry = this.#options.registry.get(known.host.id);
+    const left = known.left || (entry !== undefined && entry.membership?.group !== group);
+    const missingSince = known.missingSince ?? now;
+    this.#heads.set(group, { host: known.host, missingSince, left });
+  }
+
+  #observeIncomplete(groups: readonly ReplicaGroup[], profile: EngineProfile, now: number): void {
+    const named = new Set<string>();
+    for (const group of groups) {
+      const size = profile.models.find(model => model.name === group.model)?.size;
+      const present = group.members.filter(member => member !== undefined).length;
+      if (size === undefined || present < size) {
+        named.add(group.name);
+        if (!this.#incompleteSince.has(group.name)) {
+          this.#incompleteSince.set(group.name, now);
+        }
+      }
+    }
+    for (const name of this.#incompleteSince.keys()) {
+      if (!named.has(name)) {
+        this.#incompleteSince.delete(name);
+      }
+    }
+  }
+
+  #beliefs(hosts: readonly HostEntry[], profile: EngineProfile, now: number): GroupBeliefs {
+    const { prober, sender } = this.#options;
+    const joining = hosts.filter(host => host.membership?.state === 'joining').length;
+    const running = joining + this.#stagings.size;
+    return {
+      formations: this.#formations,
+      stagings: this.#stagings,
+      heads: this.#heads,
+      incompleteSince: this.#incompleteSince,
+      silent: prober.silent,
+      unlisted: prober.unlisted,
+      busy: sender.busy,
+      loadsLeft: this.#loads.left(now, profile.loadsPerSecond, profile.loadsAtOnce + 2, running),
+    };
+  }
+
+  #repair(
+    groups: readonly ReplicaGroup[],
+    profile: EngineProfile,
+    beliefs: GroupBeliefs,
+    view: GuardView,
+  ): void {
+    for (const group of groups) {
+      const planned = repairOf(group, profile, beliefs, view.now);
+      if (planned !== undefined) {
+        this.#send(planned, view);
+      }
+    }
+    this.#releaseDeparted(groups, view);
+  }
+
+  // A head whose entry went may still serve: it is told to leave, in case it hears.
+  #releaseDeparted(groups: readonly ReplicaGroup[], view: GuardView): void {
+    for (const group of groups) {
+      const known = this.#heads.get(group.name);
+      if (group.head !== undefined || known === undefined || known.left || known.host.id === '') {
+        continue;
+      }
+      const order: HostOrder = { kind: 'leave', group: group.name, epoch: group.epoch };
+      const unlisted = view.beliefs.unlisted.has(known.host.id);
+      if (unlisted) {
+        this.#send({ host: known.host, order, reason: 'member-lost' }, view);
+      }
+    }
+  }
+
+  #form(
+    hosts: readonly HostEntry[],
+    groups: readonly ReplicaGroup[],
+    profile: EngineProfile,
+    beliefs: GroupBeliefs,
+    view: GuardView,
+  ): void {
+    const { bounds, spareShare } = this.#options;
+    const free = hosts.filter(host => isFree(host, beliefs, bounds, view.now));
+    const domains = byFabricDomain(free);
+    const accepting = hosts.filter(host => host.accepting).length;
+    const planned = planFormations({
+      profile,
+      domains,
+      groupCounts: this.#groupCounts(groups),
+      spareTarget: Math.round(accepting * spareShare),
+      loadsLeft: beliefs.loadsLeft,
+    });
+    const taken = new Set<HostEntry>();
+    for (const formation of planned) {
+      formation.hosts.forEach(host => taken.add(host));
+      this.#begin(formation, view);
+    }
+    if (this.#formations.size === 0) {
+      this.#stage(
+        free.filter(host => !taken.has(host)),
+        groups,
+        profile,
+        view,
+      );
+    }
+  }
+
+  #groupCounts(groups: readonly ReplicaGroup[]): Map<string, number> {
+    const counts = new Map<string, number>();
+    const add = (model: string): void => {
+      counts.set(model, (counts.get(model) ?? 0) + 1);
+    };
+    for (const group of groups) {
+      if (
+        group.head !== undefined &&
+        group.model !== undefined &&
+        !this.#formations.has(group.name)
+      ) {
+        add(group.model);
+      }
+    }
+    for (const formation of this.#formations.values()) {
+      add(formation.model);
+    }
+    return counts;
+  }
+
+  #begin(planned: PlannedFormation, view: GuardView): void {
+    const { service, log } = this.#options;
+    this.#formed += 1;
+    const epoch = this.#term * EPOCHS_PER_TERM + this.#formed;
+    const group = `${service}-${epoch}`;
+    const members = planned.hosts.map(host => host.id);
+    const deadline = view.now + planned.readyMs * LOAD_SLACK_FACTOR + FORMATION_SLACK_MS;
+    const model = planned.model.name;
+    this.#formations.set(group, { group, epoch, model, members, deadline });
+    this.#loads.note(view.now, planned.loads);
+    log.info('formation begun', {
+      group,
+      model,
+      members: members.join(','),
+      domain: planned.hosts[0]?.fabricDomain,
+      readyMs: planned.readyMs,
+      loads: planned.loads,
+    });
+    const order: HostOrder = { kind: 'join', group, epoch, model, members };
+    for (const host of planned.hosts) {
+      this.#send({ host, order, reason: 'form' }, view);
+    }
+  }
+
+  #stage(
+    spares: readonly HostEntry[],
+    groups: readonly ReplicaGroup[],
+    profile: EngineProfile,
+    view: GuardView,
+  ): void {
+    let loadsLeft = view.beliefs.loadsLeft;
+    for (const domain of byFabricDomain(spares)) {
+      const own = groups.filter(group => group.fabricDomain === domain.fabricDomain);
+      const groupCounts = this.#groupCounts(own);
+      const input = { spares: domain.hosts, groupCounts };
+      const stagingNow = (id: string): string | undefined => this.#stagings.get(id)?.model;
+      for (const staging of planStagings(input, profile, stagingNow)) {
+        if (loadsLeft <= 0) {
+          return;
+        }
+        loadsLeft -= 1;
+        const { host, model } = staging;
+        const deadline = view.now + model.loadMs * LOAD_SLACK_FACTOR + STAGING_SLACK_MS;
+        this.#stagings.set(host.id, { model: model.name, deadline });
+        this.#loads.note(view.now);
+        this.#send({ host, order: { kind: 'stage', model: model.name }, reason: 'spare' }, view);
+      }
+    }
+  }
+
+  #send(planned: PlannedOrder, view: GuardView): void {
+    const { host, order, reason } = planned;
+    const refusal = refuseOrder(host, order, view);
+    if (refusal !== undefined) {
+      this.#options.counters.count('orders_held_back_total', { order: order.kind, refusal });
+      return;
+    }
+    this.#options.sender
+      .send(host, order, reason, this.#term)
+      .then(outcome => {
+        this.#take(host, order, outcome);
+      })
+      .catch((error: unknown) => {
+        this.#options.log.error('order failed', { host: host.id, cause: String(error) });
+      });
+  }
+
+  #take(host: HostEntry, order: HostOrder, outcome: OrderOutcome | undefined): void {
+    const accepted = outcome === 'begun' || outcome === 'done';
+    if (order.kind === 'leave' && accepted) {
+      const known = this.#heads.get(order.group);
+      if (known?.host.id === host.id) {
+        this.#heads.set(order.group, { ...known, left: true });
+      }
+      this.#formations.delete(order.group);
+    }
+    if (order.kind === 'stage' && !accepted && outcome !== 'unanswered') {
+      this.#stagings.delete(host.id);
+    }
+    if (order.kind === 'join' && !accepted && outcome !== undefined) {
+      this.#retryJoin(host, order);
+    }
+  }
+
+  // The same join with the same expected sequence is taken once at most.
+  #retryJoin(host: HostEntry, order: HostOrder & { kind: 'join' }): void {
+    setTimeout(() => {
+      const formation = this.#formations.get(order.group);
+      const entry = this.#options.registry.get(host.id);
+      if (formation === undefined || entry === undefined || monotonicMs() > formation.deadline) {
+        return;
+      }
+      if (entry.membership?.group !== order.group) {
+        const sent = this.#options.sender.send(entry, order, 'form', this.#term);
+        sent
+          .then(outcome => {
+            this.#take(entry, order, outcome);
+          })
+          .catch(() => undefined);
+      }
+    }, JOIN_RETRY_MS);
+  }
+}
+
+const JOIN_RETRY_MS = 250;
+
+function byFabricDomain(hosts: readonly HostEntry[]): readonly FreeDomain[] {
+  const domains = new Map<string, HostEntry[]>();
+  for (const host of hosts) {
+    const name = host.fabricDomain ?? host.failureDomain;
+    const list = domains.get(name) ?? [];
+    list.push(host);
+    domains.set(name, list);
+  }
+  return [...domains].map(([fabricDomain, list]) => ({ fabricDomain, hosts: list }));
+}
--- /dev/null
+++ b/packages/entry/src/groups/host-orders.ts
@@ -0,0 +1,62 @@
+/** Orders to hosts, as the product needs them; the adapter of a platform implements them. */
+import type { HostEntry } from '../hosts/host-entry.js';
+
+/** An order to one host. */
+export type HostOrder =
+  /** Become a member; the first of `members` is the head. */
+  | {
+      readonly kind: 'join';
+      readonly group: string;
+      readonly epoch: number;
+      readonly model: string;
+      readonly members: readonly string[];
+    }
+  /** To a ready head: begin to serve. */
+  | { readonly kind: 'open'; readonly group: string; readonly epoch: number }
+  /** To an open head: finish what runs, then be ready. */
+  | {
+      readonly kind: 'close';
+      readonly group: string;
+      readonly epoch: number;
+      readonly manner: 'pending' | 'preempt';
+    }
+  /** Give up membership at once. */
+  | { readonly kind: 'leave'; readonly group: string; readonly epoch: number }
+  /** Bring a model's weights onto the host. */
+  | { readonly kind: 'stage'; readonly model: string };
+
+/** How a host took an order. */
+export type OrderOutcome =
+  /** Under way; the host's order sequence has risen. */
+  | 'begun'
+  /** It held already, or is done. */
+  | 'done'
+  /** The host's state or order sequence is another than expected. */
+  | 'conflict'
+  /** The host has seen a higher epoch. */
+  | 'superseded'
+  /** Another host has the address. */
+  | 'other-host'
+  | 'rejected'
+  /** No answer: it may have been taken, or may be carried out later. */
+  | 'unanswered';
+
+/** What a host tells when asked. */
+export type HostReport = {
+  readonly orderSequence: number;
+  /** Factor on the host's speed; over 1 is slow. */
+  readonly pace: number;
+};
+
+/** Calls to hosts. */
+export type HostOrders = {
+  /** Sends an order that the host takes only while its order sequence is the expected one. */
+  readonly send: (
+    host: HostEntry,
+    order: HostOrder,
+    expectedSequence: number,
+  ) => Promise<OrderOutcome>;
+  /** Asks a host; undefined when it does not answer in time. */
+  readonly report: (host: HostEntry, timeoutMs: number) => Promise<HostReport | undefined>;
+  readonly close: () => void;
+};
--- /dev/null
+++ b/packages/entry/src/groups/member-prober.ts
@@ -0,0 +1,123 @@
+/** Asks hosts directly whether they are there, when their streams or entries give reason to. */
+import type { DepartedHost, HostEntry } from '../hosts/host-entry.js';
+import type { Log } from '../server/log.js';
+import type { Counters } from '../server/metrics.js';
+import { monotonicMs } from '../server/time.js';
+import type { HostOrders } from './host-orders.js';
+
+/** Options of a prober. */
+export type MemberProberOptions = {
+  readonly orders: HostOrders;
+  readonly log: Log;
+  readonly counters: Counters;
+  /** Called when a belief has changed. */
+  readonly changed: () => void;
+};
+
+const PROBE_TIMEOUT_MS = 250;
+const MISSES_UNTIL_SILENT = 2;
+const DEPARTED_PERIOD_MS = 1_000;
+/** A suspicion is not looked into again within this time. */
+const SUSPICION_PERIOD_MS = 1_000;
+const SILENT_PERIOD_MS = 2_000;
+
+/** Keeps which hosts do not answer. */
+export class MemberProber {
+  readonly #options: MemberProberOptions;
+  readonly #silent = new Set<string>();
+  readonly #unlisted = new Map<string, HostEntry>();
+  readonly #asked = new Map<string, number>();
+
+  constructor(options: MemberProberOptions) {
+    this.#options = options;
+  }
+
+  /** Hosts that did not answer twice in a row. */
+  get silent(): ReadonlySet<string> {
+    return this.#silent;
+  }
+
+  /** Hosts that answer although their entries have gone. */
+  get unlisted(): ReadonlyMap<string, HostEntry> {
+    return this.#unlisted;
+  }
+
+  /** Asks the members of a group whose streams stand still. */
+  suspect(members: readonly HostEntry[]): void {
+    for (const member of members) {
+      this.#askEvery(member, SUSPICION_PERIOD_MS);
+    }
+  }
+
+  /** Asks hosts whose entries have gone whether they are still there. */
+  watchDeparted(departed: readonly DepartedHost[]): void {
+    const ids = new Set(departed.map(host => host.entry.id));
+    for (const id of this.#unlisted.keys()) {
+      if (!ids.has(id)) {
+        this.#unlisted.delete(id);
+      }
+    }
+    for (const { entry } of departed) {
+      if (!this.#silent.has(entry.id)) {
+        this.#askEvery(entry, DEPARTED_PERIOD_MS);
+      }
+    }
+  }
+
+  /** Asks silent hosts again, so that a wrong belief does not last. */
+  recheckSilent(entryOf: (id: string) => HostEntry | undefined): void {
+    for (const id of this.#silent) {
+      const entry = entryOf(id);
+      if (entry === undefined) {
+        continue;
+      }
+      this.#askEvery(entry, SILENT_PERIOD_MS);
+    }
+  }
+
+  #askEvery(host: HostEntry, periodMs: number): void {
+    const now = monotonicMs();
+    if (now - (this.#asked.get(host.id) ?? -Infinity) < periodMs) {
+      return;
+    }
+    this.#asked.set(host.id, now);
+    this.#ask(host).catch((error: unknown) => {
+      this.#options.log.error('probe failed', { host: host.id, cause: String(error) });
+    });
+  }
+
+  async #ask(host: HostEntry): Promise<void> {
+    const { orders, counters } = this.#options;
+    for (let miss = 0; miss < MISSES_UNTIL_SILENT; miss++) {
+      const report = await orders.report(host, PROBE_TIMEOUT_MS);
+      counters.count('probes_total', { answered: String(report !== undefined) });
+      if (report !== undefined) {
+        this.#believe(host, true);
+        return;
+      }
+    }
+    this.#believe(host, false);
+  }
+
+  #believe(host: HostEntry, answers: boolean): void {
+    const { log, changed } = this.#options;
+    if (answers) {
+      this.#unlisted.set(host.id, host);
+    } else {
+      this.#unlisted.delete(host.id);
+    }
+    if (answers === !this.#silent.has(host.id)) {
+      return;
+    }
+    if (answers) {
+      this.#silent.delete(host.id);
+    } else {
+      this.#silent.add(host.id);
+    }
+    log.warn(answers ? 'host answers again' : 'host does not answer', {
+      host: host.id,
+      group: host.membership?.group,
+    });
+    changed();
+  }
+}
--- /dev/null
+++ b/packages/entry/src/hosts/host-entry.ts
@@ -0,0 +1,40 @@
+/** Upstream hosts as they tell of themselves in the object store. */
+
+/** Where a host stands in its replica group. */
+export type MembershipState = 'joining' | 'ready' | 'open' | 'closing' | 'broken';
+
+/** A host's part in a replica group. */
+export type Membership = {
+  readonly group: string;
+  /** Rises with each formation; names the member list together with `group`. */
+  readonly epoch: number;
+  /** Place in the member list; 0 is the head, which takes the requests. */
+  readonly rank: number;
+  readonly state: MembershipState;
+};
+
+/** One incarnation of an upstream host. */
+export type HostEntry = {
+  /** Unique per start of the host. */
+  readonly id: string;
+  readonly service: string;
+  readonly ip: string;
+  readonly port: number;
+  readonly failureDomain: string;
+  /** False once the host has announced its end. */
+  readonly accepting: boolean;
+  /** Fast interconnect that the host belongs to. */
+  readonly fabricDomain: string | undefined;
+  /** Models whose weights lie on the host. */
+  readonly stagedModels: readonly string[];
+  /** Model that is loaded now. */
+  readonly loadedModel: string | undefined;
+  readonly membership: Membership | undefined;
+};
+
+/** A host whose entry has gone. */
+export type DepartedHost = {
+  readonly entry: HostEntry;
+  /** Monotonic milliseconds when the departure was seen. */
+  readonly since: number;
+};
--- /dev/null
+++ b/packages/entry/src/hosts/host-registry.ts
@@ -0,0 +1,130 @@
+/** What this entry host believes of all upstream hosts, fed by a watch of the object store. */
+import Emittery from 'emittery';
+
+import type { Log } from '../server/log.js';
+import { monotonicMs } from '../server/time.js';
+import type { ObjectChange, ObjectList, StoredObject } from '../store/object-store.js';
+import type { DepartedHost, HostEntry } from './host-entry.js';
+
+/** Messages of the registry. */
+export type HostMessages = {
+  /** Any host has come, changed or gone. */
+  readonly changed: undefined;
+  readonly departed: HostEntry;
+};
+
+/** Reads a host from the value of its object. */
+export type HostReader = (id: string, value: unknown) => HostEntry;
+
+const FORGET_DEPARTED_MS = 60_000;
+
+/** The hosts, by id and by service. */
+export class HostRegistry {
+  readonly messages = new Emittery<HostMessages>();
+  readonly #read: HostReader;
+  readonly #log: Log;
+  readonly #hosts = new Map<string, HostEntry>();
+  readonly #revisions = new Map<string, number>();
+  readonly #departed = new Map<string, DepartedHost>();
+  #byService: Map<string, HostEntry[]> | undefined;
+  #version = 0;
+
+  constructor(read: HostReader, log: Log) {
+    this.#read = read;
+    this.#log = log;
+  }
+
+  /** Rises with each change, so that derived views know when to be made anew. */
+  get version(): number {
+    return this.#version;
+  }
+
+  /** A host whose entry is there. */
+  get(id: string): HostEntry | undefined {
+    return this.#hosts.get(id);
+  }
+
+  /** Hosts of a service whose entries are there. */
+  ofService(service: string): readonly HostEntry[] {
+    this.#byService ??= groupByService(this.#hosts.values());
+    return this.#byService.get(service) ?? [];
+  }
+
+  /** Hosts of a service whose entries went in the last minute. */
+  departedOf(service: string): readonly DepartedHost[] {
+    return [...this.#departed.values()].filter(host => host.entry.service === service);
+  }
+
+  /** Takes the whole list; hosts not in it are gone. */
+  takeList(list: ObjectList): void {
+    const present = new Set(list.objects.map(object => object.name));
+    for (const id of [...this.#hosts.keys()]) {
+      if (!present.has(id)) {
+        this.#remove(id);
+      }
+    }
+    for (const object of list.objects) {
+      this.#put(object);
+    }
+    this.#noteChange();
+  }
+
+  /** Takes one change. */
+  takeChange(change: ObjectChange): void {
+    if (change.deleted) {
+      this.#remove(change.object.name);
+    } else {
+      this.#put(change.object);
+    }
+    this.#noteChange();
+  }
+
+  #put(object: StoredObject): void {
+    const known = this.#revisions.get(object.name);
+    if (known !== undefined && known >= object.revision) {
+      return;
+    }
+    this.#revisions.set(object.name, object.revision);
+    const entry = this.#read(object.name, object.value);
+    this.#hosts.set(object.name, entry);
+    this.#departed.delete(object.name);
+  }
+
+  #remove(id: string): void {
+    const entry = this.#hosts.get(id);
+    if (entry === undefined) {
+      return;
+    }
+    this.#hosts.delete(id);
+    this.#revisions.delete(id);
+    this.#departed.set(id, { entry, since: monotonicMs() });
+    this.#log.info('host departed', { host: id, group: entry.membership?.group });
+    void this.messages.emit('departed', entry);
+  }
+
+  #noteChange(): void {
+    this.#version += 1;
+    this.#byService = undefined;
+    this.#forgetOld();
+    void this.messages.emit('changed', undefined);
+  }
+
+  #forgetOld(): void {
+    const oldest = monotonicMs() - FORGET_DEPARTED_MS;
+    for (const [id, host] of this.#departed) {
+      if (host.since < oldest) {
+        this.#departed.delete(id);
+      }
+    }
+  }
+}
+
+function groupByService(hosts: Iterable<HostEntry>): Map<string, HostEntry[]> {
+  const byService = new Map<string, HostEntry[]>();
+  for (const host of hosts) {
+    const list = byService.get(host.service) ?? [];
+    list.push(host);
+    byService.set(host.service, list);
+  }
+  return byService;
+}
--- /dev/null
+++ b/packages/entry/src/index.ts
@@ -0,0 +1,11 @@
+/** The entry host: relays callers' requests and gives orders to model hosts. */
+export * from './configuration/configuration-holder.js';
+export * from './configuration/route-table.js';
+export * from './configuration/serving-configuration.js';
+export * from './entry-host.js';
+export * from './groups/host-orders.js';
+export * from './hosts/host-entry.js';
+export * from './requests/relay-headers.js';
+export * from './server/entry-settings.js';
+export * from './server/log.js';
+export * from './store/object-store.js';
--- /dev/null
+++ b/packages/entry/src/lease/lease-task.ts
@@ -0,0 +1,183 @@
+/**
+ * The lease of the one entry host that gives orders.
+ *
+ * It is one object in the store, changed only under its revision. The revision of the change that
+ * took the lease is the term; epochs of groups are derived from it, so those of a later holder are
+ * always higher, and hosts refuse what an earlier holder sent late.
+ */
+import Emittery from 'emittery';
+
+import type { Log } from '../server/log.js';
+import { monotonicMs, sleep } from '../server/time.js';
+import type { ObjectStore, StoredObject } from '../store/object-store.js';
+import { OBJECT_KINDS } from '../store/object-store.js';
+
+/** Messages of the lease. */
+export type LeaseMessages = {
+  readonly taken: { readonly term: number };
+  readonly lost: { readonly reason: string };
+};
+
+/** Periods in milliseconds. */
+export type LeaseTiming = {
+  readonly renewMs: number;
+  /** The holder acts for this long after it sent its last renewal that was answered. */
+  readonly holdMs: number;
+  /** Others take over when the lease has not changed for this long; longer than `holdMs`. */
+  readonly expiryMs: number;
+};
+
+/** Options of a lease. */
+export type LeaseOptions = {
+  readonly store: ObjectStore;
+  /** Unique per start of the process. */
+  readonly holder: string;
+  readonly timing: LeaseTiming;
+  readonly log: Log;
+};
+
+/** Timing that hosts of the size of today bear well. */
+export const DEFAULT_LEASE_TIMING: LeaseTiming = { renewMs: 1_200, holdMs: 2_600, expiryMs: 3_400 };
+
+const LEASE_NAME = 'order-giver';
+const NOBODY = '';
+
+type LeaseValue = { readonly holder: string };
+
+/** Competes for the lease, and renews it while held. */
+export class LeaseTask {
+  readonly messages = new Emittery<LeaseMessages>();
+  readonly #options: LeaseOptions;
+  readonly #abort = new AbortController();
+  #seen: StoredObject | undefined;
+  #seenAt = 0;
+  #term: number | undefined;
+  #heldUntil = 0;
+
+  constructor(options: LeaseOptions) {
+    this.#options = options;
+  }
+
+  /** Term of the lease while it is held for sure, by the steady clock. */
+  get term(): number | undefined {
+    return monotonicMs() < this.#heldUntil ? this.#term : undefined;
+  }
+
+  /** Runs until it is stopped. */
+  async run(): Promise<void> {
+    const { timing } = this.#options;
+    while (!this.#abort.signal.aborted) {
+      try {
+        await this.#step();
+      } catch {
+        // The store's loss is logged by its watches; here it only means that the lease may lapse.
+      }
+      this.#noteLapse();
+      const spread = this.#term === undefined ? 0.8 + 0.4 * Math.random() : 1;
+      await sleep(timing.renewMs * spread, this.#abort.signal);
+    }
+  }
+
+  /** Ends the task and gives the lease back. */
+  async stop(): Promise<void> {
+    this.#abort.abort();
+    const seen = this.#seen;
+    if (this.term === undefined || seen === undefined) {
+      return;
+    }
+    this.#lose('stopping');
+    try {
+      const value: LeaseValue = { holder: NOBODY };
+      await this.#options.store.replace(OBJECT_KINDS.leases, LEASE_NAME, value, seen.revision);
+    } catch {
+      // It lapses by itself.
+    }
+  }
+
+  async #step(): Promise<void> {
+    if (this.#term !== undefined && this.#seen !== undefined) {
+      await this.#write(this.#seen.revision);
+      return;
+    }
+    const { store, timing } = this.#options;
+    const found = await store.read(OBJECT_KINDS.leases, LEASE_NAME);
+    if (found === undefined) {
+      await this.#create();
+      return;
+    }
+    this.#note(found);
+    const free = holderOf(found) === NOBODY;
+    if (free || monotonicMs() - this.#seenAt >= timing.expiryMs) {
+      await this.#write(found.revision);
+    }
+  }
+
+  async #create(): Promise<void> {
+    const { store, holder } = this.#options;
+    const sentAt = monotonicMs();
+    const value: LeaseValue = { holder };
+    const answer = await store.create(OBJECT_KINDS.leases, LEASE_NAME, value);
+    if (answer.kind === 'written') {
+      this.#hold(answer.object, sentAt);
+    }
+  }
+
+  async #write(revision: number): Promise<void> {
+    const { store, holder } = this.#options;
+    const sentAt = monotonicMs();
+    // A changing field makes each renewal a change of the object.
+    const value = { holder, renewal: Math.round(sentAt) };
+    const answer = await store.replace(OBJECT_KINDS.leases, LEASE_NAME, value, revision);
+    if (answer.kind === 'written') {
+      this.#hold(answer.object, sentAt);
+      return;
+    }
+    if (answer.object === undefined) {
+      this.#lose('gone');
+    } else if (holderOf(answer.object) === holder) {
+      // An earlier write of ours was done although its answer was lost.
+      this.#hold(answer.object, this.#seenAt);
+    } else {
+      this.#lose('taken');
+      this.#note(answer.object);
+    }
+  }
+
+  #hold(object: StoredObject, sentAt: number): void {
+    const { timing, log, holder } = this.#options;
+    this.#note(object);
+    this.#heldUntil = sentAt + timing.holdMs;
+    if (this.#term === undefined) {
+      this.#term = object.revision;
+      log.info('lease taken', { holder, term: this.#term });
+      void this.messages.emit('taken', { term: this.#term });
+    }
+  }
+
+  #note(object: StoredObject): void {
+    if (this.#seen?.revision !== object.revision) {
+      this.#seen = object;
+      this.#seenAt = monotonicMs();
+    }
+  }
+
+  #noteLapse(): void {
+    if (this.#term !== undefined && monotonicMs() >= this.#heldUntil) {
+      this.#lose('lapsed');
+    }
+  }
+
+  #lose(reason: string): void {
+    if (this.#term === undefined) {
+      return;
+    }
+    this.#options.log.warn('lease lost', { reason, term: this.#term });
+    this.#term = undefined;
+    this.#heldUntil = 0;
+    void this.messages.emit('lost', { reason });
+  }
+}
+
+function holderOf(object: StoredObject): string {
+  return (object.value as LeaseValue | null)?.holder ?? NOBODY;
+}
--- /dev/null
+++ b/packages/entry/src/requests/attempt-log.ts
@@ -0,0 +1,88 @@
+/** The hosts that one request was sent to, and whether it may be sent again. */
+import type { HostRegistry } from '../hosts/host-registry.js';
+import type { RetryBudget } from '../routing/retry-budget.js';
+import { monotonicMs } from '../server/time.js';
+import type { RequestContext } from './request-context.js';
+import { mayRepeat } from './request-context.js';
+
+/** Least time in which another attempt makes sense, in milliseconds. */
+const MIN_LEFT_MS = 60;
+
+/** Keeps the attempts of one request; the only place that says whether it may be sent again. */
+export class AttemptLog {
+  readonly #context: RequestContext;
+  readonly #registry: HostRegistry;
+  readonly #budget: RetryBudget;
+  readonly #tried = new Set<string>();
+  #mayHaveRun = false;
+  #neverSent = 0;
+
+  constructor(context: RequestContext, registry: HostRegistry, budget: RetryBudget) {
+    this.#context = context;
+    this.#registry = registry;
+    this.#budget = budget;
+  }
+
+  /** Hosts that the request was sent to. */
+  get tried(): ReadonlySet<string> {
+    return this.#tried;
+  }
+
+  /** False while it is certain that the request has not run. */
+  get mayHaveRun(): boolean {
+    return this.#mayHaveRun;
+  }
+
+  /** The request is about to leave for a host. */
+  noteSent(hostId: string): void {
+    this.#tried.add(hostId);
+  }
+
+  /** Nothing left for the host after all. */
+  noteNeverSent(): void {
+    // The host stays excluded, but it has not been offered the request.
+    this.#neverSent += 1;
+  }
+
+  /** The request may run, or has run, at a host. */
+  noteMayRun(): void {
+    this.#mayHaveRun = true;
+  }
+
+  /** True when the request may be sent to one more host; takes the allowance for it. */
+  takeRetry(): boolean {
+    return this.canRetry() && (this.#arrivals() === 0 || this.#budget.take());
+  }
+
+  /** True when a stream that is under way could be given up and sent to one more host. */
+  couldMove(): boolean {
+    return mayRepeat(this.#context.route) && this.canRetry() && this.#budget.hasRoom();
+  }
+
+  /** True when the request may be sent once more, but for the budget. */
+  canRetry(): boolean {
+    const { gone, deadline, route } = this.#context;
+    if (gone.aborted || deadline - monotonicMs() < MIN_LEFT_MS) {
+      return false;
+    }
+    if (this.#mayHaveRun && !mayRepeat(route)) {
+      return false;
+    }
+    return this.#attemptsThatCount() < route.maxAttempts;
+  }
+
+  // Hosts that have ended meanwhile do not count, nor does what never left.
+  #attemptsThatCount(): number {
+    let count = -this.#neverSent;
+    for (const id of this.#tried) {
+      if (this.#registry.get(id) !== undefined) {
+        count += 1;
+      }
+    }
+    return Math.max(0, count);
+  }
+
+  #arrivals(): number {
+    return this.#tried.size - this.#neverSent;
+  }
+}
--- /dev/null
+++ b/packages/entry/src/requests/exchange.ts
@@ -0,0 +1,122 @@
+/** One request on one connection to an upstream host, sent once and never by itself again. */
+import type { IncomingMessage } from 'node:http';
+import { request as httpRequest } from 'node:http';
+import type { Socket } from 'node:net';
+
+import type { HostEntry } from '../hosts/host-entry.js';
+import type { RawHeaders } from './relay-headers.js';
+import type { UpstreamConnections } from './upstream-connections.js';
+
+/** What is sent. */
+export type ExchangeRequest = {
+  readonly host: HostEntry;
+  readonly method: string;
+  readonly url: string;
+  readonly headers: RawHeaders;
+  readonly body: Buffer | undefined;
+  /** Undefined for a connection of its own. */
+  readonly connections: UpstreamConnections | undefined;
+  readonly connectTimeoutMs: number;
+};
+
+/** How an exchange ended. */
+export type ExchangeEnd =
+  /** The whole answer has come. */
+  | 'whole'
+  /** Nothing has left this process. */
+  | 'never-sent'
+  /** Sent, and no head of an answer has come. */
+  | 'lost'
+  /** The answer broke off. */
+  | 'broken'
+  /** Ended from this side. */
+  | 'cancelled';
+
+/** Receives what an exchange brings; `ended` comes once, last. */
+export type ExchangeObserver = {
+  readonly head: (answer: IncomingMessage) => void;
+  readonly data: (chunk: Buffer) => void;
+  readonly ended: (end: ExchangeEnd) => void;
+};
+
+/** An exchange under way. */
+export type Exchange = {
+  /** Closes the connection; `ended` follows with `cancelled`. */
+  readonly cancel: () => void;
+  /** Stops and resumes reading, while the caller is slow. */
+  readonly pause: () => void;
+  readonly resume: () => void;
+};
+
+/** Starts an exchange. */
+export function startExchange(call: ExchangeRequest, observer: ExchangeObserver): Exchange {
+  const { host, method, url, headers, body, connections } = call;
+  let ended = false;
+  let answer: IncomingMessage | undefined;
+  let connected = false;
+  const sent = httpRequest({
+    host: host.ip,
+    port: host.port,
+    method,
+    path: url,
+    headers: headers as string[],
+    agent: connections ?? false,
+    ...(connections === undefined ? {} : { setHost: false }),
+  });
+  const end = (how: ExchangeEnd): void => {
+    if (ended) {
+      return;
+    }
+    ended = true;
+    clearTimeout(connectTimer);
+    if (how !== 'whole') {
+      sent.destroy();
+    }
+    observer.ended(how);
+  };
+  const lost = (): void => {
+    end(answer !== undefined ? 'broken' : connected ? 'lost' : 'never-sent');
+  };
+  const connectTimer = setTimeout(() => {
+    if (!connected) {
+      end('never-sent');
+    }
+  }, call.connectTimeoutMs);
+  sent.on('socket', (socket: Socket) => {
+    const onConnect = (): void => {
+      connected = true;
+      clearTimeout(connectTimer);
+    };
+    if (socket.connecting) {
+      socket.once('connect', onConnect);
+    } else {
+      onConnect();
+    }
+  });
+  sent.on('error', lost);
+  sent.on('close', lost);
+  sent.on('response', incoming => {
+    answer = incoming;
+    incoming.on('data', (chunk: Buffer) => {
+      if (!ended) {
+        observer.data(chunk);
+      }
+    });
+    incoming.on('error', lost);
+    incoming.on('close', () => {
+      end(incoming.complete ? 'whole' : 'broken');
+    });
+    incoming.on('end', () => {
+      end(incoming.complete ? 'whole' : 'broken');
+    });
+    observer.head(incoming);
+  });
+  sent.end(body);
+  return {
+    cancel: () => {
+      end('cancelled');
+    },
+    pause: () => answer?.pause(),
+    resume: () => answer?.resume(),
+  };
+}
--- /dev/null
+++ b/packages/entry/src/requests/final-answer.ts
@@ -0,0 +1,44 @@
+/** Final answers of the entry host's own: refusals and failures, told at once. */
+import type { ServerResponse } from 'node:http';
+
+/** Why a request gets an answer of the entry host's own. */
+export type AnswerReason =
+  | 'no-configuration'
+  | 'no-route'
+  | 'no-key'
+  | 'unknown-key'
+  | 'configuration-unconfirmed'
+  | 'body-too-large'
+  | 'no-service'
+  | 'no-target'
+  | 'not-run'
+  | 'keys-lapsed'
+  | 'upstream-lost'
+  | 'upstream-invalid'
+  | 'deadline-passed';
+
+/** A final answer. */
+export type FinalAnswer = {
+  readonly status: number;
+  readonly reason: AnswerReason;
+  /** When the caller may come back; only where the request has not run. */
+  readonly retryAfterMs?: number;
+};
+
+const MS_PER_S = 1_000;
+
+/** Writes the answer, unless one has begun: then the connection is closed. */
+export function giveFinalAnswer(response: ServerResponse, answer: FinalAnswer): void {
+  if (response.headersSent) {
+    response.destroy();
+    return;
+  }
+  const body = JSON.stringify({ reason: answer.reason });
+  response.statusCode = answer.status;
+  response.setHeader('content-type', 'application/json');
+  response.setHeader('content-length', Buffer.byteLength(body));
+  if (answer.retryAfterMs !== undefined) {
+    response.setHeader('retry-after', String(Math.round(answer.retryAfterMs) / MS_PER_S));
+  }
+  response.end(body);
+}
--- /dev/null
+++ b/packages/entry/src/requests/plain-relay.ts
@@ -0,0 +1,248 @@
+/** Relays calls with one answer; the answer is read whole before any of it is passed on. */
+import type { IncomingMessage } from 'node:http';
+
+import type { Target } from '../routing/target-chooser.js';
+import { monotonicMs, sleep } from '../server/time.js';
+import { AttemptLog } from './attempt-log.js';
+import type { ExchangeEnd } from './exchange.js';
+import { startExchange } from './exchange.js';
+import type { FinalAnswer } from './final-answer.js';
+import { giveFinalAnswer } from './final-answer.js';
+import { endToEndHeaders } from './relay-headers.js';
+import type { RelayServices } from './relay-services.js';
+import type { RequestContext } from './request-context.js';
+import { mayRepeat } from './request-context.js';
+import { upstreamHeaders } from './upstream-request.js';
+
+/** Longest time a request waits for a first target, as a part of its objective. */
+const HOLD_PART = 0.2;
+const HOLD_STEP_MS = 15;
+const CONNECT_TIMEOUT_MS = 300;
+const RETRY_AFTER_MS = 250;
+const MAX_ANSWER_BYTES = 16 * 1024 * 1024;
+/** Margin in which the final answer goes out before it is due, in milliseconds. */
+const DEADLINE_MARGIN_MS = 15;
+const NOTHING_DROPPED: ReadonlySet<string> = new Set(['content-length']);
+
+type WholeAnswer = { readonly head: IncomingMessage; readonly body: Buffer };
+
+type AttemptEnd =
+  | { readonly kind: 'answered'; readonly answer: WholeAnswer }
+  /** The host has not run it. */
+  | { readonly kind: 'not-run' }
+  | { readonly kind: 'never-sent' }
+  /** It may have run; there is no answer that can be passed on. */
+  | { readonly kind: 'lost'; readonly detail: string }
+  | { readonly kind: 'gone' };
+
+/** One call of a caller. */
+export class PlainRelay {
+  readonly #context: RequestContext;
+  readonly #services: RelayServices;
+  readonly #log: AttemptLog;
+  #lastFailure: WholeAnswer | undefined;
+
+  constructor(context: RequestContext, services: RelayServices) {
+    this.#context = context;
+    this.#services = services;
+    const budget = services.budgetOf(context.service.name);
+    this.#log = new AttemptLog(context, services.registry, budget);
+  }
+
+  /** Sends the call until it is answered or may not be sent again; then answers. */
+  async run(): Promise<void> {
+    for (;;) {
+      const target = await this.#target();
+      if (target === undefined) {
+        this.#giveUp('no-target');
+        return;
+      }
+      const end = await this.#attempt(target);
+      if (end.kind === 'gone') {
+        return;
+      }
+      if (end.kind === 'answered' && !this.#worthRetrying(end.answer)) {
+        this.#passOn(end.answer);
+        return;
+      }
+      this.#lastFailure = end.kind === 'answered' ? end.answer : undefined;
+      if (!this.#log.takeRetry()) {
+        this.#giveUp('not-run');
+        return;
+      }
+      this.#services.counters.count('retries_total', { service: 'plain', after: end.kind });
+    }
+  }
+
+  async #target(): Promise<Target | undefined> {
+    const { service, route, arrivedAt, gone } = this.#context;
+    const query = { service, model: undefined, exclude: this.#log.tried };
+    const holdUntil = arrivedAt + route.objectiveMs * HOLD_PART;
+    for (;;) {
+      const target = this.#services.chooser.choose(query);
+      if (target !== undefined || monotonicMs() >= holdUntil || gone.aborted) {
+        return target;
+      }
+      await sleep(HOLD_STEP_MS, gone);
+    }
+  }
+
+  // An own failure of a host is worth another try only where the call may run again.
+  #worthRetrying(answer: WholeAnswer): boolean {
+    return (answer.head.statusCode ?? 0) >= 500 && mayRepeat(this.#context.route);
+  }
+
+  #attempt(target: Target): Promise<AttemptEnd> {
+    const { route, gone, deadline, request, body, service } = this.#context;
+    const { activities, headers: names, connectionsOf } = this.#services;
+    const sentAt = monotonicMs();
+    const chunks: Buffer[] = [];
+    let bytes = 0;
+    let head: IncomingMessage | undefined;
+    this.#log.noteSent(target.host.id);
+    activities.enter(target.host.id);
+    return new Promise(resolve => {
+      const finish = (end: AttemptEnd): void => {
+        clearTimeout(timer);
+        gone.removeEventListener('abort', onGone);
+        activities.leave(target.host.id);
+        this.#learn(target, end, monotonicMs() - sentAt);
+        resolve(end);
+      };
+      const exchange = startExchange(
+        {
+          host: target.host,
+          method: request.method ?? 'GET',
+          url: request.url ?? '/',
+          headers: upstreamHeaders(this.#context, names, target, undefined),
+          body,
+          connections: mayRepeat(route) ? connectionsOf(service) : undefined,
+          connectTimeoutMs: CONNECT_TIMEOUT_MS,
+        },
+        {
+          head: answer => {
+            head = answer;
+          },
+          data: chunk => {
+            bytes += chunk.length;
+            if (bytes <= MAX_ANSWER_BYTES) {
+              chunks.push(chunk);
+            }
+          },
+          ended: end => {
+            finish(this.#judge(end, head, Buffer.concat(chunks)));
+          },
+        },
+      );
+      const onGone = (): void => {
+        exchange.cancel();
+      };
+      gone.addEventListener('abort', onGone);
+      const timer = setTimeout(onGone, this.#attemptLimitMs(deadline));
+    });
+  }
+
+  // A call that may run again is not waited for longer than the objective while others are left.
+  #attemptLimitMs(deadline: number): number {
+    const left = deadline - DEADLINE_MARGIN_MS - monotonicMs();
+    const more = mayRepeat(this.#context.route) && this.#log.canRetry();
+    return Math.max(1, more ? Math.min(left, this.#context.route.objectiveMs * 1.5) : left);
+  }
+
+  #judge(end: ExchangeEnd, head: IncomingMessage | undefined, body: Buffer): AttemptEnd {
+    const names = this.#services.headers;
+    if (end === 'never-sent') {
+      return { kind: 'never-sent' };
+    }
+    if (this.#context.gone.aborted) {
+      this.#log.noteMayRun();
+      return { kind: 'gone' };
+    }
+    if (head !== undefined && saysNotRun(head, names.notExecuted)) {
+      return { kind: 'not-run' };
+    }
+    this.#log.noteMayRun();
+    if (end !== 'whole' || head === undefined) {
+      return { kind: 'lost', detail: end };
+    }
+    if (head.headers[names.requestId] !== this.#context.id) {
+      return { kind: 'lost', detail: 'answer of another request' };
+    }
+    const ok = (head.statusCode ?? 0) < 300;
+    if (ok && head.headers[names.answerStamp] === undefined) {
+      return { kind: 'lost', detail: 'answer without stamp' };
+    }
+    if (head.headers['content-encoding'] !== undefined) {
+      return { kind: 'lost', detail: 'encoded answer' };
+    }
+    return { kind: 'answered', answer: { head, body } };
+  }
+
+  #learn(target: Target, end: AttemptEnd, ms: number): void {
+    const { activities, counters, log } = this.#services;
+    counters.count('attempts_total', { kind: 'plain', end: end.kind });
+    if (end.kind === 'never-sent') {
+      this.#log.noteNeverSent();
+    }
+    if (end.kind === 'answered' && (end.answer.head.statusCode ?? 0) < 500) {
+      activities.noteProgress(target.host.id);
+      activities.noteFirst(target.host.id, ms);
+    } else if (end.kind !== 'gone') {
+      activities.noteFailure(target.host.id);
+      log.warn('attempt failed', {
+        request: this.#context.id,
+        host: target.host.id,
+        end: end.kind,
+        status: end.kind === 'answered' ? end.answer.head.statusCode : undefined,
+        detail: end.kind === 'lost' ? end.detail : undefined,
+        afterMs: Math.round(ms),
+      });
+    }
+  }
+
+  #passOn(answer: WholeAnswer): void {
+    const { response, route, arrivedAt } = this.#context;
+    const { counters, latencies } = this.#services;
+    const headers = endToEndHeaders(answer.head.rawHeaders, NOTHING_DROPPED);
+    headers.push('Content-Length', String(answer.body.length));
+    response.writeHead(answer.head.statusCode ?? 502, headers);
+    response.end(answer.body);
+    counters.count('answers_total', { kind: route.kind, status: String(answer.head.statusCode) });
+    latencies.record('answer', { kind: route.kind }, monotonicMs() - arrivedAt);
+  }
+
+  #giveUp(reason: 'no-target' | 'not-run'): void {
+    if (this.#lastFailure !== undefined) {
+      this.#passOn(this.#lastFailure);
+      return;
+    }
+    const answer = this.#finalAnswer(reason);
+    const { response, route, id, arrivedAt } = this.#context;
+    const { counters, log } = this.#services;
+    counters.count('answers_total', { kind: route.kind, status: String(answer.status) });
+    log.warn('request given up', {
+      request: id,
+      route: route.name,
+      status: answer.status,
+      reason: answer.reason,
+      sentTo: [...this.#log.tried].join(','),
+      heldMs: Math.round(monotonicMs() - arrivedAt),
+    });
+    giveFinalAnswer(response, answer);
+  }
+
+  #finalAnswer(reason: 'no-target' | 'not-run'): FinalAnswer {
+    if (!this.#log.mayHaveRun) {
+      return { status: 503, reason, retryAfterMs: RETRY_AFTER_MS };
+    }
+    const late = this.#context.deadline - monotonicMs() < 2 * DEADLINE_MARGIN_MS;
+    return late
+      ? { status: 504, reason: 'deadline-passed' }
+      : { status: 502, reason: 'upstream-lost' };
+  }
+}
+
+/** True when the host says that it has not run the request and will not. */
+export function saysNotRun(head: IncomingMessage, notExecuted: string): boolean {
+  return head.headers[notExecuted] !== undefined || head.statusCode === 421;
+}
--- /dev/null
+++ b/packages/entry/src/requests/relay-services.ts
@@ -0,0 +1,30 @@
+/** What the relays of requests share. */
+import type { Service } from '../configuration/serving-configuration.js';
+import type { ReplicaGroup } from '../groups/replica-groups.js';
+import type { HostRegistry } from '../hosts/host-registry.js';
+import type { HostActivities } from '../routing/host-activity.js';
+import type { RetryBudget } from '../routing/retry-budget.js';
+import type { TargetChooser } from '../routing/target-chooser.js';
+import type { Log } from '../server/log.js';
+import type { Counters, Latencies } from '../server/metrics.js';
+import type { RelayHeaders } from './relay-headers.js';
+import type { StallMonitor } from './stall-monitor.js';
+import type { UpstreamConnections } from './upstream-connections.js';
+
+/** Shared by all requests. */
+export type RelayServices = {
+  readonly headers: RelayHeaders;
+  readonly registry: HostRegistry;
+  readonly chooser: TargetChooser;
+  readonly activities: HostActivities;
+  readonly stalls: StallMonitor;
+  readonly budgetOf: (service: string) => RetryBudget;
+  readonly connectionsOf: (service: Service) => UpstreamConnections;
+  /** Tells the order giver that a group stands still. */
+  readonly suspect: (group: ReplicaGroup) => void;
+  /** True while keys may be honoured. */
+  readonly keysHold: () => boolean;
+  readonly log: Log;
+  readonly counters: Counters;
+  readonly latencies: Latencies;
+};
--- /dev/null
+++ b/packages/entry/src/requests/request-context.ts
@@ -0,0 +1,33 @@
+/** One request of a caller, read and admitted. */
+import type { IncomingMessage, ServerResponse } from 'node:http';
+
+import type { Route, Service } from '../configuration/serving-configuration.js';
+
+/** A request of a caller. */
+export type RequestContext = {
+  readonly id: string;
+  readonly request: IncomingMessage;
+  readonly response: ServerResponse;
+  readonly body: Buffer | undefined;
+  readonly route: Route;
+  readonly service: Service;
+  /** Workspace of the caller's key; undefined on public routes. */
+  readonly workspace: string | undefined;
+  /** Rank among all requests, 0 first. */
+  readonly priority: number;
+  /** Model that the request names. */
+  readonly model: string | undefined;
+  /** Event behind which the caller wants the stream to go on. */
+  readonly lastEventId: string | undefined;
+  /** Monotonic milliseconds. */
+  readonly arrivedAt: number;
+  /** Monotonic milliseconds at which the final answer is due. */
+  readonly deadline: number;
+  /** Raised when the caller has gone. */
+  readonly gone: AbortSignal;
+};
+
+/** True when the request may run more than once. */
+export function mayRepeat(route: Route): boolean {
+  return route.kind === 'idempotent' || (route.kind === 'stream' && route.resumable);
+}
--- /dev/null
+++ b/packages/entry/src/requests/stream-attempt.ts
@@ -0,0 +1,262 @@
+/** One run of a stream at one host. */
+import type { IncomingMessage, ServerResponse } from 'node:http';
+
+import type { Target } from '../routing/target-chooser.js';
+import { monotonicMs } from '../server/time.js';
+import type { Exchange, ExchangeEnd } from './exchange.js';
+import { startExchange } from './exchange.js';
+import { saysNotRun } from './plain-relay.js';
+import type { RelayServices } from './relay-services.js';
+import type { RequestContext } from './request-context.js';
+import { mayRepeat } from './request-context.js';
+import { upstreamHeaders } from './upstream-request.js';
+
+/** How a run ended. */
+export type StreamAttemptEnd =
+  | { readonly kind: 'complete' }
+  | { readonly kind: 'not-run' }
+  | { readonly kind: 'never-sent' }
+  /** The host answered with a failure of its own. */
+  | { readonly kind: 'failed'; readonly head: IncomingMessage; readonly body: Buffer }
+  /** It stood still and was given up. */
+  | { readonly kind: 'stalled' }
+  | { readonly kind: 'lost'; readonly detail: string };
+
+/** What a run is given by its relay. */
+export type StreamAttemptOptions = {
+  readonly lastEventId: string | undefined;
+  /** Bytes of an answer that is the own one. */
+  readonly events: (chunk: Buffer) => void;
+  /** True when the stream could go on elsewhere. */
+  readonly mayMove: () => boolean;
+};
+
+const CONNECT_TIMEOUT_MS = 300;
+/** Silence, as a part of the gap target, after which a begun stream stands still. */
+const GAP_PART = 0.6;
+/** Silence before the first event, as a part of the objective. */
+const FIRST_PART = 0.6;
+/** Silence before the first event at a host that serves others meanwhile. */
+const FIRST_PART_BUSY = 1.6;
+/** Silence of a begun stream at a host that serves others meanwhile, as a part of the gap target. */
+const GAP_PART_BUSY = 2.5;
+const MAX_FAILURE_BYTES = 256 * 1024;
+
+/** One run. */
+export class StreamAttempt {
+  readonly #context: RequestContext;
+  readonly #services: RelayServices;
+  readonly #target: Target;
+  readonly #options: StreamAttemptOptions;
+  readonly #startedAt = monotonicMs();
+  readonly #failureChunks: Buffer[] = [];
+  #exchange: Exchange | undefined;
+  #head: IncomingMessage | undefined;
+  #invalid: string | undefined;
+  #stalled = false;
+  #suspected = false;
+  #paused = false;
+  #begun = false;
+  #lastProgressAt = this.#startedAt;
+  #failureBytes = 0;
+
+  constructor(
+    context: RequestContext,
+    services: RelayServices,
+    target: Target,
+    options: StreamAttemptOptions,
+  ) {
+    this.#context = context;
+    this.#services = services;
+    this.#target = target;
+    this.#options = options;
+  }
+
+  /** Head of the answer, once it has come and is the own one. */
+  get head(): IncomingMessage | undefined {
+    return this.#head;
+  }
+
+  /** Sends the request and reads its answer. */
+  run(): Promise<StreamAttemptEnd> {
+    const { activities, stalls, headers: names, connectionsOf } = this.#services;
+    const { request, body, route, service } = this.#context;
+    const hostId = this.#target.host.id;
+    activities.enter(hostId);
+    stalls.add(this);
+    return new Promise(resolve => {
+      this.#exchange = startExchange(
+        {
+          host: this.#target.host,
+          method: request.method ?? 'POST',
+          url: request.url ?? '/',
+          headers: upstreamHeaders(this.#context, names, this.#target, this.#options.lastEventId),
+          body,
+          connections: mayRepeat(route) ? connectionsOf(service) : undefined,
+          connectTimeoutMs: CONNECT_TIMEOUT_MS,
+        },
+        {
+          head: answer => {
+            this.#takeHead(answer);
+          },
+          data: chunk => {
+            this.#takeData(chunk);
+          },
+          ended: how => {
+            stalls.remove(this);
+            activities.leave(hostId);
+            const end = this.#judge(how);
+            this.#learn(end);
+            resolve(end);
+          },
+        },
+      );
+    });
+  }
+
+  /** Gives the run up. */
+  cancel(): void {
+    this.#exchange?.cancel();
+  }
+
+  /** Stops reading until the caller has taken what was written. */
+  pauseUntilDrained(response: ServerResponse): void {
+    if (this.#paused) {
+      return;
+    }
+    this.#paused = true;
+    this.#exchange?.pause();
+    response.once('drain', () => {
+      this.#paused = false;
+      this.#lastProgressAt = monotonicMs();
+      this.#exchange?.resume();
+    });
+  }
+
+  /** Decides whether the run stands still; called by the stall monitor. */
+  look(now: number): void {
+    if (this.#paused) {
+      return;
+    }
+    const { activities, suspect } = this.#services;
+    const hostId = this.#target.host.id;
+    const silence = now - this.#lastProgressAt;
+    const hostSilence = now - Math.max(activities.of(hostId).lastProgressAt, this.#startedAt);
+    const limit = this.#limitMs(hostSilence >= silence - 1);
+    if (silence < limit) {
+      return;
+    }
+    if (!this.#suspected) {
+      this.#suspected = true;
+      activities.noteFailure(hostId);
+      if (this.#target.group !== undefined) {
+        suspect(this.#target.group);
+      }
+    }
+    if (this.#options.mayMove()) {
+      this.#stalled = true;
+      this.#exchange?.cancel();
+    }
+  }
+
+  #limitMs(hostSilent: boolean): number {
+    const { route } = this.#context;
+    if (this.#begun) {
+      return route.gapTargetMs * (hostSilent ? GAP_PART : GAP_PART_BUSY);
+    }
+    const resumed = this.#options.lastEventId !== this.#context.lastEventId;
+    const base = resumed ? route.gapTargetMs * 2 : route.objectiveMs;
+    return base * (hostSilent ? FIRST_PART : FIRST_PART_BUSY);
+  }
+
+  #takeHead(answer: IncomingMessage): void {
+    const names = this.#services.headers;
+    if (answer.headers[names.requestId] !== this.#context.id) {
+      this.#invalid = 'answer of another request';
+    } else if (answer.statusCode === 200 && answer.headers[names.answerStamp] === undefined) {
+      this.#invalid = 'answer without stamp';
+    } else if (answer.headers['content-encoding'] !== undefined) {
+      this.#invalid = 'encoded answer';
+    }
+    this.#head = answer;
+    const notRun = saysNotRun(answer, names.notExecuted);
+    if (this.#invalid !== undefined && !notRun) {
+      this.#exchange?.cancel();
+    }
+  }
+
+  #takeData(chunk: Buffer): void {
+    if (this.#head?.statusCode !== 200 || this.#invalid !== undefined) {
+      this.#failureBytes += chunk.length;
+      if (this.#failureBytes <= MAX_FAILURE_BYTES) {
+        this.#failureChunks.push(chunk);
+      }
+      return;
+    }
+    const { activities } = this.#services;
+    const hostId = this.#target.host.id;
+    const now = monotonicMs();
+    this.#lastProgressAt = now;
+    activities.noteProgress(hostId);
+    if (!this.#begun) {
+      this.#begun = true;
+      activities.noteFirst(hostId, now - this.#startedAt);
+    }
+    this.#options.events(chunk);
+  }
+
+  #judge(how: ExchangeEnd): StreamAttemptEnd {
+    const head = this.#head;
+    if (how === 'never-sent') {
+      return { kind: 'never-sent' };
+    }
+    if (
+      head !== undefined &&
+      saysNotRun(head, this.#services.headers.notExecuted) &&
+      !this.#begun
+    ) {
+      return { kind: 'not-run' };
+    }
+    if (this.#stalled) {
+      return { kind: 'stalled' };
+    }
+    if (this.#invalid !== undefined || head === undefined) {
+      return { kind: 'lost', detail: this.#invalid ?? how };
+    }
+    if (how !== 'whole') {
+      return { kind: 'lost', detail: how };
+    }
+    if (head.statusCode !== 200) {
+      return { kind: 'failed', head, body: Buffer.concat(this.#failureChunks) };
+    }
+    return { kind: 'complete' };
+  }
+
+  #learn(end: StreamAttemptEnd): void {
+    const { activities, counters, log, headers: names } = this.#services;
+    counters.count('attempts_total', { kind: 'stream', end: end.kind });
+    if (end.kind === 'complete' || this.#context.gone.aborted) {
+      return;
+    }
+    if (end.kind !== 'stalled') {
+      activities.noteFailure(this.#target.host.id);
+    }
+    log.warn('attempt failed', {
+      request: this.#context.id,
+      host: this.#target.host.id,
+      group: this.#target.group?.name,
+      end: end.kind,
+      status: this.#head?.statusCode,
+      detail: end.kind === 'lost' ? end.detail : undefined,
+      faultyHost: headerText(this.#head, names.faultyHost),
+      begun: this.#begun,
+      afterMs: Math.round(monotonicMs() - this.#startedAt),
+      silentMs: Math.round(monotonicMs() - this.#lastProgressAt),
+    });
+  }
+}
+
+function headerText(head: IncomingMessage | undefined, name: string): string | undefined {
+  const value = head?.headers[name];
+  return typeof value === 'string' ? value : undefined;
+}
--- /dev/null
+++ b/packages/entry/src/requests/stream-relay.ts
@@ -0,0 +1,214 @@
+/**
+ * Relays streams event by event. A stream that breaks or stands still goes on at another host
+ * behind its last whole event, within one answer that keeps the head of its first host.
+ */
+import type { IncomingMessage } from 'node:http';
+
+import type { Target } from '../routing/target-chooser.js';
+import { monotonicMs, sleep } from '../server/time.js';
+import { AttemptLog } from './attempt-log.js';
+import { EventForwarder } from './event-forwarder.js';
+import type { FinalAnswer } from './final-answer.js';
+import { giveFinalAnswer } from './final-answer.js';
+import { endToEndHeaders } from './relay-headers.js';
+import type { RelayServices } from './relay-services.js';
+import type { RequestContext } from './request-context.js';
+import type { StreamAttemptEnd } from './stream-attempt.js';
+import { StreamAttempt } from './stream-attempt.js';
+
+/** Longest time a request waits for a first target, as a part of its objective. */
+const HOLD_PART = 0.2;
+const HOLD_STEP_MS = 15;
+const RETRY_AFTER_MS = 250;
+const RETRY_AFTER_NO_GROUP_MS = 800;
+const DEADLINE_MARGIN_MS = 15;
+const DROPPED_HEADERS: ReadonlySet<string> = new Set(['content-length']);
+
+/** One stream of a caller. */
+export class StreamRelay {
+  readonly #context: RequestContext;
+  readonly #services: RelayServices;
+  readonly #log: AttemptLog;
+  readonly #events: EventForwarder;
+  #attempt: StreamAttempt | undefined;
+  #failure: IncomingMessage | undefined;
+  #failureBody: Buffer | undefined;
+  #lastSentAt = 0;
+
+  constructor(context: RequestContext, services: RelayServices) {
+    this.#context = context;
+    this.#services = services;
+    const budget = services.budgetOf(context.service.name);
+    this.#log = new AttemptLog(context, services.registry, budget);
+    this.#events = new EventForwarder(context.lastEventId);
+  }
+
+  /** Runs the stream to its end, at as many hosts as it may. */
+  async run(): Promise<void> {
+    const { gone, deadline } = this.#context;
+    const cancel = (): void => {
+      this.#attempt?.cancel();
+    };
+    gone.addEventListener('abort', cancel);
+    const timer = setTimeout(cancel, Math.max(1, deadline - DEADLINE_MARGIN_MS - monotonicMs()));
+    try {
+      await this.#attempts();
+    } finally {
+      clearTimeout(timer);
+      gone.removeEventListener('abort', cancel);
+    }
+  }
+
+  async #attempts(): Promise<void> {
+    const { gone } = this.#context;
+    for (;;) {
+      const target = await this.#target();
+      if (gone.aborted) {
+        return;
+      }
+      if (target === undefined) {
+        this.#giveUp('no-target');
+        return;
+      }
+      const end = await this.#send(target);
+      if (end.kind === 'complete') {
+        this.#finish();
+        return;
+      }
+      if (gone.aborted) {
+        return;
+      }
+      if (!this.#log.takeRetry()) {
+        this.#giveUp('not-run');
+        return;
+      }
+      this.#services.counters.count('retries_total', { service: 'engine', after: end.kind });
+    }
+  }
+
+  async #target(): Promise<Target | undefined> {
+    const { service, model, route, arrivedAt, gone, deadline } = this.#context;
+    const query = { service, model, exclude: this.#log.tried };
+    const held = arrivedAt + route.objectiveMs * HOLD_PART;
+    // Once a stream has begun, waiting is better than breaking it.
+    const holdUntil = this.#log.mayHaveRun ? deadline - 2 * DEADLINE_MARGIN_MS : held;
+    for (;;) {
+      const target = this.#services.chooser.choose(query);
+      if (target !== undefined || monotonicMs() >= holdUntil || gone.aborted) {
+        return target;
+      }
+      await sleep(HOLD_STEP_MS, gone);
+    }
+  }
+
+  async #send(target: Target): Promise<StreamAttemptEnd> {
+    this.#log.noteSent(target.host.id);
+    this.#events.restart();
+    this.#failure = undefined;
+    const attempt = new StreamAttempt(this.#context, this.#services, target, {
+      lastEventId: this.#events.lastEventId,
+      events: chunk => {
+        this.#forward(chunk);
+      },
+      mayMove: () => this.#mayMove(),
+    });
+    this.#attempt = attempt;
+    const end = await attempt.run();
+    this.#attempt = undefined;
+    this.#note(end);
+    return end.kind === 'complete' && this.#events.pendingBytes > 0
+      ? { kind: 'lost', detail: 'torn' }
+      : end;
+  }
+
+  #note(end: StreamAttemptEnd): void {
+    if (end.kind === 'never-sent') {
+      this.#log.noteNeverSent();
+    } else if (end.kind !== 'not-run') {
+      this.#log.noteMayRun();
+    }
+    if (end.kind === 'failed') {
+      this.#failure = end.head;
+      this.#failureBody = end.body;
+    }
+  }
+
+  #mayMove(): boolean {
+    const { service, model } = this.#context;
+    const query = { service, model, exclude: this.#log.tried };
+    const { chooser } = this.#services;
+    return this.#log.couldMove() && chooser.hasSound(query);
+  }
+
+  #forward(chunk: Buffer): void {
+    const events = this.#events.feed(chunk);
+    if (events === undefined) {
+      return;
+    }
+    const { response, arrivedAt, route } = this.#context;
+    const now = monotonicMs();
+    if (!response.headersSent) {
+      const head = this.#attempt?.head;
+      if (head === undefined) {
+        return;
+      }
+      response.writeHead(200, endToEndHeaders(head.rawHeaders, DROPPED_HEADERS));
+      this.#services.latencies.record('first_event', { route: route.name }, now - arrivedAt);
+    } else {
+      this.#services.latencies.record('event_gap', {}, now - this.#lastSentAt);
+    }
+    this.#lastSentAt = now;
+    if (!response.write(events)) {
+      this.#attempt?.pauseUntilDrained(response);
+    }
+  }
+
+  #finish(): void {
+    const { response, route, arrivedAt } = this.#context;
+    const { counters, latencies } = this.#services;
+    response.end();
+    counters.count('answers_total', { kind: route.kind, status: '200' });
+    latencies.record('answer', { kind: route.kind }, monotonicMs() - arrivedAt);
+  }
+
+  #giveUp(reason: 'no-target' | 'not-run'): void {
+    const { response, route, id, arrivedAt } = this.#context;
+    const { counters, log } = this.#services;
+    const answer = this.#finalAnswer(reason);
+    counters.count('answers_total', {
+      kind: route.kind,
+      status: response.headersSent ? 'cut' : String(this.#failure?.statusCode ?? answer.status),
+    });
+    log.warn('request given up', {
+      request: id,
+      route: route.name,
+      status: this.#failure?.statusCode ?? answer.status,
+      reason: answer.reason,
+      events: this.#events.batches,
+      sentTo: [...this.#log.tried].join(','),
+      heldMs: Math.round(monotonicMs() - arrivedAt),
+    });
+    if (this.#failure !== undefined && !response.headersSent) {
+      const headers = endToEndHeaders(this.#failure.rawHeaders, DROPPED_HEADERS);
+      const body = this.#failureBody ?? Buffer.alloc(0);
+      headers.push('Content-Length', String(body.length));
+      response.writeHead(this.#failure.statusCode ?? 502, headers);
+      response.end(body);
+      return;
+    }
+    giveFinalAnswer(response, answer);
+  }
+
+  #finalAnswer(reason: 'no-target' | 'not-run'): FinalAnswer {
+    if (!this.#log.mayHaveRun) {
+      const { service, model } = this.#context;
+      const any = this.#services.chooser.hasSound({ service, model, exclude: new Set() });
+      const retryAfterMs = any ? RETRY_AFTER_MS : RETRY_AFTER_NO_GROUP_MS;
+      return { status: 503, reason, retryAfterMs };
+    }
+    const late = this.#context.deadline - monotonicMs() < 3 * DEADLINE_MARGIN_MS;
+    return late
+      ? { status: 504, reason: 'deadline-passed' }
+      : { status: 502, reason: 'upstream-lost' };
+  }
+}
--- /dev/null
+++ b/packages/entry/src/routing/host-activity.ts
@@ -0,0 +1,90 @@
+/** What this entry host has seen of each upstream host through its own requests. */
+import { monotonicMs } from '../server/time.js';
+
+/** Weight of the newest value in the moving averages. */
+const SMOOTHING = 0.15;
+const FAILURE_COOLDOWN_MS = 1_500;
+const FORGET_MS = 120_000;
+
+/** One host as seen by this entry host. */
+export type HostActivity = {
+  /** Own requests at the host. */
+  inFlight: number;
+  /** Moving average of the time to the first event or answer, in milliseconds. */
+  firstMs: number | undefined;
+  /** When bytes last came from the host (monotonic milliseconds). */
+  lastProgressAt: number;
+  /** Until when new requests avoid the host. */
+  avoidUntil: number;
+  consecutiveFailures: number;
+};
+
+/** The activity of all hosts, by id. */
+export class HostActivities {
+  readonly #hosts = new Map<string, HostActivity>();
+
+  /** Activity of a host, made on first use. */
+  of(id: string): HostActivity {
+    let activity = this.#hosts.get(id);
+    if (activity === undefined) {
+      activity = {
+        inFlight: 0,
+        firstMs: undefined,
+        lastProgressAt: -Infinity,
+        avoidUntil: -Infinity,
+        consecutiveFailures: 0,
+      };
+      this.#hosts.set(id, activity);
+    }
+    return activity;
+  }
+
+  /** A request has gone to the host. */
+  enter(id: string): void {
+    this.of(id).inFlight += 1;
+  }
+
+  /** A request at the host is over. */
+  leave(id: string): void {
+    const activity = this.of(id);
+    activity.inFlight = Math.max(0, activity.inFlight - 1);
+  }
+
+  /** Bytes have come from the host: whatever was suspected of it is wrong. */
+  noteProgress(id: string): void {
+    const activity = this.of(id);
+    activity.lastProgressAt = monotonicMs();
+    activity.avoidUntil = -Infinity;
+  }
+
+  /** The first event or the answer of a request has come. */
+  noteFirst(id: string, ms: number): void {
+    const activity = this.of(id);
+    const before = activity.firstMs ?? ms;
+    activity.firstMs = before + SMOOTHING * (ms - before);
+    activity.consecutiveFailures = 0;
+  }
+
+  /** A request failed at the host, or stands still there: avoid it for a while. */
+  noteFailure(id: string): void {
+    const activity = this.of(id);
+    activity.consecutiveFailures += 1;
+    const factor = Math.min(activity.consecutiveFailures, 3);
+    activity.avoidUntil = monotonicMs() + FAILURE_COOLDOWN_MS * factor;
+  }
+
+  /** True while new requests should go elsewhere if they can. */
+  isAvoided(id: string): boolean {
+    return this.of(id).avoidUntil > monotonicMs();
+  }
+
+  /** Forgets idle hosts that are not there any more. */
+  forgetExcept(present: (id: string) => boolean): void {
+    const oldest = monotonicMs() - FORGET_MS;
+    for (const [id, activity] of this.#hosts) {
+      if (!present(id) && activity.inFlight === 0 && activity.lastProgressAt < oldest) {
+        this.#hosts.delete(id);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/packages/entry/src/routing/retry-budget.ts
@@ -0,0 +1,85 @@
+/**
+ * Bounds how often requests of a service are sent a second time.
+ *
+ * The bound holds for all entry hosts together. Each spends in proportion to the requests that it
+ * has itself seen, and a fixed part of the slack, so that no messages are needed.
+ */
+import { monotonicMs } from '../server/time.js';
+
+/** Bounds over all entry hosts. */
+export type RetryBounds = {
+  /** Repeats per request. */
+  readonly ratio: number;
+  /** Repeats beyond the ratio in any window. */
+  readonly slack: number;
+  readonly windowMs: number;
+};
+
+/** Entry hosts among which the slack is divided. */
+const SLACK_PARTS = 16;
+/** Part of the ratio that is spent, so that windows that slide never exceed it. */
+const RATIO_PART = 0.8;
+const BUCKETS = 10;
+
+/** The budget of one service at this host. */
+export class RetryBudget {
+  readonly #bounds: RetryBounds;
+  readonly #requests: SlidingCount;
+  readonly #repeats: SlidingCount;
+
+  constructor(bounds: RetryBounds) {
+    this.#bounds = bounds;
+    this.#requests = new SlidingCount(bounds.windowMs);
+    this.#repeats = new SlidingCount(bounds.windowMs);
+  }
+
+  /** Counts a request of a caller. */
+  noteRequest(): void {
+    this.#requests.add(monotonicMs());
+  }
+
+  /** True while a repeat would be allowed. */
+  hasRoom(): boolean {
+    const now = monotonicMs();
+    const { ratio, slack } = this.#bounds;
+    const allowed = ratio * RATIO_PART * this.#requests.count(now) + slack / SLACK_PARTS;
+    return this.#repeats.count(now) + 1 <= allowed;
+  }
+
+  /** Takes the allowance for one repeat; false when there is none. */
+  take(): boolean {
+    if (!this.hasRoom()) {
+      return false;
+    }
+    this.#repeats.add(monotonicMs());
+    return true;
+  }
+}
+
+/** Counts events in a sliding window, by buckets. */
+class SlidingCount {
+  readonly #bucketMs: number;
+  readonly #buckets = new Map<number, number>();
+
+  constructor(windowMs: number) {
+    this.#bucketMs = windowMs / BUCKETS;
+  }
+
+  add(now: number): void {
+    const bucket = Math.floor(now / this.#bucketMs);
+    this.#buckets.set(bucket, (this.#buckets.get(bucket) ?? 0) + 1);
+  }
+
+  count(now: number): number {
+    const oldest = Math.floor(now / this.#bucketMs) - BUCKETS;
+    let sum = 0;
+    for (const [bucket, count] of this.#buckets) {
+      if (bucket < oldest) {
+        this.#buckets.delete(bucket);
+      } else {
+        sum += count;
+      }
+    }
+    return sum;
+  }
+}
--- /dev/null
+++ b/packages/entry/src/routing/target-chooser.ts
@@ -0,0 +1,110 @@
+/** Chooses the host that takes a request: a group's head, or a host of a plain service. */
+import type { Service } from '../configuration/serving-configuration.js';
+import type { ReplicaGroup } from '../groups/replica-groups.js';
+import { headState, replicaGroups } from '../groups/replica-groups.js';
+import type { HostEntry } from '../hosts/host-entry.js';
+import type { HostRegistry } from '../hosts/host-registry.js';
+import type { HostActivities } from './host-activity.js';
+
+/** A host that may take a request. */
+export type Target = {
+  readonly host: HostEntry;
+  /** The group whose head it is, for model engines. */
+  readonly group: ReplicaGroup | undefined;
+};
+
+/** What a target is chosen for. */
+export type TargetQuery = {
+  readonly service: Service;
+  /** Model that the request names. */
+  readonly model: string | undefined;
+  /** Hosts that the request was sent to before. */
+  readonly exclude: ReadonlySet<string>;
+};
+
+/** Time to the first event that is assumed of a host nothing is known of, in milliseconds. */
+const DEFAULT_FIRST_MS = 80;
+/** Weight of each request that is at a host already. */
+const QUEUE_WEIGHT = 0.25;
+const AVOIDED_FACTOR = 1_000;
+/** Advantage of hosts in the own failure domain. */
+const REMOTE_FACTOR = 1.05;
+const SPREAD = 0.1;
+
+/** Chooses targets by what this entry host has seen of them. */
+export class TargetChooser {
+  readonly #registry: HostRegistry;
+  readonly #activities: HostActivities;
+  readonly #failureDomain: string;
+  readonly #groups = new Map<string, readonly ReplicaGroup[]>();
+  #version = -1;
+
+  constructor(registry: HostRegistry, activities: HostActivities, failureDomain: string) {
+    this.#registry = registry;
+    this.#activities = activities;
+    this.#failureDomain = failureDomain;
+  }
+
+  /** The best target; undefined while there is none. Avoided hosts come last. */
+  choose(query: TargetQuery): Target | undefined {
+    let best: Target | undefined;
+    let bestCost = Infinity;
+    for (const target of this.#candidates(query)) {
+      if (query.exclude.has(target.host.id)) {
+        continue;
+      }
+      const cost = this.#cost(target.host);
+      if (cost < bestCost) {
+        best = target;
+        bestCost = cost;
+      }
+    }
+    return best;
+  }
+
+  /** True when a target other than the excluded ones exists that is not avoided. */
+  hasSound(query: TargetQuery): boolean {
+    return this.#candidates(query).some(
+      target => !query.exclude.has(target.host.id) && !this.#activities.isAvoided(target.host.id),
+    );
+  }
+
+  /** Groups of a service, as their members tell. */
+  groupsOf(service: string): readonly ReplicaGroup[] {
+    if (this.#version !== this.#registry.version) {
+      this.#groups.clear();
+      this.#version = this.#registry.version;
+    }
+    let groups = this.#groups.get(service);
+    if (groups === undefined) {
+      groups = replicaGroups(this.#registry.ofService(service));
+      this.#groups.set(service, groups);
+    }
+    return groups;
+  }
+
+  #candidates(query: TargetQuery): readonly Target[] {
+    const { service, model } = query;
+    if (service.engine === undefined) {
+      return this.#registry
+        .ofService(service.name)
+        .filter(host => host.accepting)
+        .map(host => ({ host, group: undefined }));
+    }
+    return this.groupsOf(service.name).flatMap(group => {
+      const { head } = group;
+      const serves = head?.accepting === true && headState(group) === 'open';
+      const fits = model === undefined || group.model === model;
+      return head !== undefined && serves && fits ? [{ host: head, group }] : [];
+    });
+  }
+
+  #cost(host: HostEntry): number {
+    const activity = this.#activities.of(host.id);
+    const first = activity.firstMs ?? DEFAULT_FIRST_MS;
+    const queue = 1 + QUEUE_WEIGHT * activity.inFlight;
+    const avoided = this.#activities.isAvoided(host.id) ? AVOIDED_FACTOR : 1;
+    const remote = host.failureDomain === this.#failureDomain ? 1 : REMOTE_FACTOR;
+    return first * queue * avoided * remote * (1 + SPREAD * Math.random());
+  }
+}
