Order giver: stagings run beside formations, loads are free before the first request, a leave counts as taken

Cause: spares were never staged, since a formation was always under way; the load rate held the start back although loads before the first request do not count; the sequence after a leave was off by one, so each repair lost 0.5 s to a conflict.

--- a/packages/entry/src/entry-host.ts
+++ b/packages/entry/src/entry-host.ts
@@ -46,7 +46,8 @@
 
 const CONFIGURATION_WAIT_MS = 2_000;
 const HOSTS_WAIT_MS = 10_000;
-const HOSTS_PAUSE_MS = 80;
+/** Pause between two answers about hosts, while this process gives orders and while it does not. */
+const HOSTS_PAUSE_MS = { giver: 50, other: 200 } as const;
 /** Part of the revocation bound that is left for what is under way. */
 const KEY_MARGIN_MS = 500;
 const PLAN_PERIOD_MS = 100;
@@ -125,8 +126,10 @@
   /** Starts all tasks and listens. */
   async start(): Promise<void> {
     const { settings, log } = this.#options;
-    this.#watch(OBJECT_KINDS.configuration, CONFIGURATION_WAIT_MS, 0);
-    this.#watch(OBJECT_KINDS.hosts, HOSTS_WAIT_MS, HOSTS_PAUSE_MS);
+    this.#watch(OBJECT_KINDS.configuration, CONFIGURATION_WAIT_MS, () => 0);
+    this.#watch(OBJECT_KINDS.hosts, HOSTS_WAIT_MS, () =>
+      this.#lease.term === undefined ? HOSTS_PAUSE_MS.other : HOSTS_PAUSE_MS.giver,
+    );
     this.#registry.messages.on('changed', () => {
       this.#planSoon();
     });
@@ -182,7 +185,7 @@
     this.#options.store.close();
   }
 
-  #watch(kind: ObjectKind, waitMs: number, pauseMs: number): void {
+  #watch(kind: ObjectKind, waitMs: number, pauseMs: () => number): void {
     const { store, log } = this.#options;
     const isConfiguration = kind === OBJECT_KINDS.configuration;
     const watch = new WatchedKind({
@@ -251,6 +254,7 @@
       bounds: { headlessMs: Math.max(headlessMs, HEADLESS_SLACK_MS) },
       loadWindowMs: bounds.loadWindowMs,
       spareShare: SPARE_SHARE,
+      mayLoadFreely: () => this.#intake.total === 0,
       log: this.#options.log,
       counters: this.#counters,
     });
--- a/packages/entry/src/groups/formation-plan.ts
+++ b/packages/entry/src/groups/formation-plan.ts
@@ -35,8 +35,16 @@
 /** A formation takes a spare below the target when it is ready within this time. */
 const QUICK_MS = 4_000;
 
-/** Formations in the order in which they are worth most. */
-export function planFormations(input: FormationInput): readonly PlannedFormation[] {
+/** What is to be formed now. */
+export type FormationPlan = {
+  /** In the order in which they are worth most. */
+  readonly formations: readonly PlannedFormation[];
+  /** True when more would be formed if more loads might begin. */
+  readonly wantsLoads: boolean;
+};
+
+/** Plans formations until hosts or loads run out. */
+export function planFormations(input: FormationInput): FormationPlan {
   const free = new Map(input.domains.map(domain => [domain.fabricDomain, [...domain.hosts]]));
   const counts = new Map(input.groupCounts);
   const planned: PlannedFormation[] = [];
@@ -44,7 +52,7 @@
   for (;;) {
     const next = nextFormation(input, free, counts);
     if (next === undefined || next.formation.loads > loadsLeft) {
-      return planned;
+      return { formations: planned, wantsLoads: next !== undefined };
     }
     loadsLeft -= next.formation.loads;
     planned.push(next.formation);
--- a/packages/entry/src/groups/group-task.ts
+++ b/packages/entry/src/groups/group-task.ts
@@ -10,11 +10,12 @@
 import type { Log } from '../server/log.js';
 import type { Counters } from '../server/metrics.js';
 import { monotonicMs } from '../server/time.js';
-import type { Formation, GroupBeliefs, KnownHead, PlannedOrder, Staging } from './group-beliefs.js';
 import type { FreeDomain, PlannedFormation } from './formation-plan.js';
 import { planFormations } from './formation-plan.js';
 import type { ReleaseBounds } from './free-hosts.js';
 import { isFree } from './free-hosts.js';
+import type { Formation, GroupBeliefs, PlannedOrder, Staging } from './group-beliefs.js';
+import { GroupObserver } from './group-observer.js';
 import { repairOf } from './group-repair.js';
 import type { HostOrder, OrderOutcome } from './host-orders.js';
 import { LoadBudget } from './load-budget.js';
@@ -37,6 +38,8 @@
   readonly loadWindowMs: number;
   /** Share of the hosts that is kept out of groups as spares. */
   readonly spareShare: number;
+  /** True before the first request: then loads are quick and do not count. */
+  readonly mayLoadFreely: () => boolean;
   readonly log: Log;
   readonly counters: Counters;
 };
@@ -47,24 +50,28 @@
 const FORMATION_SLACK_MS = 4_000;
 const STAGING_SLACK_MS = 10_000;
 const LOAD_SLACK_FACTOR = 2;
+/** Loads beyond those that run at full speed, so that none of these places stays empty. */
+const EXTRA_LOADS = 2;
 /** Pause in which no new host may have come before groups are formed, in milliseconds. */
 const SETTLE_MS = 300;
+const MAX_SETTLE_MS = 700;
 
 /** The order giver's decisions for one service. */
 export class GroupTask {
   readonly #options: GroupTaskOptions;
   readonly #formations = new Map<string, Formation>();
   readonly #stagings = new Map<string, Staging>();
-  readonly #heads = new Map<string, KnownHead>();
-  readonly #incompleteSince = new Map<string, number>();
+  readonly #observer: GroupObserver;
   readonly #loads: LoadBudget;
   #term = 0;
   #formed = 0;
   #mostHosts = 0;
+  #firstHostAt: number | undefined;
   #grownAt = -Infinity;
 
   constructor(options: GroupTaskOptions) {
     this.#options = options;
+    this.#observer = new GroupObserver(id => options.registry.get(id));
     this.#loads = new LoadBudget(options.loadWindowMs);
   }
 
@@ -96,10 +103,12 @@
   // While hosts are still coming in, a plan would be made from a part of a fabric domain.
   #settled(hosts: readonly HostEntry[], now: number): boolean {
     if (hosts.length > this.#mostHosts) {
+      this.#firstHostAt ??= now;
       this.#mostHosts = hosts.length;
       this.#grownAt = now;
     }
-    return now - this.#grownAt > SETTLE_MS;
+    const waited = now - (this.#firstHostAt ?? now);
+    return now - this.#grownAt > SETTLE_MS || waited > MAX_SETTLE_MS;
   }
 
   #beginTerm(term: number): void {
@@ -119,8 +128,7 @@
     now: number,
   ): void {
     const { prober } = this.#options;
-    this.#observeHeads(groups, now);
-    this.#observeIncomplete(groups, profile, now);
+    this.#observer.observe(groups, profile, now);
     for (const [id, staging] of this.#stagings) {
       const host = hosts.find(candidate => candidate.id === id);
       const done = host === undefined || host.stagedModels.includes(staging.model);
@@ -138,72 +146,36 @@
     prober.watchDeparted(this.#options.registry.departedOf(this.#options.service));
   }
 
-  #observeHeads(groups: readonly ReplicaGroup[], now: number): void {
-    const named = new Set(groups.map(group => group.name));
-    for (const group of groups) {
-      const known = this.#heads.get(group.name);
-      if (group.head !== undefined) {
-        this.#heads.set(group.name, { host: group.head, missingSince: undefined, left: false });
-      } else if (known === undefined) {
-        const anyMember = group.members.find(member => member !== undefined);
-        if (anyMember !== undefined) {
-          const host = { ...anyMember, id: '' };
-          this.#heads.set(group.name, { host, missingSince: now, left: false });
-        }
-      } else {
-        this.#noteHeadMissing(group.name, known, now);
-      }
-    }
-    for (const name of this.#heads.keys()) {
-      if (!named.has(name)) {
-        this.#heads.delete(name);
-      }
-    }
-  }
-
-  // A head whose entry is there but names another group, or none, has left for sure.
-  #noteHeadMissing(group: string, known: KnownHead, now: number): void {
-    const entry = this.#options.registry.get(known.host.id);
-    const left = known.left || (entry !== undefined && entry.membership?.group !== group);
-    const missingSince = known.missingSince ?? now;
-    this.#heads.set(group, { host: known.host, missingSince, left });
-  }
-
-  #observeIncomplete(groups: readonly ReplicaGroup[], profile: EngineProfile, now: number): void {
-    const named = new Set<string>();
-    for (const group of groups) {
-      const size = profile.models.find(model => model.name === group.model)?.size;
-      const present = group.members.filter(member => member !== undefined).length;
-      if (size === undefined || present < size) {
-        named.add(group.name);
-        if (!this.#incompleteSince.has(group.name)) {
-          this.#incompleteSince.set(group.name, now);
-        }
-      }
-    }
-    for (const name of this.#incompleteSince.keys()) {
-      if (!named.has(name)) {
-        this.#incompleteSince.delete(name);
-      }
-    }
-  }
-
   #beliefs(hosts: readonly HostEntry[], profile: EngineProfile, now: number): GroupBeliefs {
     const { prober, sender } = this.#options;
-    const joining = hosts.filter(host => host.membership?.state === 'joining').length;
-    const running = joining + this.#stagings.size;
+    const running = this.#loadsRunning(hosts);
+    const byRate = this.#options.mayLoadFreely() ? Infinity : profile.loadsPerSecond;
     return {
       formations: this.#formations,
       stagings: this.#stagings,
-      heads: this.#heads,
-      incompleteSince: this.#incompleteSince,
+      heads: this.#observer.heads,
+      incompleteSince: this.#observer.incompleteSince,
       silent: prober.silent,
       unlisted: prober.unlisted,
       busy: sender.busy,
-      loadsLeft: this.#loads.left(now, profile.loadsPerSecond, profile.loadsAtOnce + 2, running),
+      loadsLeft: this.#loads.left(now, byRate, profile.loadsAtOnce + EXTRA_LOADS, running),
     };
   }
 
+  // Of a former order giver's formations only the hosts that have nothing staged are known to load.
+  #loadsRunning(hosts: readonly HostEntry[]): number {
+    let running = this.#stagings.size;
+    for (const host of hosts) {
+      const membership = host.membership;
+      if (membership?.state === 'joining') {
+        const own = this.#formations.get(membership.group);
+        const loading = own === undefined ? host.stagedModels.length === 0 : own.loads > 0;
+        running += loading ? 1 : 0;
+      }
+    }
+    return running;
+  }
+
   #repair(
     groups: readonly ReplicaGroup[],
     profile: EngineProfile,
@@ -222,7 +194,7 @@
   // A head whose entry went may still serve: it is told to leave, in case it hears.
   #releaseDeparted(groups: readonly ReplicaGroup[], view: GuardView): void {
     for (const group of groups) {
-      const known = this.#heads.get(group.name);
+      const known = this.#observer.heads.get(group.name);
       if (group.head !== undefined || known === undefined || known.left || known.host.id === '') {
         continue;
       }
@@ -253,11 +225,11 @@
       loadsLeft: beliefs.loadsLeft,
     });
     const taken = new Set<HostEntry>();
-    for (const formation of planned) {
+    for (const formation of planned.formations) {
       formation.hosts.forEach(host => taken.add(host));
       this.#begin(formation, view);
     }
-    if (this.#formations.size === 0) {
+    if (!planned.wantsLoads) {
       this.#stage(
         free.filter(host => !taken.has(host)),
         groups,
@@ -295,7 +267,7 @@
     const members = planned.hosts.map(host => host.id);
     const deadline = view.now + planned.readyMs * LOAD_SLACK_FACTOR + FORMATION_SLACK_MS;
     const model = planned.model.name;
-    this.#formations.set(group, { group, epoch, model, members, deadline });
+    this.#formations.set(group, { group, epoch, model, members, deadline, loads: planned.loads });
     this.#loads.note(view.now, planned.loads);
     log.info('formation begun', {
       group,
@@ -357,10 +329,7 @@
   #take(host: HostEntry, order: HostOrder, outcome: OrderOutcome | undefined): void {
     const accepted = outcome === 'begun' || outcome === 'done';
     if (order.kind === 'leave' && accepted) {
-      const known = this.#heads.get(order.group);
-      if (known?.host.id === host.id) {
-        this.#heads.set(order.group, { ...known, left: true });
-      }
+      this.#observer.noteLeft(order.group, host.id);
       this.#formations.delete(order.group);
     }
     if (order.kind === 'stage' && !accepted && outcome !== 'unanswered') {
--- a/packages/entry/src/groups/load-budget.ts
+++ b/packages/entry/src/groups/load-budget.ts
@@ -21,7 +21,7 @@
     while (this.#begun.length > 0 && now - (this.#begun[0] ?? 0) > this.#windowMs) {
       this.#begun.shift();
     }
-    const byRate = Math.floor((loadsPerSecond * this.#windowMs) / 1_000) - this.#begun.length;
-    return Math.max(0, Math.min(byRate, loadsAtOnce - running));
+    const byRate = (loadsPerSecond * this.#windowMs) / 1_000 - this.#begun.length;
+    return Math.max(0, Math.floor(Math.min(byRate, loadsAtOnce - running)));
   }
 }
--- a/packages/entry/src/groups/order-guard.ts
+++ b/packages/entry/src/groups/order-guard.ts
@@ -3,9 +3,9 @@
  * can open a group that lacks a member or take a host out of a group that may still serve.
  */
 import type { HostEntry } from '../hosts/host-entry.js';
-import type { GroupBeliefs } from './group-beliefs.js';
 import type { ReleaseBounds } from './free-hosts.js';
 import { isReleased } from './free-hosts.js';
+import type { GroupBeliefs } from './group-beliefs.js';
 import type { HostOrder } from './host-orders.js';
 
 /** Why the guard holds an order back. */
--- a/packages/entry/src/groups/order-sender.ts
+++ b/packages/entry/src/groups/order-sender.ts
@@ -58,7 +58,7 @@
         expectedSequence: expected,
         outcome,
       });
-      await this.#learn(host, expected, outcome);
+      await this.#learn(host, order, expected, outcome);
       return outcome;
     } finally {
       this.#busy.delete(host.id);
@@ -76,8 +76,15 @@
     return untouched ? 0 : (await this.#orders.report(host, REPORT_TIMEOUT_MS))?.orderSequence;
   }
 
-  async #learn(host: HostEntry, expected: number, outcome: OrderOutcome): Promise<void> {
-    if (outcome === 'begun') {
+  async #learn(
+    host: HostEntry,
+    order: HostOrder,
+    expected: number,
+    outcome: OrderOutcome,
+  ): Promise<void> {
+    // A leave is done as soon as it has begun.
+    const begun = outcome === 'begun' || (outcome === 'done' && order.kind === 'leave');
+    if (begun) {
       this.#sequences.set(host.id, expected + 1);
     } else if (outcome === 'conflict') {
       // A report shows the host as it stood a little earlier.
--- a/packages/entry/src/hosts/host-registry.ts
+++ b/packages/entry/src/hosts/host-registry.ts
@@ -86,6 +86,9 @@
     }
     this.#revisions.set(object.name, object.revision);
     const entry = this.#read(object.name, object.value);
+    if (known === undefined) {
+      this.#log.info('host arrived', { host: entry.id, domain: entry.fabricDomain });
+    }
     this.#hosts.set(object.name, entry);
     this.#departed.delete(object.name);
   }
--- a/packages/entry/src/lease/lease-task.ts
+++ b/packages/entry/src/lease/lease-task.ts
@@ -100,7 +100,8 @@
       return;
     }
     const { store, timing } = this.#options;
-    const found = await store.read(OBJECT_KINDS.leases, LEASE_NAME);
+    // An old answer only delays a take-over: it is written under the revision that was read.
+    const found = await store.read(OBJECT_KINDS.leases, LEASE_NAME, this.#seen !== undefined);
     if (found === undefined) {
       await this.#create();
       return;
@@ -108,7 +109,7 @@
     this.#note(found);
     const free = holderOf(found) === NOBODY;
     if (free || monotonicMs() - this.#seenAt >= timing.expiryMs) {
-      await this.#write(found.revision);
+      await this.#write(this.#seen?.revision ?? found.revision);
     }
   }
 
@@ -155,7 +156,7 @@
   }
 
   #note(object: StoredObject): void {
-    if (this.#seen?.revision !== object.revision) {
+    if (this.#seen === undefined || this.#seen.revision < object.revision) {
       this.#seen = object;
       this.#seenAt = monotonicMs();
     }
--- a/packages/entry/src/requests/request-intake.ts
+++ b/packages/entry/src/requests/request-intake.ts
@@ -23,6 +23,7 @@
   readonly #holder: ConfigurationHolder;
   readonly #services: RelayServices;
   #open = 0;
+  #total = 0;
 
   constructor(holder: ConfigurationHolder, services: RelayServices) {
     this.#holder = holder;
@@ -34,9 +35,15 @@
     return this.#open;
   }
 
+  /** Requests since the start of this process. */
+  get total(): number {
+    return this.#total;
+  }
+
   /** Takes a request to its final answer. */
   handle(request: IncomingMessage, response: ServerResponse): void {
     this.#open += 1;
+    this.#total += 1;
     const gone = new AbortController();
     response.once('close', () => {
       this.#open -= 1;
--- a/packages/entry/src/requests/upstream-request.ts
+++ b/packages/entry/src/requests/upstream-request.ts
@@ -1,6 +1,6 @@
 /** Builds what is sent upstream from what a caller sent. */
-import { monotonicMs } from '../server/time.js';
 import type { Target } from '../routing/target-chooser.js';
+import { monotonicMs } from '../server/time.js';
 import type { RelayHeaders } from './relay-headers.js';
 import { endToEndHeaders } from './relay-headers.js';
 import type { RequestContext } from './request-context.js';
--- a/packages/entry/src/store/object-store.ts
+++ b/packages/entry/src/store/object-store.ts
@@ -66,7 +66,12 @@
 /** Calls to the store; all reject with {@link StoreError}. */
 export type ObjectStore = {
   readonly list: (kind: ObjectKind) => Promise<ObjectList>;
-  readonly read: (kind: ObjectKind, name: string) => Promise<StoredObject | undefined>;
+  /** Reads one object; what `mayBeStale` brings may be seconds old, and costs little. */
+  readonly read: (
+    kind: ObjectKind,
+    name: string,
+    mayBeStale: boolean,
+  ) => Promise<StoredObject | undefined>;
   /** Waits up to `waitMs` for changes after a revision. */
   readonly watch: (kind: ObjectKind, revision: number, waitMs: number) => Promise<WatchAnswer>;
   readonly create: (kind: ObjectKind, name: string, value: unknown) => Promise<WriteAnswer>;
--- a/packages/entry/src/store/watched-kind.ts
+++ b/packages/entry/src/store/watched-kind.ts
@@ -19,7 +19,7 @@
   /** Longest wait of one call, in milliseconds. */
   readonly waitMs: number;
   /** Pause after each answer that brought changes, so that bursts cost few calls. */
-  readonly pauseMs: number;
+  readonly pauseMs: () => number;
   readonly observer: KindObserver;
   readonly log: Log;
 };
@@ -76,7 +76,7 @@
     }
     observer.confirmed(sentAt);
     if (answer.changes.length > 0) {
-      await sleep(pauseMs, this.#abort.signal);
+      await sleep(pauseMs(), this.#abort.signal);
     }
   }
 
