--- a/packages/entry/src/entry-host.ts
+++ b/packages/entry/src/entry-host.ts
@@ -4,7 +4,7 @@
 
 import type { ConfigurationReader } from './configuration/configuration-holder.js';
 import { ConfigurationHolder } from './configuration/configuration-holder.js';
-import type { Service } from './configuration/serving-configuration.js';
+import type { EngineProfile, Service } from './configuration/serving-configuration.js';
 import { GroupTask } from './groups/group-task.js';
 import type { HostOrders } from './groups/host-orders.js';
 import { MemberProber } from './groups/member-prober.js';
@@ -18,6 +18,7 @@
 import { RequestIntake } from './requests/request-intake.js';
 import { StallMonitor } from './requests/stall-monitor.js';
 import { UpstreamConnections } from './requests/upstream-connections.js';
+import { DemandMeter } from './routing/demand-meter.js';
 import { HostActivities } from './routing/host-activity.js';
 import { RetryBudget } from './routing/retry-budget.js';
 import { TargetChooser } from './routing/target-chooser.js';
@@ -47,11 +48,11 @@
 const CONFIGURATION_WAIT_MS = 2_000;
 const HOSTS_WAIT_MS = 10_000;
 /** Pause between two answers about hosts, while this process gives orders and while it does not. */
-const HOSTS_PAUSE_MS = { giver: 50, other: 200 } as const;
+const HOSTS_PAUSE_MS = { giver: 50, other: 300 } as const;
 /** Part of the revocation bound that is left for what is under way. */
 const KEY_MARGIN_MS = 500;
 const PLAN_PERIOD_MS = 100;
-const SPARE_SHARE = 0.16;
+const SPARE_SHARE = 0.125;
 /** Entries go after three silent heartbeats; a head may have been cut off one before. */
 const BEATS_UNTIL_GONE = 2;
 const HEADLESS_SLACK_MS = 800;
@@ -72,6 +73,7 @@
   readonly #holder: ConfigurationHolder;
   readonly #registry: HostRegistry;
   readonly #activities = new HostActivities();
+  readonly #demand = new DemandMeter();
   readonly #lease: LeaseTask;
   readonly #sender: OrderSender;
   readonly #prober: MemberProber;
@@ -247,7 +249,7 @@
     const headlessMs = bounds.stallMs - BEATS_UNTIL_GONE * bounds.heartbeatMs + HEADLESS_SLACK_MS;
     return new GroupTask({
       service,
-      profile: () => this.#holder.table?.service(service)?.engine,
+      profile: () => this.#profileOf(service),
       registry: this.#registry,
       sender: this.#sender,
       prober: this.#prober,
@@ -260,6 +262,19 @@
     });
   }
 
+  // The declared shares hold at the start; later the work is divided as it comes.
+  #profileOf(service: string): EngineProfile | undefined {
+    const profile = this.#holder.table?.service(service)?.engine;
+    if (profile === undefined) {
+      return undefined;
+    }
+    const models = profile.models.map(model => ({
+      ...model,
+      workShare: this.#demand.shareOf(service, model.name, model.workShare),
+    }));
+    return { ...profile, models };
+  }
+
   #planSoon(): void {
     if (this.#planPending || this.#stopping) {
       return;
@@ -297,6 +312,7 @@
       registry: this.#registry,
       chooser: new TargetChooser(this.#registry, this.#activities, failureDomain),
       activities: this.#activities,
+      demand: this.#demand,
       stalls: new StallMonitor(),
       budgetOf: service => this.#budgetOf(service),
       connectionsOf: service => this.#connectionsOf(service),
--- a/packages/entry/src/groups/formation-plan.ts
+++ b/packages/entry/src/groups/formation-plan.ts
@@ -1,4 +1,4 @@
-/** Decides which free hosts form which groups, and which are kept staged as spares. Pure. */
+/** Decides which free hosts form which groups. Pure. */
 import type { EngineProfile, GroupModel } from '../configuration/serving-configuration.js';
 import type { HostEntry } from '../hosts/host-entry.js';
 
@@ -30,11 +30,6 @@
   readonly loadsLeft: number;
 };
 
-/** Time of a join that needs no load, in milliseconds. */
-const REJOIN_MS = 200;
-/** A formation takes a spare below the target when it is ready within this time. */
-const QUICK_MS = 4_000;
-
 /** What is to be formed now. */
 export type FormationPlan = {
   /** In the order in which they are worth most. */
@@ -43,6 +38,11 @@
   readonly wantsLoads: boolean;
 };
 
+/** Time of a join that needs no load, in milliseconds. */
+const REJOIN_MS = 200;
+/** A model is not given groups while another one needs them this many times more. */
+const NEED_RATIO = 1.7;
+
 /** Plans formations until hosts or loads run out. */
 export function planFormations(input: FormationInput): FormationPlan {
   const free = new Map(input.domains.map(domain => [domain.fabricDomain, [...domain.hosts]]));
@@ -56,7 +56,7 @@
     }
     loadsLeft -= next.formation.loads;
     planned.push(next.formation);
-    counts.set(next.formation.model.name, (counts.get(next.formation.model.name) ?? 0) + 1);
+    counts.set(next.formation.model.name, countOf(counts, next.formation.model) + 1);
     const taken = new Set(next.formation.hosts);
     const rest = (free.get(next.fabricDomain) ?? []).filter(host => !taken.has(host));
     free.set(next.fabricDomain, rest);
@@ -71,6 +71,25 @@
   return host.stagedModels.includes(model.name) ? model.warmMs : model.loadMs;
 }
 
+/** How much a model needs one more group: its work for each group that it has. */
+export function needOf(model: GroupModel, counts: ReadonlyMap<string, number>): number {
+  return (model.workShare * model.pace) / (countOf(counts, model) + 0.5);
+}
+
+/** Models, the one that needs a group most first; those that can wait are left out. */
+export function modelsByNeed(
+  profile: EngineProfile,
+  counts: ReadonlyMap<string, number>,
+): readonly GroupModel[] {
+  const models = [...profile.models].sort((a, b) => needOf(b, counts) - needOf(a, counts));
+  const most = models[0];
+  return models.filter(
+    model =>
+      countOf(counts, model) === 0 ||
+      (most !== undefined && needOf(model, counts) * NEED_RATIO >= needOf(most, counts)),
+  );
+}
+
 type Candidate = { readonly fabricDomain: string; readonly formation: PlannedFormation };
 
 function nextFormation(
@@ -79,44 +98,30 @@
   counts: ReadonlyMap<string, number>,
 ): Candidate | undefined {
   const freeHosts = [...free.values()].reduce((sum, hosts) => sum + hosts.length, 0);
-  const models = [...input.profile.models].sort((a, b) => needOf(b, counts) - needOf(a, counts));
-  for (const model of models) {
+  for (const model of modelsByNeed(input.profile, counts)) {
     const candidates = [...free].flatMap(([fabricDomain, hosts]) => {
       const formation = formationOf(model, hosts);
       return formation === undefined ? [] : [{ fabricDomain, formation, left: hosts.length }];
     });
     candidates.sort((a, b) => a.formation.readyMs - b.formation.readyMs || b.left - a.left);
     const best = candidates[0];
-    const sparesLeft = freeHosts - model.size;
-    const affordable = sparesLeft >= input.spareTarget || isRepair(model, best, counts);
-    if (best !== undefined && affordable) {
+    if (best === undefined) {
+      continue;
+    }
+    // Spares exist to be used: a formation that needs no load may take them.
+    const spared = freeHosts - model.size >= input.spareTarget;
+    if (spared || best.formation.loads === 0 || countOf(counts, model) === 0) {
       return best;
     }
   }
   return undefined;
 }
 
-// Spares exist to be used: a quick formation may take them, and so may a model without groups.
-function isRepair(
-  model: GroupModel,
-  candidate: Candidate | undefined,
-  counts: ReadonlyMap<string, number>,
-): boolean {
-  if (candidate === undefined) {
-    return false;
-  }
-  return candidate.formation.readyMs <= QUICK_MS || (counts.get(model.name) ?? 0) === 0;
-}
-
-function needOf(model: GroupModel, counts: ReadonlyMap<string, number>): number {
-  return (model.workShare * model.pace) / ((counts.get(model.name) ?? 0) + 0.5);
-}
-
 function formationOf(model: GroupModel, hosts: readonly HostEntry[]): PlannedFormation | undefined {
   if (hosts.length < model.size) {
     return undefined;
   }
-  const sorted = [...hosts].sort((a, b) => readyMsOf(a, model) - readyMsOf(b, model));
+  const sorted = [...hosts].sort((a, b) => costOf(a, model) - costOf(b, model));
   const members = sorted.slice(0, model.size);
   const times = members.map(host => readyMsOf(host, model));
   return {
@@ -126,3 +131,14 @@
     loads: times.filter(time => time === model.loadMs).length,
   };
 }
+
+// Among hosts that have to load, those that have nothing staged are taken first.
+function costOf(host: HostEntry, model: GroupModel): number {
+  const ready = readyMsOf(host, model);
+  const wasted = ready === model.loadMs && host.stagedModels.length > 0 ? 1 : 0;
+  return ready + wasted;
+}
+
+function countOf(counts: ReadonlyMap<string, number>, model: GroupModel): number {
+  return counts.get(model.name) ?? 0;
+}
--- a/packages/entry/src/groups/group-task.ts
+++ b/packages/entry/src/groups/group-task.ts
@@ -63,6 +63,7 @@
   readonly #stagings = new Map<string, Staging>();
   readonly #observer: GroupObserver;
   readonly #loads: LoadBudget;
+  #lastCapacity = '';
   #term = 0;
   #formed = 0;
   #mostHosts = 0;
@@ -217,13 +218,15 @@
     const free = hosts.filter(host => isFree(host, beliefs, bounds, view.now));
     const domains = byFabricDomain(free);
     const accepting = hosts.filter(host => host.accepting).length;
+    const groupCounts = this.#groupCounts(groups);
     const planned = planFormations({
       profile,
       domains,
-      groupCounts: this.#groupCounts(groups),
+      groupCounts,
       spareTarget: Math.round(accepting * spareShare),
       loadsLeft: beliefs.loadsLeft,
     });
+    this.#noteCapacity(groups, profile, free.length);
     const taken = new Set<HostEntry>();
     for (const formation of planned.formations) {
       formation.hosts.forEach(host => taken.add(host));
@@ -239,6 +242,25 @@
     }
   }
 
+  #noteCapacity(groups: readonly ReplicaGroup[], profile: EngineProfile, free: number): void {
+    const open = new Map<string, number>();
+    for (const group of groups) {
+      if (group.head?.membership?.state === 'open') {
+        open.set(group.model ?? '', (open.get(group.model ?? '') ?? 0) + 1);
+      }
+    }
+    const summary = [...open].sort().map(([model, count]) => `${model}:${count}`);
+    const text = summary.join(',');
+    if (text !== this.#lastCapacity) {
+      this.#lastCapacity = text;
+      const forming = this.#formations.size;
+      const staging = this.#stagings.size;
+      const shares = profile.models.map(model => `${model.name}:${model.workShare.toFixed(2)}`);
+      const demand = shares.join(',');
+      this.#options.log.info('capacity changed', { open: text, demand, forming, free, staging });
+    }
+  }
+
   #groupCounts(groups: readonly ReplicaGroup[]): Map<string, number> {
     const counts = new Map<string, number>();
     const add = (model: string): void => {
@@ -290,12 +312,13 @@
     view: GuardView,
   ): void {
     let loadsLeft = view.beliefs.loadsLeft;
+    const allCounts = this.#groupCounts(groups);
     for (const domain of byFabricDomain(spares)) {
       const own = groups.filter(group => group.fabricDomain === domain.fabricDomain);
       const groupCounts = this.#groupCounts(own);
       const input = { spares: domain.hosts, groupCounts };
       const stagingNow = (id: string): string | undefined => this.#stagings.get(id)?.model;
-      for (const staging of planStagings(input, profile, stagingNow)) {
+      for (const staging of planStagings(input, profile, allCounts, stagingNow)) {
         if (loadsLeft <= 0) {
           return;
         }
--- a/packages/entry/src/groups/member-prober.ts
+++ b/packages/entry/src/groups/member-prober.ts
@@ -2,7 +2,7 @@
 import type { DepartedHost, HostEntry } from '../hosts/host-entry.js';
 import type { Log } from '../server/log.js';
 import type { Counters } from '../server/metrics.js';
-import { monotonicMs } from '../server/time.js';
+import { monotonicMs, sleep } from '../server/time.js';
 import type { HostOrders } from './host-orders.js';
 
 /** Options of a prober. */
@@ -15,7 +15,7 @@
 };
 
 const PROBE_TIMEOUT_MS = 250;
-const MISSES_UNTIL_SILENT = 2;
+const SECOND_PROBE_AFTER_MS = 80;
 const DEPARTED_PERIOD_MS = 1_000;
 /** A suspicion is not looked into again within this time. */
 const SUSPICION_PERIOD_MS = 1_000;
@@ -88,15 +88,15 @@
 
   async #ask(host: HostEntry): Promise<void> {
     const { orders, counters } = this.#options;
-    for (let miss = 0; miss < MISSES_UNTIL_SILENT; miss++) {
-      const report = await orders.report(host, PROBE_TIMEOUT_MS);
-      counters.count('probes_total', { answered: String(report !== undefined) });
-      if (report !== undefined) {
-        this.#believe(host, true);
-        return;
-      }
-    }
-    this.#believe(host, false);
+    const first = orders.report(host, PROBE_TIMEOUT_MS);
+    await Promise.race([first, sleep(SECOND_PROBE_AFTER_MS)]);
+    // A single lost packet is not taken for a lost host: a second question goes another way.
+    const answered =
+      (await settledWithin(first, 0)) ??
+      (await orders.report(host, PROBE_TIMEOUT_MS)) ??
+      (await first);
+    counters.count('probes_total', { answered: String(answered !== undefined) });
+    this.#believe(host, answered !== undefined);
   }
 
   #believe(host: HostEntry, answers: boolean): void {
@@ -121,3 +121,7 @@
     changed();
   }
 }
+
+function settledWithin<T>(promise: Promise<T>, ms: number): Promise<T | undefined> {
+  return Promise.race([promise, sleep(ms).then(() => undefined)]);
+}
--- a/packages/entry/src/requests/final-answer.ts
+++ b/packages/entry/src/requests/final-answer.ts
@@ -12,6 +12,7 @@
   | 'no-service'
   | 'no-target'
   | 'not-run'
+  | 'overloaded'
   | 'keys-lapsed'
   | 'upstream-lost'
   | 'upstream-invalid'
--- a/packages/entry/src/requests/relay-services.ts
+++ b/packages/entry/src/requests/relay-services.ts
@@ -2,6 +2,7 @@
 import type { Service } from '../configuration/serving-configuration.js';
 import type { ReplicaGroup } from '../groups/replica-groups.js';
 import type { HostRegistry } from '../hosts/host-registry.js';
+import type { DemandMeter } from '../routing/demand-meter.js';
 import type { HostActivities } from '../routing/host-activity.js';
 import type { RetryBudget } from '../routing/retry-budget.js';
 import type { TargetChooser } from '../routing/target-chooser.js';
@@ -18,6 +19,7 @@
   readonly chooser: TargetChooser;
   readonly activities: HostActivities;
   readonly stalls: StallMonitor;
+  readonly demand: DemandMeter;
   readonly budgetOf: (service: string) => RetryBudget;
   readonly connectionsOf: (service: Service) => UpstreamConnections;
   /** Tells the order giver that a group stands still. */
--- a/packages/entry/src/requests/request-intake.ts
+++ b/packages/entry/src/requests/request-intake.ts
@@ -83,6 +83,10 @@
     const limit = given > 0 ? Math.min(given, context.route.timeoutMs) : context.route.timeoutMs;
     const full: RequestContext = { ...context, deadline: context.arrivedAt + limit };
     this.#services.budgetOf(context.service.name).noteRequest();
+    if (context.model !== undefined) {
+      const tokens = header(context.request, this.#services.headers.tokenCounts);
+      this.#services.demand.note(context.service.name, context.model, tokens);
+    }
     const relay =
       context.route.kind === 'stream'
         ? new StreamRelay(full, this.#services)
--- a/packages/entry/src/requests/stream-relay.ts
+++ b/packages/entry/src/requests/stream-relay.ts
@@ -4,6 +4,7 @@
  */
 import type { IncomingMessage } from 'node:http';
 
+import { isRefused } from '../routing/overload-guard.js';
 import type { Target } from '../routing/target-chooser.js';
 import { monotonicMs, sleep } from '../server/time.js';
 import { AttemptLog } from './attempt-log.js';
@@ -24,6 +25,8 @@
 const DEADLINE_MARGIN_MS = 15;
 const DROPPED_HEADERS: ReadonlySet<string> = new Set(['content-length']);
 
+type GiveUpReason = 'no-target' | 'not-run' | 'overloaded';
+
 /** One stream of a caller. */
 export class StreamRelay {
   readonly #context: RequestContext;
@@ -45,7 +48,11 @@
 
   /** Runs the stream to its end, at as many hosts as it may. */
   async run(): Promise<void> {
-    const { gone, deadline } = this.#context;
+    const { gone, deadline, service, model, route } = this.#context;
+    if (isRefused(this.#services.chooser, service, model, route.objectiveMs, Math.random())) {
+      this.#giveUp('overloaded');
+      return;
+    }
     const cancel = (): void => {
       this.#attempt?.cancel();
     };
@@ -171,7 +178,7 @@
     latencies.record('answer', { kind: route.kind }, monotonicMs() - arrivedAt);
   }
 
-  #giveUp(reason: 'no-target' | 'not-run'): void {
+  #giveUp(reason: GiveUpReason): void {
     const { response, route, id, arrivedAt } = this.#context;
     const { counters, log } = this.#services;
     const answer = this.#finalAnswer(reason);
@@ -199,7 +206,7 @@
     giveFinalAnswer(response, answer);
   }
 
-  #finalAnswer(reason: 'no-target' | 'not-run'): FinalAnswer {
+  #finalAnswer(reason: GiveUpReason): FinalAnswer {
     if (!this.#log.mayHaveRun) {
       const { service, model } = this.#context;
       const any = this.#services.chooser.hasSound({ service, model, exclude: new Set() });
--- a/packages/entry/src/routing/host-activity.ts
+++ b/packages/entry/src/routing/host-activity.ts
@@ -2,7 +2,9 @@
 import { monotonicMs } from '../server/time.js';
 
 /** Weight of the newest value in the moving averages. */
-const SMOOTHING = 0.15;
+const SMOOTHING = 0.25;
+/** Age at which a moving average says nothing any more, in milliseconds. */
+const FIRST_VALID_MS = 1_500;
 const FAILURE_COOLDOWN_MS = 1_500;
 const FORGET_MS = 120_000;
 
@@ -12,6 +14,8 @@
   inFlight: number;
   /** Moving average of the time to the first event or answer, in milliseconds. */
   firstMs: number | undefined;
+  /** When `firstMs` was last fed (monotonic milliseconds). */
+  firstAt: number;
   /** When bytes last came from the host (monotonic milliseconds). */
   lastProgressAt: number;
   /** Until when new requests avoid the host. */
@@ -30,6 +34,7 @@
       activity = {
         inFlight: 0,
         firstMs: undefined,
+        firstAt: -Infinity,
         lastProgressAt: -Infinity,
         avoidUntil: -Infinity,
         consecutiveFailures: 0,
@@ -62,9 +67,16 @@
     const activity = this.of(id);
     const before = activity.firstMs ?? ms;
     activity.firstMs = before + SMOOTHING * (ms - before);
+    activity.firstAt = monotonicMs();
     activity.consecutiveFailures = 0;
   }
 
+  /** Moving average of the time to the first event; undefined when it is old or not known. */
+  recentFirstMs(id: string): number | undefined {
+    const activity = this.of(id);
+    return monotonicMs() - activity.firstAt < FIRST_VALID_MS ? activity.firstMs : undefined;
+  }
+
   /** A request failed at the host, or stands still there: avoid it for a while. */
   noteFailure(id: string): void {
     const activity = this.of(id);
--- a/packages/entry/src/routing/target-chooser.ts
+++ b/packages/entry/src/routing/target-chooser.ts
@@ -69,6 +69,15 @@
     );
   }
 
+  /** Least time to the first event that targets have lately had, in milliseconds. */
+  expectedFirstMs(query: TargetQuery): number | undefined {
+    const times = this.#candidates(query)
+      .filter(target => !this.#activities.isAvoided(target.host.id))
+      .map(target => this.#activities.recentFirstMs(target.host.id));
+    const known = times.filter(time => time !== undefined);
+    return known.length === 0 || known.length < times.length ? undefined : Math.min(...known);
+  }
+
   /** Groups of a service, as their members tell. */
   groupsOf(service: string): readonly ReplicaGroup[] {
     if (this.#version !== this.#registry.version) {
