Order giver: targets per model; after the start groups are formed only of staged hosts

Cause: groups of hosts that had to load kept their sound members waiting for 12 to 16 s, and spares staged for the first model left the second without repair (quick deaths left 5 and 3 groups of 9 and 3).

--- a/packages/entry/src/entry-host.ts
+++ b/packages/entry/src/entry-host.ts
@@ -52,7 +52,7 @@
 /** Part of the revocation bound that is left for what is under way. */
 const KEY_MARGIN_MS = 500;
 const PLAN_PERIOD_MS = 100;
-const SPARE_SHARE = 0.125;
+const SPARE_SHARE = 0.2;
 /** Entries go after three silent heartbeats; a head may have been cut off one before. */
 const BEATS_UNTIL_GONE = 2;
 const HEADLESS_SLACK_MS = 800;
@@ -262,15 +262,17 @@
     });
   }
 
-  // The declared shares hold at the start; later the work is divided as it comes.
+  // The declared shares hold at the start only; later the work is divided as it comes. Until it is
+  // measured, groups are laid out for half way between the declared division and an even one.
   #profileOf(service: string): EngineProfile | undefined {
     const profile = this.#holder.table?.service(service)?.engine;
     if (profile === undefined) {
       return undefined;
     }
+    const even = 1 / Math.max(1, profile.models.length);
     const models = profile.models.map(model => ({
       ...model,
-      workShare: this.#demand.shareOf(service, model.name, model.workShare),
+      workShare: this.#demand.shareOf(service, model.name, (model.workShare + even) / 2),
     }));
     return { ...profile, models };
   }
--- a/packages/entry/src/groups/formation-plan.ts
+++ b/packages/entry/src/groups/formation-plan.ts
@@ -1,6 +1,7 @@
 /** Decides which free hosts form which groups. Pure. */
 import type { EngineProfile, GroupModel } from '../configuration/serving-configuration.js';
 import type { HostEntry } from '../hosts/host-entry.js';
+import { lackOf } from './group-targets.js';
 
 /** Free hosts of one fabric domain. */
 export type FreeDomain = {
@@ -25,8 +26,10 @@
   readonly domains: readonly FreeDomain[];
   /** Groups that serve or form, by model name. */
   readonly groupCounts: ReadonlyMap<string, number>;
-  /** Hosts to be kept out of groups, over all domains. */
-  readonly spareTarget: number;
+  /** Groups that there should be, by model name. */
+  readonly targets: ReadonlyMap<string, number>;
+  /** True when groups may be formed of hosts that have to load first. */
+  readonly withLoads: boolean;
   readonly loadsLeft: number;
 };
 
@@ -40,10 +43,8 @@
 
 /** Time of a join that needs no load, in milliseconds. */
 const REJOIN_MS = 200;
-/** A model is not given groups while another one needs them this many times more. */
-const NEED_RATIO = 1.7;
 
-/** Plans formations until hosts or loads run out. */
+/** Plans formations until targets are met, or hosts or loads run out. */
 export function planFormations(input: FormationInput): FormationPlan {
   const free = new Map(input.domains.map(domain => [domain.fabricDomain, [...domain.hosts]]));
   const counts = new Map(input.groupCounts);
@@ -56,7 +57,8 @@
     }
     loadsLeft -= next.formation.loads;
     planned.push(next.formation);
-    counts.set(next.formation.model.name, countOf(counts, next.formation.model) + 1);
+    const name = next.formation.model.name;
+    counts.set(name, (counts.get(name) ?? 0) + 1);
     const taken = new Set(next.formation.hosts);
     const rest = (free.get(next.fabricDomain) ?? []).filter(host => !taken.has(host));
     free.set(next.fabricDomain, rest);
@@ -71,23 +73,14 @@
   return host.stagedModels.includes(model.name) ? model.warmMs : model.loadMs;
 }
 
-/** How much a model needs one more group: its work for each group that it has. */
-export function needOf(model: GroupModel, counts: ReadonlyMap<string, number>): number {
-  return (model.workShare * model.pace) / (countOf(counts, model) + 0.5);
-}
-
-/** Models, the one that needs a group most first; those that can wait are left out. */
-export function modelsByNeed(
+/** Models that lack groups, the one that lacks most first. */
+export function modelsByLack(
   profile: EngineProfile,
+  targets: ReadonlyMap<string, number>,
   counts: ReadonlyMap<string, number>,
 ): readonly GroupModel[] {
-  const models = [...profile.models].sort((a, b) => needOf(b, counts) - needOf(a, counts));
-  const most = models[0];
-  return models.filter(
-    model =>
-      countOf(counts, model) === 0 ||
-      (most !== undefined && needOf(model, counts) * NEED_RATIO >= needOf(most, counts)),
-  );
+  const lack = (model: GroupModel): number => lackOf(model, targets, counts);
+  return profile.models.filter(model => lack(model) > 0).sort((a, b) => lack(b) - lack(a));
 }
 
 type Candidate = { readonly fabricDomain: string; readonly formation: PlannedFormation };
@@ -97,20 +90,14 @@
   free: ReadonlyMap<string, readonly HostEntry[]>,
   counts: ReadonlyMap<string, number>,
 ): Candidate | undefined {
-  const freeHosts = [...free.values()].reduce((sum, hosts) => sum + hosts.length, 0);
-  for (const model of modelsByNeed(input.profile, counts)) {
+  for (const model of modelsByLack(input.profile, input.targets, counts)) {
     const candidates = [...free].flatMap(([fabricDomain, hosts]) => {
       const formation = formationOf(model, hosts);
       return formation === undefined ? [] : [{ fabricDomain, formation, left: hosts.length }];
     });
     candidates.sort((a, b) => a.formation.readyMs - b.formation.readyMs || b.left - a.left);
     const best = candidates[0];
-    if (best === undefined) {
-      continue;
-    }
-    // Spares exist to be used: a formation that needs no load may take them.
-    const spared = freeHosts - model.size >= input.spareTarget;
-    if (spared || best.formation.loads === 0 || countOf(counts, model) === 0) {
+    if (best !== undefined && (best.formation.loads === 0 || input.withLoads)) {
       return best;
     }
   }
@@ -138,7 +125,3 @@
   const wasted = ready === model.loadMs && host.stagedModels.length > 0 ? 1 : 0;
   return ready + wasted;
 }
-
-function countOf(counts: ReadonlyMap<string, number>, model: GroupModel): number {
-  return counts.get(model.name) ?? 0;
-}
--- a/packages/entry/src/groups/group-beliefs.ts
+++ b/packages/entry/src/groups/group-beliefs.ts
@@ -9,6 +9,7 @@
   readonly model: string;
   /** Host ids, head first. */
   readonly members: readonly string[];
+  readonly fabricDomain: string | undefined;
   /** Members that load from the weight store. */
   readonly loads: number;
   /** Monotonic milliseconds after which it is given up. */
--- a/packages/entry/src/groups/group-task.ts
+++ b/packages/entry/src/groups/group-task.ts
@@ -17,6 +17,7 @@
 import type { Formation, GroupBeliefs, PlannedOrder, Staging } from './group-beliefs.js';
 import { GroupObserver } from './group-observer.js';
 import { repairOf } from './group-repair.js';
+import { groupTargets } from './group-targets.js';
 import type { HostOrder, OrderOutcome } from './host-orders.js';
 import { LoadBudget } from './load-budget.js';
 import type { MemberProber } from './member-prober.js';
@@ -25,6 +26,7 @@
 import type { OrderSender } from './order-sender.js';
 import type { ReplicaGroup } from './replica-groups.js';
 import { replicaGroups } from './replica-groups.js';
+import type { SpareInput } from './spare-plan.js';
 import { planStagings } from './spare-plan.js';
 
 /** Options of a group task. */
@@ -51,7 +53,7 @@
 const STAGING_SLACK_MS = 10_000;
 const LOAD_SLACK_FACTOR = 2;
 /** Loads beyond those that run at full speed, so that none of these places stays empty. */
-const EXTRA_LOADS = 2;
+const EXTRA_LOADS = 1;
 /** Pause in which no new host may have come before groups are formed, in milliseconds. */
 const SETTLE_MS = 300;
 const MAX_SETTLE_MS = 700;
@@ -214,16 +216,17 @@
     beliefs: GroupBeliefs,
     view: GuardView,
   ): void {
-    const { bounds, spareShare } = this.#options;
+    const { bounds, spareShare, mayLoadFreely } = this.#options;
     const free = hosts.filter(host => isFree(host, beliefs, bounds, view.now));
-    const domains = byFabricDomain(free);
     const accepting = hosts.filter(host => host.accepting).length;
     const groupCounts = this.#groupCounts(groups);
+    const targets = groupTargets(profile, accepting * (1 - spareShare));
     const planned = planFormations({
       profile,
-      domains,
+      domains: byFabricDomain(free),
       groupCounts,
-      spareTarget: Math.round(accepting * spareShare),
+      targets,
+      withLoads: mayLoadFreely(),
       loadsLeft: beliefs.loadsLeft,
     });
     this.#noteCapacity(groups, profile, free.length);
@@ -236,6 +239,7 @@
       this.#stage(
         free.filter(host => !taken.has(host)),
         groups,
+        targets,
         profile,
         view,
       );
@@ -261,7 +265,8 @@
     }
   }
 
-  #groupCounts(groups: readonly ReplicaGroup[]): Map<string, number> {
+  // Formations count from their beginning; `fabricDomain` limits them to one domain.
+  #groupCounts(groups: readonly ReplicaGroup[], fabricDomain?: string): Map<string, number> {
     const counts = new Map<string, number>();
     const add = (model: string): void => {
       counts.set(model, (counts.get(model) ?? 0) + 1);
@@ -276,7 +281,9 @@
       }
     }
     for (const formation of this.#formations.values()) {
-      add(formation.model);
+      if (fabricDomain === undefined || formation.fabricDomain === fabricDomain) {
+        add(formation.model);
+      }
     }
     return counts;
   }
@@ -289,13 +296,15 @@
     const members = planned.hosts.map(host => host.id);
     const deadline = view.now + planned.readyMs * LOAD_SLACK_FACTOR + FORMATION_SLACK_MS;
     const model = planned.model.name;
-    this.#formations.set(group, { group, epoch, model, members, deadline, loads: planned.loads });
+    const fabricDomain = planned.hosts[0]?.fabricDomain;
+    const { loads } = planned;
+    this.#formations.set(group, { group, epoch, model, members, fabricDomain, deadline, loads });
     this.#loads.note(view.now, planned.loads);
     log.info('formation begun', {
       group,
       model,
       members: members.join(','),
-      domain: planned.hosts[0]?.fabricDomain,
+      domain: fabricDomain,
       readyMs: planned.readyMs,
       loads: planned.loads,
     });
@@ -308,17 +317,21 @@
   #stage(
     spares: readonly HostEntry[],
     groups: readonly ReplicaGroup[],
+    targets: ReadonlyMap<string, number>,
     profile: EngineProfile,
     view: GuardView,
   ): void {
     let loadsLeft = view.beliefs.loadsLeft;
-    const allCounts = this.#groupCounts(groups);
+    const input: SpareInput = {
+      profile,
+      targets,
+      counts: this.#groupCounts(groups),
+      stagingNow: id => this.#stagings.get(id)?.model,
+    };
     for (const domain of byFabricDomain(spares)) {
       const own = groups.filter(group => group.fabricDomain === domain.fabricDomain);
-      const groupCounts = this.#groupCounts(own);
-      const input = { spares: domain.hosts, groupCounts };
-      const stagingNow = (id: string): string | undefined => this.#stagings.get(id)?.model;
-      for (const staging of planStagings(input, profile, allCounts, stagingNow)) {
+      const groupCounts = this.#groupCounts(own, domain.fabricDomain);
+      for (const staging of planStagings({ spares: domain.hosts, groupCounts }, input)) {
         if (loadsLeft <= 0) {
           return;
         }
--- a/packages/entry/src/groups/spare-plan.ts
+++ b/packages/entry/src/groups/spare-plan.ts
@@ -4,7 +4,7 @@
  */
 import type { EngineProfile, GroupModel } from '../configuration/serving-configuration.js';
 import type { HostEntry } from '../hosts/host-entry.js';
-import { modelsByNeed } from './formation-plan.js';
+import { modelsByLack } from './formation-plan.js';
 
 /** A fabric domain with its free hosts and the groups that may need them. */
 export type SpareDomain = {
@@ -13,61 +13,108 @@
   readonly groupCounts: ReadonlyMap<string, number>;
 };
 
+/** What holds for all domains. */
+export type SpareInput = {
+  readonly profile: EngineProfile;
+  /** Groups that there should be, by model name. */
+  readonly targets: ReadonlyMap<string, number>;
+  /** Groups that serve, form or are being prepared; stagings for a group are added. */
+  readonly counts: Map<string, number>;
+  /** Model that is being staged on a host. */
+  readonly stagingNow: (hostId: string) => string | undefined;
+};
+
 /** A host that is to stage a model. */
 export type PlannedStaging = { readonly host: HostEntry; readonly model: GroupModel };
 
-/** Stagings for one domain; `stagingNow` tells what is being staged on a host. */
-export function planStagings(
-  domain: SpareDomain,
-  profile: EngineProfile,
-  allGroupCounts: ReadonlyMap<string, number>,
-  stagingNow: (hostId: string) => string | undefined,
-): readonly PlannedStaging[] {
-  const covered = new Map<string, number>();
-  const idle: HostEntry[] = [];
-  for (const host of domain.spares) {
-    const model = stagingNow(host.id) ?? host.stagedModels.at(-1);
-    if (model === undefined) {
-      idle.push(host);
-    } else {
-      covered.set(model, (covered.get(model) ?? 0) + 1);
+/** Stagings for one domain. */
+export function planStagings(domain: SpareDomain, input: SpareInput): readonly PlannedStaging[] {
+  const shelf = new Shelf(domain, input);
+  const forGroup = stageForGroup(shelf, input);
+  return [...forGroup, ...stageForRepair(shelf, domain, input)];
+}
+
+// Makes the spares of this domain up to a group of a model that lacks groups.
+function stageForGroup(shelf: Shelf, input: SpareInput): readonly PlannedStaging[] {
+  for (const model of modelsByLack(input.profile, input.targets, input.counts)) {
+    const missing = model.size - shelf.have(model.name);
+    if (missing <= 0) {
+      continue;
     }
-  }
-  const planned: PlannedStaging[] = [];
-  for (const host of idle) {
-    const left = idle.length - planned.length;
-    const model =
-      nextGroup(profile, allGroupCounts, covered, left) ??
-      mostExposed(profile.models, domain.groupCounts, covered);
-    if (model !== undefined) {
-      covered.set(model.name, (covered.get(model.name) ?? 0) + 1);
-      planned.push({ host, model });
+    const hosts = shelf.restageable(model.name);
+    if (hosts.length >= missing) {
+      input.counts.set(model.name, (input.counts.get(model.name) ?? 0) + 1);
+      return hosts.slice(0, missing).map(host => shelf.stage(host, model));
     }
   }
-  return planned;
+  return [];
 }
 
-// A model that has spares here already, and that the idle hosts could make up to a group.
-function nextGroup(
-  profile: EngineProfile,
-  allGroupCounts: ReadonlyMap<string, number>,
-  covered: ReadonlyMap<string, number>,
-  idle: number,
-): GroupModel | undefined {
-  return modelsByNeed(profile, allGroupCounts).find(model => {
-    const have = (covered.get(model.name) ?? 0) % model.size;
-    return have > 0 && model.size - have <= idle;
+// Hosts with nothing staged cover the model with the most members at risk for each spare.
+function stageForRepair(
+  shelf: Shelf,
+  domain: SpareDomain,
+  input: SpareInput,
+): readonly PlannedStaging[] {
+  const exposure = (model: GroupModel): number =>
+    ((domain.groupCounts.get(model.name) ?? 0) * model.size + model.workShare) /
+    (shelf.have(model.name) * 4 + 0.5);
+  return shelf.idle().flatMap(host => {
+    const model = [...input.profile.models].sort((a, b) => exposure(b) - exposure(a))[0];
+    return model === undefined ? [] : [shelf.stage(host, model)];
   });
 }
 
-// The model with the most members at risk for each spare that covers it.
-function mostExposed(
-  models: readonly GroupModel[],
-  groupCounts: ReadonlyMap<string, number>,
-  covered: ReadonlyMap<string, number>,
-): GroupModel | undefined {
-  const exposure = (model: GroupModel): number =>
-    ((groupCounts.get(model.name) ?? 0) * model.size + model.workShare) /
-    ((covered.get(model.name) ?? 0) * 2 + 0.5);
-  return [...models].sort((a, b) => exposure(b) - exposure(a))[0];
+/** The spares of a domain by what they have staged. */
+class Shelf {
+  readonly #staged = new Map<HostEntry, string | undefined>();
+  readonly #pinned = new Set<HostEntry>();
+  readonly #groupCounts: ReadonlyMap<string, number>;
+
+  constructor(domain: SpareDomain, input: SpareInput) {
+    this.#groupCounts = domain.groupCounts;
+    for (const host of domain.spares) {
+      const staging = input.stagingNow(host.id);
+      this.#staged.set(host, staging ?? host.stagedModels.at(-1));
+      if (staging !== undefined) {
+        this.#pinned.add(host);
+      }
+    }
+  }
+
+  /** Spares that have a model staged, or will have. */
+  have(model: string): number {
+    return [...this.#staged.values()].filter(staged => staged === model).length;
+  }
+
+  /** Hosts with nothing staged. */
+  idle(): readonly HostEntry[] {
+    return [...this.#staged].filter(([, staged]) => staged === undefined).map(([host]) => host);
+  }
+
+  /** Hosts that another model can do without, those with nothing staged first. */
+  restageable(model: string): readonly HostEntry[] {
+    const surplus: HostEntry[] = [];
+    const kept = new Map<string, number>();
+    for (const [host, staged] of this.#staged) {
+      if (staged === undefined || staged === model) {
+        continue;
+      }
+      const keep = (this.#groupCounts.get(staged) ?? 0) > 0 ? 1 : 0;
+      const before = kept.get(staged) ?? 0;
+      if (before < keep || this.#pinned.has(host)) {
+        kept.set(staged, before + 1);
+      } else {
+        surplus.push(host);
+      }
+    }
+    return [...this.idle(), ...surplus];
+  }
+
+  /** Plans a staging. */
+  stage(host: HostEntry, model: GroupModel): PlannedStaging {
+    this.#staged.set(host, model.name);
+    this.#pinned.add(host);
+    return { host, model };
+  }
 }
