--- a/packages/entry/src/entry-host.ts
+++ b/packages/entry/src/entry-host.ts
@@ -170,12 +170,16 @@
       }
       await sleep(DRAIN_STEP_MS);
     }
-    this.#callers.close();
     log.info('entry host stopped', { open: this.#intake.open });
-    this.#close();
+    this.end();
   }
 
-  #close(): void {
+  /** Ends at once: what is in progress is cut. */
+  end(): void {
+    this.#stopping = true;
+    clearInterval(this.#planTimer);
+    this.#lease.abandon();
+    this.#callers.close();
     this.#watches.forEach(watch => {
       watch.stop();
     });
--- a/packages/entry/src/groups/group-task.ts
+++ b/packages/entry/src/groups/group-task.ts
@@ -10,6 +10,7 @@
 import type { Log } from '../server/log.js';
 import type { Counters } from '../server/metrics.js';
 import { monotonicMs } from '../server/time.js';
+import { CapacityLog } from './capacity-log.js';
 import type { FreeDomain, PlannedFormation } from './formation-plan.js';
 import { planFormations } from './formation-plan.js';
 import type { ReleaseBounds } from './free-hosts.js';
@@ -26,6 +27,7 @@
 import type { OrderSender } from './order-sender.js';
 import type { ReplicaGroup } from './replica-groups.js';
 import { replicaGroups } from './replica-groups.js';
+import { Settling } from './settling.js';
 import type { SpareInput } from './spare-plan.js';
 import { planStagings } from './spare-plan.js';
 
@@ -54,9 +56,6 @@
 const LOAD_SLACK_FACTOR = 2;
 /** Loads beyond those that run at full speed, so that none of these places stays empty. */
 const EXTRA_LOADS = 1;
-/** Pause in which no new host may have come before groups are formed, in milliseconds. */
-const SETTLE_MS = 300;
-const MAX_SETTLE_MS = 700;
 
 /** The order giver's decisions for one service. */
 export class GroupTask {
@@ -65,17 +64,16 @@
   readonly #stagings = new Map<string, Staging>();
   readonly #observer: GroupObserver;
   readonly #loads: LoadBudget;
-  #lastCapacity = '';
+  readonly #settling = new Settling();
+  readonly #capacityLog: CapacityLog;
   #term = 0;
   #formed = 0;
-  #mostHosts = 0;
-  #firstHostAt: number | undefined;
-  #grownAt = -Infinity;
 
   constructor(options: GroupTaskOptions) {
     this.#options = options;
     this.#observer = new GroupObserver(id => options.registry.get(id));
     this.#loads = new LoadBudget(options.loadWindowMs);
+    this.#capacityLog = new CapacityLog(options.log);
   }
 
   /** Looks at the hosts and gives the orders that are due. Cheap when nothing is. */
@@ -98,22 +96,11 @@
       now,
     };
     this.#repair(groups, profile, beliefs, view);
-    if (this.#settled(hosts, now)) {
+    if (this.#settling.isOver(hosts.length, now)) {
       this.#form(hosts, groups, profile, beliefs, view);
     }
   }
 
-  // While hosts are still coming in, a plan would be made from a part of a fabric domain.
-  #settled(hosts: readonly HostEntry[], now: number): boolean {
-    if (hosts.length > this.#mostHosts) {
-      this.#firstHostAt ??= now;
-      this.#mostHosts = hosts.length;
-      this.#grownAt = now;
-    }
-    const waited = now - (this.#firstHostAt ?? now);
-    return now - this.#grownAt > SETTLE_MS || waited > MAX_SETTLE_MS;
-  }
-
   #beginTerm(term: number): void {
     if (term === this.#term) {
       return;
@@ -229,7 +216,11 @@
       withLoads: mayLoadFreely(),
       loadsLeft: beliefs.loadsLeft,
     });
-    this.#noteCapacity(groups, profile, free.length);
+    this.#capacityLog.note(groups, profile, {
+      forming: this.#formations.size,
+      free: free.length,
+      staging: this.#stagings.size,
+    });
     const taken = new Set<HostEntry>();
     for (const formation of planned.formations) {
       formation.hosts.forEach(host => taken.add(host));
@@ -246,25 +237,6 @@
     }
   }
 
-  #noteCapacity(groups: readonly ReplicaGroup[], profile: EngineProfile, free: number): void {
-    const open = new Map<string, number>();
-    for (const group of groups) {
-      if (group.head?.membership?.state === 'open') {
-        open.set(group.model ?? '', (open.get(group.model ?? '') ?? 0) + 1);
-      }
-    }
-    const summary = [...open].sort().map(([model, count]) => `${model}:${count}`);
-    const text = summary.join(',');
-    if (text !== this.#lastCapacity) {
-      this.#lastCapacity = text;
-      const forming = this.#formations.size;
-      const staging = this.#stagings.size;
-      const shares = profile.models.map(model => `${model.name}:${model.workShare.toFixed(2)}`);
-      const demand = shares.join(',');
-      this.#options.log.info('capacity changed', { open: text, demand, forming, free, staging });
-    }
-  }
-
   // Formations count from their beginning; `fabricDomain` limits them to one domain.
   #groupCounts(groups: readonly ReplicaGroup[], fabricDomain?: string): Map<string, number> {
     const counts = new Map<string, number>();
--- a/packages/entry/src/lease/lease-task.ts
+++ b/packages/entry/src/lease/lease-task.ts
@@ -78,6 +78,11 @@
     }
   }
 
+  /** Ends the task; a lease that is held lapses by itself. */
+  abandon(): void {
+    this.#abort.abort();
+  }
+
   /** Ends the task and gives the lease back. */
   async stop(): Promise<void> {
     this.#abort.abort();
