A stream of which nothing is left carries the head of its host

Ruled out: a host that leaves its stamp out (the attempt checks it). Test: 'a stream of which nothing is left still carries the stamp of its host' failed before, passes.

--- a/packages/entry/src/requests/stream-relay.ts
+++ b/packages/entry/src/requests/stream-relay.ts
@@ -122,6 +122,10 @@
     this.#attempt = attempt;
     const end = await attempt.run();
     this.#attempt = undefined;
+    if (end.kind === 'complete') {
+      // A stream of which nothing was left has a head all the same.
+      this.#sendHead(attempt.head);
+    }
     this.#note(end);
     return end.kind === 'complete' && this.#events.pendingBytes > 0
       ? { kind: 'lost', detail: 'torn' }
@@ -155,11 +159,7 @@
     const { response, arrivedAt, route } = this.#context;
     const now = monotonicMs();
     if (!response.headersSent) {
-      const head = this.#attempt?.head;
-      if (head === undefined) {
-        return;
-      }
-      response.writeHead(200, endToEndHeaders(head.rawHeaders, DROPPED_HEADERS));
+      this.#sendHead(this.#attempt?.head);
       this.#services.latencies.record('first_event', { route: route.name }, now - arrivedAt);
     } else {
       this.#services.latencies.record('event_gap', {}, now - this.#lastSentAt);
@@ -170,6 +170,13 @@
     }
   }
 
+  #sendHead(head: IncomingMessage | undefined): void {
+    const { response } = this.#context;
+    if (head !== undefined && !response.headersSent) {
+      response.writeHead(200, endToEndHeaders(head.rawHeaders, DROPPED_HEADERS));
+    }
+  }
+
   #finish(): void {
     const { response, route, arrivedAt } = this.#context;
     const { counters, latencies } = this.#services;
