Order giver: each load goes where it takes most work off a group

Cause: with six loads at a time (0.4 a second) loads were the scarce part: spares of one model were staged anew for the other while one load would have completed a group (20 free hosts, 2 of 8 groups).

--- a/packages/entry/src/groups/group-task.ts
+++ b/packages/entry/src/groups/group-task.ts
@@ -28,8 +28,7 @@
 import type { ReplicaGroup } from './replica-groups.js';
 import { replicaGroups } from './replica-groups.js';
 import { Settling } from './settling.js';
-import type { SpareInput } from './spare-plan.js';
-import { planStagings } from './spare-plan.js';
+import { planStagings } from './staging-plan.js';
 
 /** Options of a group task. */
 export type GroupTaskOptions = {
@@ -293,27 +292,23 @@
     profile: EngineProfile,
     view: GuardView,
   ): void {
-    let loadsLeft = view.beliefs.loadsLeft;
-    const input: SpareInput = {
+    const domains = byFabricDomain(spares).map(({ fabricDomain, hosts }) => {
+      const own = groups.filter(group => group.fabricDomain === fabricDomain);
+      return { fabricDomain, free: hosts, groupCounts: this.#groupCounts(own, fabricDomain) };
+    });
+    const planned = planStagings({
       profile,
+      domains,
+      groupCounts: this.#groupCounts(groups),
       targets,
-      counts: this.#groupCounts(groups),
       stagingNow: id => this.#stagings.get(id)?.model,
-    };
-    for (const domain of byFabricDomain(spares)) {
-      const own = groups.filter(group => group.fabricDomain === domain.fabricDomain);
-      const groupCounts = this.#groupCounts(own, domain.fabricDomain);
-      for (const staging of planStagings({ spares: domain.hosts, groupCounts }, input)) {
-        if (loadsLeft <= 0) {
-          return;
-        }
-        loadsLeft -= 1;
-        const { host, model } = staging;
-        const deadline = view.now + model.loadMs * LOAD_SLACK_FACTOR + STAGING_SLACK_MS;
-        this.#stagings.set(host.id, { model: model.name, deadline });
-        this.#loads.note(view.now);
-        this.#send({ host, order: { kind: 'stage', model: model.name }, reason: 'spare' }, view);
-      }
+      loadsLeft: view.beliefs.loadsLeft,
+    });
+    for (const { host, model } of planned) {
+      const deadline = view.now + model.loadMs * LOAD_SLACK_FACTOR + STAGING_SLACK_MS;
+      this.#stagings.set(host.id, { model: model.name, deadline });
+      this.#loads.note(view.now);
+      this.#send({ host, order: { kind: 'stage', model: model.name }, reason: 'spare' }, view);
     }
   }
 
