--- a/packages/entry/src/entry-host.ts
+++ b/packages/entry/src/entry-host.ts
@@ -60,7 +60,7 @@
 const CONNECTION_PARTS = 12;
 const MIN_CONNECTIONS = 4;
 /** Time that callers' balancers need to notice that this host is leaving. */
-const NOTICE_MS = 3_000;
+const NOTICE_MS = 2_600;
 const GRACE_MARGIN_MS = 700;
 const DRAIN_STEP_MS = 50;
 
@@ -161,14 +161,13 @@
     clearInterval(this.#planTimer);
     await this.#lease.stop();
     const startedAt = monotonicMs();
+    await sleep(NOTICE_MS);
+    // Whoever still holds an idle connection would send into a host that is about to end.
+    this.#callers.close();
     const limit = settings.bounds.graceMs - GRACE_MARGIN_MS;
-    for (;;) {
-      const elapsed = monotonicMs() - startedAt;
-      const idle = this.#intake.open === 0 && elapsed >= NOTICE_MS;
-      if (idle || elapsed >= limit) {
-        break;
-      }
+    while (this.#intake.open > 0 && monotonicMs() - startedAt < limit) {
       await sleep(DRAIN_STEP_MS);
+      this.#callers.closeIdle();
     }
     log.info('entry host stopped', { open: this.#intake.open });
     this.end();
--- /dev/null
+++ b/packages/entry/src/requests/attempt-log.test.ts
@@ -0,0 +1,57 @@
+import { expect } from 'chai';
+
+import { RetryBudget } from '../routing/retry-budget.js';
+import { monotonicMs } from '../server/time.js';
+import { AttemptLog } from './attempt-log.js';
+import type { RequestContext } from './request-context.js';
+
+function contextOf(route: Partial<RequestContext['route']>): RequestContext {
+  return {
+    route: { kind: 'stream', resumable: true, maxAttempts: 2, ...route },
+    gone: new AbortController().signal,
+    deadline: monotonicMs() + 5_000,
+  } as RequestContext;
+}
+
+function fullBudget(): RetryBudget {
+  return new RetryBudget({ ratio: 0.2, slack: 160, windowMs: 10_000 });
+}
+
+describe('attempts of one request', () => {
+  it('are bounded by the route, whatever has become of the hosts', () => {
+    const log = new AttemptLog(contextOf({ maxAttempts: 2 }), fullBudget());
+    log.noteSent('first');
+    log.noteMayRun();
+    expect(log.takeRetry()).to.equal(true);
+    log.noteSent('second');
+    expect(log.takeRetry()).to.equal(false);
+  });
+
+  it('do not count where nothing left this process', () => {
+    const log = new AttemptLog(contextOf({ maxAttempts: 1 }), fullBudget());
+    log.noteSent('unreachable');
+    log.noteNeverSent();
+    expect(log.takeRetry()).to.equal(true);
+  });
+
+  it('end when a call that may not be repeated may have run', () => {
+    const log = new AttemptLog(
+      contextOf({ kind: 'non-idempotent', resumable: false }),
+      fullBudget(),
+    );
+    log.noteSent('first');
+    expect(log.canRetry()).to.equal(true);
+    log.noteMayRun();
+    expect(log.canRetry()).to.equal(false);
+  });
+
+  it('spend the budget of all hosts', () => {
+    const budget = new RetryBudget({ ratio: 0, slack: 16, windowMs: 10_000 });
+    const first = new AttemptLog(contextOf({}), budget);
+    first.noteSent('host');
+    expect(first.takeRetry()).to.equal(true);
+    const second = new AttemptLog(contextOf({}), budget);
+    second.noteSent('host');
+    expect(second.takeRetry()).to.equal(false);
+  });
+});
--- a/packages/entry/src/requests/attempt-log.ts
+++ b/packages/entry/src/requests/attempt-log.ts
@@ -1,5 +1,4 @@
 /** The hosts that one request was sent to, and whether it may be sent again. */
-import type { HostRegistry } from '../hosts/host-registry.js';
 import type { RetryBudget } from '../routing/retry-budget.js';
 import { monotonicMs } from '../server/time.js';
 import type { RequestContext } from './request-context.js';
@@ -11,15 +10,13 @@
 /** Keeps the attempts of one request; the only place that says whether it may be sent again. */
 export class AttemptLog {
   readonly #context: RequestContext;
-  readonly #registry: HostRegistry;
   readonly #budget: RetryBudget;
   readonly #tried = new Set<string>();
   #mayHaveRun = false;
   #neverSent = 0;
 
-  constructor(context: RequestContext, registry: HostRegistry, budget: RetryBudget) {
+  constructor(context: RequestContext, budget: RetryBudget) {
     this.#context = context;
-    this.#registry = registry;
     this.#budget = budget;
   }
 
@@ -68,20 +65,10 @@
     if (this.#mayHaveRun && !mayRepeat(route)) {
       return false;
     }
-    return this.#attemptsThatCount() < route.maxAttempts;
-  }
-
-  // Hosts that have ended meanwhile do not count, nor does what never left.
-  #attemptsThatCount(): number {
-    let count = -this.#neverSent;
-    for (const id of this.#tried) {
-      if (this.#registry.get(id) !== undefined) {
-        count += 1;
-      }
-    }
-    return Math.max(0, count);
+    return this.#arrivals() < route.maxAttempts;
   }
 
+  // A host that has ended counts too: entries also go while their hosts live on.
   #arrivals(): number {
     return this.#tried.size - this.#neverSent;
   }
--- a/packages/entry/src/requests/plain-relay.ts
+++ b/packages/entry/src/requests/plain-relay.ts
@@ -46,7 +46,7 @@
     this.#context = context;
     this.#services = services;
     const budget = services.budgetOf(context.service.name);
-    this.#log = new AttemptLog(context, services.registry, budget);
+    this.#log = new AttemptLog(context, budget);
   }
 
   /** Sends the call until it is answered or may not be sent again; then answers. */
--- a/packages/entry/src/requests/stream-attempt.ts
+++ b/packages/entry/src/requests/stream-attempt.ts
@@ -18,8 +18,8 @@
   | { readonly kind: 'never-sent' }
   /** The host answered with a failure of its own. */
   | { readonly kind: 'failed'; readonly head: IncomingMessage; readonly body: Buffer }
-  /** It stood still and was given up. */
-  | { readonly kind: 'stalled' }
+  /** Another attempt went on instead. */
+  | { readonly kind: 'superseded' }
   | { readonly kind: 'lost'; readonly detail: string };
 
 /** What a run is given by its relay. */
@@ -27,8 +27,8 @@
   readonly lastEventId: string | undefined;
   /** Bytes of an answer that is the own one. */
   readonly events: (chunk: Buffer) => void;
-  /** True when the stream could go on elsewhere. */
-  readonly mayMove: () => boolean;
+  /** The run stands still; called at each look while it does. */
+  readonly stalled: () => void;
 };
 
 const CONNECT_TIMEOUT_MS = 300;
@@ -53,7 +53,7 @@
   #exchange: Exchange | undefined;
   #head: IncomingMessage | undefined;
   #invalid: string | undefined;
-  #stalled = false;
+  #superseded = false;
   #suspected = false;
   #paused = false;
   #begun = false;
@@ -119,6 +119,12 @@
     this.#exchange?.cancel();
   }
 
+  /** Gives the run up because another attempt has delivered. */
+  supersede(): void {
+    this.#superseded = true;
+    this.#exchange?.cancel();
+  }
+
   /** Stops reading until the caller has taken what was written. */
   pauseUntilDrained(response: ServerResponse): void {
     if (this.#paused) {
@@ -153,10 +159,7 @@
         suspect(this.#target.group);
       }
     }
-    if (this.#options.mayMove()) {
-      this.#stalled = true;
-      this.#exchange?.cancel();
-    }
+    this.#options.stalled();
   }
 
   #limitMs(hostSilent: boolean): number {
@@ -217,8 +220,8 @@
     ) {
       return { kind: 'not-run' };
     }
-    if (this.#stalled) {
-      return { kind: 'stalled' };
+    if (this.#superseded) {
+      return { kind: 'superseded' };
     }
     if (this.#invalid !== undefined || head === undefined) {
       return { kind: 'lost', detail: this.#invalid ?? how };
@@ -238,7 +241,8 @@
     if (end.kind === 'complete' || this.#context.gone.aborted) {
       return;
     }
-    if (end.kind !== 'stalled') {
+    // What stood still has been noted when it was suspected.
+    if (end.kind !== 'superseded') {
       activities.noteFailure(this.#target.host.id);
     }
     log.warn('attempt failed', {
--- a/packages/entry/src/requests/stream-relay.ts
+++ b/packages/entry/src/requests/stream-relay.ts
@@ -33,7 +33,10 @@
   readonly #services: RelayServices;
   readonly #log: AttemptLog;
   readonly #events: EventForwarder;
-  #attempt: StreamAttempt | undefined;
+  readonly #running = new Set<StreamAttempt>();
+  /** The attempt whose events are passed on. */
+  #leader: StreamAttempt | undefined;
+  #finishSend: ((end: StreamAttemptEnd) => void) | undefined;
   #failure: IncomingMessage | undefined;
   #failureBody: Buffer | undefined;
   #lastSentAt = 0;
@@ -42,7 +45,7 @@
     this.#context = context;
     this.#services = services;
     const budget = services.budgetOf(context.service.name);
-    this.#log = new AttemptLog(context, services.registry, budget);
+    this.#log = new AttemptLog(context, budget);
     this.#events = new EventForwarder(context.lastEventId);
   }
 
@@ -54,7 +57,9 @@
       return;
     }
     const cancel = (): void => {
-      this.#attempt?.cancel();
+      this.#running.forEach(attempt => {
+        attempt.cancel();
+      });
     };
     gone.addEventListener('abort', cancel);
     const timer = setTimeout(cancel, Math.max(1, deadline - DEADLINE_MARGIN_MS - monotonicMs()));
@@ -108,28 +113,82 @@
     }
   }
 
-  async #send(target: Target): Promise<StreamAttemptEnd> {
-    this.#log.noteSent(target.host.id);
+  // While an attempt stands still a second one may run beside it; the first that goes on wins, so
+  // that a wrong suspicion never ends an answer.
+  #send(target: Target): Promise<StreamAttemptEnd> {
     this.#events.restart();
     this.#failure = undefined;
-    const attempt = new StreamAttempt(this.#context, this.#services, target, {
+    return new Promise(resolve => {
+      this.#finishSend = resolve;
+      this.#leader = this.#start(target);
+    });
+  }
+
+  #start(target: Target): StreamAttempt {
+    this.#log.noteSent(target.host.id);
+    const attempt: StreamAttempt = new StreamAttempt(this.#context, this.#services, target, {
       lastEventId: this.#events.lastEventId,
       events: chunk => {
+        this.#lead(attempt);
         this.#forward(chunk);
       },
-      mayMove: () => this.#mayMove(),
+      stalled: () => {
+        this.#startBackup(attempt);
+      },
     });
-    this.#attempt = attempt;
-    const end = await attempt.run();
-    this.#attempt = undefined;
-    if (end.kind === 'complete') {
+    this.#running.add(attempt);
+    void attempt.run().then(end => {
+      this.#ended(attempt, end);
+    });
+    return attempt;
+  }
+
+  #startBackup(stalled: StreamAttempt): void {
+    const { service, model } = this.#context;
+    const query = { service, model, exclude: this.#log.tried };
+    const { chooser, counters } = this.#services;
+    const possible = stalled === this.#leader && this.#running.size === 1;
+    if (!possible || !this.#log.couldMove() || !chooser.hasSound(query)) {
+      return;
+    }
+    const target = chooser.choose(query);
+    if (target !== undefined && this.#log.takeRetry()) {
+      counters.count('retries_total', { service: 'engine', after: 'stalled' });
+      this.#start(target);
+    }
+  }
+
+  // The attempt has delivered: the other one, if any, is not needed any more.
+  #lead(attempt: StreamAttempt): void {
+    if (attempt !== this.#leader) {
+      this.#leader = attempt;
+      this.#events.restart();
+    }
+    for (const other of this.#running) {
+      if (other !== attempt) {
+        other.supersede();
+      }
+    }
+  }
+
+  #ended(attempt: StreamAttempt, end: StreamAttemptEnd): void {
+    this.#running.delete(attempt);
+    this.#note(end);
+    const torn = end.kind === 'complete' && this.#events.pendingBytes > 0;
+    if (end.kind === 'complete' && !torn) {
+      this.#lead(attempt);
       // A stream of which nothing was left has a head all the same.
       this.#sendHead(attempt.head);
+      this.#finishSend?.(end);
+      return;
+    }
+    const [other] = this.#running;
+    if (other === undefined) {
+      this.#finishSend?.(torn ? { kind: 'lost', detail: 'torn' } : end);
+    } else if (attempt === this.#leader) {
+      this.#leader = other;
+      this.#events.restart();
     }
-    this.#note(end);
-    return end.kind === 'complete' && this.#events.pendingBytes > 0
-      ? { kind: 'lost', detail: 'torn' }
-      : end;
   }
 
   #note(end: StreamAttemptEnd): void {
@@ -144,13 +203,6 @@
     }
   }
 
-  #mayMove(): boolean {
-    const { service, model } = this.#context;
-    const query = { service, model, exclude: this.#log.tried };
-    const { chooser } = this.#services;
-    return this.#log.couldMove() && chooser.hasSound(query);
-  }
-
   #forward(chunk: Buffer): void {
     const events = this.#events.feed(chunk);
     if (events === undefined) {
@@ -159,14 +211,14 @@
     const { response, arrivedAt, route } = this.#context;
     const now = monotonicMs();
     if (!response.headersSent) {
-      this.#sendHead(this.#attempt?.head);
+      this.#sendHead(this.#leader?.head);
       this.#services.latencies.record('first_event', { route: route.name }, now - arrivedAt);
     } else {
       this.#services.latencies.record('event_gap', {}, now - this.#lastSentAt);
     }
     this.#lastSentAt = now;
     if (!response.write(events)) {
-      this.#attempt?.pauseUntilDrained(response);
+      this.#leader?.pauseUntilDrained(response);
     }
   }
 
--- a/packages/entry/src/server/caller-server.ts
+++ b/packages/entry/src/server/caller-server.ts
@@ -53,6 +53,11 @@
   /** Closes connections that wait for nothing, and takes no new ones. */
   close(): void {
     this.#server.close();
+    this.closeIdle();
+  }
+
+  /** Closes connections that wait for nothing. */
+  closeIdle(): void {
     this.#server.closeIdleConnections();
   }
 }
