Answers without a length keep none; streams that end with their connection go on elsewhere

Ruled out: a reset (those end as broken already). Tests: 'an answer without a length gets none on the way' and 'a stream that ends with its connection only goes on elsewhere' failed before, pass now.

--- a/packages/entry/src/requests/plain-relay.ts
+++ b/packages/entry/src/requests/plain-relay.ts
@@ -87,9 +87,11 @@
     }
   }
 
-  // An own failure of a host is worth another try only where the call may run again.
+  // An own failure of a host, or an answer of which nobody can tell whether it is whole, is worth
+  // another try only where the call may run again.
   #worthRetrying(answer: WholeAnswer): boolean {
-    return (answer.head.statusCode ?? 0) >= 500 && mayRepeat(this.#context.route);
+    const doubtful = (answer.head.statusCode ?? 0) >= 500 || !isFramed(answer.head);
+    return doubtful && mayRepeat(this.#context.route);
   }
 
   #attempt(target: Target): Promise<AttemptEnd> {
@@ -204,7 +206,13 @@
     const { response, route, arrivedAt } = this.#context;
     const { counters, latencies } = this.#services;
     const headers = endToEndHeaders(answer.head.rawHeaders, NOTHING_DROPPED);
-    headers.push('Content-Length', String(answer.body.length));
+    if (isFramed(answer.head)) {
+      headers.push('Content-Length', String(answer.body.length));
+    } else {
+      // The connection's end is the only end this answer had, so it gets no other one here.
+      response.useChunkedEncodingByDefault = false;
+      response.shouldKeepAlive = false;
+    }
     response.writeHead(answer.head.statusCode ?? 502, headers);
     response.end(answer.body);
     counters.count('answers_total', { kind: route.kind, status: String(answer.head.statusCode) });
@@ -242,6 +250,12 @@
   }
 }
 
+/** False when an answer ends with its connection, so that nobody can tell whether it is whole. */
+export function isFramed(head: IncomingMessage): boolean {
+  const { headers } = head;
+  return headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
+}
+
 /** True when the host says that it has not run the request and will not. */
 export function saysNotRun(head: IncomingMessage, notExecuted: string): boolean {
   return head.headers[notExecuted] !== undefined || head.statusCode === 421;
--- a/packages/entry/src/requests/stream-attempt.ts
+++ b/packages/entry/src/requests/stream-attempt.ts
@@ -5,7 +5,7 @@
 import { monotonicMs } from '../server/time.js';
 import type { Exchange, ExchangeEnd } from './exchange.js';
 import { startExchange } from './exchange.js';
-import { saysNotRun } from './plain-relay.js';
+import { isFramed, saysNotRun } from './plain-relay.js';
 import type { RelayServices } from './relay-services.js';
 import type { RequestContext } from './request-context.js';
 import { mayRepeat } from './request-context.js';
@@ -232,7 +232,8 @@
     if (head.statusCode !== 200) {
       return { kind: 'failed', head, body: Buffer.concat(this.#failureChunks) };
     }
-    return { kind: 'complete' };
+    // Where the connection's end is the only end, the stream may lack its last events.
+    return isFramed(head) ? { kind: 'complete' } : { kind: 'lost', detail: 'unframed' };
   }
 
   #learn(end: StreamAttemptEnd): void {
