Order giver: an accepted order is not sent again before the entry can tell of it; trace of a request

Ruled out: lost answers. 'hingescale trace ID FILES' tells one request's story; streams that stand still are logged with what decided it.

--- a/packages/cli/src/bin-hingescale.ts
+++ b/packages/cli/src/bin-hingescale.ts
@@ -9,6 +9,7 @@
 import { burnHtml, burnText } from './burn-output.js';
 import { readFiles } from './files.js';
 import { diffText, explanationText, historyText, print, printJson, statusText } from './output.js';
+import { traceFiles } from './trace.js';
 import { waitInForce } from './wait-in-force.js';
 
 const WATCH_MS = 1_000;
@@ -70,6 +71,22 @@
       await apply(argv, argv.paths as string[], argv);
     },
   )
+  .command(
+    'trace <request> <files..>',
+    'tell the story of one request from log files of entry hosts',
+    builder =>
+      builder
+        .positional('request', {
+          type: 'string',
+          demandOption: true,
+          describe: 'id of the request',
+        })
+        .positional('files', { type: 'string', array: true, demandOption: true })
+        .example('$0 trace ae50393258ceefcc entry-*.log', ''),
+    argv => {
+      trace(argv.request, argv.files as string[]);
+    },
+  )
   .command(
     'history',
     'list accepted revisions',
@@ -225,3 +242,13 @@
   process.stderr.write(`hingescale: ${message ?? error?.message ?? 'failed'}\n`);
   process.exit(message === undefined ? EXIT_CODES.failure : EXIT_CODES.findings);
 }
+
+function trace(requestId: string, files: readonly string[]): void {
+  const story = traceFiles(requestId, files);
+  if (story.length === 0) {
+    process.stderr.write(`no line names request ${requestId}\n`);
+    process.exitCode = EXIT_CODES.failure;
+    return;
+  }
+  print(story.join('\n'));
+}
--- a/packages/entry/src/groups/group-task.ts
+++ b/packages/entry/src/groups/group-task.ts
@@ -51,16 +51,22 @@
 const EPOCHS_PER_TERM = 1_000;
 /** Time a formation has beyond what its loads should take, in milliseconds. */
 const FORMATION_SLACK_MS = 4_000;
+/** Time in which the entry of a host shows what an order has brought, in milliseconds. */
+const ENTRY_LAG_MS = 900;
 const STAGING_SLACK_MS = 10_000;
 const LOAD_SLACK_FACTOR = 2;
 /** Loads beyond those that run at full speed, so that none of these places stays empty. */
 const EXTRA_LOADS = 1;
 
+/** The last order that a host has accepted. */
+type AcceptedOrder = { readonly order: HostOrder; readonly at: number };
+
 /** The order giver's decisions for one service. */
 export class GroupTask {
   readonly #options: GroupTaskOptions;
   readonly #formations = new Map<string, Formation>();
   readonly #stagings = new Map<string, Staging>();
+  readonly #lastAccepted = new Map<string, AcceptedOrder>();
   readonly #observer: GroupObserver;
   readonly #loads: LoadBudget;
   readonly #settling = new Settling();
@@ -314,6 +320,9 @@
 
   #send(planned: PlannedOrder, view: GuardView): void {
     const { host, order, reason } = planned;
+    if (this.#isAnswered(host, order, view.now)) {
+      return;
+    }
     const refusal = refuseOrder(host, order, view);
     if (refusal !== undefined) {
       this.#options.counters.count('orders_held_back_total', { order: order.kind, refusal });
@@ -329,8 +338,21 @@
       });
   }
 
+  // The host has taken this order a moment ago; its entry tells of it a little later.
+  #isAnswered(host: HostEntry, order: HostOrder, now: number): boolean {
+    const last = this.#lastAccepted.get(host.id);
+    if (last === undefined || now - last.at > ENTRY_LAG_MS || last.order.kind !== order.kind) {
+      return false;
+    }
+    const group = 'group' in order ? order.group : undefined;
+    return group !== undefined && 'group' in last.order && last.order.group === group;
+  }
+
   #take(host: HostEntry, order: HostOrder, outcome: OrderOutcome | undefined): void {
     const accepted = outcome === 'begun' || outcome === 'done';
+    if (accepted) {
+      this.#lastAccepted.set(host.id, { order, at: monotonicMs() });
+    }
     if (order.kind === 'leave' && accepted) {
       this.#observer.noteLeft(order.group, host.id);
       this.#formations.delete(order.group);
--- a/packages/entry/src/requests/stream-attempt.ts
+++ b/packages/entry/src/requests/stream-attempt.ts
@@ -155,6 +155,15 @@
     if (!this.#suspected) {
       this.#suspected = true;
       activities.noteFailure(hostId);
+      this.#services.log.info('attempt stands still', {
+        request: this.#context.id,
+        host: hostId,
+        group: this.#target.group?.name,
+        begun: this.#begun,
+        silentMs: Math.round(silence),
+        hostSilentMs: Math.round(hostSilence),
+        limitMs: Math.round(limit),
+      });
       if (this.#target.group !== undefined) {
         suspect(this.#target.group);
       }
