--- a/packages/controller/src/admin/app.ts
+++ b/packages/controller/src/admin/app.ts
@@ -1,8 +1,8 @@
 /** Administration API of a controller: configuration, status, explanations, drains. */
 import type { ConfigurationFile, ConfigurationHead, ConfigurationRevision } from '@hingescale/core';
 import { ProblemError } from '@hingescale/core';
-import type { ChangeError, PlatformClient } from '@hingescale/platform';
-import { acceptChange, readRevision } from '@hingescale/platform';
+import type { ChangeError, PlatformClient } from '@hingescale/object-store';
+import { acceptChange, readRevision } from '@hingescale/object-store';
 import type { Log, Metrics } from '@hingescale/runtime';
 import { createApp, finishApp, methodNotAllowed, newUuid } from '@hingescale/runtime';
 import type { Express, NextFunction, Request, Response } from 'express';
--- a/packages/controller/src/controller.ts
+++ b/packages/controller/src/controller.ts
@@ -3,7 +3,7 @@
 import { ProblemError } from '@hingescale/core';
 import type { PollReply, PollRequest } from '@hingescale/link';
 import { LINK_REQUESTS, LinkPool, LinkServer } from '@hingescale/link';
-import type { PlatformClient } from '@hingescale/platform';
+import type { PlatformClient } from '@hingescale/object-store';
 import {
   ConfigurationHolder,
   connectPlatform,
@@ -11,7 +11,7 @@
   ObjectWatcher,
   readRevision,
   watchConfiguration,
-} from '@hingescale/platform';
+} from '@hingescale/object-store';
 import type { HttpServer, Log, RunningServer } from '@hingescale/runtime';
 import {
   createLog,
--- a/packages/controller/src/groups/group-task.ts
+++ b/packages/controller/src/groups/group-task.ts
@@ -24,7 +24,7 @@
   ObjectWatcher,
   PlatformClient,
   StoredObject,
-} from '@hingescale/platform';
+} from '@hingescale/object-store';
 import type { Log, Metrics } from '@hingescale/runtime';
 import { monotonicMs, newUuid, sleep, Task } from '@hingescale/runtime';
 import type { HostClient, MemberProber } from '@hingescale/upstream';
--- a/packages/controller/src/lease/lease-task.ts
+++ b/packages/controller/src/lease/lease-task.ts
@@ -1,7 +1,7 @@
 /** The lease of the failure domain: takes it, renews it, and knows until when it is held. */
 import type { KeyOwnerTable, Lease, LeaseObservation } from '@hingescale/core';
 import { emptyKeyTable, holderDeadline, mayTakeOver } from '@hingescale/core';
-import type { PlatformClient, PlatformError, StoredObject } from '@hingescale/platform';
+import type { PlatformClient, PlatformError, StoredObject } from '@hingescale/object-store';
 import type { Log, Metrics } from '@hingescale/runtime';
 import { monotonicMs, newUuid, sleep, Task } from '@hingescale/runtime';
 import type { Result } from 'true-myth';
--- a/packages/controller/src/views/domain-task.ts
+++ b/packages/controller/src/views/domain-task.ts
@@ -1,7 +1,7 @@
 /** Keeps the view of the own failure domain in step with ledgers, hosts and configuration. */
 import type { DomainView, Ledger } from '@hingescale/core';
 import { buildView } from '@hingescale/core';
-import type { ConfigurationHolder, HostWatcher, ObjectWatcher } from '@hingescale/platform';
+import type { ConfigurationHolder, HostWatcher, ObjectWatcher } from '@hingescale/object-store';
 import { Task } from '@hingescale/runtime';
 import type { MemberProber } from '@hingescale/upstream';
 
--- a/packages/controller/src/views/peer-task.ts
+++ b/packages/controller/src/views/peer-task.ts
@@ -1,7 +1,7 @@
 /** Polls the other controllers: own candidates for the lease holder, remote ones for their views. */
 import type { LinkPool, PollReply, PollRequest } from '@hingescale/link';
 import { LINK_REQUESTS } from '@hingescale/link';
-import type { ConfigurationHolder } from '@hingescale/platform';
+import type { ConfigurationHolder } from '@hingescale/object-store';
 import { monotonicMs, sleep, Task } from '@hingescale/runtime';
 
 import type { RemoteDomains } from './remote-domains.js';
--- a/packages/controller/src/views/poll-handler.ts
+++ b/packages/controller/src/views/poll-handler.ts
@@ -8,7 +8,7 @@
   PollReply,
   PollRequest,
 } from '@hingescale/link';
-import type { ConfigurationHolder } from '@hingescale/platform';
+import type { ConfigurationHolder } from '@hingescale/object-store';
 import { monotonicMs } from '@hingescale/runtime';
 import type { MemberProber } from '@hingescale/upstream';
 
--- a/packages/gateway/src/domain/controller-task.ts
+++ b/packages/gateway/src/domain/controller-task.ts
@@ -1,7 +1,7 @@
 /** Follows the controller of the failure domain; tells when none vouches for it any more. */
 import type { LinkPool, PollReply, PollRequest, WorkspaceUsage } from '@hingescale/link';
 import { LINK_REQUESTS } from '@hingescale/link';
-import type { ConfigurationHolder } from '@hingescale/platform';
+import type { ConfigurationHolder } from '@hingescale/object-store';
 import type { Log, Metrics } from '@hingescale/runtime';
 import { monotonicMs, sleep, Task } from '@hingescale/runtime';
 
--- a/packages/gateway/src/domain/fallback-task.ts
+++ b/packages/gateway/src/domain/fallback-task.ts
@@ -4,8 +4,8 @@
  */
 import type { DomainView, Ledger } from '@hingescale/core';
 import { buildView, certificateExpiry } from '@hingescale/core';
-import type { ConfigurationHolder, PlatformClient } from '@hingescale/platform';
-import { HostWatcher, ObjectWatcher, watchConfiguration } from '@hingescale/platform';
+import type { ConfigurationHolder, PlatformClient } from '@hingescale/object-store';
+import { HostWatcher, ObjectWatcher, watchConfiguration } from '@hingescale/object-store';
 import type { Log, Metrics } from '@hingescale/runtime';
 import { monotonicMs, sleep, Task } from '@hingescale/runtime';
 import type { HostClient } from '@hingescale/upstream';
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -4,8 +4,8 @@
 import type { Configuration, FailureDomainId } from '@hingescale/core';
 import type { PollReply, WorkspaceUsage } from '@hingescale/link';
 import { LINK_REQUESTS, LinkPool, LinkServer } from '@hingescale/link';
-import type { PlatformClient } from '@hingescale/platform';
-import { ConfigurationHolder, connectPlatform, readRevision } from '@hingescale/platform';
+import type { PlatformClient } from '@hingescale/object-store';
+import { ConfigurationHolder, connectPlatform, readRevision } from '@hingescale/object-store';
 import type { HttpServer, Log, RunningServer } from '@hingescale/runtime';
 import {
   createLog,
--- a/packages/proofs/src/deployment/deployment.ts
+++ b/packages/proofs/src/deployment/deployment.ts
@@ -1,6 +1,6 @@
 /** A whole deployment on loopback: stand-ins in this process, gateways and controllers as children. */
 import type { Host } from '@hingescale/core';
-import { acceptChange, PlatformClient, readRevision } from '@hingescale/platform';
+import { acceptChange, PlatformClient, readRevision } from '@hingescale/object-store';
 import { silentLog, sleep } from '@hingescale/runtime';
 import type {
   EngineOptions,
--- a/packages/proofs/src/promises/08-configuration.test.ts
+++ b/packages/proofs/src/promises/08-configuration.test.ts
@@ -1,5 +1,5 @@
 /** Promise 8: an accepted configuration is in force everywhere within seconds and never reverts. */
-import { acceptChange } from '@hingescale/platform';
+import { acceptChange } from '@hingescale/object-store';
 import { sleep } from '@hingescale/runtime';
 import { expect } from 'chai';
 import { request } from 'undici';
