--- /dev/null
+++ b/packages/bench/src/days/own-day.test.ts
@@ -0,0 +1,31 @@
+import { expect } from 'chai';
+
+import { ownDay } from './own-day.js';
+
+const SITE = `name = "site"
+
+[[day]]
+name = "quiet-1"
+seed = 5
+plan = [
+  { at = 1.0, kind = "scale_out" },
+]
+faults = [
+]
+traffic = []
+
+[[day]]
+name = "other"
+`;
+
+describe('days of the project', () => {
+  it('are the same for a seed, and keep the frame of the first day', () => {
+    const day = ownDay(SITE, 7);
+    expect(day).to.equal(ownDay(SITE, 7));
+    expect(day).not.to.equal(ownDay(SITE, 8));
+    expect(day).to.contain('name = "own-7"');
+    expect(day).to.contain('kind = "scale_out"');
+    expect(day).not.to.contain('other');
+    expect(day.match(/\{ at = /g)).to.have.length(9);
+  });
+});
