--- a/packages/entry/src/entry-host.ts
+++ b/packages/entry/src/entry-host.ts
@@ -101,7 +101,8 @@
     this.#registry = new HostRegistry(options.readHost, log);
     this.#lease = new LeaseTask({
       store,
-      holder: this.#instance,
+      host: settings.name,
+      instance: this.#instance,
       timing: DEFAULT_LEASE_TIMING,
       log,
     });
--- /dev/null
+++ b/packages/entry/src/lease/lease-task.test.ts
@@ -0,0 +1,135 @@
+import { expect } from 'chai';
+
+import { silentLog } from '../server/log.js';
+import type { ObjectStore, StoredObject, WriteAnswer } from '../store/object-store.js';
+import { StoreError } from '../store/object-store.js';
+import type { LeaseTiming } from './lease-task.js';
+import { LeaseTask } from './lease-task.js';
+
+const TIMING: LeaseTiming = { renewMs: 30, holdMs: 120, expiryMs: 250 };
+
+/** One object, with writes that may be lost on their way or whose answers may be. */
+class LeaseStore {
+  object: StoredObject | undefined;
+  fails: 'nothing' | 'before' | 'after' = 'nothing';
+  #revision = 10;
+
+  readonly store: ObjectStore = {
+    list: () => Promise.reject(new StoreError('refused', 'not used')),
+    watch: () => Promise.reject(new StoreError('refused', 'not used')),
+    read: () => Promise.resolve(this.object),
+    create: (_kind, name, value) => this.#write(this.object === undefined, name, value),
+    replace: (_kind, name, value, revision) =>
+      this.#write(this.object?.revision === revision, name, value),
+    close: () => undefined,
+  };
+
+  #write(fits: boolean, name: string, value: unknown): Promise<WriteAnswer> {
+    if (this.fails === 'before') {
+      return Promise.reject(new StoreError('unanswered', 'lost'));
+    }
+    if (!fits) {
+      return Promise.resolve({ kind: 'conflict', object: this.object });
+    }
+    this.#revision += 1;
+    this.object = { name, revision: this.#revision, value };
+    if (this.fails === 'after') {
+      return Promise.reject(new StoreError('unanswered', 'answer lost'));
+    }
+    return Promise.resolve({ kind: 'written', object: this.object });
+  }
+}
+
+function candidate(store: LeaseStore, host: string, start = 1): LeaseTask {
+  const options = { store: store.store, host, instance: `${host}-${start}` };
+  return new LeaseTask({ ...options, timing: TIMING, log: silentLog() });
+}
+
+function wait(ms: number): Promise<void> {
+  return new Promise(resolve => setTimeout(resolve, ms));
+}
+
+describe('lease', () => {
+  let store: LeaseStore;
+  let tasks: LeaseTask[];
+
+  beforeEach(() => {
+    store = new LeaseStore();
+    tasks = [];
+  });
+
+  afterEach(() => {
+    tasks.forEach(task => {
+      task.abandon();
+    });
+  });
+
+  function start(host: string, incarnation = 1): LeaseTask {
+    const task = candidate(store, host, incarnation);
+    tasks.push(task);
+    void task.run();
+    return task;
+  }
+
+  it('is held by one at a time', async () => {
+    const all = ['a', 'b', 'c'].map(host => start(host));
+    for (let look = 0; look < 20; look++) {
+      await wait(20);
+      expect(all.filter(task => task.term !== undefined).length).to.be.at.most(1);
+    }
+    expect(all.filter(task => task.term !== undefined)).to.have.length(1);
+  });
+
+  it('passes on after its time, with a higher term, and not before', async () => {
+    const first = start('a');
+    await wait(60);
+    const term = first.term ?? 0;
+    const second = start('b');
+    await wait(60);
+    first.abandon();
+    await wait(100);
+    expect(second.term).to.equal(undefined);
+    await wait(350);
+    expect(second.term).to.be.greaterThan(term);
+  });
+
+  it('lapses at a holder that can not renew, before others may take it', async () => {
+    const first = start('a');
+    const second = start('b');
+    await wait(60);
+    const [holder, other] = first.term === undefined ? [second, first] : [first, second];
+    store.fails = 'before';
+    await wait(TIMING.holdMs + 40);
+    expect(holder.term).to.equal(undefined);
+    expect(other.term).to.equal(undefined);
+  });
+
+  it('is kept when the answer of a renewal was lost', async () => {
+    const first = start('a');
+    await wait(60);
+    store.fails = 'after';
+    await wait(40);
+    store.fails = 'nothing';
+    await wait(80);
+    expect(first.term).to.be.a('number');
+  });
+
+  it('goes at once to the next start of the host that held it', async () => {
+    const first = start('a', 1);
+    await wait(60);
+    expect(first.term).to.be.a('number');
+    first.abandon();
+    const again = start('a', 2);
+    await wait(70);
+    expect(again.term).to.be.greaterThan(first.term ?? 0);
+  });
+
+  it('is given back by a planned stop', async () => {
+    const first = start('a');
+    await wait(60);
+    await first.stop();
+    const second = start('b');
+    await wait(90);
+    expect(second.term).to.be.a('number');
+  });
+});
--- a/packages/entry/src/lease/lease-task.ts
+++ b/packages/entry/src/lease/lease-task.ts
@@ -30,8 +30,10 @@
 /** Options of a lease. */
 export type LeaseOptions = {
   readonly store: ObjectStore;
+  /** Name of this host, the same after each start. */
+  readonly host: string;
   /** Unique per start of the process. */
-  readonly holder: string;
+  readonly instance: string;
   readonly timing: LeaseTiming;
   readonly log: Log;
 };
@@ -42,7 +44,7 @@
 const LEASE_NAME = 'order-giver';
 const NOBODY = '';
 
-type LeaseValue = { readonly holder: string };
+type LeaseValue = { readonly holder: string; readonly host: string };
 
 /** Competes for the lease, and renews it while held. */
 export class LeaseTask {
@@ -92,7 +94,7 @@
     }
     this.#lose('stopping');
     try {
-      const value: LeaseValue = { holder: NOBODY };
+      const value: LeaseValue = { holder: NOBODY, host: this.#options.host };
       await this.#options.store.replace(OBJECT_KINDS.leases, LEASE_NAME, value, seen.revision);
     } catch {
       // It lapses by itself.
@@ -112,16 +114,23 @@
       return;
     }
     this.#note(found);
-    const free = holderOf(found) === NOBODY;
+    const free = holderOf(found) === NOBODY || this.#isEarlierStart(found);
     if (free || monotonicMs() - this.#seenAt >= timing.expiryMs) {
       await this.#write(this.#seen?.revision ?? found.revision);
     }
   }
 
+  // Another start of this host held it: that process has ended, so nobody is waited for.
+  #isEarlierStart(object: StoredObject): boolean {
+    const { host, instance } = this.#options;
+    const value = object.value as LeaseValue | null;
+    return value?.host === host && value.holder !== instance;
+  }
+
   async #create(): Promise<void> {
-    const { store, holder } = this.#options;
+    const { store, host, instance } = this.#options;
     const sentAt = monotonicMs();
-    const value: LeaseValue = { holder };
+    const value: LeaseValue = { holder: instance, host };
     const answer = await store.create(OBJECT_KINDS.leases, LEASE_NAME, value);
     if (answer.kind === 'written') {
       this.#hold(answer.object, sentAt);
@@ -129,10 +138,10 @@
   }
 
   async #write(revision: number): Promise<void> {
-    const { store, holder } = this.#options;
+    const { store, host, instance } = this.#options;
     const sentAt = monotonicMs();
     // A changing field makes each renewal a change of the object.
-    const value = { holder, renewal: Math.round(sentAt) };
+    const value = { holder: instance, host, renewal: Math.round(sentAt) };
     const answer = await store.replace(OBJECT_KINDS.leases, LEASE_NAME, value, revision);
     if (answer.kind === 'written') {
       this.#hold(answer.object, sentAt);
@@ -140,7 +149,7 @@
     }
     if (answer.object === undefined) {
       this.#lose('gone');
-    } else if (holderOf(answer.object) === holder) {
+    } else if (holderOf(answer.object) === instance) {
       // An earlier write of ours was done although its answer was lost.
       this.#hold(answer.object, this.#seenAt);
     } else {
@@ -150,12 +159,12 @@
   }
 
   #hold(object: StoredObject, sentAt: number): void {
-    const { timing, log, holder } = this.#options;
+    const { timing, log, instance } = this.#options;
     this.#note(object);
     this.#heldUntil = sentAt + timing.holdMs;
     if (this.#term === undefined) {
       this.#term = object.revision;
-      log.info('lease taken', { holder, term: this.#term });
+      log.info('lease taken', { holder: instance, term: this.#term });
       void this.messages.emit('taken', { term: this.#term });
     }
   }
--- a/packages/entry/src/store/watched-kind.ts
+++ b/packages/entry/src/store/watched-kind.ts
@@ -65,7 +65,9 @@
       observer.confirmed(sentAt);
       return;
     }
-    const answer = await store.watch(kind, this.#revision, waitMs);
+    // After a loss the first answer is wanted at once: it confirms what is known.
+    const wait = this.#failures > 0 ? 0 : waitMs;
+    const answer = await store.watch(kind, this.#revision, wait);
     if (answer.kind === 'expired') {
       this.#revision = undefined;
       return;
