Order protocol checked under any order of events; a sequence counts only with the belief it belongs to

The model showed what the sender lacked: a sequence that is asked for anew guards nothing while the entry is older than the report, so both are compared now. Measured: 20,000 random schedules of up to 120 events without a counterexample; one is found without the guard and one without the sequence.

--- a/packages/entry/src/groups/host-orders.ts
+++ b/packages/entry/src/groups/host-orders.ts
@@ -44,6 +44,8 @@
 /** What a host tells when asked. */
 export type HostReport = {
   readonly orderSequence: number;
+  /** Name of the group that the host is a member of. */
+  readonly group: string | undefined;
   /** Factor on the host's speed; over 1 is slow. */
   readonly pace: number;
 };
--- /dev/null
+++ b/packages/entry/src/groups/order-protocol.test.ts
@@ -0,0 +1,304 @@
+/**
+ * The order protocol under any order of events: two order givers with old views and a planner that
+ * orders anything, orders that are lost, late or doubled, and hosts that start anew. With the guard
+ * and the order sequence no group opens without its members, and no host is taken from an open
+ * group; without either of them a counterexample is found.
+ */
+import { expect } from 'chai';
+import fc from 'fast-check';
+
+import type { EngineProfile } from '../configuration/serving-configuration.js';
+import type { HostEntry, Membership } from '../hosts/host-entry.js';
+import type { GroupBeliefs } from './group-beliefs.js';
+import { GroupObserver } from './group-observer.js';
+import type { HostOrder } from './host-orders.js';
+import { refuseOrder } from './order-guard.js';
+import { replicaGroups } from './replica-groups.js';
+
+const HOSTS = 4;
+const SIZE = 2;
+const PROFILE: EngineProfile = {
+  models: [{ name: 'm', size: SIZE, pace: 1, workShare: 1, loadMs: 1, warmMs: 1 }],
+  slots: 1,
+  loadsPerSecond: 1,
+  loadsAtOnce: 1,
+};
+
+/** What is left out of the protocol, to show that it is needed. */
+type Protections = { readonly guard: boolean; readonly sequence: boolean };
+
+type ModelHost = {
+  id: string;
+  start: number;
+  sequence: number;
+  highestEpoch: number;
+  membership: Membership | undefined;
+  members: readonly string[];
+};
+type Sent = {
+  readonly host: string;
+  readonly start: number;
+  readonly order: HostOrder;
+  readonly expected: number;
+};
+
+/** One event, chosen by numbers so that counterexamples shrink. */
+type Step = {
+  readonly action: number;
+  readonly giver: number;
+  readonly a: number;
+  readonly b: number;
+};
+
+class Giver {
+  view: readonly HostEntry[] = [];
+  readonly observer = new GroupObserver(id => this.view.find(host => host.id === id));
+  readonly term: number;
+  formed = 0;
+
+  constructor(term: number) {
+    this.term = term;
+  }
+
+  see(view: readonly HostEntry[]): void {
+    this.view = view;
+    this.observer.observe(replicaGroups(view), PROFILE, 0);
+  }
+
+  beliefs(): GroupBeliefs {
+    return {
+      formations: new Map(),
+      stagings: new Map(),
+      heads: this.observer.heads,
+      incompleteSince: new Map(),
+      silent: new Set(),
+      unlisted: new Map(),
+      busy: new Set(),
+      loadsLeft: 9,
+    };
+  }
+}
+
+class World {
+  readonly hosts: ModelHost[] = Array.from({ length: HOSTS }, (_, index) => ({
+    id: `x${index}`,
+    start: 0,
+    sequence: 0,
+    highestEpoch: 0,
+    membership: undefined,
+    members: [],
+  }));
+  readonly givers = [new Giver(1), new Giver(2)];
+  readonly network: Sent[] = [];
+  readonly wasReady = new Set<string>();
+  broken: string | undefined;
+  readonly #protections: Protections;
+
+  constructor(protections: Protections) {
+    this.#protections = protections;
+  }
+
+  step({ action, giver: giverIndex, a, b }: Step): void {
+    const giver = this.givers[giverIndex % 2] as Giver;
+    const host = this.hosts[a % HOSTS] as ModelHost;
+    switch (action % 9) {
+      case 0:
+      case 1:
+        giver.see(this.hosts.map(entryOf));
+        break;
+      case 2:
+        this.#form(giver, host, this.hosts[(a + 1 + (b % (HOSTS - 1))) % HOSTS] as ModelHost);
+        break;
+      case 3:
+      case 4:
+        this.#toHead(giver, a, action % 9 === 3 ? 'open' : 'leave');
+        break;
+      case 5:
+        this.#finishLoad(host);
+        break;
+      case 6:
+      case 7:
+        this.#deliver(a, b % 3 === 0);
+        break;
+      default:
+        this.#restart(host);
+    }
+  }
+
+  #form(giver: Giver, head: ModelHost, other: ModelHost): void {
+    giver.formed += 1;
+    const epoch = giver.term * 1_000 + giver.formed;
+    const members = [head.id, other.id];
+    const order: HostOrder = { kind: 'join', group: `g${epoch}`, epoch, model: 'm', members };
+    for (const host of [head, other]) {
+      this.#send(giver, host, order);
+    }
+  }
+
+  #toHead(giver: Giver, pick: number, kind: 'open' | 'leave'): void {
+    const groups = replicaGroups(giver.view);
+    const group = groups[pick % Math.max(1, groups.length)];
+    const head = this.hosts.find(host => host.id === group?.head?.id);
+    if (group !== undefined && head !== undefined) {
+      this.#send(giver, head, { kind, group: group.name, epoch: group.epoch });
+    }
+  }
+
+  #send(giver: Giver, host: ModelHost, order: HostOrder): void {
+    const entry = giver.view.find(candidate => candidate.id === host.id);
+    // The sequence is asked for, and counts only while the host tells of the group that is believed.
+    if (entry === undefined || entry.membership?.group !== host.membership?.group) {
+      return;
+    }
+    const view = {
+      hosts: giver.view,
+      beliefs: giver.beliefs(),
+      bounds: { headlessMs: Infinity },
+      sizeOf: () => SIZE,
+      now: 0,
+    };
+    if (this.#protections.guard && refuseOrder(entry, order, view) !== undefined) {
+      return;
+    }
+    this.network.push({ host: host.id, start: host.start, order, expected: host.sequence });
+  }
+
+  #deliver(pick: number, again: boolean): void {
+    const index = pick % Math.max(1, this.network.length);
+    const sent = this.network[index];
+    if (sent === undefined) {
+      return;
+    }
+    if (!again) {
+      this.network.splice(index, 1);
+    }
+    const host = this.hosts.find(candidate => candidate.id === sent.host);
+    if (host !== undefined && host.start === sent.start) {
+      this.#carryOut(host, sent);
+    }
+  }
+
+  #carryOut(host: ModelHost, { order, expected }: Sent): void {
+    if (this.#protections.sequence && expected !== host.sequence) {
+      return;
+    }
+    if (order.kind === 'join') {
+      this.#join(host, order);
+    } else if (order.kind === 'open' || order.kind === 'leave') {
+      const own = host.membership;
+      if (own?.group !== order.group || own.epoch !== order.epoch) {
+        return;
+      }
+      host.sequence += 1;
+      if (order.kind === 'leave') {
+        host.membership = undefined;
+      } else if (own.rank === 0 && own.state === 'ready') {
+        this.#checkWhole(host);
+        host.membership = { ...own, state: 'open' };
+      }
+    }
+  }
+
+  #join(host: ModelHost, order: HostOrder & { kind: 'join' }): void {
+    if (order.epoch < host.highestEpoch || host.membership?.group === order.group) {
+      return;
+    }
+    this.#checkFree(host);
+    host.highestEpoch = order.epoch;
+    host.sequence += 1;
+    host.members = order.members;
+    const rank = order.members.indexOf(host.id);
+    host.membership = { group: order.group, epoch: order.epoch, rank, state: 'joining' };
+  }
+
+  #finishLoad(host: ModelHost): void {
+    if (host.membership?.state === 'joining') {
+      host.membership = { ...host.membership, state: 'ready' };
+      this.wasReady.add(`${host.membership.group} ${host.id}`);
+    }
+  }
+
+  // Every start of a host is another host with another id; the old one's orders reach nobody.
+  #restart(host: ModelHost): void {
+    host.start += 1;
+    host.id = `${host.id.split('.')[0]}.${host.start}`;
+    host.sequence = 0;
+    host.highestEpoch = 0;
+    host.membership = undefined;
+  }
+
+  #checkWhole(head: ModelHost): void {
+    const group = head.membership?.group;
+    if (!head.members.every(id => this.wasReady.has(`${group} ${id}`))) {
+      this.broken = `${group} opens although a member was never ready`;
+    }
+  }
+
+  #checkFree(host: ModelHost): void {
+    const own = host.membership;
+    const head = this.hosts.find(candidate => candidate.id === host.members[0]);
+    if (own !== undefined && head?.membership?.group === own.group) {
+      if (head.membership.state === 'open') {
+        this.broken = `${host.id} is taken from ${own.group}, which is open`;
+      }
+    }
+  }
+}
+
+function entryOf(host: ModelHost): HostEntry {
+  return {
+    id: host.id,
+    service: 'lm',
+    ip: '127.0.0.1',
+    port: 1,
+    failureDomain: 'a',
+    accepting: true,
+    fabricDomain: 'd0',
+    stagedModels: [],
+    loadedModel: host.membership === undefined ? undefined : 'm',
+    membership: host.membership,
+  };
+}
+
+function play(steps: readonly Step[], protections: Protections): string | undefined {
+  const world = new World(protections);
+  for (const step of steps) {
+    world.step(step);
+    if (world.broken !== undefined) {
+      return world.broken;
+    }
+  }
+  return undefined;
+}
+
+const STEP = fc.record({
+  action: fc.nat(8),
+  giver: fc.nat(1),
+  a: fc.nat(7),
+  b: fc.nat(5),
+});
+const SEED = 20_261_202;
+
+function counterexample(protections: Protections, runs: number): string | undefined {
+  const result = fc.check(
+    fc.property(fc.array(STEP, { minLength: 20, maxLength: 120, size: 'max' }), steps => {
+      return play(steps, protections) === undefined;
+    }),
+    { numRuns: runs, seed: SEED, endOnFailure: true },
+  );
+  return result.failed ? JSON.stringify(result.counterexample) : undefined;
+}
+
+describe('order protocol', () => {
+  it('keeps groups whole and apart under any order of events', () => {
+    expect(counterexample({ guard: true, sequence: true }, 20_000)).to.equal(undefined);
+  }).timeout(60_000);
+
+  it('breaks without the guard', () => {
+    expect(counterexample({ guard: false, sequence: true }, 20_000)).to.be.a('string');
+  }).timeout(60_000);
+
+  it('breaks without the order sequence', () => {
+    expect(counterexample({ guard: true, sequence: false }, 20_000)).to.be.a('string');
+  }).timeout(60_000);
+});
--- a/packages/entry/src/groups/order-sender.ts
+++ b/packages/entry/src/groups/order-sender.ts
@@ -73,7 +73,12 @@
       return known;
     }
     const untouched = host.membership === undefined && host.stagedModels.length === 0;
-    return untouched ? 0 : (await this.#orders.report(host, REPORT_TIMEOUT_MS))?.orderSequence;
+    if (untouched) {
+      return 0;
+    }
+    const report = await this.#orders.report(host, REPORT_TIMEOUT_MS);
+    // What is believed of the host has to be as new as its sequence, or the sequence guards nothing.
+    return report?.group === host.membership?.group ? report?.orderSequence : undefined;
   }
 
   async #learn(
@@ -90,8 +95,10 @@
       // A report shows the host as it stood a little earlier.
       await sleep(REPORT_LAG_MS);
       const report = await this.#orders.report(host, REPORT_TIMEOUT_MS);
-      if (report !== undefined) {
+      if (report !== undefined && report.group === host.membership?.group) {
         this.#sequences.set(host.id, report.orderSequence);
+      } else {
+        this.#sequences.delete(host.id);
       }
     } else if (outcome === 'done') {
       this.#sequences.set(host.id, expected);
