--- a/packages/entry/src/groups/group-beliefs.ts
+++ b/packages/entry/src/groups/group-beliefs.ts
@@ -41,6 +41,8 @@
   readonly incompleteSince: ReadonlyMap<string, number>;
   /** Hosts that did not answer when asked. */
   readonly silent: ReadonlySet<string>;
+  /** Hosts that answer again since a moment ago. */
+  readonly justBack: ReadonlySet<string>;
   /** Hosts whose entries went but that still answer. */
   readonly unlisted: ReadonlyMap<string, HostEntry>;
   /** Hosts with an order under way. */
--- a/packages/entry/src/groups/group-repair.ts
+++ b/packages/entry/src/groups/group-repair.ts
@@ -21,6 +21,10 @@
   if (head === undefined) {
     return undefined;
   }
+  // A head out of reach may be well, and so may members that were asked while it was.
+  if (beliefs.silent.has(head.id) || beliefs.justBack.has(head.id)) {
+    return undefined;
+  }
   const size = sizeOf(group, profile, beliefs);
   switch (headState(group)) {
     case 'open':
--- a/packages/entry/src/groups/group-task.ts
+++ b/packages/entry/src/groups/group-task.ts
@@ -151,6 +151,7 @@
       heads: this.#observer.heads,
       incompleteSince: this.#observer.incompleteSince,
       silent: prober.silent,
+      justBack: prober.justBack,
       unlisted: prober.unlisted,
       busy: sender.busy,
       loadsLeft: this.#loads.left(now, byRate, profile.loadsAtOnce + EXTRA_LOADS, running),
--- a/packages/entry/src/groups/member-prober.ts
+++ b/packages/entry/src/groups/member-prober.ts
@@ -19,7 +19,9 @@
 const DEPARTED_PERIOD_MS = 1_000;
 /** A suspicion is not looked into again within this time. */
 const SUSPICION_PERIOD_MS = 1_000;
-const SILENT_PERIOD_MS = 2_000;
+const SILENT_PERIOD_MS = 1_000;
+/** All silent hosts are asked again at least once in this time. */
+const JUST_BACK_MS = 1_800;
 
 /** Keeps which hosts do not answer. */
 export class MemberProber {
@@ -27,6 +29,7 @@
   readonly #silent = new Set<string>();
   readonly #unlisted = new Map<string, HostEntry>();
   readonly #asked = new Map<string, number>();
+  readonly #backSince = new Map<string, number>();
 
   constructor(options: MemberProberOptions) {
     this.#options = options;
@@ -37,6 +40,17 @@
     return this.#silent;
   }
 
+  /** Hosts that answer again since a moment ago: what is believed of their peers may be old. */
+  get justBack(): ReadonlySet<string> {
+    const oldest = monotonicMs() - JUST_BACK_MS;
+    for (const [id, since] of this.#backSince) {
+      if (since < oldest) {
+        this.#backSince.delete(id);
+      }
+    }
+    return new Set(this.#backSince.keys());
+  }
+
   /** Hosts that answer although their entries have gone. */
   get unlisted(): ReadonlyMap<string, HostEntry> {
     return this.#unlisted;
@@ -111,6 +125,7 @@
     }
     if (answers) {
       this.#silent.delete(host.id);
+      this.#backSince.set(host.id, monotonicMs());
     } else {
       this.#silent.add(host.id);
     }
--- a/packages/entry/src/groups/order-guard.test.ts
+++ b/packages/entry/src/groups/order-guard.test.ts
@@ -37,6 +37,7 @@
     heads: new Map(),
     incompleteSince: new Map(),
     silent: new Set(),
+    justBack: new Set(),
     unlisted: new Map(),
     busy: new Set(),
     loadsLeft: 10,
--- a/packages/entry/src/groups/order-protocol.test.ts
+++ b/packages/entry/src/groups/order-protocol.test.ts
@@ -72,6 +72,7 @@
       heads: this.observer.heads,
       incompleteSince: new Map(),
       silent: new Set(),
+      justBack: new Set(),
       unlisted: new Map(),
       busy: new Set(),
       loadsLeft: 9,
