--- a/packages/entry/src/entry-host.ts
+++ b/packages/entry/src/entry-host.ts
@@ -4,7 +4,7 @@
 
 import type { ConfigurationReader } from './configuration/configuration-holder.js';
 import { ConfigurationHolder } from './configuration/configuration-holder.js';
-import type { EngineProfile, Service } from './configuration/serving-configuration.js';
+import type { EngineProfile } from './configuration/serving-configuration.js';
 import { GroupTask } from './groups/group-task.js';
 import type { HostOrders } from './groups/host-orders.js';
 import { MemberProber } from './groups/member-prober.js';
@@ -13,14 +13,14 @@
 import type { HostReader } from './hosts/host-registry.js';
 import { HostRegistry } from './hosts/host-registry.js';
 import { DEFAULT_LEASE_TIMING, LeaseTask } from './lease/lease-task.js';
+import { Peers } from './peers/peers.js';
 import type { RelayHeaders } from './requests/relay-headers.js';
 import type { RelayServices } from './requests/relay-services.js';
 import { RequestIntake } from './requests/request-intake.js';
+import { ServiceLimits } from './requests/service-limits.js';
 import { StallMonitor } from './requests/stall-monitor.js';
-import { UpstreamConnections } from './requests/upstream-connections.js';
 import { DemandMeter } from './routing/demand-meter.js';
 import { HostActivities } from './routing/host-activity.js';
-import { RetryBudget } from './routing/retry-budget.js';
 import { TargetChooser } from './routing/target-chooser.js';
 import { CallerServer } from './server/caller-server.js';
 import type { EntrySettings } from './server/entry-settings.js';
@@ -28,9 +28,11 @@
 import { Counters, Latencies } from './server/metrics.js';
 import { serveMetrics, serveReadiness } from './server/side-servers.js';
 import { monotonicMs, sleep } from './server/time.js';
-import type { ObjectKind, ObjectStore } from './store/object-store.js';
+import { FollowedKinds } from './store/followed-kinds.js';
+import { storeReader } from './store/kind-reader.js';
+import type { ObjectStore } from './store/object-store.js';
 import { OBJECT_KINDS } from './store/object-store.js';
-import { WatchedKind } from './store/watched-kind.js';
+import type { KindObserver } from './store/watched-kind.js';
 
 /** What the adapter of a platform brings. */
 export type EntryHostOptions = {
@@ -45,10 +47,6 @@
   readonly log: Log;
 };
 
-const CONFIGURATION_WAIT_MS = 2_000;
-const HOSTS_WAIT_MS = 10_000;
-/** Pause between two answers about hosts, while this process gives orders and while it does not. */
-const HOSTS_PAUSE_MS = { giver: 50, other: 300 } as const;
 /** Part of the revocation bound that is left for what is under way. */
 const KEY_MARGIN_MS = 500;
 const PLAN_PERIOD_MS = 100;
@@ -56,9 +54,8 @@
 /** Entries go after three silent heartbeats; a head may have been cut off one before. */
 const BEATS_UNTIL_GONE = 2;
 const HEADLESS_SLACK_MS = 800;
-/** Entry hosts among which a host's connections are divided. */
-const CONNECTION_PARTS = 12;
-const MIN_CONNECTIONS = 4;
+/** Entry hosts that share the bounds where they do not know each other. */
+const HOSTS_WITHOUT_PEERS = 10;
 /** Time that callers' balancers need to notice that this host is leaving. */
 const NOTICE_MS = 2_600;
 const GRACE_MARGIN_MS = 700;
@@ -74,15 +71,16 @@
   readonly #registry: HostRegistry;
   readonly #activities = new HostActivities();
   readonly #demand = new DemandMeter();
+  readonly #chooser: TargetChooser;
   readonly #lease: LeaseTask;
   readonly #sender: OrderSender;
   readonly #prober: MemberProber;
   readonly #groupTasks = new Map<string, GroupTask>();
-  readonly #budgets = new Map<string, RetryBudget>();
-  readonly #connections = new Map<string, UpstreamConnections>();
+  readonly #limits: ServiceLimits;
   readonly #intake: RequestIntake;
   readonly #callers: CallerServer;
-  readonly #watches: WatchedKind[] = [];
+  readonly #peers: Peers | undefined;
+  readonly #kinds: FollowedKinds;
   readonly #sideServers: Server[] = [];
   #planTimer: NodeJS.Timeout | undefined;
   #planPending = false;
@@ -104,8 +102,11 @@
       host: settings.name,
       instance: this.#instance,
       timing: DEFAULT_LEASE_TIMING,
+      eligible: () => this.#followsStore,
       log,
     });
+    this.#peers = this.#makePeers();
+    this.#kinds = this.#makeKinds();
     this.#sender = new OrderSender(orders, log, this.#counters);
     this.#prober = new MemberProber({
       orders,
@@ -115,6 +116,16 @@
         this.#planSoon();
       },
     });
+    const { retryRatio, retrySlack, retryWindowMs } = settings.bounds;
+    this.#limits = new ServiceLimits({
+      retries: { ratio: retryRatio, slack: retrySlack, windowMs: retryWindowMs },
+      // A host without peers is one of few.
+      hosts: () => this.#peers?.membership.count ?? HOSTS_WITHOUT_PEERS,
+    });
+    this.#chooser = new TargetChooser(this.#registry, this.#activities, {
+      failureDomain: settings.failureDomain,
+      othersAt: hostId => this.#peers?.loads.othersAt(hostId) ?? 0,
+    });
     this.#intake = new RequestIntake(this.#holder, this.#relayServices());
     this.#callers = new CallerServer((request, response) => {
       this.#intake.handle(request, response);
@@ -129,10 +140,8 @@
   /** Starts all tasks and listens. */
   async start(): Promise<void> {
     const { settings, log } = this.#options;
-    this.#watch(OBJECT_KINDS.configuration, CONFIGURATION_WAIT_MS, () => 0);
-    this.#watch(OBJECT_KINDS.hosts, HOSTS_WAIT_MS, () =>
-      this.#lease.term === undefined ? HOSTS_PAUSE_MS.other : HOSTS_PAUSE_MS.giver,
-    );
+    await this.#peers?.start();
+    this.#kinds.start();
     this.#registry.messages.on('changed', () => {
       this.#planSoon();
     });
@@ -180,53 +189,85 @@
     clearInterval(this.#planTimer);
     this.#lease.abandon();
     this.#callers.close();
-    this.#watches.forEach(watch => {
-      watch.stop();
-    });
+    this.#kinds.stop();
+    this.#peers?.end();
     this.#sideServers.forEach(server => server.close());
-    this.#connections.forEach(connections => {
-      connections.destroy();
-    });
+    this.#limits.close();
     this.#options.orders.close();
     this.#options.store.close();
   }
 
-  #watch(kind: ObjectKind, waitMs: number, pauseMs: () => number): void {
-    const { store, log } = this.#options;
-    const isConfiguration = kind === OBJECT_KINDS.configuration;
-    const watch = new WatchedKind({
+  get #followsStore(): boolean {
+    return this.#peers?.followsStore ?? true;
+  }
+
+  #makePeers(): Peers | undefined {
+    const { settings, store, log } = this.#options;
+    const { peers, name, failureDomain } = settings;
+    if (peers === undefined) {
+      return undefined;
+    }
+    const address = `${peers.listen.ip}:${peers.listen.port}`;
+    return new Peers({
+      self: { name, address, failureDomain, power: peers.power },
+      seeds: peers.seeds,
+      key: peers.key,
       store,
-      kind,
-      waitMs,
-      pauseMs,
+      watchOf: kind => this.#kinds.of(kind),
+      ownLoads: () => this.#activities.loads(),
+      orderGiver: () => (this.#lease.term === undefined ? this.#lease.holderHost : name),
+      suspected: ({ service, group }) => {
+        this.#suspectHere(service, group);
+      },
       log,
-      observer: {
-        listed: list => {
-          if (isConfiguration) {
-            this.#holder.takeList(list);
-            this.#applyConfiguration();
-          } else {
-            this.#registry.takeList(list);
-            this.#hostsKnown = true;
-          }
-        },
-        changed: change => {
-          if (isConfiguration) {
-            this.#holder.takeChange(change);
-            this.#applyConfiguration();
-          } else {
-            this.#registry.takeChange(change);
-          }
-        },
-        confirmed: sentAt => {
-          if (isConfiguration) {
-            this.#holder.confirm(sentAt);
-          }
-        },
+      counters: this.#counters,
+    });
+  }
+
+  #makeKinds(): FollowedKinds {
+    const store = storeReader(this.#options.store);
+    const alone = { choose: () => store, note: (): void => undefined };
+    const members = this.#peers?.membership.observer;
+    return new FollowedKinds({
+      readers: this.#peers?.readers ?? alone,
+      observers: {
+        [OBJECT_KINDS.configuration]: this.#configurationObserver(),
+        [OBJECT_KINDS.hosts]: this.#hostsObserver(),
+        ...(members === undefined ? {} : { [OBJECT_KINDS.members]: members }),
       },
+      followsStore: () => this.#followsStore,
+      givesOrders: () => this.#lease.term !== undefined,
+      log: this.#options.log,
     });
-    this.#watches.push(watch);
-    this.#runInBackground(kind, watch.run());
+  }
+
+  #configurationObserver(): KindObserver {
+    return {
+      listed: list => {
+        this.#holder.takeList(list);
+        this.#applyConfiguration();
+      },
+      changed: change => {
+        this.#holder.takeChange(change);
+        this.#applyConfiguration();
+      },
+      confirmed: askedAt => {
+        this.#holder.confirm(askedAt);
+      },
+    };
+  }
+
+  #hostsObserver(): KindObserver {
+    return {
+      listed: list => {
+        this.#registry.takeList(list);
+        this.#hostsKnown = true;
+      },
+      changed: change => {
+        this.#registry.takeChange(change);
+      },
+      confirmed: () => undefined,
+    };
   }
 
   #runInBackground(name: string, running: Promise<void>): void {
@@ -303,27 +344,37 @@
     }
   }
 
-  #suspect(group: ReplicaGroup): void {
+  #suspect(service: string, group: ReplicaGroup): void {
     this.#counters.count('groups_suspected_total');
-    if (this.#lease.term !== undefined) {
+    if (this.#peers === undefined) {
+      this.#suspectHere(service, group.name);
+    } else {
+      this.#peers.suspect(service, group.name);
+    }
+  }
+
+  // Only the host that gives orders looks into a suspicion.
+  #suspectHere(service: string, name: string): void {
+    const group = this.#chooser.groupsOf(service).find(candidate => candidate.name === name);
+    if (this.#lease.term !== undefined && group !== undefined) {
       this.#prober.suspect(group.members.filter(member => member !== undefined));
     }
   }
 
   #relayServices(): RelayServices {
     const { settings, headers, log } = this.#options;
-    const { bounds, failureDomain } = settings;
+    const { bounds } = settings;
     return {
       headers,
       registry: this.#registry,
-      chooser: new TargetChooser(this.#registry, this.#activities, failureDomain),
+      chooser: this.#chooser,
       activities: this.#activities,
       demand: this.#demand,
       stalls: new StallMonitor(),
-      budgetOf: service => this.#budgetOf(service),
-      connectionsOf: service => this.#connectionsOf(service),
-      suspect: group => {
-        this.#suspect(group);
+      budgetOf: service => this.#limits.budgetOf(service),
+      connectionsOf: service => this.#limits.connectionsOf(service),
+      suspect: (service, group) => {
+        this.#suspect(service, group);
       },
       keysHold: () => {
         const limit = bounds.keyRevocationMs - KEY_MARGIN_MS;
@@ -334,24 +385,4 @@
       latencies: this.#latencies,
     };
   }
-
-  #budgetOf(service: string): RetryBudget {
-    let budget = this.#budgets.get(service);
-    if (budget === undefined) {
-      const { retryRatio, retrySlack, retryWindowMs } = this.#options.settings.bounds;
-      budget = new RetryBudget({ ratio: retryRatio, slack: retrySlack, windowMs: retryWindowMs });
-      this.#budgets.set(service, budget);
-    }
-    return budget;
-  }
-
-  #connectionsOf(service: Service): UpstreamConnections {
-    let connections = this.#connections.get(service.name);
-    if (connections === undefined) {
-      const share = Math.floor(service.maxConnections / CONNECTION_PARTS);
-      connections = new UpstreamConnections(Math.max(MIN_CONNECTIONS, share));
-      this.#connections.set(service.name, connections);
-    }
-    return connections;
-  }
 }
--- a/packages/entry/src/lease/lease-task.ts
+++ b/packages/entry/src/lease/lease-task.ts
@@ -35,6 +35,8 @@
   /** Unique per start of the process. */
   readonly instance: string;
   readonly timing: LeaseTiming;
+  /** False while others are to take the lease; a lease that is held is kept all the same. */
+  readonly eligible?: () => boolean;
   readonly log: Log;
 };
 
@@ -65,6 +67,11 @@
     return monotonicMs() < this.#heldUntil ? this.#term : undefined;
   }
 
+  /** Host that held the lease when it was last looked at. */
+  get holderHost(): string | undefined {
+    return (this.#seen?.value as LeaseValue | null | undefined)?.host;
+  }
+
   /** Runs until it is stopped. */
   async run(): Promise<void> {
     const { timing } = this.#options;
@@ -106,7 +113,10 @@
       await this.#write(this.#seen.revision);
       return;
     }
-    const { store, timing } = this.#options;
+    const { store, timing, eligible = () => true } = this.#options;
+    if (!eligible()) {
+      return;
+    }
     // An old answer only delays a take-over: it is written under the revision that was read.
     const found = await store.read(OBJECT_KINDS.leases, LEASE_NAME, this.#seen !== undefined);
     if (found === undefined) {
--- /dev/null
+++ b/packages/entry/src/peers/membership.ts
@@ -0,0 +1,140 @@
+/** Registers this entry host in the store, and knows the others that did. */
+import type { Log } from '../server/log.js';
+import { sleep } from '../server/time.js';
+import type { ObjectChange, ObjectList, ObjectStore, StoredObject } from '../store/object-store.js';
+import { OBJECT_KINDS } from '../store/object-store.js';
+import type { KindObserver } from '../store/watched-kind.js';
+import type { Candidates, Member } from './member.js';
+import { candidatesOf, readMember, remoteHeads } from './member.js';
+
+/** Options of the membership. */
+export type MembershipOptions = {
+  readonly self: Member;
+  /** Peers' addresses that are known before any registration was read; they may be gone. */
+  readonly seeds: readonly string[];
+  readonly store: ObjectStore;
+  readonly log: Log;
+};
+
+const RETRY_MS = 1_000;
+
+/** The registered entry hosts. */
+export class Membership {
+  readonly #options: MembershipOptions;
+  readonly #members = new Map<string, Member>();
+  readonly #abort = new AbortController();
+  #candidates: Candidates | undefined;
+
+  constructor(options: MembershipOptions) {
+    this.#options = options;
+  }
+
+  /** Feeds the registrations that a watch brings. */
+  get observer(): KindObserver {
+    return {
+      listed: (list: ObjectList): void => {
+        this.#members.clear();
+        list.objects.forEach(object => {
+          this.#put(object);
+        });
+      },
+      changed: ({ object, deleted }: ObjectChange): void => {
+        if (deleted) {
+          this.#members.delete(object.name);
+          this.#candidates = undefined;
+        } else {
+          this.#put(object);
+        }
+      },
+      confirmed: (): void => undefined,
+    };
+  }
+
+  /** Registered hosts, this one included; 0 while nothing was read. */
+  get count(): number {
+    return this.#members.size;
+  }
+
+  /** A registered host by its name. */
+  get(name: string): Member | undefined {
+    return this.#members.get(name);
+  }
+
+  /** Whom this host may follow. */
+  get candidates(): Candidates {
+    this.#candidates ??= this.#candidatesNow();
+    return this.#candidates;
+  }
+
+  /** The first hosts of the other failure domains. */
+  get remoteHeads(): readonly Member[] {
+    return remoteHeads(this.#options.self, [...this.#members.values()]);
+  }
+
+  /** Registers until it is done. */
+  async register(): Promise<void> {
+    const { log, self } = this.#options;
+    while (!this.#abort.signal.aborted) {
+      try {
+        await this.#registerOnce();
+        log.info('entry host registered', { address: self.address, power: self.power });
+        return;
+      } catch {
+        // The store's loss is logged by the watches.
+        await sleep(RETRY_MS * (0.5 + Math.random()), this.#abort.signal);
+      }
+    }
+  }
+
+  /** Ends the registering. */
+  stop(): void {
+    this.#abort.abort();
+  }
+
+  async #registerOnce(): Promise<void> {
+    const { store, self } = this.#options;
+    const { name, ...value } = self;
+    const created = await store.create(OBJECT_KINDS.members, name, value);
+    if (
+      created.kind === 'written' ||
+      created.object === undefined ||
+      isSame(created.object, self)
+    ) {
+      return;
+    }
+    const { revision } = created.object;
+    const replaced = await store.replace(OBJECT_KINDS.members, name, value, revision);
+    if (replaced.kind === 'conflict') {
+      throw new Error('registered by another process');
+    }
+  }
+
+  #put(object: StoredObject): void {
+    const member = readMember(object);
+    if (member !== undefined) {
+      this.#members.set(object.name, member);
+      this.#candidates = undefined;
+    }
+  }
+
+  #candidatesNow(): Candidates {
+    const { self, seeds } = this.#options;
+    if (this.#members.size > 0) {
+      return candidatesOf(self, [...this.#members.values()]);
+    }
+    const unknown = seeds
+      .filter(address => address !== self.address)
+      .map(address => ({ name: address, address, failureDomain: '', power: 0 }));
+    return { above: [], below: unknown };
+  }
+}
+
+function isSame(object: StoredObject, self: Member): boolean {
+  const member = readMember(object);
+  return (
+    member !== undefined &&
+    member.address === self.address &&
+    member.failureDomain === self.failureDomain &&
+    member.power === self.power
+  );
+}
--- /dev/null
+++ b/packages/entry/src/peers/peer-reader.ts
@@ -0,0 +1,36 @@
+/** Reads kinds from a peer that follows them. */
+import type { LinkClient } from '@hingescale/link';
+
+import { monotonicMs } from '../server/time.js';
+import type { KindReader } from '../store/kind-reader.js';
+import { OBJECT_KINDS } from '../store/object-store.js';
+import type { ReadReply, ReadRequest } from './peer-messages.js';
+import { PEER_REQUESTS } from './peer-messages.js';
+import type { SharedLoads } from './shared-loads.js';
+
+/** Time that a peer has to answer beyond the wait of the question, in milliseconds. */
+const ANSWER_MS = 400;
+
+/** A reader over one link. */
+export function peerReader(name: string, link: LinkClient, loads: SharedLoads): KindReader {
+  return {
+    name,
+    read: async (kind, revision, waitMs) => {
+      const tellsLoads = kind === OBJECT_KINDS.hosts;
+      const own = tellsLoads ? loads.own() : undefined;
+      const request: ReadRequest = { kind, revision, waitMs, loads: own };
+      const sentAt = monotonicMs();
+      const timeoutMs = waitMs + ANSWER_MS;
+      const reply = await link.request<ReadReply>(PEER_REQUESTS.read, request, timeoutMs);
+      if (reply.answer === undefined) {
+        throw new Error(`${name} knows nothing of ${kind}`);
+      }
+      if (reply.loads !== undefined) {
+        loads.noteFollowed(reply.loads);
+      }
+      // The question arrived after it was sent, so the confirmation is not older than this.
+      const confirmedAt = sentAt + reply.confirmedAfterMs;
+      return { answer: reply.answer, confirmedAt, inTouch: reply.inTouch };
+    },
+  };
+}
--- /dev/null
+++ b/packages/entry/src/peers/peer-server.ts
@@ -0,0 +1,65 @@
+/** Answers the questions of peers. */
+import type { LinkIdentity } from '@hingescale/link';
+import { LinkServer } from '@hingescale/link';
+
+import { monotonicMs } from '../server/time.js';
+import type { ObjectKind } from '../store/object-store.js';
+import type { WatchedKind } from '../store/watched-kind.js';
+import type { LoadsReply, ReadReply, ReadRequest, SuspectRequest } from './peer-messages.js';
+import { PEER_REQUESTS } from './peer-messages.js';
+import type { SharedLoads } from './shared-loads.js';
+
+/** Options of a peer server. */
+export type PeerServerOptions = {
+  /** `ip:port`; port 0 takes a free one. */
+  readonly listen: string;
+  readonly key: string;
+  readonly watchOf: (kind: ObjectKind) => WatchedKind | undefined;
+  readonly loads: SharedLoads;
+  /** False while peers are better off without this host. */
+  readonly mayBeFollowed: () => boolean;
+  readonly suspected: (request: SuspectRequest) => void;
+};
+
+/** Longest wait that a question may ask for, in milliseconds. */
+const MAX_WAIT_MS = 10_000;
+
+/** Starts no task of its own: a link server whose handlers read what is known here. */
+export function createPeerServer(options: PeerServerOptions): LinkServer {
+  const { listen, key, loads, suspected } = options;
+  return new LinkServer({
+    listen,
+    key,
+    handlers: {
+      [PEER_REQUESTS.read]: (request: ReadRequest, peer: LinkIdentity) =>
+        answerRead(options, request, peer),
+      [PEER_REQUESTS.loads]: (): LoadsReply => ({ loads: loads.ofDomain() }),
+      [PEER_REQUESTS.suspect]: (request: SuspectRequest): null => {
+        suspected(request);
+        return null;
+      },
+    },
+  });
+}
+
+async function answerRead(
+  { watchOf, loads, mayBeFollowed }: PeerServerOptions,
+  request: ReadRequest,
+  peer: LinkIdentity,
+): Promise<ReadReply> {
+  const arrivedAt = monotonicMs();
+  const watch = watchOf(request.kind);
+  const cache = watch?.cache;
+  if (request.loads !== undefined) {
+    loads.noteFollower(peer.name, request.loads);
+  }
+  if (request.revision !== undefined && cache?.revision !== undefined) {
+    await cache.waitBeyond(request.revision, Math.min(request.waitMs, MAX_WAIT_MS));
+  }
+  return {
+    answer: cache?.answerSince(request.revision),
+    inTouch: mayBeFollowed() && (watch?.inTouch ?? false),
+    confirmedAfterMs: (cache?.confirmedAt ?? -Infinity) - arrivedAt,
+    loads: request.loads === undefined ? undefined : loads.allBut(peer.name),
+  };
+}
--- /dev/null
+++ b/packages/entry/src/peers/peers.ts
@@ -0,0 +1,182 @@
+/**
+ * What entry hosts tell each other: the objects that they follow, the loads of upstream hosts, and
+ * groups that stand still.
+ */
+import type { LinkServer } from '@hingescale/link';
+import { LinkPool } from '@hingescale/link';
+
+import type { Log } from '../server/log.js';
+import type { Counters } from '../server/metrics.js';
+import { monotonicMs, sleep } from '../server/time.js';
+import type { KindReader } from '../store/kind-reader.js';
+import { storeReader } from '../store/kind-reader.js';
+import type { ObjectKind, ObjectStore } from '../store/object-store.js';
+import type { ReaderChoice, WatchedKind } from '../store/watched-kind.js';
+import type { Member } from './member.js';
+import { Membership } from './membership.js';
+import type { Loads, LoadsReply, SuspectRequest } from './peer-messages.js';
+import { PEER_REQUESTS } from './peer-messages.js';
+import { peerReader } from './peer-reader.js';
+import { createPeerServer } from './peer-server.js';
+import { PeerReaderChoice } from './reader-choice.js';
+import { SharedLoads } from './shared-loads.js';
+
+/** Options of the peers. */
+export type PeersOptions = {
+  readonly self: Member;
+  readonly seeds: readonly string[];
+  /** Shared by all entry hosts; empty where the network is trusted. */
+  readonly key: string;
+  readonly store: ObjectStore;
+  readonly watchOf: (kind: ObjectKind) => WatchedKind | undefined;
+  /** Requests of this host in progress at upstream hosts. */
+  readonly ownLoads: () => Loads;
+  /** Name of the entry host that gives orders, as far as it is known. */
+  readonly orderGiver: () => string | undefined;
+  /** This host gives orders, and a group is said to stand still. */
+  readonly suspected: (request: SuspectRequest) => void;
+  readonly log: Log;
+  readonly counters: Counters;
+};
+
+const EXCHANGE_PERIOD_MS = 250;
+const REQUEST_TIMEOUT_MS = 400;
+/** The same group is not told of again within this time, in milliseconds. */
+const SUSPICION_PERIOD_MS = 500;
+/** A suspicion goes to the followed host, and from there to the order giver. */
+const SUSPICION_HOPS = 2;
+
+/** The peers of this entry host. */
+export class Peers {
+  readonly membership: Membership;
+  readonly loads: SharedLoads;
+  readonly #options: PeersOptions;
+  readonly #links: LinkPool;
+  readonly #server: LinkServer;
+  readonly #choice: PeerReaderChoice;
+  readonly #readers = new Map<string, KindReader>();
+  readonly #suspectedAt = new Map<string, number>();
+  readonly #abort = new AbortController();
+
+  constructor(options: PeersOptions) {
+    this.#options = options;
+    const { self, seeds, key, store, watchOf, log } = options;
+    this.membership = new Membership({ self, seeds, store, log });
+    this.loads = new SharedLoads(options.ownLoads);
+    const identity = { role: 'entry', name: self.name, failureDomain: self.failureDomain } as const;
+    this.#links = new LinkPool({ key, identity });
+    this.#server = createPeerServer({
+      listen: self.address,
+      key,
+      watchOf,
+      loads: this.loads,
+      mayBeFollowed: () => this.#choice.mayBeFollowed,
+      suspected: request => {
+        this.#passOn(request);
+      },
+    });
+    this.#choice = new PeerReaderChoice({
+      store: storeReader(store),
+      candidates: () => this.membership.candidates,
+      readerOf: member => this.#readerOf(member),
+    });
+  }
+
+  /** Where kinds are read from. */
+  get readers(): ReaderChoice {
+    return this.#choice;
+  }
+
+  /** True while this host follows the store itself. */
+  get followsStore(): boolean {
+    return this.#choice.followsStore;
+  }
+
+  /** Listens for peers, registers this host, and begins to exchange loads. */
+  async start(): Promise<void> {
+    await this.#server.listen();
+    void this.membership.register();
+    void this.#exchange();
+  }
+
+  /** Tells the order giver that a group stands still. */
+  suspect(service: string, group: string): void {
+    const now = monotonicMs();
+    if (now - (this.#suspectedAt.get(group) ?? -Infinity) < SUSPICION_PERIOD_MS) {
+      return;
+    }
+    this.#suspectedAt.set(group, now);
+    this.#passOn({ service, group, hops: SUSPICION_HOPS });
+  }
+
+  /** Closes all links. */
+  end(): void {
+    this.#abort.abort();
+    this.membership.stop();
+    this.#links.close();
+    void this.#server.stop();
+  }
+
+  #readerOf(member: Member): KindReader {
+    let reader = this.#readers.get(member.address);
+    if (reader === undefined) {
+      reader = peerReader(member.address, this.#links.to(member.address), this.loads);
+      this.#readers.set(member.address, reader);
+    }
+    return reader;
+  }
+
+  #passOn(request: SuspectRequest): void {
+    const { self, orderGiver, suspected, counters } = this.#options;
+    const giver = orderGiver();
+    if (giver === self.name) {
+      suspected(request);
+      return;
+    }
+    const known = giver === undefined ? undefined : this.membership.get(giver);
+    const to = known ?? this.membership.candidates.above[0] ?? this.membership.remoteHeads[0];
+    if (to === undefined || request.hops <= 0) {
+      counters.count('suspicions_dropped_total');
+      return;
+    }
+    const passed: SuspectRequest = { ...request, hops: request.hops - 1 };
+    this.#links
+      .to(to.address)
+      .request(PEER_REQUESTS.suspect, passed, REQUEST_TIMEOUT_MS)
+      .catch(() => {
+        counters.count('suspicions_dropped_total');
+      });
+  }
+
+  // Only hosts that follow the store exchange loads between failure domains.
+  async #exchange(): Promise<void> {
+    while (!this.#abort.signal.aborted) {
+      await sleep(EXCHANGE_PERIOD_MS, this.#abort.signal);
+      if (this.followsStore) {
+        await Promise.all(this.#firstReachable().map(member => this.#askLoads(member)));
+      }
+    }
+  }
+
+  #firstReachable(): readonly Member[] {
+    const chosen = new Map<string, Member>();
+    for (const member of this.membership.remoteHeads) {
+      const taken = chosen.get(member.failureDomain);
+      if (taken === undefined || this.#choice.isAvoided(taken.address)) {
+        chosen.set(member.failureDomain, member);
+      }
+    }
+    return [...chosen.values()];
+  }
+
+  async #askLoads(member: Member): Promise<void> {
+    const reader = this.#readerOf(member);
+    try {
+      const link = this.#links.to(member.address);
+      const reply = await link.request<LoadsReply>(PEER_REQUESTS.loads, null, REQUEST_TIMEOUT_MS);
+      this.loads.noteDomain(member.failureDomain, reply.loads);
+    } catch {
+      this.#choice.note(reader, 'failed');
+    }
+  }
+}
--- /dev/null
+++ b/packages/entry/src/peers/reader-choice.test.ts
@@ -0,0 +1,91 @@
+import { expect } from 'chai';
+
+import type { KindReader } from '../store/kind-reader.js';
+import type { Candidates, Member } from './member.js';
+import { candidatesOf } from './member.js';
+import { PeerReaderChoice } from './reader-choice.js';
+
+function member(name: string, power: number, failureDomain = 'a'): Member {
+  return { name, address: `${name}:1`, failureDomain, power };
+}
+
+function reader(name: string): KindReader {
+  return { name, read: () => Promise.reject(new Error('not used')) };
+}
+
+const STORE = reader('store');
+
+function choiceOf(candidates: Candidates): PeerReaderChoice {
+  const readers = new Map<string, KindReader>();
+  return new PeerReaderChoice({
+    store: STORE,
+    candidates: () => candidates,
+    readerOf: ({ address }) => {
+      const known = readers.get(address) ?? reader(address);
+      readers.set(address, known);
+      return known;
+    },
+  });
+}
+
+describe('candidates to follow', () => {
+  const members = [
+    member('weak', 0.5),
+    member('strong', 2),
+    member('middle', 1),
+    member('far', 3, 'b'),
+    member('far-too', 1, 'b'),
+  ];
+
+  it('are the stronger hosts of the own failure domain, and all others for need only', () => {
+    const { above, below } = candidatesOf(member('middle', 1), members);
+    expect(above.map(({ name }) => name)).to.deep.equal(['strong']);
+    expect(below.map(({ name }) => name)).to.deep.equal(['weak', 'far', 'far-too']);
+  });
+
+  it('stand in one order for all, so that nobody is above one who is above it', () => {
+    const alike = ['a', 'b', 'c', 'd', 'e'].map(name => member(name, 1));
+    for (const self of alike) {
+      for (const { name } of candidatesOf(self, alike).above) {
+        const other = alike.find(candidate => candidate.name === name);
+        const back = other === undefined ? [] : candidatesOf(other, alike).above;
+        expect(back.map(candidate => candidate.name)).not.to.include(self.name);
+      }
+    }
+  });
+});
+
+describe('choice of what to follow', () => {
+  const candidates = { above: [member('up', 2)], below: [member('down', 0.5)] };
+
+  it('is the stronger peer, then the store, then any peer', () => {
+    const choice = choiceOf(candidates);
+    const up = choice.choose();
+    expect(up.name).to.equal('up:1');
+    expect(choice.followsStore).to.equal(false);
+    choice.note(up, 'failed');
+    expect(choice.choose()).to.equal(STORE);
+    expect(choice.followsStore).to.equal(true);
+    choice.note(STORE, 'failed');
+    expect(choice.choose().name).to.equal('down:1');
+  });
+
+  it('lets nobody follow a host that follows a weaker one', () => {
+    const choice = choiceOf(candidates);
+    choice.note(choice.choose(), 'stale');
+    choice.choose();
+    expect(choice.mayBeFollowed).to.equal(true);
+    choice.note(STORE, 'failed');
+    choice.choose();
+    expect(choice.mayBeFollowed).to.equal(false);
+  });
+
+  it('goes back to the stronger peer when it is fresh again', () => {
+    const choice = choiceOf(candidates);
+    const up = choice.choose();
+    choice.note(up, 'failed');
+    expect(choice.choose()).to.equal(STORE);
+    choice.note(up, 'fresh');
+    expect(choice.choose()).to.equal(up);
+  });
+});
--- /dev/null
+++ b/packages/entry/src/peers/reader-choice.ts
@@ -0,0 +1,93 @@
+/**
+ * Chooses where this host reads kinds from: a stronger peer of its failure domain, the store, or
+ * any peer while the store does not serve this host.
+ *
+ * One host of each failure domain thus follows the store, and the others follow that one. There is
+ * no election: every host tries the same order, and a second host that follows the store costs
+ * calls but does no harm.
+ */
+import { monotonicMs } from '../server/time.js';
+import type { KindReader } from '../store/kind-reader.js';
+import type { ReaderChoice, ReadingOutcome } from '../store/watched-kind.js';
+import type { Candidates, Member } from './member.js';
+
+/** Options of a choice. */
+export type PeerReaderChoiceOptions = {
+  readonly store: KindReader;
+  readonly candidates: () => Candidates;
+  readonly readerOf: (member: Member) => KindReader;
+};
+
+/** Time for which a reader is left alone, in milliseconds. */
+const AVOID_MS = {
+  /** A peer that did not answer. */
+  failed: 2_000,
+  /** A peer that answered, but has lost the store itself. */
+  stale: 500,
+  /** The store, by a host that nobody stronger stands before. */
+  storeOfFirst: 250,
+  /** The store, by any other host. */
+  storeOfOthers: 1_000,
+} as const;
+
+/** The choice, with what is known of each reader. */
+export class PeerReaderChoice implements ReaderChoice {
+  readonly #options: PeerReaderChoiceOptions;
+  readonly #avoidUntil = new Map<string, number>();
+  #current: KindReader;
+  #followsBelow = false;
+
+  constructor(options: PeerReaderChoiceOptions) {
+    this.#options = options;
+    this.#current = options.store;
+  }
+
+  /** True while this host follows the store itself. */
+  get followsStore(): boolean {
+    return this.#current === this.#options.store;
+  }
+
+  /**
+   * True while peers may follow this host: it follows the store, or a peer that is above it in the
+   * order of all. Whoever follows a peer below does so for itself only, so that no circle arises.
+   */
+  get mayBeFollowed(): boolean {
+    return !this.#followsBelow;
+  }
+
+  choose(): KindReader {
+    const { store, candidates } = this.#options;
+    const { above, below } = candidates();
+    const fromAbove = this.#firstUsable(above);
+    const fromBelow = this.isAvoided(store.name) ? this.#firstUsable(below) : undefined;
+    this.#followsBelow = fromAbove === undefined && fromBelow !== undefined;
+    this.#current = fromAbove ?? fromBelow ?? store;
+    return this.#current;
+  }
+
+  note(reader: KindReader, outcome: ReadingOutcome): void {
+    if (outcome === 'fresh') {
+      this.#avoidUntil.delete(reader.name);
+      return;
+    }
+    this.#avoidUntil.set(reader.name, monotonicMs() + this.#avoidMs(reader, outcome));
+  }
+
+  /** True while a reader has lately failed. */
+  isAvoided(name: string): boolean {
+    return (this.#avoidUntil.get(name) ?? -Infinity) > monotonicMs();
+  }
+
+  #avoidMs(reader: KindReader, outcome: 'stale' | 'failed'): number {
+    if (reader !== this.#options.store) {
+      return AVOID_MS[outcome];
+    }
+    const first = this.#options.candidates().above.length === 0;
+    return first ? AVOID_MS.storeOfFirst : AVOID_MS.storeOfOthers;
+  }
+
+  #firstUsable(members: readonly Member[]): KindReader | undefined {
+    const readers = members.map(member => this.#options.readerOf(member));
+    return readers.find(reader => !this.isAvoided(reader.name));
+  }
+}
--- a/packages/entry/src/requests/attempt-log.test.ts
+++ b/packages/entry/src/requests/attempt-log.test.ts
@@ -14,7 +14,7 @@
 }
 
 function fullBudget(): RetryBudget {
-  return new RetryBudget({ ratio: 0.2, slack: 160, windowMs: 10_000 });
+  return new RetryBudget({ ratio: 0.2, slack: 160, windowMs: 10_000 }, () => 8);
 }
 
 describe('attempts of one request', () => {
@@ -46,7 +46,7 @@
   });
 
   it('spend the budget of all hosts', () => {
-    const budget = new RetryBudget({ ratio: 0, slack: 16, windowMs: 10_000 });
+    const budget = new RetryBudget({ ratio: 0, slack: 16, windowMs: 10_000 }, () => 8);
     const first = new AttemptLog(contextOf({}), budget);
     first.noteSent('host');
     expect(first.takeRetry()).to.equal(true);
--- a/packages/entry/src/requests/relay-services.ts
+++ b/packages/entry/src/requests/relay-services.ts
@@ -23,7 +23,7 @@
   readonly budgetOf: (service: string) => RetryBudget;
   readonly connectionsOf: (service: Service) => UpstreamConnections;
   /** Tells the order giver that a group stands still. */
-  readonly suspect: (group: ReplicaGroup) => void;
+  readonly suspect: (service: string, group: ReplicaGroup) => void;
   /** True while keys may be honoured. */
   readonly keysHold: () => boolean;
   readonly log: Log;
--- /dev/null
+++ b/packages/entry/src/requests/service-limits.ts
@@ -0,0 +1,56 @@
+/** Retry budgets and upstream connections by service, made on first use. */
+import type { Service } from '../configuration/serving-configuration.js';
+import type { RetryBounds } from '../routing/retry-budget.js';
+import { RetryBudget } from '../routing/retry-budget.js';
+import { UpstreamConnections } from './upstream-connections.js';
+
+/** Options of the limits. */
+export type ServiceLimitsOptions = {
+  /** Bounds over all entry hosts. */
+  readonly retries: RetryBounds;
+  /** Number of entry hosts; 0 while it is not known. */
+  readonly hosts: () => number;
+};
+
+/** Entry hosts among which a host's connections are divided at least. */
+const MIN_CONNECTION_PARTS = 12;
+const MIN_CONNECTIONS = 4;
+
+/** Limits of all services at this entry host. */
+export class ServiceLimits {
+  readonly #options: ServiceLimitsOptions;
+  readonly #budgets = new Map<string, RetryBudget>();
+  readonly #connections = new Map<string, UpstreamConnections>();
+
+  constructor(options: ServiceLimitsOptions) {
+    this.#options = options;
+  }
+
+  /** Retry budget of a service. */
+  budgetOf(service: string): RetryBudget {
+    let budget = this.#budgets.get(service);
+    if (budget === undefined) {
+      budget = new RetryBudget(this.#options.retries, this.#options.hosts);
+      this.#budgets.set(service, budget);
+    }
+    return budget;
+  }
+
+  /** Connections to the hosts of a service. */
+  connectionsOf(service: Service): UpstreamConnections {
+    let connections = this.#connections.get(service.name);
+    if (connections === undefined) {
+      const share = Math.floor(service.maxConnections / MIN_CONNECTION_PARTS);
+      connections = new UpstreamConnections(Math.max(MIN_CONNECTIONS, share));
+      this.#connections.set(service.name, connections);
+    }
+    return connections;
+  }
+
+  /** Closes all connections. */
+  close(): void {
+    this.#connections.forEach(connections => {
+      connections.destroy();
+    });
+  }
+}
--- a/packages/entry/src/requests/stream-attempt.ts
+++ b/packages/entry/src/requests/stream-attempt.ts
@@ -165,7 +165,7 @@
         limitMs: Math.round(limit),
       });
       if (this.#target.group !== undefined) {
-        suspect(this.#target.group);
+        suspect(this.#context.service.name, this.#target.group);
       }
     }
     this.#options.stalled();
--- a/packages/entry/src/routing/host-activity.ts
+++ b/packages/entry/src/routing/host-activity.ts
@@ -55,6 +55,17 @@
     activity.inFlight = Math.max(0, activity.inFlight - 1);
   }
 
+  /** Own requests by host, for hosts that have some. */
+  loads(): [string, number][] {
+    const loads: [string, number][] = [];
+    for (const [id, activity] of this.#hosts) {
+      if (activity.inFlight > 0) {
+        loads.push([id, activity.inFlight]);
+      }
+    }
+    return loads;
+  }
+
   /** Bytes have come from the host: whatever was suspected of it is wrong. */
   noteProgress(id: string): void {
     const activity = this.of(id);
--- a/packages/entry/src/routing/retry-budget.ts
+++ b/packages/entry/src/routing/retry-budget.ts
@@ -15,8 +15,10 @@
   readonly windowMs: number;
 };
 
-/** Entry hosts among which the slack is divided. */
-const SLACK_PARTS = 16;
+/** Entry hosts among which the slack is divided while their number is not known. */
+const UNKNOWN_HOSTS = 64;
+/** Part of the slack that is spent: hosts that start anew have forgotten what they spent. */
+const SLACK_PART = 0.6;
 /** Part of the ratio that is spent, so that windows that slide never exceed it. */
 const RATIO_PART = 0.8;
 const BUCKETS = 10;
@@ -24,11 +26,14 @@
 /** The budget of one service at this host. */
 export class RetryBudget {
   readonly #bounds: RetryBounds;
+  readonly #hosts: () => number;
   readonly #requests: SlidingCount;
   readonly #repeats: SlidingCount;
 
-  constructor(bounds: RetryBounds) {
+  /** `hosts` gives the number of entry hosts; 0 while it is not known. */
+  constructor(bounds: RetryBounds, hosts: () => number) {
     this.#bounds = bounds;
+    this.#hosts = hosts;
     this.#requests = new SlidingCount(bounds.windowMs);
     this.#repeats = new SlidingCount(bounds.windowMs);
   }
@@ -42,7 +47,8 @@
   hasRoom(): boolean {
     const now = monotonicMs();
     const { ratio, slack } = this.#bounds;
-    const allowed = ratio * RATIO_PART * this.#requests.count(now) + slack / SLACK_PARTS;
+    const hosts = this.#hosts() || UNKNOWN_HOSTS;
+    const allowed = ratio * RATIO_PART * this.#requests.count(now) + (slack * SLACK_PART) / hosts;
     return this.#repeats.count(now) + 1 <= allowed;
   }
 
--- a/packages/entry/src/routing/routing.test.ts
+++ b/packages/entry/src/routing/routing.test.ts
@@ -49,7 +49,7 @@
 
 describe('retry budget', () => {
   it('never spends more than its part of the bound', () => {
-    const budget = new RetryBudget({ ratio: 0.2, slack: 32, windowMs: 10_000 });
+    const budget = new RetryBudget({ ratio: 0.2, slack: 32, windowMs: 10_000 }, () => 16);
     let taken = 0;
     for (let request = 0; request < 100; request++) {
       budget.noteRequest();
@@ -60,6 +60,30 @@
   });
 });
 
+describe('retry budgets of many hosts', () => {
+  const bounds = { ratio: 0.2, slack: 258, windowMs: 10_000 };
+
+  it('stay together within the slack, however many hosts there are', () => {
+    for (const hosts of [8, 58, 330]) {
+      const budgets = Array.from({ length: hosts }, () => new RetryBudget(bounds, () => hosts));
+      let taken = 0;
+      for (let repeat = 0; repeat < 300; repeat++) {
+        taken += budgets.filter(budget => budget.take()).length;
+      }
+      expect(taken).to.be.at.most(bounds.slack);
+    }
+  });
+
+  it('stay within it while no host knows how many there are', () => {
+    const budgets = Array.from({ length: 58 }, () => new RetryBudget(bounds, () => 0));
+    let taken = 0;
+    for (let repeat = 0; repeat < 300; repeat++) {
+      taken += budgets.filter(budget => budget.take()).length;
+    }
+    expect(taken).to.be.at.most(bounds.slack);
+  });
+});
+
 describe('overload guard', () => {
   it('refuses nobody while the objective is near, and more the later hosts are', () => {
     expect(refusedPart(100, 100)).to.equal(0);
--- a/packages/entry/src/routing/target-chooser.ts
+++ b/packages/entry/src/routing/target-chooser.ts
@@ -22,6 +22,13 @@
   readonly exclude: ReadonlySet<string>;
 };
 
+/** What a chooser knows beside the hosts. */
+export type ChooserOptions = {
+  readonly failureDomain: string;
+  /** Requests of other entry hosts in progress at a host. */
+  readonly othersAt: (hostId: string) => number;
+};
+
 /** Time to the first event that is assumed of a host nothing is known of, in milliseconds. */
 const DEFAULT_FIRST_MS = 80;
 /** Weight of each request that is at a host already. */
@@ -35,14 +42,14 @@
 export class TargetChooser {
   readonly #registry: HostRegistry;
   readonly #activities: HostActivities;
-  readonly #failureDomain: string;
+  readonly #options: ChooserOptions;
   readonly #groups = new Map<string, readonly ReplicaGroup[]>();
   #version = -1;
 
-  constructor(registry: HostRegistry, activities: HostActivities, failureDomain: string) {
+  constructor(registry: HostRegistry, activities: HostActivities, options: ChooserOptions) {
     this.#registry = registry;
     this.#activities = activities;
-    this.#failureDomain = failureDomain;
+    this.#options = options;
   }
 
   /** The best target; undefined while there is none. Avoided hosts come last. */
@@ -111,9 +118,9 @@
   #cost(host: HostEntry): number {
     const activity = this.#activities.of(host.id);
     const first = activity.firstMs ?? DEFAULT_FIRST_MS;
-    const queue = 1 + QUEUE_WEIGHT * activity.inFlight;
+    const queue = 1 + QUEUE_WEIGHT * (activity.inFlight + this.#options.othersAt(host.id));
     const avoided = this.#activities.isAvoided(host.id) ? AVOIDED_FACTOR : 1;
-    const remote = host.failureDomain === this.#failureDomain ? 1 : REMOTE_FACTOR;
+    const remote = host.failureDomain === this.#options.failureDomain ? 1 : REMOTE_FACTOR;
     return first * queue * avoided * remote * (1 + SPREAD * Math.random());
   }
 }
--- a/packages/entry/src/server/entry-settings.ts
+++ b/packages/entry/src/server/entry-settings.ts
@@ -24,6 +24,17 @@
   readonly loadWindowMs: number;
 };
 
+/** How entry hosts reach each other. */
+export type PeerSettings = {
+  readonly listen: SocketAddress;
+  /** Addresses (`ip:port`) of some peers; they may be gone. */
+  readonly seeds: readonly string[];
+  /** Shared by all entry hosts; empty where the network is trusted. */
+  readonly key: string;
+  /** Processor power of this host, in cores; stronger hosts follow the store for others. */
+  readonly power: number;
+};
+
 /** Settings of an entry host. */
 export type EntrySettings = {
   readonly name: string;
@@ -32,6 +43,8 @@
   readonly readiness: SocketAddress;
   readonly metrics: SocketAddress | undefined;
   readonly store: SocketAddress;
+  /** Undefined: this host follows the store alone. */
+  readonly peers: PeerSettings | undefined;
   readonly bounds: EntryBounds;
 };
 
@@ -69,6 +82,7 @@
     readiness: reader.address('listen', 'readiness'),
     metrics: reader.has('listen', 'metrics') ? reader.address('listen', 'metrics') : undefined,
     store: reader.address('store', 'address'),
+    peers: reader.has('peers', 'listen') ? readPeers(reader) : undefined,
     bounds: {
       keyRevocationMs: reader.number('bounds', 'key-revocation-ms', 5_000),
       keysFailClosed: reader.flag('bounds', 'keys-fail-closed', true),
@@ -87,6 +101,15 @@
   return settings;
 }
 
+function readPeers(reader: SettingsReader): PeerSettings {
+  return {
+    listen: reader.address('peers', 'listen'),
+    seeds: reader.list('peers', 'seeds'),
+    key: reader.has('peers', 'key') ? reader.text('peers', 'key') : '',
+    power: reader.number('host', 'processor-share', 1) * reader.number('host', 'processors', 1),
+  };
+}
+
 /** Reads values and collects what is wrong with them. */
 class SettingsReader {
   readonly findings: SettingFinding[] = [];
@@ -131,6 +154,14 @@
     return value === 'true';
   }
 
+  list(section: string, key: string): readonly string[] {
+    const value = this.#value(section, key) ?? '';
+    return value
+      .split(',')
+      .map(entry => entry.trim())
+      .filter(entry => entry !== '');
+  }
+
   address(section: string, key: string): SocketAddress {
     const value = this.text(section, key);
     const colon = value.lastIndexOf(':');
--- /dev/null
+++ b/packages/entry/src/store/followed-kinds.ts
@@ -0,0 +1,113 @@
+/** The kinds that an entry host follows, and how closely. */
+import type { Log } from '../server/log.js';
+import type { ObjectKind } from './object-store.js';
+import { OBJECT_KINDS } from './object-store.js';
+import type { KindObserver, ReaderChoice } from './watched-kind.js';
+import { WatchedKind } from './watched-kind.js';
+
+/** Options of the followed kinds. */
+export type FollowedKindsOptions = {
+  readonly readers: ReaderChoice;
+  readonly observers: Readonly<Partial<Record<ObjectKind, KindObserver>>>;
+  /** True while the store itself is followed, not a peer. */
+  readonly followsStore: () => boolean;
+  /** True while this host gives orders. */
+  readonly givesOrders: () => boolean;
+  readonly log: Log;
+};
+
+/** How closely a kind is followed; all in milliseconds. */
+type Timing = {
+  /** Longest wait of one call. */
+  readonly storeWaitMs: number;
+  readonly peerWaitMs: number;
+  /** Pause after an answer that brought changes. */
+  readonly pauseMs: number;
+  /** Pause of the host that gives orders. */
+  readonly giverPauseMs: number;
+  /** Age of a confirmation from which a reader counts as stale. */
+  readonly staleMs: number;
+};
+
+const CONFIGURATION_TIMING: Timing = {
+  storeWaitMs: 1_000,
+  peerWaitMs: 1_000,
+  pauseMs: 250,
+  giverPauseMs: 250,
+  staleMs: 2_200,
+};
+/** Loads travel with the questions for hosts, so that these wait for less time. */
+const HOSTS_TIMING: Timing = {
+  storeWaitMs: 1_500,
+  peerWaitMs: 250,
+  pauseMs: 150,
+  giverPauseMs: 50,
+  staleMs: 2_500,
+};
+const MEMBERS_TIMING: Timing = {
+  storeWaitMs: 5_000,
+  peerWaitMs: 2_500,
+  pauseMs: 500,
+  giverPauseMs: 500,
+  staleMs: 9_000,
+};
+const TIMINGS: Readonly<Partial<Record<ObjectKind, Timing>>> = {
+  [OBJECT_KINDS.configuration]: CONFIGURATION_TIMING,
+  [OBJECT_KINDS.hosts]: HOSTS_TIMING,
+  [OBJECT_KINDS.members]: MEMBERS_TIMING,
+};
+
+/** A watch for each kind that has an observer. */
+export class FollowedKinds {
+  readonly #watches = new Map<ObjectKind, WatchedKind>();
+  readonly #log: Log;
+
+  constructor(options: FollowedKindsOptions) {
+    this.#log = options.log;
+    for (const [name, observer] of Object.entries(options.observers)) {
+      const kind = name as ObjectKind;
+      const timing = TIMINGS[kind];
+      if (timing !== undefined) {
+        this.#watches.set(kind, watchOf(kind, observer, timing, options));
+      }
+    }
+  }
+
+  /** The watch of a kind, if it is followed. */
+  of(kind: ObjectKind): WatchedKind | undefined {
+    return this.#watches.get(kind);
+  }
+
+  /** Follows all kinds until it is stopped. */
+  start(): void {
+    for (const [kind, watch] of this.#watches) {
+      watch.run().catch((error: unknown) => {
+        this.#log.error('task ended', { task: kind, cause: String((error as Error).stack) });
+      });
+    }
+  }
+
+  /** Ends all watches. */
+  stop(): void {
+    this.#watches.forEach(watch => {
+      watch.stop();
+    });
+  }
+}
+
+function watchOf(
+  kind: ObjectKind,
+  observer: KindObserver,
+  timing: Timing,
+  { readers, followsStore, givesOrders, log }: FollowedKindsOptions,
+): WatchedKind {
+  return new WatchedKind({
+    readers,
+    kind,
+    waitMs: () => (followsStore() ? timing.storeWaitMs : timing.peerWaitMs),
+    pauseMs: () => (givesOrders() ? timing.giverPauseMs : timing.pauseMs),
+    staleMs: timing.staleMs,
+    observer,
+    log,
+  });
+}
--- /dev/null
+++ b/packages/entry/src/store/kind-reader.ts
@@ -0,0 +1,58 @@
+/** Reading the objects of a kind, from the store itself or from a peer that follows it. */
+import { monotonicMs } from '../server/time.js';
+import type { ObjectChange, ObjectKind, ObjectList, ObjectStore } from './object-store.js';
+
+/** What a reading brings. */
+export type KindAnswer =
+  | { readonly kind: 'list'; readonly list: ObjectList }
+  | {
+      readonly kind: 'changes';
+      readonly changes: readonly ObjectChange[];
+      /** Revision of the store up to which the changes are whole. */
+      readonly revision: number;
+    }
+  /** The changes since the revision are not known any more. */
+  | { readonly kind: 'expired' };
+
+/** An answer with the time for which it holds. */
+export type KindReading = {
+  readonly answer: KindAnswer;
+  /** The store was asked at this moment or later (monotonic milliseconds of this process). */
+  readonly confirmedAt: number;
+  /** False when whoever answered has lost the store itself. */
+  readonly inTouch: boolean;
+};
+
+/** A place to read kinds from. */
+export type KindReader = {
+  /** For logs. */
+  readonly name: string;
+  /**
+   * Gives the whole list when `revision` is undefined, else waits up to `waitMs` for changes after
+   * it. Rejects when there is no answer.
+   */
+  readonly read: (
+    kind: ObjectKind,
+    revision: number | undefined,
+    waitMs: number,
+  ) => Promise<KindReading>;
+};
+
+/** Name of the reader that asks the store itself. */
+export const STORE_READER_NAME = 'store';
+
+/** Reads from the store itself: what it answers holds for when it was asked. */
+export function storeReader(store: ObjectStore): KindReader {
+  return {
+    name: STORE_READER_NAME,
+    read: async (kind, revision, waitMs) => {
+      const confirmedAt = monotonicMs();
+      if (revision === undefined) {
+        const list = await store.list(kind);
+        return { answer: { kind: 'list', list }, confirmedAt, inTouch: true };
+      }
+      const answer = await store.watch(kind, revision, waitMs);
+      return { answer, confirmedAt, inTouch: true };
+    },
+  };
+}
--- a/packages/entry/src/store/object-store.ts
+++ b/packages/entry/src/store/object-store.ts
@@ -5,6 +5,8 @@
   configuration: 'configuration',
   hosts: 'hosts',
   leases: 'leases',
+  /** The entry hosts themselves. */
+  members: 'members',
 } as const;
 /** One of the kinds. */
 export type ObjectKind = (typeof OBJECT_KINDS)[keyof typeof OBJECT_KINDS];
--- a/packages/entry/src/store/watched-kind.test.ts
+++ b/packages/entry/src/store/watched-kind.test.ts
@@ -1,6 +1,7 @@
 import { expect } from 'chai';
 
 import { silentLog } from '../server/log.js';
+import { storeReader } from './kind-reader.js';
 import type { ObjectStore, WatchAnswer } from './object-store.js';
 import { OBJECT_KINDS, StoreError } from './object-store.js';
 import type { KindObserver } from './watched-kind.js';
@@ -26,10 +27,12 @@
 }
 
 function watchOf(store: ObjectStore, observer: KindObserver = IGNORE): WatchedKind {
+  const reader = storeReader(store);
   return new WatchedKind({
-    store,
+    readers: { choose: () => reader, note: () => undefined },
     kind: OBJECT_KINDS.hosts,
-    waitMs: 50,
+    waitMs: () => 50,
+    staleMs: 1_000,
     pauseMs: () => 0,
     observer,
     log: silentLog(),
--- a/packages/entry/src/store/watched-kind.ts
+++ b/packages/entry/src/store/watched-kind.ts
@@ -1,23 +1,41 @@
-/** Follows all objects of a kind: lists them, then watches, and lists anew when history is gone. */
+/**
+ * Follows all objects of a kind: lists them, then watches, and lists anew when history is gone.
+ *
+ * What is followed stands in a cache that only moves forward, whichever reader it came from, so
+ * that readers can be changed at any time.
+ */
 import type { Log } from '../server/log.js';
 import { monotonicMs, sleep } from '../server/time.js';
-import type { ObjectChange, ObjectKind, ObjectList, ObjectStore } from './object-store.js';
+import { KindCache } from './kind-cache.js';
+import type { KindReader, KindReading } from './kind-reader.js';
+import type { ObjectChange, ObjectKind, ObjectList } from './object-store.js';
 
 /** Receives what a watch brings. */
 export type KindObserver = {
   /** The whole list; objects not in it are gone. */
   readonly listed: (list: ObjectList) => void;
   readonly changed: (change: ObjectChange) => void;
-  /** The store answered; the question was sent at `sentAt` (monotonic milliseconds). */
-  readonly confirmed: (sentAt: number) => void;
+  /** The store answered; the question was sent at `askedAt` (monotonic milliseconds) or later. */
+  readonly confirmed: (askedAt: number) => void;
+};
+
+/** How a reading ended: `stale` when what it brought was confirmed too long ago. */
+export type ReadingOutcome = 'fresh' | 'stale' | 'failed';
+
+/** Chooses the reader of each step, and learns how it went. */
+export type ReaderChoice = {
+  readonly choose: () => KindReader;
+  readonly note: (reader: KindReader, outcome: ReadingOutcome) => void;
 };
 
 /** Settings of a watch. */
 export type WatchOptions = {
-  readonly store: ObjectStore;
+  readonly readers: ReaderChoice;
   readonly kind: ObjectKind;
   /** Longest wait of one call, in milliseconds. */
-  readonly waitMs: number;
+  readonly waitMs: () => number;
+  /** Age of a confirmation from which a reader counts as stale, in milliseconds. */
+  readonly staleMs: number;
   /** Pause after each answer that brought changes, so that bursts cost few calls. */
   readonly pauseMs: () => number;
   readonly observer: KindObserver;
@@ -32,9 +50,10 @@
 
 /** A running watch. */
 export class WatchedKind {
+  readonly cache = new KindCache();
   readonly #options: WatchOptions;
   readonly #abort = new AbortController();
-  #revision: number | undefined;
+  #expired = false;
   #failures = 0;
 
   constructor(options: WatchOptions) {
@@ -44,60 +63,99 @@
   /** Runs until it is stopped. */
   async run(): Promise<void> {
     while (!this.#abort.signal.aborted) {
+      const reader = this.#options.readers.choose();
       try {
-        await this.#step();
-        this.#noteRegained();
+        const changed = await this.#step(reader);
+        if (changed) {
+          await sleep(this.#options.pauseMs(), this.#abort.signal);
+        }
       } catch (error) {
-        await this.#noteLost(error as Error);
+        this.#options.readers.note(reader, 'failed');
+        await this.#noteLost(reader, error as Error);
       }
     }
   }
 
+  /** False from a failed reading until one that was fresh. */
+  get inTouch(): boolean {
+    return this.#failures === 0 && this.cache.revision !== undefined;
+  }
+
   /** Ends the watch. */
   stop(): void {
     this.#abort.abort();
   }
 
-  async #step(): Promise<void> {
-    const { store, kind, waitMs, pauseMs, observer } = this.#options;
-    const sentAt = monotonicMs();
-    if (this.#revision === undefined) {
-      const list = await store.list(kind);
-      this.#revision = list.revision;
-      observer.listed(list);
-      observer.confirmed(sentAt);
-      return;
-    }
+  async #step(reader: KindReader): Promise<boolean> {
+    const { kind, waitMs, staleMs, readers } = this.#options;
+    const revision = this.#expired ? undefined : this.cache.revision;
     // After a loss the first answer is wanted at once: it confirms what is known.
-    const wait = this.#failures > 0 ? 0 : waitMs;
-    const answer = await store.watch(kind, this.#revision, wait);
+    const wait = this.#failures > 0 ? 0 : waitMs();
+    const reading = await reader.read(kind, revision, wait);
+    const changed = this.#take(reading);
+    const age = monotonicMs() - reading.confirmedAt;
+    const fresh = reading.inTouch && age < staleMs;
+    readers.note(reader, fresh ? 'fresh' : 'stale');
+    if (fresh) {
+      this.#noteRegained(reader);
+    } else {
+      await this.#noteLost(reader, new Error(`confirmed ${Math.round(age)} ms ago`));
+    }
+    return changed;
+  }
+
+  #take({ answer, confirmedAt }: KindReading): boolean {
+    const { observer } = this.#options;
     if (answer.kind === 'expired') {
-      this.#revision = undefined;
-      return;
+      this.#expired = true;
+      return false;
     }
-    this.#revision = Math.max(this.#revision, answer.revision);
-    for (const change of answer.changes) {
-      observer.changed(change);
+    let changed = false;
+    if (answer.kind === 'list') {
+      this.#expired = false;
+      changed = this.cache.takeList(answer.list);
+      if (changed) {
+        observer.listed(answer.list);
+      }
+    } else if (this.cache.takeChanges(answer.changes, answer.revision)) {
+      changed = answer.changes.length > 0;
+      answer.changes.forEach(change => {
+        observer.changed(change);
+      });
     }
-    observer.confirmed(sentAt);
-    if (answer.changes.length > 0) {
-      await sleep(pauseMs(), this.#abort.signal);
+    this.#confirm(answer.kind === 'list' ? answer.list.revision : answer.revision, confirmedAt);
+    return changed;
+  }
+
+  // An answer for an older revision than what is known confirms nothing newer.
+  #confirm(revision: number, confirmedAt: number): void {
+    if (revision >= (this.cache.revision ?? 0)) {
+      this.cache.confirm(confirmedAt);
+      this.#options.observer.confirmed(confirmedAt);
     }
   }
 
-  #noteRegained(): void {
+  #noteRegained(reader: KindReader): void {
     if (this.#failures > 0) {
       const { log, kind } = this.#options;
-      log.info('dependency regained', { dependency: `store/${kind}`, failures: this.#failures });
+      log.info('dependency regained', {
+        dependency: `objects/${kind}`,
+        from: reader.name,
+        failures: this.#failures,
+      });
       this.#failures = 0;
     }
   }
 
-  async #noteLost(error: Error): Promise<void> {
+  async #noteLost(reader: KindReader, error: Error): Promise<void> {
     const { log, kind, random = Math.random } = this.#options;
     this.#failures += 1;
     if (this.#failures === 1) {
-      log.warn('dependency lost', { dependency: `store/${kind}`, cause: error.message });
+      log.warn('dependency lost', {
+        dependency: `objects/${kind}`,
+        from: reader.name,
+        cause: error.message,
+      });
     }
     const backoff = Math.min(RETRY_MS * this.#failures, MAX_RETRY_MS);
     await sleep(backoff * (0.5 + random()), this.#abort.signal);
--- a/packages/link/src/handshake.ts
+++ b/packages/link/src/handshake.ts
@@ -8,7 +8,7 @@
 
 /** Who speaks on a link. */
 export type LinkIdentity = {
-  readonly role: 'gateway' | 'controller' | 'tool';
+  readonly role: 'gateway' | 'controller' | 'entry' | 'tool';
   readonly name: string;
   readonly failureDomain: string;
 };
--- a/packages/runtime/src/http-server.ts
+++ b/packages/runtime/src/http-server.ts
@@ -10,6 +10,7 @@
 import type { Express, NextFunction, Request, Response } from 'express';
 import express from 'express';
 
+import { splitAddress } from './address.js';
 import type { TlsFiles } from './tls.js';
 import { readTlsFiles, reloadOnChange } from './tls.js';
 
@@ -189,13 +190,6 @@
   );
 }
 
-/** Splits `ip:port`. */
-export function splitAddress(address: string): { host: string; port: number } {
-  const colon = address.lastIndexOf(':');
-  const host = address.slice(0, colon).replace(/^\[|\]$/g, '');
-  return { host, port: Number(address.slice(colon + 1)) };
-}
-
 // Connections that become idle while others still work are closed as well.
 function drainServer(server: Server): Promise<void> {
   return new Promise(resolve => {
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -1,4 +1,5 @@
 /** What all processes share: settings, logs, metrics, HTTP servers, tasks, clocks. */
+export * from './address.js';
 export * from './binary.js';
 export * from './clock.js';
 export * from './http-server.js';
--- a/packages/runtime/src/tls.test.ts
+++ b/packages/runtime/src/tls.test.ts
@@ -6,8 +6,9 @@
 
 import { expect } from 'chai';
 
+import { splitAddress } from './address.js';
 import { sleep } from './clock.js';
-import { createApp, DEFAULT_HTTP_LIMITS, listenHttp, splitAddress } from './http-server.js';
+import { createApp, DEFAULT_HTTP_LIMITS, listenHttp } from './http-server.js';
 import { tlsFiles } from './tls.js';
 
 const FIXTURES = join(dirname(fileURLToPath(import.meta.url)), '../../proofs/fixtures');
