--- a/packages/entry/src/groups/capacity-log.ts
+++ b/packages/entry/src/groups/capacity-log.ts
@@ -1,6 +1,7 @@
 /** One line whenever the number of serving groups changes, with what it was decided from. */
 import type { EngineProfile } from '../configuration/serving-configuration.js';
 import type { Log } from '../server/log.js';
+import type { FreeDomain } from './formation-plan.js';
 import type { ReplicaGroup } from './replica-groups.js';
 import { headState } from './replica-groups.js';
 
@@ -10,6 +11,8 @@
   readonly forming: number;
   readonly free: number;
   readonly staging: number;
+  /** Free hosts by fabric domain. */
+  readonly freeByDomain: readonly FreeDomain[];
 };
 
 /** Writes the lines. */
@@ -35,6 +38,25 @@
     }
     this.#last = text;
     const shares = profile.models.map(model => `${model.name}:${model.workShare.toFixed(2)}`);
-    this.#log.info('capacity changed', { open: text, demand: shares.join(','), ...idle });
+    const { forming, free, staging, freeByDomain } = idle;
+    const spares = freeByDomain.map(domain => `${domain.fabricDomain}(${sparesOf(domain)})`);
+    this.#log.info('capacity changed', {
+      open: text,
+      demand: shares.join(','),
+      forming,
+      free,
+      staging,
+      spares: spares.join(' '),
+    });
+  }
+}
+
+// Free hosts of a domain by the model that lies on them.
+function sparesOf(domain: FreeDomain): string {
+  const counts = new Map<string, number>();
+  for (const host of domain.hosts) {
+    const model = host.stagedModels.at(-1) ?? '-';
+    counts.set(model, (counts.get(model) ?? 0) + 1);
   }
+  return [...counts].map(([model, count]) => `${model}:${count}`).join(',');
 }
--- a/packages/entry/src/groups/group-task.ts
+++ b/packages/entry/src/groups/group-task.ts
@@ -214,9 +214,10 @@
     const accepting = hosts.filter(host => host.accepting).length;
     const groupCounts = this.#groupCounts(groups);
     const targets = groupTargets(profile, accepting * (1 - spareShare));
+    const freeByDomain = byFabricDomain(free);
     const planned = planFormations({
       profile,
-      domains: byFabricDomain(free),
+      domains: freeByDomain,
       groupCounts,
       targets,
       withLoads: mayLoadFreely(),
@@ -226,6 +227,7 @@
       forming: this.#formations.size,
       free: free.length,
       staging: this.#stagings.size,
+      freeByDomain,
     });
     const taken = new Set<HostEntry>();
     for (const formation of planned.formations) {
--- a/packages/entry/src/server/log.test.ts
+++ b/packages/entry/src/server/log.test.ts
@@ -50,6 +50,17 @@
     expect(lines().find(line => line.message === 'lines left out')).to.include({ many: 45 });
   });
 
+  it('writes every line that the bounds admit, however alike and close together', () => {
+    const { lines, sink } = sinkOf(() => 0);
+    const bounds = { ...BOUNDS, infoPerSecond: 100, warnPerSecond: 100 };
+    const log = createLog('entry-1', bounds, sink);
+    for (let line = 0; line < 40; line++) {
+      log.warn('attempt failed', { request: `r${line}` });
+    }
+    expect(lines().map(line => line.request)).to.include.members(['r0', 'r20', 'r39']);
+    expect(lines()).to.have.length(40);
+  });
+
   it('drops lines instead of waiting for a reader that does not read', () => {
     const { lines, sink } = sinkOf(() => 2_000);
     const log = createLog('entry-1', BOUNDS, sink);
--- a/packages/entry/src/server/log.ts
+++ b/packages/entry/src/server/log.ts
@@ -51,6 +51,8 @@
 ): Log {
   const gate = new LineGate(bounds, sink);
   const consola = createConsola({
+    // Lines carry their meaning in fields that the library's throttle does not compare.
+    throttle: 0,
     level: LogLevels.info,
     reporters: [
       {
--- a/packages/runtime/src/log.ts
+++ b/packages/runtime/src/log.ts
@@ -39,11 +39,22 @@
   readonly format: LogFormat;
 };
 
-/** Makes the log of a process; lines go to standard error. */
-export function createLog(options: LogOptions): Log {
+/** Makes the log of a process; lines go to standard error unless another sink is given. */
+export function createLog(
+  options: LogOptions,
+  write: (line: string) => void = line => process.stderr.write(line),
+): Log {
   const consola = createConsola({
+    // Lines carry their meaning in fields that the library's throttle does not compare.
+    throttle: 0,
     level: LogLevels[options.level],
-    reporters: [{ log: line => process.stderr.write(formatLine(options, line)) }],
+    reporters: [
+      {
+        log: line => {
+          write(formatLine(options, line));
+        },
+      },
+    ],
   });
   const tracing = options.level === 'trace';
   return {
