Declared shares are parts of the runners' time

Cause: the platform's share of a model was read as its part of the requests. With sizes 8 and 4 and paces 1 and 0.6, halves of the time are 0.23 and 0.77 of the tokens, which is what all sites show from the first second on; groups were laid out for halves.

--- a/packages/entry/src/entry-host.ts
+++ b/packages/entry/src/entry-host.ts
@@ -307,17 +307,15 @@
     });
   }
 
-  // The declared shares hold at the start only; later the work is divided as it comes. Until it is
-  // measured, groups are laid out for half way between the declared division and an even one.
+  // The declared shares hold at the start only; later the work is divided as it comes.
   #profileOf(service: string): EngineProfile | undefined {
     const profile = this.#holder.table?.service(service)?.engine;
     if (profile === undefined) {
       return undefined;
     }
-    const even = 1 / Math.max(1, profile.models.length);
     const models = profile.models.map(model => ({
       ...model,
-      workShare: this.#demand.shareOf(service, model.name, (model.workShare + even) / 2),
+      workShare: this.#demand.shareOf(service, model.name, model.workShare),
     }));
     return { ...profile, models };
   }
