--- a/packages/entry/src/entry-host.ts
+++ b/packages/entry/src/entry-host.ts
@@ -70,7 +70,7 @@
   readonly #holder: ConfigurationHolder;
   readonly #registry: HostRegistry;
   readonly #activities = new HostActivities();
-  readonly #demand = new DemandMeter();
+  readonly #demand = new DemandMeter(key => this.#peers?.tally.work.ofOthers(key) ?? 0);
   readonly #chooser: TargetChooser;
   readonly #lease: LeaseTask;
   readonly #sender: OrderSender;
@@ -124,7 +124,7 @@
     });
     this.#chooser = new TargetChooser(this.#registry, this.#activities, {
       failureDomain: settings.failureDomain,
-      othersAt: hostId => this.#peers?.loads.othersAt(hostId) ?? 0,
+      othersAt: hostId => this.#peers?.tally.loads.ofOthers(hostId) ?? 0,
     });
     this.#intake = new RequestIntake(this.#holder, this.#relayServices());
     this.#callers = new CallerServer((request, response) => {
@@ -215,6 +215,7 @@
       store,
       watchOf: kind => this.#kinds.of(kind),
       ownLoads: () => this.#activities.loads(),
+      ownWork: () => this.#demand.counts(),
       orderGiver: () => (this.#lease.term === undefined ? this.#lease.holderHost : name),
       suspected: ({ service, group }) => {
         this.#suspectHere(service, group);
@@ -313,10 +314,7 @@
     if (profile === undefined) {
       return undefined;
     }
-    const models = profile.models.map(model => ({
-      ...model,
-      workShare: this.#demand.shareOf(service, model.name, model.workShare),
-    }));
+    const models = this.#demand.shared(service, profile.models);
     return { ...profile, models };
   }
 
--- a/packages/entry/src/peers/peer-messages.ts
+++ b/packages/entry/src/peers/peer-messages.ts
@@ -4,16 +4,24 @@
 
 /** Names of the requests. */
 export const PEER_REQUESTS = {
-  /** Follow a kind of object; tells and brings loads beside. */
+  /** Follow a kind of object; tells and brings a tally beside. */
   read: 'read-kind',
-  /** Loads of a failure domain. */
-  loads: 'domain-loads',
+  /** What a failure domain has added up. */
+  tally: 'domain-tally',
   /** A group stands still; for the order giver. */
   suspect: 'suspect-group',
 } as const;
 
-/** Requests in progress at upstream hosts: host id and number, in turn. */
-export type Loads = readonly (readonly [string, number])[];
+/** Numbers by key. */
+export type Counts = readonly (readonly [string, number])[];
+
+/** What entry hosts add up. */
+export type Tally = {
+  /** Requests in progress by upstream host. */
+  readonly loads: Counts;
+  /** Recent work by model; see `demand-meter.ts`. */
+  readonly work: Counts;
+};
 
 /** Question for a kind. */
 export type ReadRequest = {
@@ -21,8 +29,8 @@
   /** Undefined: the whole list. */
   readonly revision: number | undefined;
   readonly waitMs: number;
-  /** The asking host's own loads, with kinds that bring loads back. */
-  readonly loads: Loads | undefined;
+  /** The asking host's own tally, with the kind that brings one back. */
+  readonly tally: Tally | undefined;
 };
 
 /** Answer to a question for a kind. */
@@ -33,12 +41,12 @@
   readonly inTouch: boolean;
   /** From when the question arrived to the store's last confirmation, in milliseconds. */
   readonly confirmedAfterMs: number;
-  /** Loads of all hosts but the asking one. */
-  readonly loads: Loads | undefined;
+  /** Tally of all hosts but the asking one. */
+  readonly tally: Tally | undefined;
 };
 
-/** Answer to a question for a failure domain's loads. */
-export type LoadsReply = { readonly loads: Loads };
+/** Answer to a question for a failure domain's tally. */
+export type TallyReply = { readonly tally: Tally };
 
 /** A group that stands still. */
 export type SuspectRequest = {
--- a/packages/entry/src/peers/peer-reader.ts
+++ b/packages/entry/src/peers/peer-reader.ts
@@ -6,27 +6,26 @@
 import { OBJECT_KINDS } from '../store/object-store.js';
 import type { ReadReply, ReadRequest } from './peer-messages.js';
 import { PEER_REQUESTS } from './peer-messages.js';
-import type { SharedLoads } from './shared-loads.js';
+import type { SharedTally } from './shared-tally.js';
 
 /** Time that a peer has to answer beyond the wait of the question, in milliseconds. */
 const ANSWER_MS = 400;
 
 /** A reader over one link. */
-export function peerReader(name: string, link: LinkClient, loads: SharedLoads): KindReader {
+export function peerReader(name: string, link: LinkClient, tally: SharedTally): KindReader {
   return {
     name,
     read: async (kind, revision, waitMs) => {
-      const tellsLoads = kind === OBJECT_KINDS.hosts;
-      const own = tellsLoads ? loads.own() : undefined;
-      const request: ReadRequest = { kind, revision, waitMs, loads: own };
+      const own = kind === OBJECT_KINDS.hosts ? tally.own() : undefined;
+      const request: ReadRequest = { kind, revision, waitMs, tally: own };
       const sentAt = monotonicMs();
       const timeoutMs = waitMs + ANSWER_MS;
       const reply = await link.request<ReadReply>(PEER_REQUESTS.read, request, timeoutMs);
       if (reply.answer === undefined) {
         throw new Error(`${name} knows nothing of ${kind}`);
       }
-      if (reply.loads !== undefined) {
-        loads.noteFollowed(reply.loads);
+      if (reply.tally !== undefined) {
+        tally.noteFollowed(reply.tally);
       }
       // The question arrived after it was sent, so the confirmation is not older than this.
       const confirmedAt = sentAt + reply.confirmedAfterMs;
--- a/packages/entry/src/peers/peer-server.ts
+++ b/packages/entry/src/peers/peer-server.ts
@@ -5,9 +5,9 @@
 import { monotonicMs } from '../server/time.js';
 import type { ObjectKind } from '../store/object-store.js';
 import type { WatchedKind } from '../store/watched-kind.js';
-import type { LoadsReply, ReadReply, ReadRequest, SuspectRequest } from './peer-messages.js';
+import type { ReadReply, ReadRequest, SuspectRequest, TallyReply } from './peer-messages.js';
 import { PEER_REQUESTS } from './peer-messages.js';
-import type { SharedLoads } from './shared-loads.js';
+import type { SharedTally } from './shared-tally.js';
 
 /** Options of a peer server. */
 export type PeerServerOptions = {
@@ -15,7 +15,7 @@
   readonly listen: string;
   readonly key: string;
   readonly watchOf: (kind: ObjectKind) => WatchedKind | undefined;
-  readonly loads: SharedLoads;
+  readonly tally: SharedTally;
   /** False while peers are better off without this host. */
   readonly mayBeFollowed: () => boolean;
   readonly suspected: (request: SuspectRequest) => void;
@@ -26,14 +26,14 @@
 
 /** Starts no task of its own: a link server whose handlers read what is known here. */
 export function createPeerServer(options: PeerServerOptions): LinkServer {
-  const { listen, key, loads, suspected } = options;
+  const { listen, key, tally, suspected } = options;
   return new LinkServer({
     listen,
     key,
     handlers: {
       [PEER_REQUESTS.read]: (request: ReadRequest, peer: LinkIdentity) =>
         answerRead(options, request, peer),
-      [PEER_REQUESTS.loads]: (): LoadsReply => ({ loads: loads.ofDomain() }),
+      [PEER_REQUESTS.tally]: (): TallyReply => ({ tally: tally.ofDomain() }),
       [PEER_REQUESTS.suspect]: (request: SuspectRequest): null => {
         suspected(request);
         return null;
@@ -43,15 +43,15 @@
 }
 
 async function answerRead(
-  { watchOf, loads, mayBeFollowed }: PeerServerOptions,
+  { watchOf, tally, mayBeFollowed }: PeerServerOptions,
   request: ReadRequest,
   peer: LinkIdentity,
 ): Promise<ReadReply> {
   const arrivedAt = monotonicMs();
   const watch = watchOf(request.kind);
   const cache = watch?.cache;
-  if (request.loads !== undefined) {
-    loads.noteFollower(peer.name, request.loads);
+  if (request.tally !== undefined) {
+    tally.noteFollower(peer.name, request.tally);
   }
   if (request.revision !== undefined && cache?.revision !== undefined) {
     await cache.waitBeyond(request.revision, Math.min(request.waitMs, MAX_WAIT_MS));
@@ -60,6 +60,6 @@
     answer: cache?.answerSince(request.revision),
     inTouch: mayBeFollowed() && (watch?.inTouch ?? false),
     confirmedAfterMs: (cache?.confirmedAt ?? -Infinity) - arrivedAt,
-    loads: request.loads === undefined ? undefined : loads.allBut(peer.name),
+    tally: request.tally === undefined ? undefined : tally.allBut(peer.name),
   };
 }
--- a/packages/entry/src/peers/peers.ts
+++ b/packages/entry/src/peers/peers.ts
@@ -1,6 +1,6 @@
 /**
- * What entry hosts tell each other: the objects that they follow, the loads of upstream hosts, and
- * groups that stand still.
+ * What entry hosts tell each other: the objects that they follow, what they add up, and groups that
+ * stand still.
  */
 import type { LinkServer } from '@hingescale/link';
 import { LinkPool } from '@hingescale/link';
@@ -14,12 +14,12 @@
 import type { ReaderChoice, WatchedKind } from '../store/watched-kind.js';
 import type { Member } from './member.js';
 import { Membership } from './membership.js';
-import type { Loads, LoadsReply, SuspectRequest } from './peer-messages.js';
+import type { Counts, SuspectRequest, TallyReply } from './peer-messages.js';
 import { PEER_REQUESTS } from './peer-messages.js';
 import { peerReader } from './peer-reader.js';
 import { createPeerServer } from './peer-server.js';
 import { PeerReaderChoice } from './reader-choice.js';
-import { SharedLoads } from './shared-loads.js';
+import { SharedTally } from './shared-tally.js';
 
 /** Options of the peers. */
 export type PeersOptions = {
@@ -30,7 +30,9 @@
   readonly store: ObjectStore;
   readonly watchOf: (kind: ObjectKind) => WatchedKind | undefined;
   /** Requests of this host in progress at upstream hosts. */
-  readonly ownLoads: () => Loads;
+  readonly ownLoads: () => Counts;
+  /** Recent work of this host's requests by model. */
+  readonly ownWork: () => Counts;
   /** Name of the entry host that gives orders, as far as it is known. */
   readonly orderGiver: () => string | undefined;
   /** This host gives orders, and a group is said to stand still. */
@@ -49,7 +51,7 @@
 /** The peers of this entry host. */
 export class Peers {
   readonly membership: Membership;
-  readonly loads: SharedLoads;
+  readonly tally: SharedTally;
   readonly #options: PeersOptions;
   readonly #links: LinkPool;
   readonly #server: LinkServer;
@@ -62,14 +64,14 @@
     this.#options = options;
     const { self, seeds, key, store, watchOf, log } = options;
     this.membership = new Membership({ self, seeds, store, log });
-    this.loads = new SharedLoads(options.ownLoads);
+    this.tally = new SharedTally({ loads: options.ownLoads, work: options.ownWork });
     const identity = { role: 'entry', name: self.name, failureDomain: self.failureDomain } as const;
     this.#links = new LinkPool({ key, identity });
     this.#server = createPeerServer({
       listen: self.address,
       key,
       watchOf,
-      loads: this.loads,
+      tally: this.tally,
       mayBeFollowed: () => this.#choice.mayBeFollowed,
       suspected: request => {
         this.#passOn(request);
@@ -92,7 +94,7 @@
     return this.#choice.followsStore;
   }
 
-  /** Listens for peers, registers this host, and begins to exchange loads. */
+  /** Listens for peers, registers this host, and begins to exchange tallies. */
   async start(): Promise<void> {
     await this.#server.listen();
     void this.membership.register();
@@ -120,7 +122,7 @@
   #readerOf(member: Member): KindReader {
     let reader = this.#readers.get(member.address);
     if (reader === undefined) {
-      reader = peerReader(member.address, this.#links.to(member.address), this.loads);
+      reader = peerReader(member.address, this.#links.to(member.address), this.tally);
       this.#readers.set(member.address, reader);
     }
     return reader;
@@ -148,12 +150,12 @@
       });
   }
 
-  // Only hosts that follow the store exchange loads between failure domains.
+  // Only hosts that follow the store exchange tallies between failure domains.
   async #exchange(): Promise<void> {
     while (!this.#abort.signal.aborted) {
       await sleep(EXCHANGE_PERIOD_MS, this.#abort.signal);
       if (this.followsStore) {
-        await Promise.all(this.#firstReachable().map(member => this.#askLoads(member)));
+        await Promise.all(this.#firstReachable().map(member => this.#askTally(member)));
       }
     }
   }
@@ -169,12 +171,12 @@
     return [...chosen.values()];
   }
 
-  async #askLoads(member: Member): Promise<void> {
+  async #askTally(member: Member): Promise<void> {
     const reader = this.#readerOf(member);
     try {
       const link = this.#links.to(member.address);
-      const reply = await link.request<LoadsReply>(PEER_REQUESTS.loads, null, REQUEST_TIMEOUT_MS);
-      this.loads.noteDomain(member.failureDomain, reply.loads);
+      const reply = await link.request<TallyReply>(PEER_REQUESTS.tally, null, REQUEST_TIMEOUT_MS);
+      this.tally.noteDomain(member.failureDomain, reply.tally);
     } catch {
       this.#choice.note(reader, 'failed');
     }
--- a/packages/entry/src/peers/shared-loads.ts
+++ b/packages/entry/src/peers/shared-counts.ts
@@ -1,85 +1,80 @@
 /**
- * Requests in progress at upstream hosts over all entry hosts.
+ * Numbers that all entry hosts add up: requests in progress by upstream host, work by model.
  *
- * Each entry host knows its own requests at once; those of others arrive with a delay of some
+ * Each entry host knows its own numbers at once; those of others arrive with a delay of some
  * hundred milliseconds and lapse when they are not renewed.
  */
 import { monotonicMs } from '../server/time.js';
-import type { Loads } from './peer-messages.js';
+import type { Counts } from './peer-messages.js';
 
 /** Age at which what another host has told counts no more, in milliseconds. */
 const LAPSE_MS = 1_500;
 
-type Told = { readonly loads: Loads; readonly at: number };
+type Told = { readonly counts: Counts; readonly at: number };
 
-/** The loads as known here. */
-export class SharedLoads {
-  readonly #own: () => Loads;
+/** The sums as known here. */
+export class SharedCounts {
+  readonly #own: () => Counts;
   readonly #followers = new Map<string, Told>();
   readonly #domains = new Map<string, Told>();
   #others: ReadonlyMap<string, number> = new Map();
   #othersAt = -Infinity;
   #followed: Told | undefined;
 
-  /** `own` gives the requests of this host. */
-  constructor(own: () => Loads) {
+  /** `own` gives the numbers of this host. */
+  constructor(own: () => Counts) {
     this.#own = own;
   }
 
-  /** Requests of other entry hosts at an upstream host. */
-  othersAt(hostId: string): number {
-    return this.#sum().get(hostId) ?? 0;
+  /** What the other entry hosts have of a key. */
+  ofOthers(key: string): number {
+    return this.#sum().get(key) ?? 0;
   }
 
-  /** True while loads of other entry hosts are known. */
-  get known(): boolean {
-    return this.#sum().size > 0;
-  }
-
-  /** This host's own requests. */
-  own(): Loads {
+  /** This host's own numbers. */
+  own(): Counts {
     return this.#own();
   }
 
-  /** A host that follows this one has told its own loads. */
-  noteFollower(name: string, loads: Loads): void {
-    this.#followers.set(name, { loads, at: monotonicMs() });
+  /** A host that follows this one has told its own counts. */
+  noteFollower(name: string, counts: Counts): void {
+    this.#followers.set(name, { counts, at: monotonicMs() });
     this.#othersAt = -Infinity;
   }
 
-  /** The host that this one follows has told the loads of all others. */
-  noteFollowed(loads: Loads): void {
-    this.#followed = { loads, at: monotonicMs() };
+  /** The host that this one follows has told the counts of all others. */
+  noteFollowed(counts: Counts): void {
+    this.#followed = { counts, at: monotonicMs() };
     this.#othersAt = -Infinity;
   }
 
-  /** Another failure domain has told its loads. */
-  noteDomain(failureDomain: string, loads: Loads): void {
-    this.#domains.set(failureDomain, { loads, at: monotonicMs() });
+  /** Another failure domain has told its counts. */
+  noteDomain(failureDomain: string, counts: Counts): void {
+    this.#domains.set(failureDomain, { counts, at: monotonicMs() });
     this.#othersAt = -Infinity;
   }
 
-  /** Loads of this failure domain, as far as they come together here. */
-  ofDomain(): Loads {
+  /** Counts of this failure domain, as far as they come together here. */
+  ofDomain(): Counts {
     const sums = new Map<string, number>();
     addTo(sums, this.#own());
     this.#fresh(this.#followers).forEach(told => {
-      addTo(sums, told.loads);
+      addTo(sums, told.counts);
     });
     return [...sums];
   }
 
-  /** Loads of all hosts but one that follows this one. */
-  allBut(follower: string): Loads {
+  /** Counts of all hosts but one that follows this one. */
+  allBut(follower: string): Counts {
     const sums = new Map<string, number>();
     addTo(sums, this.#own());
     for (const [name, told] of this.#followers) {
       if (name !== follower && isFresh(told)) {
-        addTo(sums, told.loads);
+        addTo(sums, told.counts);
       }
     }
     this.#fresh(this.#domains).forEach(told => {
-      addTo(sums, told.loads);
+      addTo(sums, told.counts);
     });
     return [...sums];
   }
@@ -91,10 +86,10 @@
     }
     const sums = new Map<string, number>();
     if (this.#followed !== undefined && isFresh(this.#followed)) {
-      addTo(sums, this.#followed.loads);
+      addTo(sums, this.#followed.counts);
     } else {
       for (const told of [...this.#fresh(this.#followers), ...this.#fresh(this.#domains)]) {
-        addTo(sums, told.loads);
+        addTo(sums, told.counts);
       }
     }
     this.#others = sums;
@@ -116,8 +111,8 @@
   return monotonicMs() - told.at < LAPSE_MS;
 }
 
-function addTo(sums: Map<string, number>, loads: Loads): void {
-  for (const [hostId, count] of loads) {
-    sums.set(hostId, (sums.get(hostId) ?? 0) + count);
+function addTo(sums: Map<string, number>, counts: Counts): void {
+  for (const [key, count] of counts) {
+    sums.set(key, (sums.get(key) ?? 0) + count);
   }
 }
--- a/packages/entry/src/requests/plain-relay.ts
+++ b/packages/entry/src/requests/plain-relay.ts
@@ -107,7 +107,7 @@
       const finish = (end: AttemptEnd): void => {
         clearTimeout(timer);
         gone.removeEventListener('abort', onGone);
-        activities.leave(target.host.id);
+        activities.leave(target.host.id, false);
         this.#learn(target, end, monotonicMs() - sentAt);
         resolve(end);
       };
--- a/packages/entry/src/requests/stream-attempt.ts
+++ b/packages/entry/src/requests/stream-attempt.ts
@@ -36,8 +36,8 @@
 const GAP_PART = 0.6;
 /** Silence before the first event, as a part of the objective. */
 const FIRST_PART = 0.6;
-/** Silence before the first event at a host that serves others meanwhile. */
-const FIRST_PART_BUSY = 1.6;
+/** The same where nothing shows that the host does not serve others meanwhile. */
+const FIRST_PART_BUSY = 1.4;
 /** Silence of a begun stream at a host that serves others meanwhile, as a part of the gap target. */
 const GAP_PART_BUSY = 2.5;
 const MAX_FAILURE_BYTES = 256 * 1024;
@@ -104,7 +104,7 @@
           },
           ended: how => {
             stalls.remove(this);
-            activities.leave(hostId);
+            activities.leave(hostId, this.#begun);
             const end = this.#judge(how);
             this.#learn(end);
             resolve(end);
@@ -148,7 +148,7 @@
     const hostId = this.#target.host.id;
     const silence = now - this.#lastProgressAt;
     const hostSilence = now - Math.max(activities.of(hostId).lastProgressAt, this.#startedAt);
-    const limit = this.#limitMs(hostSilence >= silence - 1);
+    const limit = this.#limitMs(hostSilence >= silence - 1, activities.of(hostId).begun);
     if (silence < limit) {
       return;
     }
@@ -171,14 +171,16 @@
     this.#options.stalled();
   }
 
-  #limitMs(hostSilent: boolean): number {
+  // Before its first event a request can not tell a host that stands still from one that is busy,
+  // unless others that had begun there stand still too.
+  #limitMs(hostSilent: boolean, begunThere: number): number {
     const { route } = this.#context;
     if (this.#begun) {
       return route.gapTargetMs * (hostSilent ? GAP_PART : GAP_PART_BUSY);
     }
     const resumed = this.#options.lastEventId !== this.#context.lastEventId;
     const base = resumed ? route.gapTargetMs * 2 : route.objectiveMs;
-    return base * (hostSilent ? FIRST_PART : FIRST_PART_BUSY);
+    return base * (hostSilent && begunThere > 0 ? FIRST_PART : FIRST_PART_BUSY);
   }
 
   #takeHead(answer: IncomingMessage): void {
@@ -212,6 +214,7 @@
     activities.noteProgress(hostId);
     if (!this.#begun) {
       this.#begun = true;
+      activities.begin(hostId);
       activities.noteFirst(hostId, now - this.#startedAt);
     }
     this.#options.events(chunk);
--- a/packages/entry/src/routing/demand-meter.ts
+++ b/packages/entry/src/routing/demand-meter.ts
@@ -1,46 +1,67 @@
-/** Measures how the work of a service is divided between its models, from own requests. */
+/**
+ * Measures how the work of a service is divided between its models, from the requests of this host
+ * and from what other entry hosts tell of theirs.
+ */
 import { monotonicMs } from '../server/time.js';
 
 /** Time in which the weight of a request falls to a third, in milliseconds. */
 const DECAY_MS = 8_000;
 /** Weight that the declared shares have beside what was measured, in requests. */
-const PRIOR_REQUESTS = 12;
+const PRIOR_REQUESTS = 30;
 /** Work of a generated token against one that is read. */
 const OUTPUT_WEIGHT = 40;
 
 type Measured = { work: number; at: number };
 
+/** Key of the number of requests, beside those of models. */
+const ALL_REQUESTS = '';
+
 /** Decayed sums of work by service and model. */
 export class DemandMeter {
-  readonly #work = new Map<string, Map<string, Measured>>();
-  readonly #requests = new Map<string, Measured>();
+  readonly #sums = new Map<string, Measured>();
+  readonly #ofOthers: (key: string) => number;
+
+  /** `ofOthers` gives what other entry hosts have of a key of `counts`. */
+  constructor(ofOthers: (key: string) => number = () => 0) {
+    this.#ofOthers = ofOthers;
+  }
 
   /** Notes a request; `tokenCounts` are those of the prompt and the most it generates. */
   note(service: string, model: string, tokenCounts: string | undefined): void {
     const now = monotonicMs();
-    const models = this.#work.get(service) ?? new Map<string, Measured>();
-    this.#work.set(service, models);
-    add(models, model, workOf(tokenCounts), now);
-    add(this.#requests, service, 1, now);
+    add(this.#sums, keyOf(service, model), workOf(tokenCounts), now);
+    add(this.#sums, keyOf(service, ALL_REQUESTS), 1, now);
   }
 
-  /** Part of the work that a model has, 0 to 1; `declared` counts until enough was measured. */
-  shareOf(service: string, model: string, declared: number): number {
+  /** This host's sums by key. */
+  counts(): [string, number][] {
     const now = monotonicMs();
-    const models = this.#work.get(service);
-    if (models === undefined) {
-      return declared;
-    }
-    let total = 0;
-    for (const measured of models.values()) {
-      total += decayed(measured, now);
-    }
-    const own = models.get(model);
-    const measuredShare = total > 0 && own !== undefined ? decayed(own, now) / total : 0;
-    const seen = this.#requests.get(service);
-    const requests = seen === undefined ? 0 : decayed(seen, now);
-    return (measuredShare * requests + declared * PRIOR_REQUESTS) / (requests + PRIOR_REQUESTS);
+    return [...this.#sums].map(([key, measured]) => [key, Math.round(decayed(measured, now))]);
+  }
+
+  /** Models with their part of the work, 0 to 1; declared shares count until enough is measured. */
+  shared<T extends { readonly name: string; readonly workShare: number }>(
+    service: string,
+    models: readonly T[],
+  ): readonly T[] {
+    const work = models.map(model => this.#sumOf(keyOf(service, model.name)));
+    const total = work.reduce((sum, value) => sum + value, 0);
+    const requests = this.#sumOf(keyOf(service, ALL_REQUESTS));
+    return models.map((model, index) => {
+      const measured = total > 0 ? (work[index] ?? 0) / total : model.workShare;
+      const weighted = measured * requests + model.workShare * PRIOR_REQUESTS;
+      return { ...model, workShare: weighted / (requests + PRIOR_REQUESTS) };
+    });
   }
+
+  #sumOf(key: string): number {
+    const own = this.#sums.get(key);
+    return (own === undefined ? 0 : decayed(own, monotonicMs())) + this.#ofOthers(key);
+  }
+}
+
+function keyOf(service: string, model: string): string {
+  return `${service}/${model}`;
 }
 
 function workOf(tokenCounts: string | undefined): number {
--- a/packages/entry/src/routing/host-activity.ts
+++ b/packages/entry/src/routing/host-activity.ts
@@ -12,6 +12,8 @@
 export type HostActivity = {
   /** Own requests at the host. */
   inFlight: number;
+  /** Those of them that have brought something. */
+  begun: number;
   /** Moving average of the time to the first event or answer, in milliseconds. */
   firstMs: number | undefined;
   /** When `firstMs` was last fed (monotonic milliseconds). */
@@ -33,6 +35,7 @@
     if (activity === undefined) {
       activity = {
         inFlight: 0,
+        begun: 0,
         firstMs: undefined,
         firstAt: -Infinity,
         lastProgressAt: -Infinity,
@@ -49,10 +52,16 @@
     this.of(id).inFlight += 1;
   }
 
+  /** A request at the host has brought its first bytes. */
+  begin(id: string): void {
+    this.of(id).begun += 1;
+  }
+
   /** A request at the host is over. */
-  leave(id: string): void {
+  leave(id: string, begun: boolean): void {
     const activity = this.of(id);
     activity.inFlight = Math.max(0, activity.inFlight - 1);
+    activity.begun = Math.max(0, activity.begun - Number(begun));
   }
 
   /** Own requests by host, for hosts that have some. */
--- a/packages/entry/src/routing/routing.test.ts
+++ b/packages/entry/src/routing/routing.test.ts
@@ -94,13 +94,32 @@
 });
 
 describe('demand meter', () => {
+  const models = [
+    { name: 'm', workShare: 0.67 },
+    { name: 'n', workShare: 0.33 },
+  ];
+
   it('starts from the declared share and follows what comes', () => {
     const meter = new DemandMeter();
-    expect(meter.shareOf('lm', 'm', 0.67)).to.equal(0.67);
-    for (let request = 0; request < 200; request++) {
+    expect(meter.shared('lm', models)[0]?.workShare).to.equal(0.67);
+    for (let request = 0; request < 400; request++) {
       meter.note('lm', request % 4 === 0 ? 'm' : 'n', '100,50');
     }
-    expect(meter.shareOf('lm', 'm', 0.67)).to.be.within(0.2, 0.32);
-    expect(meter.shareOf('lm', 'n', 0.33)).to.be.within(0.68, 0.8);
+    const [first, second] = meter.shared('lm', models);
+    expect(first?.workShare).to.be.within(0.2, 0.32);
+    expect(second?.workShare).to.be.within(0.68, 0.8);
+  });
+
+  it('believes few own requests less than many of others', () => {
+    const others = new DemandMeter();
+    for (let request = 0; request < 1_000; request++) {
+      others.note('lm', request % 2 === 0 ? 'm' : 'n', '100,50');
+    }
+    const told = new Map(others.counts());
+    const meter = new DemandMeter(key => told.get(key) ?? 0);
+    for (let request = 0; request < 8; request++) {
+      meter.note('lm', 'n', '100,50');
+    }
+    expect(meter.shared('lm', models)[0]?.workShare).to.be.within(0.47, 0.53);
   });
 });
