--- a/packages/entry/src/entry-host.ts
+++ b/packages/entry/src/entry-host.ts
@@ -50,7 +50,7 @@
 /** Part of the revocation bound that is left for what is under way. */
 const KEY_MARGIN_MS = 500;
 const PLAN_PERIOD_MS = 100;
-const SPARE_SHARE = 0.2;
+const SPARE_SHARE = 0.14;
 /** Entries go after three silent heartbeats; a head may have been cut off one before. */
 const BEATS_UNTIL_GONE = 2;
 const HEADLESS_SLACK_MS = 800;
--- a/packages/entry/src/groups/plans.test.ts
+++ b/packages/entry/src/groups/plans.test.ts
@@ -164,6 +164,40 @@
     expect(planned.map(staging => staging.model.name).sort()).to.deep.equal(['large', 'small']);
   });
 
+  it('gives up a third spare of one model for the first of another', () => {
+    const groupCounts = new Map([
+      ['large', 1],
+      ['small', 2],
+    ]);
+    const full = new Map([
+      ['large', 3],
+      ['small', 3],
+    ]);
+    for (const [kept, wanted] of [
+      ['large', 'small'],
+      ['small', 'large'],
+    ]) {
+      const domains = [{ fabricDomain: 'd0', free: hosts(3, kept), groupCounts }];
+      const planned = planStagings({ ...base, targets: full, domains });
+      expect(planned[0]?.model.name, `beside three spares of ${kept}`).to.equal(wanted);
+      expect(planned.length).to.be.lessThan(3);
+    }
+  });
+
+  it('leaves spares alone that are worth as much where they are', () => {
+    const groupCounts = new Map([
+      ['large', 1],
+      ['small', 1],
+    ]);
+    const full = new Map([
+      ['large', 3],
+      ['small', 3],
+    ]);
+    const free = [...hosts(1, 'large'), ...hosts(1, 'small')];
+    const domains = [{ fabricDomain: 'd0', free, groupCounts }];
+    expect(planStagings({ ...base, targets: full, domains })).to.deep.equal([]);
+  });
+
   it('never plans more loads than there are, nor a host twice', () => {
     const staged = fc.constantFrom(undefined, 'large', 'small');
     fc.assert(
--- a/packages/entry/src/groups/staging-plan.ts
+++ b/packages/entry/src/groups/staging-plan.ts
@@ -36,6 +36,8 @@
 const LOSS_CHANCE = 0.1;
 /** How quickly further spares of one model lose their worth. */
 const SPARE_EXPONENT = 1.5;
+/** How much more a spare must be worth than the one that is given up for it. */
+const RESTAGE_FACTOR = 1.5;
 /** What it costs to give up a staged model, as a part of its load. */
 const RESTAGE_COST = 1;
 
@@ -82,7 +84,7 @@
     for (const model of input.profile.models) {
       for (const candidate of [
         completion(shelf, model, input, counts),
-        cover(shelf, model, counts),
+        cover(shelf, model, input, counts),
       ]) {
         if (candidate !== undefined && (best === undefined || candidate.score > best.score)) {
           best = candidate;
@@ -113,21 +115,44 @@
   return { shelf, model, hosts, completes: true, score };
 }
 
+// Keeps one more spare for the groups of a model. A host that has nothing staged is taken first,
+// then a spare of another model that is worth less there.
 function cover(
   shelf: Shelf,
   model: GroupModel,
+  input: StagingInput,
   counts: ReadonlyMap<string, number>,
 ): Candidate | undefined {
-  const groups = shelf.groupsOf(model.name);
-  const host = shelf.idle()[0];
-  if (host === undefined) {
-    return undefined;
+  const worth = spareWorth(shelf, model, shelf.have(model.name), counts);
+  const [idle] = shelf.idle();
+  if (idle !== undefined) {
+    return { shelf, model, hosts: [idle], completes: false, score: worth / model.loadMs };
+  }
+  let best: Candidate | undefined;
+  for (const other of input.profile.models) {
+    const host = shelf.available(model.name).find(spare => shelf.stagedOn(spare) === other.name);
+    if (host !== undefined) {
+      const given = spareWorth(shelf, other, shelf.have(other.name) - 1, counts);
+      const score = (worth - given * RESTAGE_FACTOR) / model.loadMs;
+      if (score > 0 && (best === undefined || score > best.score)) {
+        best = { shelf, model, hosts: [host], completes: false, score };
+      }
+    }
   }
-  // Each further spare is needed only if the ones before it are used up.
+  return best;
+}
+
+// Each further spare is needed only if the ones before it are used up.
+function spareWorth(
+  shelf: Shelf,
+  model: GroupModel,
+  before: number,
+  counts: ReadonlyMap<string, number>,
+): number {
+  const groups = shelf.groupsOf(model.name);
   const chance = Math.min(1, groups * model.size * LOSS_CHANCE + LOSS_CHANCE / 10);
-  const used = Math.pow(chance, 1 + SPARE_EXPONENT * shelf.have(model.name));
-  const score = (reliefOf(model, countOf(counts, model) - 1) * used) / model.loadMs;
-  return { shelf, model, hosts: [host], completes: false, score };
+  const used = Math.pow(chance, 1 + SPARE_EXPONENT * before);
+  return reliefOf(model, countOf(counts, model) - 1) * used;
 }
 
 // Work that one more group takes off each of the groups that are there.
