Routing compares three targets drawn at random by the loads of all entry hosts

Cause: each of 58 hosts judged groups by its own few requests, so old times to the first event ruled the choice, and a group that all heard to be empty was taken by all.

--- a/packages/entry/src/groups/group-targets.ts
+++ b/packages/entry/src/groups/group-targets.ts
@@ -1,14 +1,10 @@
 /** How many groups each model should have, given the hosts that are there. Pure. */
 import type { EngineProfile, GroupModel } from '../configuration/serving-configuration.js';
 
-/** 0 divides hosts by work alone, 0.5 minimizes a delay that grows with the square of the work. */
-const SIZE_EXPONENT = 0.2;
-
 /**
  * Target numbers of groups by model name.
  *
- * Hosts in proportion to the work would keep all groups equally busy; a little less goes to large
- * models, since a host gives more groups of small ones.
+ * Hosts in proportion to the work keep all groups equally busy.
  */
 export function groupTargets(
   profile: EngineProfile,
@@ -38,5 +34,5 @@
 }
 
 function weightOf(model: GroupModel): number {
-  return (model.workShare * model.pace) / Math.pow(model.size, SIZE_EXPONENT);
+  return model.workShare * model.pace;
 }
--- /dev/null
+++ b/packages/entry/src/routing/target-chooser.test.ts
@@ -0,0 +1,54 @@
+import { expect } from 'chai';
+
+import type { Service } from '../configuration/serving-configuration.js';
+import type { HostEntry } from '../hosts/host-entry.js';
+import { HostRegistry } from '../hosts/host-registry.js';
+import { silentLog } from '../server/log.js';
+import { HostActivities } from './host-activity.js';
+import { TargetChooser } from './target-chooser.js';
+
+const SERVICE: Service = { name: 's', maxConnections: 10, engine: undefined };
+const NOBODY: ReadonlySet<string> = new Set();
+
+function registryOf(names: readonly string[]): HostRegistry {
+  const registry = new HostRegistry((id, value) => ({ ...(value as HostEntry), id }), silentLog());
+  const value = { service: 's', ip: '127.0.0.1', port: 1, failureDomain: 'a', accepting: true };
+  const objects = names.map(name => ({ name, revision: 1, value }));
+  registry.takeList({ objects, revision: 1 });
+  return registry;
+}
+
+describe('choice of a target', () => {
+  const names = Array.from({ length: 10 }, (_, index) => `h${index}`);
+
+  it('spreads the requests of many hosts that have all heard of the same loads', () => {
+    const registry = registryOf(names);
+    const loads = new Map(names.map((name, index) => [name, index]));
+    const taken = new Map<string, number>();
+    for (let host = 0; host < 200; host++) {
+      const chooser = new TargetChooser(registry, new HostActivities(), {
+        failureDomain: 'a',
+        othersAt: id => loads.get(id) ?? 0,
+      });
+      const target = chooser.choose({ service: SERVICE, model: undefined, exclude: NOBODY });
+      const id = target?.host.id ?? '';
+      taken.set(id, (taken.get(id) ?? 0) + 1);
+    }
+    expect(Math.max(...taken.values()), 'at the least loaded').to.be.lessThan(100);
+    expect(taken.get('h9') ?? 0, 'at the most loaded').to.be.lessThan(10);
+  });
+
+  it('takes an avoided host only when there is no other', () => {
+    const activities = new HostActivities();
+    const chooser = new TargetChooser(registryOf(['good', 'bad']), activities, {
+      failureDomain: 'a',
+      othersAt: id => (id === 'good' ? 50 : 0),
+    });
+    activities.noteFailure('bad');
+    const query = { service: SERVICE, model: undefined };
+    for (let request = 0; request < 20; request++) {
+      expect(chooser.choose({ ...query, exclude: NOBODY })?.host.id).to.equal('good');
+    }
+    expect(chooser.choose({ ...query, exclude: new Set(['good']) })?.host.id).to.equal('bad');
+  });
+});
--- a/packages/entry/src/routing/target-chooser.ts
+++ b/packages/entry/src/routing/target-chooser.ts
@@ -33,7 +33,8 @@
 const DEFAULT_FIRST_MS = 80;
 /** Weight of each request that is at a host already. */
 const QUEUE_WEIGHT = 0.25;
-const AVOIDED_FACTOR = 1_000;
+/** Targets that are compared for one request. */
+const SAMPLE = 3;
 /** Advantage of hosts in the own failure domain. */
 const REMOTE_FACTOR = 1.05;
 const SPREAD = 0.1;
@@ -52,14 +53,19 @@
     this.#options = options;
   }
 
-  /** The best target; undefined while there is none. Avoided hosts come last. */
+  /**
+   * The best target of a sample; undefined while there is none. Avoided hosts come last.
+   *
+   * The loads of other entry hosts are some hundred milliseconds old. If all took the least loaded
+   * target of all, they would take the same one until they hear of it.
+   */
   choose(query: TargetQuery): Target | undefined {
+    const usable = this.#candidates(query).filter(target => !query.exclude.has(target.host.id));
+    const sound = usable.filter(target => !this.#activities.isAvoided(target.host.id));
+    const from = sound.length > 0 ? sound : usable;
     let best: Target | undefined;
     let bestCost = Infinity;
-    for (const target of this.#candidates(query)) {
-      if (query.exclude.has(target.host.id)) {
-        continue;
-      }
+    for (const target of sampleOf(from, SAMPLE)) {
       const cost = this.#cost(target.host);
       if (cost < bestCost) {
         best = target;
@@ -117,10 +123,21 @@
 
   #cost(host: HostEntry): number {
     const activity = this.#activities.of(host.id);
-    const first = activity.firstMs ?? DEFAULT_FIRST_MS;
+    const first = this.#activities.recentFirstMs(host.id) ?? DEFAULT_FIRST_MS;
     const queue = 1 + QUEUE_WEIGHT * (activity.inFlight + this.#options.othersAt(host.id));
-    const avoided = this.#activities.isAvoided(host.id) ? AVOIDED_FACTOR : 1;
     const remote = host.failureDomain === this.#options.failureDomain ? 1 : REMOTE_FACTOR;
-    return first * queue * avoided * remote * (1 + SPREAD * Math.random());
+    return first * queue * remote * (1 + SPREAD * Math.random());
+  }
+}
+
+// Some of the targets, each with the same chance.
+function sampleOf(targets: readonly Target[], count: number): readonly Target[] {
+  if (targets.length <= count) {
+    return targets;
   }
+  const rest = [...targets];
+  return Array.from({ length: count }, () => {
+    const [taken] = rest.splice(Math.floor(Math.random() * rest.length), 1);
+    return taken as Target;
+  });
 }
