Members of a head that is out of sight leave before they join another group

The head still saw its member and served. Ruled out: a late order (sequence 1 was the right one), a wrong belief of the head's leaving. The guard lets a member join only when its head has left, by its own word; no time counts. Members of a head that is gone for 2.3 s get a leave of their own. Nobody is taken for gone for 2.3 s after an outage of the store, since entries lapse meanwhile. A repeated join passes the guard again. The model check has heads out of sight and leaving members.

--- a/packages/entry/src/entry-host.ts
+++ b/packages/entry/src/entry-host.ts
@@ -51,9 +51,6 @@
 const KEY_MARGIN_MS = 500;
 const PLAN_PERIOD_MS = 100;
 const SPARE_SHARE = 0.14;
-/** Entries go after three silent heartbeats; a head may have been cut off one before. */
-const BEATS_UNTIL_GONE = 2;
-const HEADLESS_SLACK_MS = 800;
 /** Entry hosts that share the bounds where they do not know each other. */
 const HOSTS_WITHOUT_PEERS = 10;
 /** Time that callers' balancers need to notice that this host is leaving. */
@@ -292,14 +289,13 @@
 
   #makeGroupTask(service: string): GroupTask {
     const { bounds } = this.#options.settings;
-    const headlessMs = bounds.stallMs - BEATS_UNTIL_GONE * bounds.heartbeatMs + HEADLESS_SLACK_MS;
     return new GroupTask({
       service,
       profile: () => this.#profileOf(service),
       registry: this.#registry,
       sender: this.#sender,
       prober: this.#prober,
-      bounds: { headlessMs: Math.max(headlessMs, HEADLESS_SLACK_MS) },
+      inTouchSince: () => this.#kinds.of(OBJECT_KINDS.hosts)?.inTouchSince ?? Infinity,
       loadWindowMs: bounds.loadWindowMs,
       spareShare: SPARE_SHARE,
       mayLoadFreely: () => this.#intake.total === 0,
--- a/packages/entry/src/groups/free-hosts.ts
+++ b/packages/entry/src/groups/free-hosts.ts
@@ -1,25 +1,15 @@
 /**
  * Tells which hosts may be put into a new group. Pure.
  *
- * A host that is a member of another group is free only once that group can not serve any more:
- * its head has left it, or has been gone for so long that the group is broken.
+ * A host that is a member of another group is free only once its head has left that group. Where
+ * the head is out of sight nobody knows whether it still serves, so its members leave first.
  */
 import type { HostEntry } from '../hosts/host-entry.js';
+import type { FreeDomain } from './formation-plan.js';
 import type { GroupBeliefs } from './group-beliefs.js';
 
-/** Bounds that decide when a group without its head is broken. */
-export type ReleaseBounds = {
-  /** Time from a head's departure until its group counts as broken, in milliseconds. */
-  readonly headlessMs: number;
-};
-
 /** True when the host may be ordered into a new group. */
-export function isFree(
-  host: HostEntry,
-  beliefs: GroupBeliefs,
-  bounds: ReleaseBounds,
-  now: number,
-): boolean {
+export function isFree(host: HostEntry, beliefs: GroupBeliefs): boolean {
   if (!host.accepting || beliefs.busy.has(host.id) || beliefs.silent.has(host.id)) {
     return false;
   }
@@ -31,24 +21,12 @@
     // A head leaves first, whatever its state: an order to open it may be under way.
     return false;
   }
-  return isReleased(membership.group, beliefs, bounds, now);
+  return isReleased(membership.group, beliefs);
 }
 
 /** True when a group can not serve any more, so that its members may go elsewhere. */
-export function isReleased(
-  group: string,
-  beliefs: GroupBeliefs,
-  bounds: ReleaseBounds,
-  now: number,
-): boolean {
-  const head = beliefs.heads.get(group);
-  if (head === undefined) {
-    return false;
-  }
-  if (head.left) {
-    return true;
-  }
-  return head.missingSince !== undefined && now - head.missingSince > bounds.headlessMs;
+export function isReleased(group: string, beliefs: GroupBeliefs): boolean {
+  return beliefs.heads.get(group)?.left === true;
 }
 
 function isAwaited(host: HostEntry, beliefs: GroupBeliefs): boolean {
@@ -59,3 +37,15 @@
   }
   return false;
 }
+
+/** Hosts by their fabric domain. */
+export function byFabricDomain(hosts: readonly HostEntry[]): readonly FreeDomain[] {
+  const domains = new Map<string, HostEntry[]>();
+  for (const host of hosts) {
+    const name = host.fabricDomain ?? host.failureDomain;
+    const list = domains.get(name) ?? [];
+    list.push(host);
+    domains.set(name, list);
+  }
+  return [...domains].map(([fabricDomain, list]) => ({ fabricDomain, hosts: list }));
+}
--- a/packages/entry/src/groups/group-beliefs.ts
+++ b/packages/entry/src/groups/group-beliefs.ts
@@ -45,6 +45,8 @@
   readonly justBack: ReadonlySet<string>;
   /** Hosts whose entries went but that still answer. */
   readonly unlisted: ReadonlyMap<string, HostEntry>;
+  /** The store came back a moment ago: hosts without an entry may live, and be back soon. */
+  readonly entriesMayReturn: boolean;
   /** Hosts with an order under way. */
   readonly busy: ReadonlySet<string>;
   /** Loads from the weight store that may begin now. */
@@ -63,6 +65,7 @@
   | 'members-ready'
   | 'member-lost'
   | 'member-leaving'
+  | 'head-lost'
   | 'formation-expired'
   | 'group-broken'
   | 'form'
--- a/packages/entry/src/groups/group-repair.test.ts
+++ b/packages/entry/src/groups/group-repair.test.ts
@@ -3,7 +3,7 @@
 import type { EngineProfile } from '../configuration/serving-configuration.js';
 import type { HostEntry, MembershipState } from '../hosts/host-entry.js';
 import type { GroupBeliefs } from './group-beliefs.js';
-import { repairOf } from './group-repair.js';
+import { releaseOf, repairOf } from './group-repair.js';
 import { replicaGroups } from './replica-groups.js';
 
 const PROFILE: EngineProfile = {
@@ -28,8 +28,8 @@
   };
 }
 
-function repair(hosts: readonly HostEntry[], change: Partial<GroupBeliefs> = {}): string {
-  const beliefs: GroupBeliefs = {
+function beliefsOf(change: Partial<GroupBeliefs>): GroupBeliefs {
+  return {
     formations: new Map(),
     stagings: new Map(),
     heads: new Map(),
@@ -37,15 +37,40 @@
     silent: new Set(),
     justBack: new Set(),
     unlisted: new Map(),
+    entriesMayReturn: false,
     busy: new Set(),
     loadsLeft: 1,
     ...change,
   };
+}
+
+function repair(hosts: readonly HostEntry[], change: Partial<GroupBeliefs> = {}): string {
+  const beliefs = beliefsOf(change);
   const [group] = replicaGroups(hosts);
   const planned = group === undefined ? undefined : repairOf(group, PROFILE, beliefs, 10_000);
   return planned === undefined ? 'nothing' : `${planned.order.kind} ${planned.reason}`;
 }
 
+function release(change: Partial<GroupBeliefs>, missingForMs: number): readonly string[] {
+  const head = { host: member('h', 0, 'open'), missingSince: 10_000 - missingForMs, left: false };
+  const beliefs = beliefsOf({ heads: new Map([['g', head]]), ...change });
+  const members = [member('x', 1, 'ready')];
+  const [group] = replicaGroups(members);
+  const planned = group === undefined ? [] : releaseOf(group, beliefs, 10_000);
+  return planned.map(({ host, order }) => `${host.id} ${order.kind}`);
+}
+
+describe('release of the members of a group without its head', () => {
+  it('makes them leave, since the head may serve where nobody here sees it', () => {
+    expect(release({}, 5_000)).to.deep.equal(['x leave']);
+  });
+
+  it('waits while the entry of the head may be back', () => {
+    expect(release({}, 1_000)).to.deep.equal([]);
+    expect(release({ entriesMayReturn: true }, 5_000)).to.deep.equal([]);
+  });
+});
+
 describe('repair of a group', () => {
   const open = [member('h', 0, 'open'), member('x', 1, 'ready')];
 
@@ -58,6 +83,14 @@
     expect(repair(open, { silent: new Set(['x']) })).to.equal('leave member-lost');
   });
 
+  it('keeps it after an outage of the store while the entry of a member may be back', () => {
+    const alone = [member('h', 0, 'open')];
+    expect(repair(alone, { entriesMayReturn: true })).to.equal('nothing');
+    expect(repair(open, { entriesMayReturn: true, silent: new Set(['x']) })).to.equal(
+      'leave member-lost',
+    );
+  });
+
   it('keeps it while a member whose entry went still answers', () => {
     const unlisted = new Map([['x', member('x', 1, 'ready')]]);
     expect(repair([member('h', 0, 'open')], { unlisted })).to.equal('nothing');
--- a/packages/entry/src/groups/group-repair.ts
+++ b/packages/entry/src/groups/group-repair.ts
@@ -7,6 +7,8 @@
 import type { ReplicaGroup } from './replica-groups.js';
 import { headState } from './replica-groups.js';
 
+/** Time in which a head whose entry went may be back, in milliseconds. */
+const HEADLESS_MS = 2_300;
 /** Time that a group of another order giver has to become complete, in milliseconds. */
 const FOREIGN_FORMATION_MS = 3_000;
 
@@ -38,6 +40,24 @@
   }
 }
 
+/** What members of a group whose head is out of sight have to do before they go elsewhere. */
+export function releaseOf(
+  group: ReplicaGroup,
+  beliefs: GroupBeliefs,
+  now: number,
+): readonly PlannedOrder[] {
+  const known = beliefs.heads.get(group.name);
+  const since = known?.missingSince;
+  const waiting = since === undefined || now - since < HEADLESS_MS || beliefs.entriesMayReturn;
+  if (group.head !== undefined || known?.left === true || waiting) {
+    return [];
+  }
+  const present = group.members.filter(member => member !== undefined);
+  return present
+    .filter(member => !beliefs.silent.has(member.id))
+    .map(member => leave(group, member, 'head-lost'));
+}
+
 /** Hosts that the group's model needs; undefined while the model is not known. */
 export function sizeOf(
   group: ReplicaGroup,
@@ -98,7 +118,8 @@
   const present = group.members.filter(member => member !== undefined);
   if (size === undefined || present.length < size) {
     const since = beliefs.incompleteSince.get(group.name);
-    return since !== undefined && now - since > FOREIGN_FORMATION_MS;
+    const waited = since !== undefined && now - since > FOREIGN_FORMATION_MS;
+    return waited && !beliefs.entriesMayReturn;
   }
   return false;
 }
@@ -109,7 +130,7 @@
   for (let rank = 0; rank < places; rank++) {
     const member = group.members[rank];
     if (member === undefined) {
-      if (!heldByUnlisted(group, rank, beliefs)) {
+      if (!beliefs.entriesMayReturn && !heldByUnlisted(group, rank, beliefs)) {
         return true;
       }
     } else if (beliefs.silent.has(member.id)) {
--- a/packages/entry/src/groups/group-task.ts
+++ b/packages/entry/src/groups/group-task.ts
@@ -11,13 +11,13 @@
 import type { Counters } from '../server/metrics.js';
 import { monotonicMs } from '../server/time.js';
 import { CapacityLog } from './capacity-log.js';
-import type { FreeDomain, PlannedFormation } from './formation-plan.js';
+import type { PlannedFormation } from './formation-plan.js';
 import { planFormations } from './formation-plan.js';
-import type { ReleaseBounds } from './free-hosts.js';
-import { isFree } from './free-hosts.js';
+import { byFabricDomain, isFree } from './free-hosts.js';
 import type { Formation, GroupBeliefs, PlannedOrder, Staging } from './group-beliefs.js';
+import { countGroups } from './group-counts.js';
 import { GroupObserver } from './group-observer.js';
-import { repairOf } from './group-repair.js';
+import { releaseOf, repairOf } from './group-repair.js';
 import { groupTargets } from './group-targets.js';
 import type { HostOrder, OrderOutcome } from './host-orders.js';
 import { LoadBudget } from './load-budget.js';
@@ -37,7 +37,8 @@
   readonly registry: HostRegistry;
   readonly sender: OrderSender;
   readonly prober: MemberProber;
-  readonly bounds: ReleaseBounds;
+  /** Since when the store has told of hosts without a break (monotonic milliseconds). */
+  readonly inTouchSince: () => number;
   readonly loadWindowMs: number;
   /** Share of the hosts that is kept out of groups as spares. */
   readonly spareShare: number;
@@ -54,9 +55,13 @@
 /** Time in which the entry of a host shows what an order has brought, in milliseconds. */
 const ENTRY_LAG_MS = 900;
 const STAGING_SLACK_MS = 10_000;
+/** Time after an outage of the store in which entries that went meanwhile are back. */
+const ENTRIES_RETURN_MS = 2_300;
 const LOAD_SLACK_FACTOR = 2;
 /** Loads beyond those that run at full speed, so that none of these places stays empty. */
 const EXTRA_LOADS = 1;
+/** Pause before a join that was not taken is sent again, in milliseconds. */
+const JOIN_RETRY_MS = 250;
 
 /** The last order that a host has accepted. */
 type AcceptedOrder = { readonly order: HostOrder; readonly at: number };
@@ -92,18 +97,20 @@
     const hosts = this.#options.registry.ofService(this.#options.service);
     const groups = replicaGroups(hosts);
     this.#observe(hosts, groups, profile, now);
-    const beliefs = this.#beliefs(hosts, profile, now);
-    const view: GuardView = {
+    const view = this.#view(profile, now);
+    this.#repair(groups, profile, view, now);
+    if (this.#settling.isOver(hosts.length, now)) {
+      this.#form(hosts, groups, profile, view, now);
+    }
+  }
+
+  #view(profile: EngineProfile, now: number): GuardView {
+    const hosts = this.#options.registry.ofService(this.#options.service);
+    return {
       hosts,
-      beliefs,
-      bounds: this.#options.bounds,
+      beliefs: this.#beliefs(hosts, profile, now),
       sizeOf: name => profile.models.find(model => model.name === name)?.size,
-      now,
     };
-    this.#repair(groups, profile, beliefs, view);
-    if (this.#settling.isOver(hosts.length, now)) {
-      this.#form(hosts, groups, profile, beliefs, view);
-    }
   }
 
   #beginTerm(term: number): void {
@@ -153,6 +160,7 @@
       silent: prober.silent,
       justBack: prober.justBack,
       unlisted: prober.unlisted,
+      entriesMayReturn: now - this.#options.inTouchSince() < ENTRIES_RETURN_MS,
       busy: sender.busy,
       loadsLeft: this.#loads.left(now, byRate, profile.loadsAtOnce + EXTRA_LOADS, running),
     };
@@ -175,20 +183,23 @@
   #repair(
     groups: readonly ReplicaGroup[],
     profile: EngineProfile,
-    beliefs: GroupBeliefs,
     view: GuardView,
+    now: number,
   ): void {
     for (const group of groups) {
-      const planned = repairOf(group, profile, beliefs, view.now);
-      if (planned !== undefined) {
-        this.#send(planned, view);
+      const repair = repairOf(group, profile, view.beliefs, now);
+      const planned = repair === undefined ? releaseOf(group, view.beliefs, now) : [repair];
+      for (const order of planned) {
+        this.#send(order, view, now);
       }
     }
-    this.#releaseDeparted(groups, view);
+    if (!view.beliefs.entriesMayReturn) {
+      this.#releaseDeparted(groups, view, now);
+    }
   }
 
   // A head whose entry went may still serve: it is told to leave, in case it hears.
-  #releaseDeparted(groups: readonly ReplicaGroup[], view: GuardView): void {
+  #releaseDeparted(groups: readonly ReplicaGroup[], view: GuardView, now: number): void {
     for (const group of groups) {
       const known = this.#observer.heads.get(group.name);
       if (group.head !== undefined || known === undefined || known.left || known.host.id === '') {
@@ -197,7 +208,7 @@
       const order: HostOrder = { kind: 'leave', group: group.name, epoch: group.epoch };
       const unlisted = view.beliefs.unlisted.has(known.host.id);
       if (unlisted) {
-        this.#send({ host: known.host, order, reason: 'member-lost' }, view);
+        this.#send({ host: known.host, order, reason: 'member-lost' }, view, now);
       }
     }
   }
@@ -206,13 +217,13 @@
     hosts: readonly HostEntry[],
     groups: readonly ReplicaGroup[],
     profile: EngineProfile,
-    beliefs: GroupBeliefs,
     view: GuardView,
+    now: number,
   ): void {
-    const { bounds, spareShare, mayLoadFreely } = this.#options;
-    const free = hosts.filter(host => isFree(host, beliefs, bounds, view.now));
+    const { spareShare, mayLoadFreely } = this.#options;
+    const free = hosts.filter(host => isFree(host, view.beliefs));
     const accepting = hosts.filter(host => host.accepting).length;
-    const groupCounts = this.#groupCounts(groups);
+    const groupCounts = countGroups(groups, this.#formations);
     const targets = groupTargets(profile, accepting * (1 - spareShare));
     const freeByDomain = byFabricDomain(free);
     const planned = planFormations({
@@ -221,7 +232,7 @@
       groupCounts,
       targets,
       withLoads: mayLoadFreely(),
-      loadsLeft: beliefs.loadsLeft,
+      loadsLeft: view.beliefs.loadsLeft,
     });
     this.#capacityLog.note(groups, profile, {
       forming: this.#formations.size,
@@ -232,7 +243,7 @@
     const taken = new Set<HostEntry>();
     for (const formation of planned.formations) {
       formation.hosts.forEach(host => taken.add(host));
-      this.#begin(formation, view);
+      this.#begin(formation, view, now);
     }
     if (!planned.wantsLoads) {
       this.#stage(
@@ -241,45 +252,23 @@
         targets,
         profile,
         view,
+        now,
       );
     }
   }
 
-  // Formations count from their beginning; `fabricDomain` limits them to one domain.
-  #groupCounts(groups: readonly ReplicaGroup[], fabricDomain?: string): Map<string, number> {
-    const counts = new Map<string, number>();
-    const add = (model: string): void => {
-      counts.set(model, (counts.get(model) ?? 0) + 1);
-    };
-    for (const group of groups) {
-      if (
-        group.head !== undefined &&
-        group.model !== undefined &&
-        !this.#formations.has(group.name)
-      ) {
-        add(group.model);
-      }
-    }
-    for (const formation of this.#formations.values()) {
-      if (fabricDomain === undefined || formation.fabricDomain === fabricDomain) {
-        add(formation.model);
-      }
-    }
-    return counts;
-  }
-
-  #begin(planned: PlannedFormation, view: GuardView): void {
+  #begin(planned: PlannedFormation, view: GuardView, now: number): void {
     const { service, log } = this.#options;
     this.#formed += 1;
     const epoch = this.#term * EPOCHS_PER_TERM + this.#formed;
     const group = `${service}-${epoch}`;
     const members = planned.hosts.map(host => host.id);
-    const deadline = view.now + planned.readyMs * LOAD_SLACK_FACTOR + FORMATION_SLACK_MS;
+    const deadline = now + planned.readyMs * LOAD_SLACK_FACTOR + FORMATION_SLACK_MS;
     const model = planned.model.name;
     const fabricDomain = planned.hosts[0]?.fabricDomain;
     const { loads } = planned;
     this.#formations.set(group, { group, epoch, model, members, fabricDomain, deadline, loads });
-    this.#loads.note(view.now, planned.loads);
+    this.#loads.note(now, planned.loads);
     log.info('formation begun', {
       group,
       model,
@@ -290,7 +279,7 @@
     });
     const order: HostOrder = { kind: 'join', group, epoch, model, members };
     for (const host of planned.hosts) {
-      this.#send({ host, order, reason: 'form' }, view);
+      this.#send({ host, order, reason: 'form' }, view, now);
     }
   }
 
@@ -300,30 +289,35 @@
     targets: ReadonlyMap<string, number>,
     profile: EngineProfile,
     view: GuardView,
+    now: number,
   ): void {
     const domains = byFabricDomain(spares).map(({ fabricDomain, hosts }) => {
       const own = groups.filter(group => group.fabricDomain === fabricDomain);
-      return { fabricDomain, free: hosts, groupCounts: this.#groupCounts(own, fabricDomain) };
+      return {
+        fabricDomain,
+        free: hosts,
+        groupCounts: countGroups(own, this.#formations, fabricDomain),
+      };
     });
     const planned = planStagings({
       profile,
       domains,
-      groupCounts: this.#groupCounts(groups),
+      groupCounts: countGroups(groups, this.#formations),
       targets,
       stagingNow: id => this.#stagings.get(id)?.model,
       loadsLeft: view.beliefs.loadsLeft,
     });
     for (const { host, model } of planned) {
-      const deadline = view.now + model.loadMs * LOAD_SLACK_FACTOR + STAGING_SLACK_MS;
+      const deadline = now + model.loadMs * LOAD_SLACK_FACTOR + STAGING_SLACK_MS;
       this.#stagings.set(host.id, { model: model.name, deadline });
-      this.#loads.note(view.now);
-      this.#send({ host, order: { kind: 'stage', model: model.name }, reason: 'spare' }, view);
+      this.#loads.note(now);
+      this.#send({ host, order: { kind: 'stage', model: model.name }, reason: 'spare' }, view, now);
     }
   }
 
-  #send(planned: PlannedOrder, view: GuardView): void {
+  #send(planned: PlannedOrder, view: GuardView, now: number): void {
     const { host, order, reason } = planned;
-    if (this.#isAnswered(host, order, view.now)) {
+    if (this.#isAnswered(host, order, now)) {
       return;
     }
     const refusal = refuseOrder(host, order, view);
@@ -371,32 +365,17 @@
   // The same join with the same expected sequence is taken once at most.
   #retryJoin(host: HostEntry, order: HostOrder & { kind: 'join' }): void {
     setTimeout(() => {
+      const now = monotonicMs();
+      const profile = this.#options.profile();
       const formation = this.#formations.get(order.group);
       const entry = this.#options.registry.get(host.id);
-      if (formation === undefined || entry === undefined || monotonicMs() > formation.deadline) {
+      const over = formation === undefined || now > formation.deadline;
+      if (profile === undefined || entry === undefined || over) {
         return;
       }
       if (entry.membership?.group !== order.group) {
-        const sent = this.#options.sender.send(entry, order, 'form', this.#term);
-        sent
-          .then(outcome => {
-            this.#take(entry, order, outcome);
-          })
-          .catch(() => undefined);
+        this.#send({ host: entry, order, reason: 'form' }, this.#view(profile, now), now);
       }
     }, JOIN_RETRY_MS);
   }
 }
-
-const JOIN_RETRY_MS = 250;
-
-function byFabricDomain(hosts: readonly HostEntry[]): readonly FreeDomain[] {
-  const domains = new Map<string, HostEntry[]>();
-  for (const host of hosts) {
-    const name = host.fabricDomain ?? host.failureDomain;
-    const list = domains.get(name) ?? [];
-    list.push(host);
-    domains.set(name, list);
-  }
-  return [...domains].map(([fabricDomain, list]) => ({ fabricDomain, hosts: list }));
-}
--- a/packages/entry/src/groups/order-guard.test.ts
+++ b/packages/entry/src/groups/order-guard.test.ts
@@ -12,7 +12,6 @@
 import { refuseOrder } from './order-guard.js';
 
 const MODEL_SIZE = 2;
-const HEADLESS_MS = 1_000;
 
 function hostOf(id: string, change: Partial<HostEntry> = {}): HostEntry {
   return {
@@ -39,6 +38,7 @@
     silent: new Set(),
     justBack: new Set(),
     unlisted: new Map(),
+    entriesMayReturn: false,
     busy: new Set(),
     loadsLeft: 10,
     ...change,
@@ -49,9 +49,7 @@
   return {
     hosts,
     beliefs: beliefsOf(),
-    bounds: { headlessMs: HEADLESS_MS },
     sizeOf: () => MODEL_SIZE,
-    now: 10_000,
     ...change,
   };
 }
@@ -87,7 +85,7 @@
     expect(refuseOrder(head, JOIN, serving)).to.equal('still-in-group');
   });
 
-  it('lets members go once their head has left, or was gone for long', () => {
+  it('lets members go once their head has left, however long it was out of sight', () => {
     const follower = member('b', 1, 'ready');
     const host = member('a', 0, 'open');
     const left = new Map([['g', { host, missingSince: 9_990, left: true }]]);
@@ -96,7 +94,7 @@
     const refusal = (heads: typeof left): unknown =>
       refuseOrder(follower, JOIN, viewOf([follower], { beliefs: beliefsOf({ heads }) }));
     expect(refusal(left)).to.equal(undefined);
-    expect(refusal(gone)).to.equal(undefined);
+    expect(refusal(gone)).to.equal('still-in-group');
     expect(refusal(short)).to.equal('still-in-group');
   });
 
@@ -146,7 +144,7 @@
         const follower = member('b', 1, 'ready');
         const order: HostOrder = { ...JOIN, epoch } as HostOrder;
         const allowed = refuseOrder(follower, order, viewOf([follower], { beliefs })) === undefined;
-        const safe = known.left || (known.missingForMs ?? 0) > HEADLESS_MS;
+        const safe = known.left;
         expect(allowed).to.equal(safe && epoch > 1);
       }),
     );
--- a/packages/entry/src/groups/order-guard.ts
+++ b/packages/entry/src/groups/order-guard.ts
@@ -3,7 +3,6 @@
  * can open a group that lacks a member or take a host out of a group that may still serve.
  */
 import type { HostEntry } from '../hosts/host-entry.js';
-import type { ReleaseBounds } from './free-hosts.js';
 import { isReleased } from './free-hosts.js';
 import type { GroupBeliefs } from './group-beliefs.js';
 import type { HostOrder } from './host-orders.js';
@@ -22,10 +21,8 @@
 export type GuardView = {
   readonly hosts: readonly HostEntry[];
   readonly beliefs: GroupBeliefs;
-  readonly bounds: ReleaseBounds;
   /** Hosts that a model's group needs. */
   readonly sizeOf: (model: string) => number | undefined;
-  readonly now: number;
 };
 
 /** Why the order must not be sent; undefined when it may. */
@@ -90,6 +87,5 @@
   if (own.rank === 0) {
     return 'still-in-group';
   }
-  const released = isReleased(own.group, view.beliefs, view.bounds, view.now);
-  return released ? undefined : 'still-in-group';
+  return isReleased(own.group, view.beliefs) ? undefined : 'still-in-group';
 }
--- a/packages/entry/src/groups/order-protocol.test.ts
+++ b/packages/entry/src/groups/order-protocol.test.ts
@@ -74,6 +74,7 @@
       silent: new Set(),
       justBack: new Set(),
       unlisted: new Map(),
+      entriesMayReturn: false,
       busy: new Set(),
       loadsLeft: 9,
     };
@@ -102,7 +103,7 @@
   step({ action, giver: giverIndex, a, b }: Step): void {
     const giver = this.givers[giverIndex % 2] as Giver;
     const host = this.hosts[a % HOSTS] as ModelHost;
-    switch (action % 9) {
+    switch (action % 11) {
       case 0:
       case 1:
         giver.see(this.hosts.map(entryOf));
@@ -112,7 +113,7 @@
         break;
       case 3:
       case 4:
-        this.#toHead(giver, a, action % 9 === 3 ? 'open' : 'leave');
+        this.#toHead(giver, a, action % 11 === 3 ? 'open' : 'leave');
         break;
       case 5:
         this.#finishLoad(host);
@@ -121,6 +122,13 @@
       case 7:
         this.#deliver(a, b % 3 === 0);
         break;
+      case 8:
+        // One host is out of sight of the store, and may serve all the same.
+        giver.see(this.hosts.filter(seen => seen !== host).map(entryOf));
+        break;
+      case 9:
+        this.#leaveMember(giver, host);
+        break;
       default:
         this.#restart(host);
     }
@@ -145,6 +153,13 @@
     }
   }
 
+  #leaveMember(giver: Giver, host: ModelHost): void {
+    const seen = giver.view.find(entry => entry.id === host.id)?.membership;
+    if (seen !== undefined && seen.rank > 0) {
+      this.#send(giver, host, { kind: 'leave', group: seen.group, epoch: seen.epoch });
+    }
+  }
+
   #send(giver: Giver, host: ModelHost, order: HostOrder): void {
     const entry = giver.view.find(candidate => candidate.id === host.id);
     // The sequence is asked for, and counts only while the host tells of the group that is believed.
@@ -154,9 +169,7 @@
     const view = {
       hosts: giver.view,
       beliefs: giver.beliefs(),
-      bounds: { headlessMs: Infinity },
       sizeOf: () => SIZE,
-      now: 0,
     };
     if (this.#protections.guard && refuseOrder(entry, order, view) !== undefined) {
       return;
@@ -273,7 +286,7 @@
 }
 
 const STEP = fc.record({
-  action: fc.nat(8),
+  action: fc.nat(10),
   giver: fc.nat(1),
   a: fc.nat(7),
   b: fc.nat(5),
--- a/packages/entry/src/store/watched-kind.ts
+++ b/packages/entry/src/store/watched-kind.ts
@@ -55,6 +55,7 @@
   readonly #abort = new AbortController();
   #expired = false;
   #failures = 0;
+  #inTouchSince: number | undefined;
 
   constructor(options: WatchOptions) {
     this.#options = options;
@@ -81,6 +82,11 @@
     return this.#failures === 0 && this.cache.revision !== undefined;
   }
 
+  /** When it last came in touch with the store (monotonic milliseconds). */
+  get inTouchSince(): number {
+    return this.#inTouchSince ?? Infinity;
+  }
+
   /** Ends the watch. */
   stop(): void {
     this.#abort.abort();
@@ -97,6 +103,7 @@
     const fresh = reading.inTouch && age < staleMs;
     readers.note(reader, fresh ? 'fresh' : 'stale');
     if (fresh) {
+      this.#inTouchSince ??= monotonicMs();
       this.#noteRegained(reader);
     } else {
       await this.#noteLost(reader, new Error(`confirmed ${Math.round(age)} ms ago`));
@@ -150,6 +157,7 @@
   async #noteLost(reader: KindReader, error: Error): Promise<void> {
     const { log, kind, random = Math.random } = this.#options;
     this.#failures += 1;
+    this.#inTouchSince = undefined;
     if (this.#failures === 1) {
       log.warn('dependency lost', {
         dependency: `objects/${kind}`,
