--- a/packages/entry/src/store/followed-kinds.ts
+++ b/packages/entry/src/store/followed-kinds.ts
@@ -31,7 +31,7 @@
 
 const CONFIGURATION_TIMING: Timing = {
   storeWaitMs: 1_000,
-  peerWaitMs: 1_000,
+  peerWaitMs: 500,
   pauseMs: 250,
   giverPauseMs: 250,
   staleMs: 2_200,
