Requests leave a failure domain alone once several of its hosts are out of reach

Three hosts of a domain out of reach within 1.2 s, with nothing from any other of it, now stand for all of it for 1.5 s.

--- a/packages/entry/src/requests/plain-relay.ts
+++ b/packages/entry/src/requests/plain-relay.ts
@@ -187,10 +187,14 @@
       this.#log.noteNeverSent();
     }
     if (end.kind === 'answered' && (end.answer.head.statusCode ?? 0) < 500) {
-      activities.noteProgress(target.host.id);
+      activities.noteProgress(target.host);
       activities.noteFirst(target.host.id, ms);
     } else if (end.kind !== 'gone') {
-      activities.noteFailure(target.host.id);
+      if (end.kind === 'never-sent') {
+        activities.noteUnreachable(target.host);
+      } else {
+        activities.noteFailure(target.host.id);
+      }
       log.warn('attempt failed', {
         request: this.#context.id,
         host: target.host.id,
--- a/packages/entry/src/requests/stream-attempt.ts
+++ b/packages/entry/src/requests/stream-attempt.ts
@@ -211,7 +211,7 @@
     const hostId = this.#target.host.id;
     const now = monotonicMs();
     this.#lastProgressAt = now;
-    activities.noteProgress(hostId);
+    activities.noteProgress(this.#target.host);
     if (!this.#begun) {
       this.#begun = true;
       activities.begin(hostId);
@@ -255,7 +255,9 @@
       return;
     }
     // What stood still has been noted when it was suspected.
-    if (end.kind !== 'superseded') {
+    if (end.kind === 'never-sent') {
+      activities.noteUnreachable(this.#target.host);
+    } else if (end.kind !== 'superseded') {
       activities.noteFailure(this.#target.host.id);
     }
     log.warn('attempt failed', {
--- a/packages/entry/src/routing/host-activity.ts
+++ b/packages/entry/src/routing/host-activity.ts
@@ -1,5 +1,7 @@
 /** What this entry host has seen of each upstream host through its own requests. */
+import type { HostEntry } from '../hosts/host-entry.js';
 import { monotonicMs } from '../server/time.js';
+import { DomainReach } from './domain-reach.js';
 
 /** Weight of the newest value in the moving averages. */
 const SMOOTHING = 0.25;
@@ -27,6 +29,8 @@
 
 /** The activity of all hosts, by id. */
 export class HostActivities {
+  /** Failure domains as seen by this entry host. */
+  readonly reach = new DomainReach();
   readonly #hosts = new Map<string, HostActivity>();
 
   /** Activity of a host, made on first use. */
@@ -76,10 +80,17 @@
   }
 
   /** Bytes have come from the host: whatever was suspected of it is wrong. */
-  noteProgress(id: string): void {
-    const activity = this.of(id);
+  noteProgress(host: HostEntry): void {
+    const activity = this.of(host.id);
     activity.lastProgressAt = monotonicMs();
     activity.avoidUntil = -Infinity;
+    this.reach.noteProgress(host.failureDomain);
+  }
+
+  /** The host could not be reached. */
+  noteUnreachable(host: HostEntry): void {
+    this.noteFailure(host.id);
+    this.reach.noteUnreachable(host.failureDomain, host.id);
   }
 
   /** The first event or the answer of a request has come. */
--- a/packages/entry/src/routing/target-chooser.test.ts
+++ b/packages/entry/src/routing/target-chooser.test.ts
@@ -10,10 +10,17 @@
 const SERVICE: Service = { name: 's', maxConnections: 10, engine: undefined };
 const NOBODY: ReadonlySet<string> = new Set();
 
-function registryOf(names: readonly string[]): HostRegistry {
+function registryOf(
+  names: readonly string[],
+  domainOf: (name: string) => string = () => 'a',
+): HostRegistry {
   const registry = new HostRegistry((id, value) => ({ ...(value as HostEntry), id }), silentLog());
-  const value = { service: 's', ip: '127.0.0.1', port: 1, failureDomain: 'a', accepting: true };
-  const objects = names.map(name => ({ name, revision: 1, value }));
+  const value = { service: 's', ip: '127.0.0.1', port: 1, accepting: true };
+  const objects = names.map(name => ({
+    name,
+    revision: 1,
+    value: { ...value, failureDomain: domainOf(name) },
+  }));
   registry.takeList({ objects, revision: 1 });
   return registry;
 }
@@ -51,4 +58,26 @@
     }
     expect(chooser.choose({ ...query, exclude: new Set(['good']) })?.host.id).to.equal('bad');
   });
+
+  it('leaves the rest of a failure domain alone once several of its hosts are out of reach', () => {
+    const activities = new HostActivities();
+    const registry = registryOf(names, name => (Number(name[1]) < 8 ? 'b' : 'a'));
+    const chooser = new TargetChooser(registry, activities, {
+      failureDomain: 'a',
+      othersAt: id => (registry.get(id)?.failureDomain === 'a' ? 50 : 0),
+    });
+    const hostOf = (name: string): HostEntry => registry.get(name) as HostEntry;
+    const taken = (): Set<string | undefined> => {
+      const query = { service: SERVICE, model: undefined, exclude: NOBODY };
+      const targets = Array.from({ length: 40 }, () => chooser.choose(query));
+      return new Set(targets.map(target => target?.host.failureDomain));
+    };
+    activities.noteUnreachable(hostOf('h0'));
+    activities.noteUnreachable(hostOf('h1'));
+    expect(taken()).to.include('b');
+    activities.noteUnreachable(hostOf('h2'));
+    expect([...taken()]).to.deep.equal(['a']);
+    activities.noteProgress(hostOf('h3'));
+    expect(taken()).to.include('b');
+  });
 });
--- a/packages/entry/src/routing/target-chooser.ts
+++ b/packages/entry/src/routing/target-chooser.ts
@@ -61,7 +61,7 @@
    */
   choose(query: TargetQuery): Target | undefined {
     const usable = this.#candidates(query).filter(target => !query.exclude.has(target.host.id));
-    const sound = usable.filter(target => !this.#activities.isAvoided(target.host.id));
+    const sound = usable.filter(target => this.#isSound(target.host));
     const from = sound.length > 0 ? sound : usable;
     let best: Target | undefined;
     let bestCost = Infinity;
@@ -78,14 +78,14 @@
   /** True when a target other than the excluded ones exists that is not avoided. */
   hasSound(query: TargetQuery): boolean {
     return this.#candidates(query).some(
-      target => !query.exclude.has(target.host.id) && !this.#activities.isAvoided(target.host.id),
+      target => !query.exclude.has(target.host.id) && this.#isSound(target.host),
     );
   }
 
   /** Least time to the first event that targets have lately had, in milliseconds. */
   expectedFirstMs(query: TargetQuery): number | undefined {
     const times = this.#candidates(query)
-      .filter(target => !this.#activities.isAvoided(target.host.id))
+      .filter(target => this.#isSound(target.host))
       .map(target => this.#activities.recentFirstMs(target.host.id));
     const known = times.filter(time => time !== undefined);
     return known.length === 0 || known.length < times.length ? undefined : Math.min(...known);
@@ -121,6 +121,12 @@
     });
   }
 
+  #isSound({ id, failureDomain }: HostEntry): boolean {
+    const { reach } = this.#activities;
+    const cutOff = failureDomain !== this.#options.failureDomain && reach.isCutOff(failureDomain);
+    return !cutOff && !this.#activities.isAvoided(id);
+  }
+
   #cost(host: HostEntry): number {
     const activity = this.#activities.of(host.id);
     const first = this.#activities.recentFirstMs(host.id) ?? DEFAULT_FIRST_MS;
