--- a/packages/entry/src/peers/reader-choice.ts
+++ b/packages/entry/src/peers/reader-choice.ts
@@ -16,11 +16,13 @@
   readonly store: KindReader;
   readonly candidates: () => Candidates;
   readonly readerOf: (member: Member) => KindReader;
+  /** Monotonic milliseconds; for tests. */
+  readonly now?: (() => number) | undefined;
 };
 
 /** Time for which a reader is left alone, in milliseconds. */
 const AVOID_MS = {
-  /** A peer that did not answer. */
+  /** A peer that did not answer; doubled with each failure in a row. */
   failed: 2_000,
   /** A peer that answered, but has lost the store itself. */
   stale: 500,
@@ -28,12 +30,15 @@
   storeOfFirst: 250,
   /** The store, by any other host. */
   storeOfOthers: 1_000,
+  /** A peer that is gone for good is still registered; it must not be tried again and again. */
+  most: 60_000,
 } as const;
 
 /** The choice, with what is known of each reader. */
 export class PeerReaderChoice implements ReaderChoice {
   readonly #options: PeerReaderChoiceOptions;
   readonly #avoidUntil = new Map<string, number>();
+  readonly #failures = new Map<string, number>();
   #current: KindReader;
   #followsBelow = false;
 
@@ -68,19 +73,30 @@
   note(reader: KindReader, outcome: ReadingOutcome): void {
     if (outcome === 'fresh') {
       this.#avoidUntil.delete(reader.name);
+      this.#failures.delete(reader.name);
       return;
     }
-    this.#avoidUntil.set(reader.name, monotonicMs() + this.#avoidMs(reader, outcome));
+    // Several kinds are read at once; what they all lose at one time is one failure.
+    if (outcome === 'failed' && !this.isAvoided(reader.name)) {
+      this.#failures.set(reader.name, (this.#failures.get(reader.name) ?? 0) + 1);
+    }
+    this.#avoidUntil.set(reader.name, this.#now() + this.#avoidMs(reader, outcome));
   }
 
   /** True while a reader has lately failed. */
   isAvoided(name: string): boolean {
-    return (this.#avoidUntil.get(name) ?? -Infinity) > monotonicMs();
+    return (this.#avoidUntil.get(name) ?? -Infinity) > this.#now();
+  }
+
+  #now(): number {
+    return (this.#options.now ?? monotonicMs)();
   }
 
   #avoidMs(reader: KindReader, outcome: 'stale' | 'failed'): number {
     if (reader !== this.#options.store) {
-      return AVOID_MS[outcome];
+      const failures = this.#failures.get(reader.name) ?? 1;
+      const factor = outcome === 'failed' ? Math.pow(2, failures - 1) : 1;
+      return Math.min(AVOID_MS.most, AVOID_MS[outcome] * factor);
     }
     const first = this.#options.candidates().above.length === 0;
     return first ? AVOID_MS.storeOfFirst : AVOID_MS.storeOfOthers;
--- a/packages/entry/src/store/followed-kinds.ts
+++ b/packages/entry/src/store/followed-kinds.ts
@@ -17,7 +17,7 @@
 };
 
 /** How closely a kind is followed; all in milliseconds. */
-type Timing = {
+export type Timing = {
   /** Longest wait of one call. */
   readonly storeWaitMs: number;
   readonly peerWaitMs: number;
@@ -25,33 +25,37 @@
   readonly pauseMs: number;
   /** Pause of the host that gives orders. */
   readonly giverPauseMs: number;
-  /** Age of a confirmation from which a reader counts as stale. */
+  /**
+   * Age of a confirmation from which a reader counts as stale. While nothing changes, what a peer
+   * has was confirmed up to two waits at the store ago.
+   */
   readonly staleMs: number;
 };
 
 const CONFIGURATION_TIMING: Timing = {
-  storeWaitMs: 1_000,
+  storeWaitMs: 700,
   peerWaitMs: 500,
   pauseMs: 250,
   giverPauseMs: 250,
-  staleMs: 2_200,
+  staleMs: 2_400,
 };
 /** Loads travel with the questions for hosts, so that these wait for less time. */
 const HOSTS_TIMING: Timing = {
-  storeWaitMs: 1_500,
+  storeWaitMs: 1_000,
   peerWaitMs: 250,
   pauseMs: 150,
   giverPauseMs: 50,
-  staleMs: 2_500,
+  staleMs: 2_800,
 };
 const MEMBERS_TIMING: Timing = {
-  storeWaitMs: 5_000,
-  peerWaitMs: 2_500,
+  storeWaitMs: 3_000,
+  peerWaitMs: 1_500,
   pauseMs: 500,
   giverPauseMs: 500,
   staleMs: 9_000,
 };
-const TIMINGS: Readonly<Partial<Record<ObjectKind, Timing>>> = {
+/** The timing of each kind. */
+export const KIND_TIMINGS: Readonly<Partial<Record<ObjectKind, Timing>>> = {
   [OBJECT_KINDS.configuration]: CONFIGURATION_TIMING,
   [OBJECT_KINDS.hosts]: HOSTS_TIMING,
   [OBJECT_KINDS.members]: MEMBERS_TIMING,
@@ -66,7 +70,7 @@
     this.#log = options.log;
     for (const [name, observer] of Object.entries(options.observers)) {
       const kind = name as ObjectKind;
-      const timing = TIMINGS[kind];
+      const timing = KIND_TIMINGS[kind];
       if (timing !== undefined) {
         this.#watches.set(kind, watchOf(kind, observer, timing, options));
       }
