--- a/packages/entry/src/peers/peers.ts
+++ b/packages/entry/src/peers/peers.ts
@@ -28,6 +28,7 @@
   /** Shared by all entry hosts; empty where the network is trusted. */
   readonly key: string;
   readonly store: ObjectStore;
+  /** What this host knows itself, for its followers. */
   readonly watchOf: (kind: ObjectKind) => WatchedKind | undefined;
   /** Requests of this host in progress at upstream hosts. */
   readonly ownLoads: () => Counts;
@@ -135,7 +136,9 @@
       suspected(request);
       return;
     }
-    const known = giver === undefined ? undefined : this.membership.get(giver);
+    // Only a host that follows the store looks at the lease; what others saw of it may be old.
+    const upToDate = giver !== undefined && this.followsStore;
+    const known = upToDate ? this.membership.get(giver) : undefined;
     const to = known ?? this.membership.candidates.above[0] ?? this.membership.remoteHeads[0];
     if (to === undefined || request.hops <= 0) {
       counters.count('suspicions_dropped_total');
