--- a/packages/entry/src/peers/peers.ts
+++ b/packages/entry/src/peers/peers.ts
@@ -24,6 +24,7 @@
 /** Options of the peers. */
 export type PeersOptions = {
   readonly self: Member;
+  /** Addresses (`ip:port`) of some peers; they may be gone. */
   readonly seeds: readonly string[];
   /** Shared by all entry hosts; empty where the network is trusted. */
   readonly key: string;
@@ -51,7 +52,9 @@
 
 /** The peers of this entry host. */
 export class Peers {
+  /** The registered entry hosts. */
   readonly membership: Membership;
+  /** What all of them have added up, as far as it is known here. */
   readonly tally: SharedTally;
   readonly #options: PeersOptions;
   readonly #links: LinkPool;
--- a/packages/entry/src/peers/reader-choice.ts
+++ b/packages/entry/src/peers/reader-choice.ts
@@ -60,6 +60,7 @@
     return !this.#followsBelow;
   }
 
+  /** The reader of the next step. */
   choose(): KindReader {
     const { store, candidates } = this.#options;
     const { above, below } = candidates();
@@ -70,6 +71,7 @@
     return this.#current;
   }
 
+  /** Learns how a reading went. */
   note(reader: KindReader, outcome: ReadingOutcome): void {
     if (outcome === 'fresh') {
       this.#avoidUntil.delete(reader.name);
--- a/packages/entry/src/peers/shared-tally.ts
+++ b/packages/entry/src/peers/shared-tally.ts
@@ -4,7 +4,9 @@
 
 /** Adds up tallies; each part on its own. */
 export class SharedTally {
+  /** Requests in progress, by upstream host. */
   readonly loads: SharedCounts;
+  /** Recent work, by service and model. */
   readonly work: SharedCounts;
 
   /** `own` gives the tally of this host. */
--- a/packages/entry/src/store/watched-kind.ts
+++ b/packages/entry/src/store/watched-kind.ts
@@ -50,6 +50,7 @@
 
 /** A running watch. */
 export class WatchedKind {
+  /** What is known of the kind. */
   readonly cache = new KindCache();
   readonly #options: WatchOptions;
   readonly #abort = new AbortController();
