Tests of groups share one host and one set of beliefs; sums of tallies stand once

Cause: three test files of the order giver each wrote the same empty beliefs and the same host, so that a new belief had to be added three times; SharedCounts added up its parts in three loops. Checked: 57 tests of groups, peers, routing and the adapter's groups and peers pass; lint and format clean.

--- a/packages/entry/src/peers/shared-counts.ts
+++ b/packages/entry/src/peers/shared-counts.ts
@@ -56,54 +56,42 @@
 
   /** Counts of this failure domain, as far as they come together here. */
   ofDomain(): Counts {
-    const sums = new Map<string, number>();
-    addTo(sums, this.#own());
-    this.#fresh(this.#followers).forEach(told => {
-      addTo(sums, told.counts);
-    });
-    return [...sums];
+    return [...sumOf([this.#own(), ...this.#fresh(this.#followers)])];
   }
 
   /** Counts of all hosts but one that follows this one. */
   allBut(follower: string): Counts {
-    const sums = new Map<string, number>();
-    addTo(sums, this.#own());
-    for (const [name, told] of this.#followers) {
-      if (name !== follower && isFresh(told)) {
-        addTo(sums, told.counts);
-      }
-    }
-    this.#fresh(this.#domains).forEach(told => {
-      addTo(sums, told.counts);
-    });
-    return [...sums];
+    const followers = this.#fresh(this.#followers, follower);
+    return [...sumOf([this.#own(), ...followers, ...this.#fresh(this.#domains)])];
   }
 
   #sum(): ReadonlyMap<string, number> {
     const now = monotonicMs();
-    if (now - this.#othersAt < LAPSE_MS / 10) {
-      return this.#others;
+    if (now - this.#othersAt >= LAPSE_MS / 10) {
+      this.#others = sumOf(this.#ofAllOthers());
+      this.#othersAt = now;
     }
-    const sums = new Map<string, number>();
+    return this.#others;
+  }
+
+  // The host that is followed tells of everybody; what others tell here is part of that.
+  #ofAllOthers(): readonly Counts[] {
     if (this.#followed !== undefined && isFresh(this.#followed)) {
-      addTo(sums, this.#followed.counts);
-    } else {
-      for (const told of [...this.#fresh(this.#followers), ...this.#fresh(this.#domains)]) {
-        addTo(sums, told.counts);
-      }
+      return [this.#followed.counts];
     }
-    this.#others = sums;
-    this.#othersAt = now;
-    return sums;
+    return [...this.#fresh(this.#followers), ...this.#fresh(this.#domains)];
   }
 
-  #fresh(told: Map<string, Told>): readonly Told[] {
+  #fresh(told: Map<string, Told>, except?: string): readonly Counts[] {
+    const fresh: Counts[] = [];
     for (const [name, entry] of told) {
       if (!isFresh(entry)) {
         told.delete(name);
+      } else if (name !== except) {
+        fresh.push(entry.counts);
       }
     }
-    return [...told.values()];
+    return fresh;
   }
 }
 
@@ -111,8 +99,10 @@
   return monotonicMs() - told.at < LAPSE_MS;
 }
 
-function addTo(sums: Map<string, number>, counts: Counts): void {
-  for (const [key, count] of counts) {
+function sumOf(parts: readonly Counts[]): ReadonlyMap<string, number> {
+  const sums = new Map<string, number>();
+  for (const [key, count] of parts.flat()) {
     sums.set(key, (sums.get(key) ?? 0) + count);
   }
+  return sums;
 }
--- /dev/null
+++ b/packages/entry/src/testing/groups.ts
@@ -0,0 +1,37 @@
+/** Hosts and beliefs for tests of the order giver. */
+import type { GroupBeliefs } from '../groups/group-beliefs.js';
+import type { HostEntry } from '../hosts/host-entry.js';
+
+/** A host that takes requests, has its model loaded and is in no group, but for `change`. */
+export function testHost(id: string, change: Partial<HostEntry> = {}): HostEntry {
+  return {
+    id,
+    service: 'lm',
+    ip: '127.0.0.1',
+    port: 1,
+    failureDomain: 'a',
+    accepting: true,
+    fabricDomain: 'd0',
+    stagedModels: [],
+    loadedModel: 'm',
+    membership: undefined,
+    ...change,
+  };
+}
+
+/** Beliefs of an order giver that has seen nothing yet, but for `change`. */
+export function testBeliefs(change: Partial<GroupBeliefs> = {}): GroupBeliefs {
+  return {
+    formations: new Map(),
+    stagings: new Map(),
+    heads: new Map(),
+    incompleteSince: new Map(),
+    silent: new Set(),
+    justBack: new Set(),
+    unlisted: new Map(),
+    entriesMayReturn: false,
+    busy: new Set(),
+    loadsLeft: 10,
+    ...change,
+  };
+}
