--- a/packages/entry/src/configuration/serving-configuration.ts
+++ b/packages/entry/src/configuration/serving-configuration.ts
@@ -56,6 +56,8 @@
   readonly loadsPerSecond: number;
   /** Loads that run at full speed side by side. */
   readonly loadsAtOnce: number;
+  /** Models whose weights a host keeps; staging one more evicts the oldest. */
+  readonly stagedModelsKept: number;
 };
 
 /** A service: hosts that answer the same requests. */
--- a/packages/entry/src/entry-host.ts
+++ b/packages/entry/src/entry-host.ts
@@ -50,7 +50,6 @@
 /** Part of the revocation bound that is left for what is under way. */
 const KEY_MARGIN_MS = 500;
 const PLAN_PERIOD_MS = 100;
-const SPARE_SHARE = 0.14;
 /** Entry hosts that share the bounds where they do not know each other. */
 const HOSTS_WITHOUT_PEERS = 10;
 /** Time that callers' balancers need to notice that this host is leaving. */
@@ -297,7 +296,6 @@
       prober: this.#prober,
       inTouchSince: () => this.#kinds.of(OBJECT_KINDS.hosts)?.inTouchSince ?? Infinity,
       loadWindowMs: bounds.loadWindowMs,
-      spareShare: SPARE_SHARE,
       mayLoadFreely: () => this.#intake.total === 0,
       log: this.#options.log,
       counters: this.#counters,
--- a/packages/entry/src/groups/capacity-log.ts
+++ b/packages/entry/src/groups/capacity-log.ts
@@ -1,7 +1,7 @@
 /** One line whenever the number of serving groups changes, with what it was decided from. */
 import type { EngineProfile } from '../configuration/serving-configuration.js';
 import type { Log } from '../server/log.js';
-import type { FreeDomain } from './formation-plan.js';
+import type { FleetDomain } from './fleet-view.js';
 import type { ReplicaGroup } from './replica-groups.js';
 import { headState } from './replica-groups.js';
 
@@ -12,7 +12,7 @@
   readonly free: number;
   readonly staging: number;
   /** Free hosts by fabric domain. */
-  readonly freeByDomain: readonly FreeDomain[];
+  readonly domains: readonly FleetDomain[];
 };
 
 /** Writes the lines. */
@@ -38,8 +38,9 @@
     }
     this.#last = text;
     const shares = profile.models.map(model => `${model.name}:${model.workShare.toFixed(2)}`);
-    const { forming, free, staging, freeByDomain } = idle;
-    const spares = freeByDomain.map(domain => `${domain.fabricDomain}(${sparesOf(domain)})`);
+    const { forming, free, staging, domains } = idle;
+    const withFree = domains.filter(domain => domain.free.length > 0);
+    const spares = withFree.map(domain => `${domain.fabricDomain}(${sparesOf(domain)})`);
     this.#log.info('capacity changed', {
       open: text,
       demand: shares.join(','),
@@ -52,10 +53,10 @@
 }
 
 // Free hosts of a domain by the model that lies on them.
-function sparesOf(domain: FreeDomain): string {
+function sparesOf(domain: FleetDomain): string {
   const counts = new Map<string, number>();
-  for (const host of domain.hosts) {
-    const model = host.stagedModels.at(-1) ?? '-';
+  for (const host of domain.free) {
+    const model = host.loadedModel ?? host.stagedModels.at(-1) ?? '-';
     counts.set(model, (counts.get(model) ?? 0) + 1);
   }
   return [...counts].map(([model, count]) => `${model}:${count}`).join(',');
--- /dev/null
+++ b/packages/entry/src/groups/fleet-days.test.ts
@@ -0,0 +1,130 @@
+/** The plans over whole days of a small model of the hosts: they always make progress. */
+import { expect } from 'chai';
+import fc from 'fast-check';
+
+import type { EngineProfile, GroupModel } from '../configuration/serving-configuration.js';
+import { FleetModel } from '../testing/fleet-model.js';
+import { FREE_LOADS } from './formation-plan.js';
+
+const LOAD_MS = 12_000;
+
+/** Any deployment: sizes that divide nothing, uneven domains, few loads, some hosts staged. */
+type Deployment = {
+  readonly sizes: readonly number[];
+  readonly shares: readonly number[];
+  readonly domainSizes: readonly number[];
+  readonly loadsAtOnce: number;
+  readonly staged: readonly number[];
+  readonly losses: readonly number[];
+};
+
+const DEPLOYMENT: fc.Arbitrary<Deployment> = fc.record({
+  sizes: fc.array(fc.integer({ min: 1, max: 16 }), { minLength: 1, maxLength: 4 }),
+  shares: fc.array(fc.integer({ min: 1, max: 20 }), { minLength: 4, maxLength: 4 }),
+  domainSizes: fc.array(fc.integer({ min: 4, max: 40 }), { minLength: 1, maxLength: 5 }),
+  loadsAtOnce: fc.integer({ min: 1, max: 12 }),
+  staged: fc.array(fc.integer({ min: -2, max: 3 }), { minLength: 1, maxLength: 30 }),
+  losses: fc.array(fc.nat(1_000), { maxLength: 6 }),
+});
+
+function profileOf({ sizes, shares, loadsAtOnce }: Deployment): EngineProfile {
+  const models: GroupModel[] = sizes.map((size, index) => ({
+    name: `m${index}`,
+    size,
+    pace: 1,
+    workShare: shares[index] ?? 1,
+    loadMs: LOAD_MS,
+    warmMs: 1_200,
+  }));
+  return { models, slots: 18, loadsPerSecond: 4, loadsAtOnce, stagedModelsKept: 1 };
+}
+
+function fleetOf(deployment: Deployment): FleetModel {
+  const { staged, domainSizes } = deployment;
+  const profile = profileOf(deployment);
+  return new FleetModel({
+    profile,
+    domainSizes,
+    domainsPerFailureDomain: 2,
+    stagedAtStart: index => profile.models[staged[index % staged.length] ?? -1]?.name,
+  });
+}
+
+/** Time in which every host could load something, one after the other. */
+function boundMs(deployment: Deployment, hosts: number): number {
+  return (hosts * LOAD_MS) / deployment.loadsAtOnce + 4 * LOAD_MS;
+}
+
+/** A day like the users': a loss every three seconds, some hosts replaced after a while. */
+function playDay(fleet: FleetModel, seed: number): void {
+  fleet.run(6_000, FREE_LOADS);
+  for (let loss = 0; loss < 9; loss++) {
+    fleet.run(3_000);
+    fleet.lose(seed * 7 + loss * 13);
+    if (loss >= 3) {
+      fleet.arrive((seed + loss) % 6);
+    }
+  }
+  fleet.run(15_000);
+}
+
+describe('plans over days of a model fleet', () => {
+  it('serve every model that has a fabric domain to itself, whatever the sizes and loads', () => {
+    fc.assert(
+      fc.property(DEPLOYMENT, deployment => {
+        const fleet = fleetOf(deployment);
+        const largest = Math.max(...deployment.sizes);
+        const fitting = deployment.domainSizes.filter(
+          size => size - deployment.losses.length >= largest,
+        );
+        fc.pre(fitting.length >= deployment.sizes.length);
+        fleet.run(5_000);
+        for (const loss of deployment.losses) {
+          fleet.lose(loss);
+          fleet.run(2_000);
+        }
+        fleet.run(boundMs(deployment, fleet.hostCount));
+        deployment.sizes.forEach((_, index) => {
+          expect(fleet.serving(`m${index}`), `groups of m${index}`).to.be.at.least(1);
+        });
+      }),
+      { numRuns: 20 },
+    );
+  });
+
+  it('leave no hosts idle that could form a group after loads', () => {
+    fc.assert(
+      fc.property(DEPLOYMENT, deployment => {
+        const fleet = fleetOf(deployment);
+        for (let look = 0; look < 15; look++) {
+          fleet.run(3_000);
+          if (fleet.isQuiet) {
+            expect(fleet.mostFree).to.be.lessThan(Math.min(...deployment.sizes));
+          }
+        }
+      }),
+      { numRuns: 20 },
+    );
+  });
+
+  it('keep most of the host time in serving groups on a day with many losses', () => {
+    for (const seed of [1, 2, 3, 4, 5]) {
+      const profile: EngineProfile = {
+        models: [
+          { name: 'large', size: 4, pace: 1, workShare: 0.4, loadMs: 16_000, warmMs: 1_600 },
+          { name: 'small', size: 2, pace: 0.6, workShare: 0.6, loadMs: 12_000, warmMs: 1_100 },
+        ],
+        slots: 18,
+        loadsPerSecond: 4,
+        loadsAtOnce: 6,
+        stagedModelsKept: 1,
+      };
+      const domainSizes = [8, 8, 8, 8, 8, 8];
+      const fleet = new FleetModel({ profile, domainSizes, domainsPerFailureDomain: 2 });
+      playDay(fleet, seed);
+      const ratio = fleet.servingHostMs / fleet.possibleHostMs;
+      expect(ratio, `seed ${seed}`).to.be.at.least(0.85);
+      expect(fleet.unservedMs.get('large'), `seed ${seed}`).to.be.at.most(3_000);
+    }
+  });
+});
--- /dev/null
+++ b/packages/entry/src/groups/fleet-picture.ts
@@ -0,0 +1,82 @@
+/** Draws the picture that plans start from, out of entries of hosts and beliefs. Pure. */
+import type { EngineProfile } from '../configuration/serving-configuration.js';
+import type { HostEntry } from '../hosts/host-entry.js';
+import type { FleetDomain, FleetView, PlacedGroup } from './fleet-view.js';
+import { isFree, isReleased } from './free-hosts.js';
+import type { Formation, GroupBeliefs } from './group-beliefs.js';
+import type { ReplicaGroup } from './replica-groups.js';
+import { headState } from './replica-groups.js';
+
+type Draft = {
+  readonly fabricDomain: string;
+  readonly failureDomain: string;
+  readonly free: HostEntry[];
+  readonly groups: PlacedGroup[];
+};
+
+/** The fleet of one service. */
+export function fleetViewOf(
+  hosts: readonly HostEntry[],
+  groups: readonly ReplicaGroup[],
+  profile: EngineProfile,
+  beliefs: GroupBeliefs,
+): FleetView {
+  const drafts = new Map<string, Draft>();
+  const placed = [
+    ...groups.flatMap(group => placedGroup(group, beliefs) ?? []),
+    ...[...beliefs.formations.values()].map(one => formingGroup(one, hosts)),
+  ];
+  for (const group of placed) {
+    const [anyMember] = group.members;
+    if (anyMember !== undefined) {
+      draftOf(drafts, anyMember).groups.push(group);
+    }
+  }
+  for (const host of hosts) {
+    const draft = draftOf(drafts, host);
+    if (isFree(host, beliefs)) {
+      draft.free.push(host);
+    }
+  }
+  const domains: readonly FleetDomain[] = [...drafts.values()];
+  const stagingNow = (id: string): string | undefined => beliefs.stagings.get(id)?.model;
+  return { profile, domains, stagingNow };
+}
+
+/** Name of the fabric domain of a host; hosts that tell none share their failure domain. */
+export function fabricDomainOf(host: HostEntry): string {
+  return host.fabricDomain ?? host.failureDomain;
+}
+
+function draftOf(drafts: Map<string, Draft>, host: HostEntry): Draft {
+  const fabricDomain = fabricDomainOf(host);
+  let draft = drafts.get(fabricDomain);
+  if (draft === undefined) {
+    draft = { fabricDomain, failureDomain: host.failureDomain, free: [], groups: [] };
+    drafts.set(fabricDomain, draft);
+  }
+  return draft;
+}
+
+// A group whose head does not answer, or has left, is not counted on.
+function placedGroup(group: ReplicaGroup, beliefs: GroupBeliefs): PlacedGroup | undefined {
+  const { name, model, head } = group;
+  if (head === undefined || model === undefined || beliefs.formations.has(name)) {
+    return undefined;
+  }
+  if (beliefs.silent.has(head.id) || isReleased(name, beliefs)) {
+    return undefined;
+  }
+  const members = group.members.filter(member => member !== undefined);
+  const sound = (host: HostEntry): boolean =>
+    host.accepting && !beliefs.silent.has(host.id) && !beliefs.busy.has(host.id);
+  const whole = members.length === group.members.length && members.every(sound);
+  const dissolvable = whole && headState(group) === 'open' && !beliefs.justBack.has(head.id);
+  return { name, model, members, dissolvable };
+}
+
+function formingGroup(formation: Formation, hosts: readonly HostEntry[]): PlacedGroup {
+  const members = hosts.filter(host => formation.members.includes(host.id));
+  const { group, model } = formation;
+  return { name: group, model, members, dissolvable: false };
+}
--- /dev/null
+++ b/packages/entry/src/groups/fleet-view.ts
@@ -0,0 +1,81 @@
+/** The hosts of a service as the plans see them: by fabric domain, free or in a group. Pure. */
+import type { EngineProfile, GroupModel } from '../configuration/serving-configuration.js';
+import type { HostEntry } from '../hosts/host-entry.js';
+import { CapacityValue } from './capacity-value.js';
+
+/** A group that serves or forms. */
+export type PlacedGroup = {
+  readonly name: string;
+  readonly model: string;
+  /** Members as far as their entries are there, head first. */
+  readonly members: readonly HostEntry[];
+  /** It serves, is whole, and its head can be told to leave. */
+  readonly dissolvable: boolean;
+};
+
+/** One fabric domain. */
+export type FleetDomain = {
+  readonly fabricDomain: string;
+  readonly failureDomain: string;
+  readonly free: readonly HostEntry[];
+  readonly groups: readonly PlacedGroup[];
+};
+
+/** What plans start from. */
+export type FleetView = {
+  readonly profile: EngineProfile;
+  readonly domains: readonly FleetDomain[];
+  /** Model that a host is staging. */
+  readonly stagingNow: (hostId: string) => string | undefined;
+};
+
+/** Time of a join that needs no load, in milliseconds (from the platform's protocol). */
+export const REJOIN_MS = 200;
+
+/** Time until a host is ready for a model without a load; undefined when it has to load. */
+export function warmMsOf(host: HostEntry, model: GroupModel, view: FleetView): number | undefined {
+  if (host.loadedModel === model.name) {
+    return REJOIN_MS;
+  }
+  // A join that needs the staged copy waits for a staging that is under way.
+  const staged = host.stagedModels.includes(model.name);
+  return staged && view.stagingNow(host.id) === undefined ? model.warmMs : undefined;
+}
+
+/** True when a host is ready for a model without a load, or will be after its staging. */
+export function willHave(host: HostEntry, model: GroupModel, view: FleetView): boolean {
+  const staging = view.stagingNow(host.id);
+  if (host.loadedModel === model.name || staging === model.name) {
+    return true;
+  }
+  return staging === undefined && host.stagedModels.includes(model.name);
+}
+
+/** The names of all failure domains. */
+export function failureDomainsOf(domains: readonly FleetDomain[]): readonly string[] {
+  return [...new Set(domains.map(domain => domain.failureDomain))];
+}
+
+/** The value of the groups that are there. */
+export function valueOf(view: FleetView): CapacityValue {
+  const { profile, domains } = view;
+  const value = new CapacityValue(profile.models, failureDomainsOf(domains).length);
+  for (const domain of domains) {
+    for (const group of domain.groups) {
+      value.add(group.model, domain.failureDomain, 1);
+    }
+  }
+  return value;
+}
+
+/** The most of `hosts` that groups of these sizes can use. */
+export function mostUsable(hosts: number, sizes: readonly number[]): number {
+  const reachable = new Array<boolean>(hosts + 1).fill(false);
+  reachable[0] = true;
+  let most = 0;
+  for (let used = 1; used <= hosts; used++) {
+    reachable[used] = sizes.some(size => size <= used && reachable[used - size] === true);
+    most = reachable[used] === true ? used : most;
+  }
+  return most;
+}
--- a/packages/entry/src/groups/formation-plan.ts
+++ b/packages/entry/src/groups/formation-plan.ts
@@ -1,17 +1,15 @@
 /** Decides which free hosts form which groups. Pure. */
-import type { EngineProfile, GroupModel } from '../configuration/serving-configuration.js';
+import type { GroupModel } from '../configuration/serving-configuration.js';
 import type { HostEntry } from '../hosts/host-entry.js';
-import { lackOf } from './group-targets.js';
-
-/** Free hosts of one fabric domain. */
-export type FreeDomain = {
-  readonly fabricDomain: string;
-  readonly hosts: readonly HostEntry[];
-};
+import type { CapacityValue } from './capacity-value.js';
+import type { FleetDomain, FleetView } from './fleet-view.js';
+import { mostUsable, valueOf, warmMsOf } from './fleet-view.js';
 
 /** A group to be formed. */
 export type PlannedFormation = {
   readonly model: GroupModel;
+  readonly fabricDomain: string;
+  readonly failureDomain: string;
   /** Head first. */
   readonly hosts: readonly HostEntry[];
   /** Expected time until all members are ready, in milliseconds. */
@@ -20,108 +18,127 @@
   readonly loads: number;
 };
 
-/** What the plan starts from. */
-export type FormationInput = {
-  readonly profile: EngineProfile;
-  readonly domains: readonly FreeDomain[];
-  /** Groups that serve or form, by model name. */
-  readonly groupCounts: ReadonlyMap<string, number>;
-  /** Groups that there should be, by model name. */
-  readonly targets: ReadonlyMap<string, number>;
-  /** True when groups may be formed of hosts that have to load first. */
-  readonly withLoads: boolean;
-  readonly loadsLeft: number;
-};
+/** Whether groups may be formed of hosts that have to load first. */
+export type FormationLoads = 'none' | 'free';
 
-/** What is to be formed now. */
-export type FormationPlan = {
-  /** In the order in which they are worth most. */
-  readonly formations: readonly PlannedFormation[];
-  /** True when more would be formed if more loads might begin. */
-  readonly wantsLoads: boolean;
-};
+/** Only of hosts that are ready without a load: others stage first, each by itself. */
+export const NO_LOADS: FormationLoads = 'none';
 
-/** Time of a join that needs no load, in milliseconds. */
-const REJOIN_MS = 200;
+/** Of any hosts, while loads are quick and do not count. */
+export const FREE_LOADS: FormationLoads = 'free';
 
-/** Plans formations until targets are met, or hosts or loads run out. */
-export function planFormations(input: FormationInput): FormationPlan {
-  const free = new Map(input.domains.map(domain => [domain.fabricDomain, [...domain.hosts]]));
-  const counts = new Map(input.groupCounts);
+/** Plans formations in the order of their worth, until hosts or loads run out. */
+export function planFormations(
+  view: FleetView,
+  loads: FormationLoads,
+): readonly PlannedFormation[] {
+  return fillDomains(view, view.domains, valueOf(view), loads);
+}
+
+/**
+ * Forms groups of the free hosts of some domains and adds them to `value`.
+ *
+ * The next group is the one that lowers the cost most for each host that it takes or strands.
+ */
+export function fillDomains(
+  view: FleetView,
+  domains: readonly FleetDomain[],
+  value: CapacityValue,
+  loads: FormationLoads,
+): readonly PlannedFormation[] {
+  const pools = domains.map(domain => ({ domain, hosts: [...domain.free] }));
   const planned: PlannedFormation[] = [];
-  let loadsLeft = input.loadsLeft;
   for (;;) {
-    const next = nextFormation(input, free, counts);
-    if (next === undefined || next.formation.loads > loadsLeft) {
-      return { formations: planned, wantsLoads: next !== undefined };
+    const best = bestFormation(view, pools, value, loads);
+    if (best === undefined) {
+      return planned;
     }
-    loadsLeft -= next.formation.loads;
-    planned.push(next.formation);
-    const name = next.formation.model.name;
-    counts.set(name, (counts.get(name) ?? 0) + 1);
-    const taken = new Set(next.formation.hosts);
-    const rest = (free.get(next.fabricDomain) ?? []).filter(host => !taken.has(host));
-    free.set(next.fabricDomain, rest);
+    planned.push(best);
+    value.add(best.model.name, best.failureDomain, 1);
+    takeFrom(pools, best);
   }
 }
 
-/** Time until a host is ready for a model, in milliseconds. */
-export function readyMsOf(host: HostEntry, model: GroupModel): number {
-  if (host.loadedModel === model.name) {
-    return REJOIN_MS;
+type Pool = { readonly domain: FleetDomain; hosts: HostEntry[] };
+
+function takeFrom(pools: readonly Pool[], formation: PlannedFormation): void {
+  const taken = new Set(formation.hosts);
+  for (const pool of pools) {
+    if (pool.domain.fabricDomain === formation.fabricDomain) {
+      pool.hosts = pool.hosts.filter(host => !taken.has(host));
+    }
   }
-  return host.stagedModels.includes(model.name) ? model.warmMs : model.loadMs;
 }
 
-/** Models that lack groups, the one that lacks most first. */
-export function modelsByLack(
-  profile: EngineProfile,
-  targets: ReadonlyMap<string, number>,
-  counts: ReadonlyMap<string, number>,
-): readonly GroupModel[] {
-  const lack = (model: GroupModel): number => lackOf(model, targets, counts);
-  return profile.models.filter(model => lack(model) > 0).sort((a, b) => lack(b) - lack(a));
+function bestFormation(
+  view: FleetView,
+  pools: readonly Pool[],
+  value: CapacityValue,
+  loads: FormationLoads,
+): PlannedFormation | undefined {
+  let best: PlannedFormation | undefined;
+  let bestScore = 0;
+  for (const pool of pools) {
+    for (const model of view.profile.models) {
+      const formation = formationOf(model, pool, view);
+      if (formation === undefined || (formation.loads > 0 && loads === NO_LOADS)) {
+        continue;
+      }
+      const score = scoreOf(formation, pool, view, value);
+      if (score > bestScore) {
+        best = formation;
+        bestScore = score;
+      }
+    }
+  }
+  return best;
 }
 
-type Candidate = { readonly fabricDomain: string; readonly formation: PlannedFormation };
-
-function nextFormation(
-  input: FormationInput,
-  free: ReadonlyMap<string, readonly HostEntry[]>,
-  counts: ReadonlyMap<string, number>,
-): Candidate | undefined {
-  for (const model of modelsByLack(input.profile, input.targets, counts)) {
-    const candidates = [...free].flatMap(([fabricDomain, hosts]) => {
-      const formation = formationOf(model, hosts);
-      return formation === undefined ? [] : [{ fabricDomain, formation, left: hosts.length }];
-    });
-    candidates.sort((a, b) => a.formation.readyMs - b.formation.readyMs || b.left - a.left);
-    const best = candidates[0];
-    if (best !== undefined && (best.formation.loads === 0 || input.withLoads)) {
-      return best;
-    }
+// A model without any group comes first, the largest of these before the others: small groups
+// everywhere would leave no room for it.
+function scoreOf(
+  formation: PlannedFormation,
+  pool: Pool,
+  view: FleetView,
+  value: CapacityValue,
+): number {
+  const { model, failureDomain } = formation;
+  const gain = value.gain(model.name, failureDomain);
+  if (value.count(model.name) === 0) {
+    return gain * model.size;
   }
-  return undefined;
+  const sizes = view.profile.models.map(other => other.size);
+  const rest = pool.hosts.length - model.size;
+  const strandedBefore = pool.hosts.length - mostUsable(pool.hosts.length, sizes);
+  const stranded = rest - mostUsable(rest, sizes) - strandedBefore;
+  return gain / (model.size + Math.max(0, stranded));
 }
 
-function formationOf(model: GroupModel, hosts: readonly HostEntry[]): PlannedFormation | undefined {
-  if (hosts.length < model.size) {
+function formationOf(model: GroupModel, pool: Pool, view: FleetView): PlannedFormation | undefined {
+  if (pool.hosts.length < model.size) {
     return undefined;
   }
-  const sorted = [...hosts].sort((a, b) => costOf(a, model) - costOf(b, model));
-  const members = sorted.slice(0, model.size);
-  const times = members.map(host => readyMsOf(host, model));
+  const ranked = pool.hosts
+    .map(host => ({ host, warmMs: warmMsOf(host, model, view), cost: costOf(host, model, view) }))
+    .sort((a, b) => a.cost - b.cost)
+    .slice(0, model.size);
+  const { fabricDomain, failureDomain } = pool.domain;
   return {
     model,
-    hosts: members,
-    readyMs: Math.max(...times),
-    loads: times.filter(time => time === model.loadMs).length,
+    fabricDomain,
+    failureDomain,
+    hosts: ranked.map(candidate => candidate.host),
+    readyMs: Math.max(...ranked.map(candidate => candidate.warmMs ?? model.loadMs)),
+    loads: ranked.filter(candidate => candidate.warmMs === undefined).length,
   };
 }
 
-// Among hosts that have to load, those that have nothing staged are taken first.
-function costOf(host: HostEntry, model: GroupModel): number {
-  const ready = readyMsOf(host, model);
-  const wasted = ready === model.loadMs && host.stagedModels.length > 0 ? 1 : 0;
-  return ready + wasted;
+// Hosts that can do nothing else are taken first: hosts that are ready for several models are the
+// ones that can help after the next loss. Among hosts that have to load, empty ones come first.
+function costOf(host: HostEntry, model: GroupModel, view: FleetView): number {
+  const warmMs = warmMsOf(host, model, view);
+  const others = view.profile.models.filter(
+    other => other !== model && warmMsOf(host, other, view) !== undefined,
+  );
+  return (warmMs ?? model.loadMs) + others.length;
 }
--- a/packages/entry/src/groups/free-hosts.ts
+++ b/packages/entry/src/groups/free-hosts.ts
@@ -5,7 +5,6 @@
  * the head is out of sight nobody knows whether it still serves, so its members leave first.
  */
 import type { HostEntry } from '../hosts/host-entry.js';
-import type { FreeDomain } from './formation-plan.js';
 import type { GroupBeliefs } from './group-beliefs.js';
 
 /** True when the host may be ordered into a new group. */
@@ -13,9 +12,13 @@
   if (!host.accepting || beliefs.busy.has(host.id) || beliefs.silent.has(host.id)) {
     return false;
   }
+  // Its entry may still name the group that it is about to exchange for the new one.
+  if (isAwaited(host, beliefs)) {
+    return false;
+  }
   const membership = host.membership;
   if (membership === undefined) {
-    return !isAwaited(host, beliefs);
+    return true;
   }
   if (membership.rank === 0) {
     // A head leaves first, whatever its state: an order to open it may be under way.
@@ -37,15 +40,3 @@
   }
   return false;
 }
-
-/** Hosts by their fabric domain. */
-export function byFabricDomain(hosts: readonly HostEntry[]): readonly FreeDomain[] {
-  const domains = new Map<string, HostEntry[]>();
-  for (const host of hosts) {
-    const name = host.fabricDomain ?? host.failureDomain;
-    const list = domains.get(name) ?? [];
-    list.push(host);
-    domains.set(name, list);
-  }
-  return [...domains].map(([fabricDomain, list]) => ({ fabricDomain, hosts: list }));
-}
--- a/packages/entry/src/groups/group-beliefs.ts
+++ b/packages/entry/src/groups/group-beliefs.ts
@@ -39,8 +39,8 @@
   readonly heads: ReadonlyMap<string, KnownHead>;
   /** When a group was first seen without all its members (monotonic milliseconds). */
   readonly incompleteSince: ReadonlyMap<string, number>;
-  /** Hosts that did not answer when asked. */
-  readonly silent: ReadonlySet<string>;
+  /** Hosts that did not answer when asked, with the time since when (monotonic milliseconds). */
+  readonly silent: ReadonlyMap<string, number>;
   /** Hosts that answer again since a moment ago. */
   readonly justBack: ReadonlySet<string>;
   /** Hosts whose entries went but that still answer. */
@@ -69,4 +69,6 @@
   | 'formation-expired'
   | 'group-broken'
   | 'form'
+  /** The hosts are worth more in another group. */
+  | 'needed-elsewhere'
   | 'spare';
--- a/packages/entry/src/groups/group-repair.test.ts
+++ b/packages/entry/src/groups/group-repair.test.ts
@@ -12,6 +12,7 @@
   slots: 1,
   loadsPerSecond: 1,
   loadsAtOnce: 1,
+  stagedModelsKept: 1,
 };
 
 function member(id: string, rank: number, state: MembershipState, accepting = true): HostEntry {
@@ -39,6 +40,18 @@
     expect(release({}, 5_000)).to.deep.equal(['x leave']);
   });
 
+  it('does not wait for the entry to go where the head itself does not answer', () => {
+    const open = [member('h', 0, 'open'), member('x', 1, 'ready')];
+    const [group] = replicaGroups(open);
+    const released = (silentForMs: number): readonly string[] => {
+      const silent = new Map([['h', 10_000 - silentForMs]]);
+      const planned = group === undefined ? [] : releaseOf(group, testBeliefs({ silent }), 10_000);
+      return planned.map(({ host, order }) => `${host.id} ${order.kind}`);
+    };
+    expect(released(200)).to.deep.equal([]);
+    expect(released(1_000)).to.deep.equal(['x leave']);
+  });
+
   it('waits while the entry of the head may be back', () => {
     expect(release({}, 1_000)).to.deep.equal([]);
     expect(release({ entriesMayReturn: true }, 5_000)).to.deep.equal([]);
@@ -54,13 +67,13 @@
 
   it('dissolves it at the head when a member is gone or silent', () => {
     expect(repair([member('h', 0, 'open')])).to.equal('leave member-lost');
-    expect(repair(open, { silent: new Set(['x']) })).to.equal('leave member-lost');
+    expect(repair(open, { silent: new Map([['x', 9_000]]) })).to.equal('leave member-lost');
   });
 
   it('keeps it after an outage of the store while the entry of a member may be back', () => {
     const alone = [member('h', 0, 'open')];
     expect(repair(alone, { entriesMayReturn: true })).to.equal('nothing');
-    expect(repair(open, { entriesMayReturn: true, silent: new Set(['x']) })).to.equal(
+    expect(repair(open, { entriesMayReturn: true, silent: new Map([['x', 9_000]]) })).to.equal(
       'leave member-lost',
     );
   });
@@ -71,9 +84,13 @@
   });
 
   it('leaves it alone when the head is out of reach, or was until a moment ago', () => {
-    expect(repair(open, { silent: new Set(['h', 'x']) })).to.equal('nothing');
+    const silentHeads = new Map([
+      ['h', 9_000],
+      ['x', 9_000],
+    ]);
+    expect(repair(open, { silent: silentHeads })).to.equal('nothing');
     const justBack = new Set(['h']);
-    expect(repair(open, { silent: new Set(['x']), justBack })).to.equal('nothing');
+    expect(repair(open, { silent: new Map([['x', 9_000]]), justBack })).to.equal('nothing');
   });
 
   it('closes it when a member is leaving, so that requests in progress finish', () => {
--- a/packages/entry/src/groups/group-repair.ts
+++ b/packages/entry/src/groups/group-repair.ts
@@ -9,6 +9,8 @@
 
 /** Time in which a head whose entry went may be back, in milliseconds. */
 const HEADLESS_MS = 2_300;
+/** Time for which a head has to be silent although its entry is still there, in milliseconds. */
+const HEAD_SILENT_MS = 900;
 /** Time that a group of another order giver has to become complete, in milliseconds. */
 const FOREIGN_FORMATION_MS = 3_000;
 
@@ -47,17 +49,27 @@
   now: number,
 ): readonly PlannedOrder[] {
   const known = beliefs.heads.get(group.name);
-  const since = known?.missingSince;
-  const waiting = since === undefined || now - since < HEADLESS_MS || beliefs.entriesMayReturn;
-  if (group.head !== undefined || known?.left === true || waiting) {
+  if (known?.left === true || !isHeadLost(group, beliefs, now)) {
     return [];
   }
-  const present = group.members.filter(member => member !== undefined);
-  return present
+  const others = group.members.filter(member => member !== undefined && member !== group.head);
+  return others
+    .filter(member => member !== undefined)
     .filter(member => !beliefs.silent.has(member.id))
     .map(member => leave(group, member, 'head-lost'));
 }
 
+// A dead host's entry stays for some heartbeats. Where the head is merely cut off from this process
+// its group breaks too, but members that wait for a dead head serve nobody.
+function isHeadLost(group: ReplicaGroup, beliefs: GroupBeliefs, now: number): boolean {
+  if (group.head !== undefined) {
+    const silentSince = beliefs.silent.get(group.head.id);
+    return silentSince !== undefined && now - silentSince > HEAD_SILENT_MS;
+  }
+  const since = beliefs.heads.get(group.name)?.missingSince;
+  return since !== undefined && now - since >= HEADLESS_MS && !beliefs.entriesMayReturn;
+}
+
 /** Hosts that the group's model needs; undefined while the model is not known. */
 export function sizeOf(
   group: ReplicaGroup,
--- a/packages/entry/src/groups/group-task.ts
+++ b/packages/entry/src/groups/group-task.ts
@@ -11,20 +11,20 @@
 import type { Counters } from '../server/metrics.js';
 import { monotonicMs } from '../server/time.js';
 import { CapacityLog } from './capacity-log.js';
+import { fleetViewOf } from './fleet-picture.js';
+import type { FleetView, PlacedGroup } from './fleet-view.js';
 import type { PlannedFormation } from './formation-plan.js';
-import { planFormations } from './formation-plan.js';
-import { byFabricDomain, isFree } from './free-hosts.js';
+import { FREE_LOADS, NO_LOADS, planFormations } from './formation-plan.js';
 import type { Formation, GroupBeliefs, PlannedOrder, Staging } from './group-beliefs.js';
-import { countGroups } from './group-counts.js';
 import { GroupObserver } from './group-observer.js';
 import { releaseOf, repairOf } from './group-repair.js';
-import { groupTargets } from './group-targets.js';
 import type { HostOrder, OrderOutcome } from './host-orders.js';
 import { LoadBudget } from './load-budget.js';
 import type { MemberProber } from './member-prober.js';
 import type { GuardView } from './order-guard.js';
 import { refuseOrder } from './order-guard.js';
 import type { OrderSender } from './order-sender.js';
+import { planDissolution } from './rearrangement-plan.js';
 import type { ReplicaGroup } from './replica-groups.js';
 import { replicaGroups } from './replica-groups.js';
 import { Settling } from './settling.js';
@@ -40,8 +40,6 @@
   /** Since when the store has told of hosts without a break (monotonic milliseconds). */
   readonly inTouchSince: () => number;
   readonly loadWindowMs: number;
-  /** Share of the hosts that is kept out of groups as spares. */
-  readonly spareShare: number;
   /** True before the first request: then loads are quick and do not count. */
   readonly mayLoadFreely: () => boolean;
   readonly log: Log;
@@ -58,6 +56,10 @@
 /** Time after an outage of the store in which entries that went meanwhile are back. */
 const ENTRIES_RETURN_MS = 2_300;
 const LOAD_SLACK_FACTOR = 2;
+/** Least time between two dissolutions, so that the entries show what the first has brought. */
+const DISSOLUTION_PERIOD_MS = 1_500;
+/** Time for which a staging that was not taken is left alone, in milliseconds. */
+const STAGING_RETRY_MS = 1_500;
 /** Loads beyond those that run at full speed, so that none of these places stays empty. */
 const EXTRA_LOADS = 1;
 /** Pause before a join that was not taken is sent again, in milliseconds. */
@@ -78,6 +80,9 @@
   readonly #capacityLog: CapacityLog;
   #term = 0;
   #formed = 0;
+  #dissolvedAt = -Infinity;
+  /** True when no host had anything loaded or staged at the first plan; undefined before. */
+  #beganBlank: boolean | undefined;
 
   constructor(options: GroupTaskOptions) {
     this.#options = options;
@@ -100,6 +105,7 @@
     const view = this.#view(profile, now);
     this.#repair(groups, profile, view, now);
     if (this.#settling.isOver(hosts.length, now)) {
+      this.#beganBlank ??= hosts.every(isBlank);
       this.#form(hosts, groups, profile, view, now);
     }
   }
@@ -220,62 +226,88 @@
     view: GuardView,
     now: number,
   ): void {
-    const { spareShare, mayLoadFreely } = this.#options;
-    const free = hosts.filter(host => isFree(host, view.beliefs));
-    const accepting = hosts.filter(host => host.accepting).length;
-    const groupCounts = countGroups(groups, this.#formations);
-    const targets = groupTargets(profile, accepting * (1 - spareShare));
-    const freeByDomain = byFabricDomain(free);
-    const planned = planFormations({
-      profile,
-      domains: freeByDomain,
-      groupCounts,
-      targets,
-      withLoads: mayLoadFreely(),
-      loadsLeft: view.beliefs.loadsLeft,
-    });
+    const fleet = fleetViewOf(hosts, groups, profile, view.beliefs);
+    this.#noteCapacity(groups, profile, fleet);
+    const free = this.#loadsAreFree();
+    const planned = planFormations(fleet, free ? FREE_LOADS : NO_LOADS);
+    for (const formation of planned) {
+      this.#begin(formation, view, now);
+    }
+    if (planned.length > 0) {
+      return;
+    }
+    if (!free) {
+      this.#rearrange(fleet, view, now);
+    }
+    this.#stage(fleet, free ? Infinity : view.beliefs.loadsLeft, view, now);
+  }
+
+  #noteCapacity(
+    groups: readonly ReplicaGroup[],
+    profile: EngineProfile,
+    { domains }: FleetView,
+  ): void {
     this.#capacityLog.note(groups, profile, {
       forming: this.#formations.size,
-      free: free.length,
+      free: domains.reduce((sum, domain) => sum + domain.free.length, 0),
       staging: this.#stagings.size,
-      freeByDomain,
+      domains,
     });
-    const taken = new Set<HostEntry>();
-    for (const formation of planned.formations) {
-      formation.hosts.forEach(host => taken.add(host));
-      this.#begin(formation, view, now);
+  }
+
+  // Before the first request loads are quick and do not slow each other: groups come first, then
+  // every host stages what it may need later. A host that has something loaded or staged shows that the hosts have served before.
+  #loadsAreFree(): boolean {
+    return this.#beganBlank === true && this.#options.mayLoadFreely();
+  }
+
+  #rearrange(fleet: FleetView, view: GuardView, now: number): void {
+    if (now - this.#dissolvedAt < DISSOLUTION_PERIOD_MS) {
+      return;
     }
-    if (!planned.wantsLoads) {
-      this.#stage(
-        free.filter(host => !taken.has(host)),
-        groups,
-        targets,
-        profile,
-        view,
-        now,
-      );
+    const planned = planDissolution(fleet);
+    if (planned === undefined) {
+      return;
+    }
+    this.#dissolvedAt = now;
+    for (const group of planned.groups) {
+      this.#dissolve(group, view, now);
     }
   }
 
+  #dissolve(group: PlacedGroup, view: GuardView, now: number): void {
+    const [head] = group.members;
+    const membership = head?.membership;
+    if (head === undefined || membership === undefined) {
+      return;
+    }
+    this.#options.log.info('group dissolved for another', {
+      group: membership.group,
+      model: group.model,
+      domain: head.fabricDomain,
+    });
+    const order: HostOrder = { kind: 'leave', group: membership.group, epoch: membership.epoch };
+    this.#send({ host: head, order, reason: 'needed-elsewhere' }, view, now);
+  }
+
   #begin(planned: PlannedFormation, view: GuardView, now: number): void {
     const { service, log } = this.#options;
     this.#formed += 1;
     const epoch = this.#term * EPOCHS_PER_TERM + this.#formed;
     const group = `${service}-${epoch}`;
     const members = planned.hosts.map(host => host.id);
+    const { loads, fabricDomain } = planned;
     const deadline = now + planned.readyMs * LOAD_SLACK_FACTOR + FORMATION_SLACK_MS;
     const model = planned.model.name;
-    const fabricDomain = planned.hosts[0]?.fabricDomain;
-    const { loads } = planned;
     this.#formations.set(group, { group, epoch, model, members, fabricDomain, deadline, loads });
-    this.#loads.note(now, planned.loads);
+    this.#loads.note(now, loads);
     log.info('formation begun', {
       group,
       model,
       members: members.join(','),
       domain: fabricDomain,
       readyMs: planned.readyMs,
-      loads: planned.loads,
+      loads,
     });
     const order: HostOrder = { kind: 'join', group, epoch, model, members };
     for (const host of planned.hosts) {
@@ -283,31 +315,8 @@
     }
   }
 
-  #stage(
-    spares: readonly HostEntry[],
-    groups: readonly ReplicaGroup[],
-    targets: ReadonlyMap<string, number>,
-    profile: EngineProfile,
-    view: GuardView,
-    now: number,
-  ): void {
-    const domains = byFabricDomain(spares).map(({ fabricDomain, hosts }) => {
-      const own = groups.filter(group => group.fabricDomain === fabricDomain);
-      return {
-        fabricDomain,
-        free: hosts,
-        groupCounts: countGroups(own, this.#formations, fabricDomain),
-      };
-    });
-    const planned = planStagings({
-      profile,
-      domains,
-      groupCounts: countGroups(groups, this.#formations),
-      targets,
-      stagingNow: id => this.#stagings.get(id)?.model,
-      loadsLeft: view.beliefs.loadsLeft,
-    });
-    for (const { host, model } of planned) {
+  #stage(fleet: FleetView, loadsLeft: number, view: GuardView, now: number): void {
+    for (const { host, model } of planStagings(fleet, loadsLeft)) {
       const deadline = now + model.loadMs * LOAD_SLACK_FACTOR + STAGING_SLACK_MS;
       this.#stagings.set(host.id, { model: model.name, deadline });
       this.#loads.note(now);
@@ -355,7 +364,8 @@
       this.#formations.delete(order.group);
     }
     if (order.kind === 'stage' && !accepted && outcome !== 'unanswered') {
-      this.#stagings.delete(host.id);
+      const deadline = monotonicMs() + STAGING_RETRY_MS;
+      this.#stagings.set(host.id, { model: order.model, deadline });
     }
     if (order.kind === 'join' && !accepted && outcome !== undefined) {
       this.#retryJoin(host, order);
@@ -379,3 +389,8 @@
     }, JOIN_RETRY_MS);
   }
 }
+
+function isBlank(host: HostEntry): boolean {
+  const empty = host.stagedModels.length === 0 && host.loadedModel === undefined;
+  return empty && host.membership === undefined;
+}
--- a/packages/entry/src/groups/host-orders.ts
+++ b/packages/entry/src/groups/host-orders.ts
@@ -38,6 +38,8 @@
   /** Another host has the address. */
   | 'other-host'
   | 'rejected'
+  /** Not sent: the host still carries out an order of an earlier order giver. */
+  | 'occupied'
   /** No answer: it may have been taken, or may be carried out later. */
   | 'unanswered';
 
@@ -46,6 +48,8 @@
   readonly orderSequence: number;
   /** Name of the group that the host is a member of. */
   readonly group: string | undefined;
+  /** An order that was accepted earlier is still being carried out. */
+  readonly hasOrderUnderWay: boolean;
   /** Factor on the host's speed; over 1 is slow. */
   readonly pace: number;
 };
--- a/packages/entry/src/groups/member-prober.ts
+++ b/packages/entry/src/groups/member-prober.ts
@@ -26,7 +26,8 @@
 /** Keeps which hosts do not answer. */
 export class MemberProber {
   readonly #options: MemberProberOptions;
-  readonly #silent = new Set<string>();
+  /** Since when hosts do not answer (monotonic milliseconds). */
+  readonly #silent = new Map<string, number>();
   readonly #unlisted = new Map<string, HostEntry>();
   readonly #asked = new Map<string, number>();
   readonly #backSince = new Map<string, number>();
@@ -35,8 +36,8 @@
     this.#options = options;
   }
 
-  /** Hosts that did not answer twice in a row. */
-  get silent(): ReadonlySet<string> {
+  /** Hosts that did not answer twice in a row, with the time since when. */
+  get silent(): ReadonlyMap<string, number> {
     return this.#silent;
   }
 
@@ -80,7 +81,7 @@
 
   /** Asks silent hosts again, so that a wrong belief does not last. */
   recheckSilent(entryOf: (id: string) => HostEntry | undefined): void {
-    for (const id of this.#silent) {
+    for (const id of this.#silent.keys()) {
       const entry = entryOf(id);
       if (entry === undefined) {
         continue;
@@ -127,7 +128,7 @@
       this.#silent.delete(host.id);
       this.#backSince.set(host.id, monotonicMs());
     } else {
-      this.#silent.add(host.id);
+      this.#silent.set(host.id, monotonicMs());
     }
     log.warn(answers ? 'host answers again' : 'host does not answer', {
       host: host.id,
--- a/packages/entry/src/groups/order-protocol.test.ts
+++ b/packages/entry/src/groups/order-protocol.test.ts
@@ -23,6 +23,7 @@
   slots: 1,
   loadsPerSecond: 1,
   loadsAtOnce: 1,
+  stagedModelsKept: 1,
 };
 
 /** What is left out of the protocol, to show that it is needed. */
--- a/packages/entry/src/groups/order-sender.ts
+++ b/packages/entry/src/groups/order-sender.ts
@@ -42,9 +42,9 @@
     }
     this.#busy.add(host.id);
     try {
-      const expected = await this.#expected(host);
-      if (expected === undefined) {
-        return 'unanswered';
+      const expected = await this.#expected(host, order);
+      if (typeof expected !== 'number') {
+        return expected;
       }
       const outcome = await this.#orders.send(host, order, expected);
       this.#counters.count('orders_total', { order: order.kind, outcome });
@@ -67,18 +67,23 @@
 
   // A host that tells of no model and no group has most likely taken no order yet; a wrong guess
   // is answered with a conflict.
-  async #expected(host: HostEntry): Promise<number | undefined> {
+  async #expected(host: HostEntry, order: HostOrder): Promise<number | 'occupied' | 'unanswered'> {
     const known = this.#sequences.get(host.id);
     if (known !== undefined) {
       return known;
     }
     const untouched = host.membership === undefined && host.stagedModels.length === 0;
-    if (untouched) {
+    if (untouched && order.kind !== 'stage') {
       return 0;
     }
     const report = await this.#orders.report(host, REPORT_TIMEOUT_MS);
+    // A second staging would begin its load anew, and the first one's time would be lost.
+    if (report?.hasOrderUnderWay === true && order.kind === 'stage') {
+      return 'occupied';
+    }
     // What is believed of the host has to be as new as its sequence, or the sequence guards nothing.
-    return report?.group === host.membership?.group ? report?.orderSequence : undefined;
+    const isCurrent = report !== undefined && report.group === host.membership?.group;
+    return isCurrent ? report.orderSequence : 'unanswered';
   }
 
   async #learn(
@@ -91,6 +96,9 @@
     const begun = outcome === 'begun' || (outcome === 'done' && order.kind === 'leave');
     if (begun) {
       this.#sequences.set(host.id, expected + 1);
+    } else if (outcome === 'conflict' && order.kind === 'stage') {
+      // Another order giver has been there: the next attempt asks what the host is doing.
+      this.#sequences.delete(host.id);
     } else if (outcome === 'conflict') {
       // A report shows the host as it stood a little earlier.
       await sleep(REPORT_LAG_MS);
--- a/packages/entry/src/groups/plans.test.ts
+++ b/packages/entry/src/groups/plans.test.ts
@@ -1,12 +1,16 @@
-/** Targets, formations and stagings on small examples, and bounds that hold for all inputs. */
+/** Formations, dissolutions and stagings on small examples, and bounds that hold for all inputs. */
 import { expect } from 'chai';
 import fc from 'fast-check';
 
 import type { EngineProfile, GroupModel } from '../configuration/serving-configuration.js';
 import type { HostEntry } from '../hosts/host-entry.js';
-import { planFormations } from './formation-plan.js';
-import { groupTargets } from './group-targets.js';
+import { testHost } from '../testing/groups.js';
+import { CapacityValue } from './capacity-value.js';
+import type { FleetDomain, FleetView, PlacedGroup } from './fleet-view.js';
+import { mostUsable } from './fleet-view.js';
+import { FREE_LOADS, NO_LOADS, planFormations } from './formation-plan.js';
 import { LoadBudget } from './load-budget.js';
+import { planDissolution } from './rearrangement-plan.js';
 import { planStagings } from './staging-plan.js';
 
 const LARGE: GroupModel = {
@@ -20,7 +24,7 @@
 const SMALL: GroupModel = {
   name: 'small',
   size: 2,
-  pace: 0.6,
+  pace: 1,
   workShare: 0.5,
   loadMs: 12_000,
   warmMs: 1_100,
@@ -30,181 +34,189 @@
   slots: 18,
   loadsPerSecond: 4,
   loadsAtOnce: 6,
+  stagedModelsKept: 1,
 };
 
-let nextHost = 0;
-
-function host(staged?: string): HostEntry {
-  nextHost += 1;
-  return {
-    id: `x${nextHost}`,
-    service: 'lm',
-    ip: '127.0.0.1',
-    port: 1,
-    failureDomain: 'a',
-    accepting: true,
-    fabricDomain: 'd0',
-    stagedModels: staged === undefined ? [] : [staged],
-    loadedModel: undefined,
-    membership: undefined,
-  };
+let made = 0;
+
+function host(staged?: string, loaded?: string): HostEntry {
+  made += 1;
+  const stagedModels = staged === undefined ? [] : [staged];
+  return testHost(`x${made}`, { stagedModels, loadedModel: loaded });
 }
 
-function hosts(count: number, staged?: string): HostEntry[] {
-  return Array.from({ length: count }, () => host(staged));
+function hosts(count: number, staged?: string, loaded?: string): HostEntry[] {
+  return Array.from({ length: count }, () => host(staged, loaded));
 }
 
-describe('group targets', () => {
-  it('use the hosts they are given, and leave no model without a group', () => {
-    fc.assert(
-      fc.property(fc.integer({ min: 0, max: 400 }), fc.double({ min: 0, max: 1 }), (n, share) => {
-        if (Number.isNaN(share)) {
-          return;
-        }
-        const models = [
-          { ...LARGE, workShare: share },
-          { ...SMALL, workShare: 1 - share },
-        ];
-        const targets = groupTargets({ ...PROFILE, models }, n);
-        const large = targets.get('large') ?? 0;
-        const small = targets.get('small') ?? 0;
-        expect(Math.min(large, small)).to.be.at.least(1);
-        expect(large * 4 + small * 2).to.be.at.most(Math.max(n, 0) + 6.001);
-      }),
-    );
+function group(model: GroupModel, staged = model.name): PlacedGroup {
+  made += 1;
+  const members = hosts(model.size, staged, model.name);
+  return { name: `g${made}`, model: model.name, members, dissolvable: true };
+}
+
+function domain(name: string, free: HostEntry[], groups: PlacedGroup[] = []): FleetDomain {
+  return { fabricDomain: name, failureDomain: 'a', free, groups };
+}
+
+function fleet(...domains: FleetDomain[]): FleetView {
+  return { profile: PROFILE, domains, stagingNow: () => undefined };
+}
+
+function modelsOf(planned: readonly { readonly model: GroupModel }[]): readonly string[] {
+  return planned.map(({ model }) => model.name);
+}
+
+describe('capacity value', () => {
+  it('gains less with each further group, and most with the first', () => {
+    const value = new CapacityValue(PROFILE.models, 1);
+    let before = Infinity;
+    for (let count = 0; count < 20; count++) {
+      const gain = value.gain('large', 'a');
+      expect(gain).to.be.greaterThan(0).and.to.be.lessThan(before);
+      before = gain;
+      value.add('large', 'a', 1);
+      expect(value.loss('large', 'a')).to.be.closeTo(gain, 1e-9);
+    }
+  });
+
+  it('gains more in a failure domain that has no group yet', () => {
+    const value = new CapacityValue(PROFILE.models, 2);
+    value.add('large', 'a', 2);
+    expect(value.gain('large', 'b')).to.be.greaterThan(value.gain('large', 'a'));
   });
 });
 
-describe('formation plan', () => {
-  const targets = new Map([
-    ['large', 2],
-    ['small', 1],
-  ]);
+describe('usable hosts', () => {
+  it('are what sums of sizes can reach', () => {
+    expect(mostUsable(7, [4, 2])).to.equal(6);
+    expect(mostUsable(8, [5, 3])).to.equal(8);
+    expect(mostUsable(3, [4])).to.equal(0);
+  });
+});
 
+describe('formation plan', () => {
   it('forms groups of staged hosts only, once requests have come', () => {
-    const domains = [{ fabricDomain: 'd0', hosts: [...hosts(4, 'large'), ...hosts(4)] }];
-    const input = { profile: PROFILE, domains, groupCounts: new Map(), targets, loadsLeft: 8 };
-    const later = planFormations({ ...input, withLoads: false });
-    expect(later.formations.map(formation => formation.model.name)).to.deep.equal(['large']);
-    expect(later.formations[0]?.loads).to.equal(0);
-    const first = planFormations({ ...input, withLoads: true });
-    expect(first.formations.map(formation => formation.model.name)).to.include('small');
+    const view = fleet(domain('d0', [...hosts(4, 'large'), ...hosts(4)]));
+    const later = planFormations(view, NO_LOADS);
+    expect(modelsOf(later)).to.deep.equal(['large']);
+    expect(later[0]?.loads).to.equal(0);
+    expect(modelsOf(planFormations(view, FREE_LOADS))).to.include('small');
   });
 
-  it('never takes a host twice, a group across domains, or more loads than there are', () => {
+  it('leaves room for a large model that has no group yet', () => {
+    const models = [
+      { ...LARGE, size: 8, workShare: 0.05 },
+      { ...SMALL, workShare: 0.95 },
+    ];
+    const view = { ...fleet(domain('d0', hosts(8)), domain('d1', hosts(8))) };
+    const planned = planFormations({ ...view, profile: { ...PROFILE, models } }, FREE_LOADS);
+    expect(modelsOf(planned)).to.include.members(['large', 'small']);
+  });
+
+  it('never takes a host twice, nor a group across domains', () => {
     const staged = fc.constantFrom(undefined, 'large', 'small');
-    const domain = fc.array(staged, { maxLength: 9 });
+    const anyDomain = fc.array(staged, { maxLength: 9 });
     fc.assert(
-      fc.property(fc.array(domain, { maxLength: 4 }), fc.nat(12), (given, loadsLeft) => {
-        const domains = given.map((models, index) => ({
-          fabricDomain: `d${index}`,
-          hosts: models.map(model => host(model)),
-        }));
-        const plan = planFormations({
-          profile: PROFILE,
-          domains,
-          groupCounts: new Map(),
-          targets: new Map([
-            ['large', 3],
-            ['small', 3],
-          ]),
-          withLoads: true,
-          loadsLeft,
-        });
-        const taken = plan.formations.flatMap(formation => formation.hosts);
+      fc.property(fc.array(anyDomain, { maxLength: 4 }), given => {
+        const domains = given.map((models, index) =>
+          domain(
+            `d${index}`,
+            models.map(model => host(model)),
+          ),
+        );
+        const planned = planFormations(fleet(...domains), FREE_LOADS);
+        const taken = planned.flatMap(formation => formation.hosts);
         expect(new Set(taken).size).to.equal(taken.length);
-        for (const formation of plan.formations) {
-          const home = domains.find(candidate =>
-            candidate.hosts.includes(formation.hosts[0] as never),
-          );
-          expect(formation.hosts.every(member => home?.hosts.includes(member))).to.equal(true);
+        for (const formation of planned) {
+          const home = domains.find(one => one.fabricDomain === formation.fabricDomain);
+          expect(formation.hosts.every(member => home?.free.includes(member))).to.equal(true);
           expect(formation.hosts).to.have.length(formation.model.size);
         }
-        const loads = plan.formations.reduce((sum, formation) => sum + formation.loads, 0);
-        expect(loads).to.be.at.most(loadsLeft);
       }),
     );
   });
+
+  it('takes hosts that are ready for nothing else before those that are', () => {
+    const versatile = host('large', 'small');
+    const view = fleet(domain('d0', [versatile, ...hosts(2, 'small', 'small')]));
+    expect(planFormations(view, NO_LOADS)[0]?.hosts).to.not.include(versatile);
+  });
 });
 
-describe('staging plan', () => {
-  const base = {
-    profile: PROFILE,
-    groupCounts: new Map([
-      ['large', 3],
-      ['small', 3],
-    ]),
-    targets: new Map([
-      ['large', 6],
-      ['small', 6],
-    ]),
-    stagingNow: () => undefined,
-    loadsLeft: 6,
-  };
+describe('dissolution plan', () => {
+  it('gives up a group whose hosts complete one that is needed more', () => {
+    const ready = group(SMALL, 'large');
+    const others = [group(SMALL), group(SMALL), group(SMALL)];
+    const view = fleet(domain('d0', hosts(3, 'large', 'large'), [ready]), domain('d1', [], others));
+    const planned = planDissolution(view);
+    expect(planned?.groups).to.deep.equal([ready]);
+  });
+
+  it('leaves groups alone whose hosts would have to load first', () => {
+    const others = [group(SMALL), group(SMALL), group(SMALL), group(SMALL)];
+    const view = fleet(domain('d0', hosts(3, 'large', 'large'), others));
+    expect(planDissolution(view)).to.equal(undefined);
+  });
+
+  it('leaves a balanced fleet alone', () => {
+    const groups = [group(LARGE, 'small'), group(SMALL, 'large')];
+    expect(planDissolution(fleet(domain('d0', hosts(1), groups)))).to.equal(undefined);
+  });
+});
 
+describe('staging plan', () => {
   it('completes a group with one load before it prepares another with two', () => {
-    const free = [...hosts(3, 'large'), host()];
-    const domains = [{ fabricDomain: 'd0', free, groupCounts: new Map() }];
-    const [first] = planStagings({ ...base, domains, loadsLeft: 1 });
+    const groups = [group(LARGE), group(SMALL), group(SMALL)];
+    const view = fleet(domain('d0', [...hosts(3, 'large'), host()], groups));
+    const [first] = planStagings(view, 1);
     expect(first?.model.name).to.equal('large');
     expect(first?.host.stagedModels).to.deep.equal([]);
   });
 
-  it('keeps a spare for each model that has a group in the domain', () => {
-    const groupCounts = new Map([
-      ['large', 1],
-      ['small', 1],
-    ]);
-    const domains = [{ fabricDomain: 'd0', free: hosts(2), groupCounts }];
-    const full = new Map([
-      ['large', 3],
-      ['small', 3],
-    ]);
-    const planned = planStagings({ ...base, targets: full, domains });
-    expect(planned.map(staging => staging.model.name).sort()).to.deep.equal(['large', 'small']);
-  });
-
-  it('gives up a third spare of one model for the first of another', () => {
-    const groupCounts = new Map([
-      ['large', 1],
-      ['small', 2],
-    ]);
-    const full = new Map([
-      ['large', 3],
-      ['small', 3],
-    ]);
-    for (const [kept, wanted] of [
-      ['large', 'small'],
-      ['small', 'large'],
-    ]) {
-      const domains = [{ fabricDomain: 'd0', free: hosts(3, kept), groupCounts }];
-      const planned = planStagings({ ...base, targets: full, domains });
-      expect(planned[0]?.model.name, `beside three spares of ${kept}`).to.equal(wanted);
-      expect(planned.length).to.be.lessThan(3);
+  it('stages one host after the other where a group needs more loads than may run', () => {
+    let free = hosts(4);
+    for (let staged = 0; staged < LARGE.size; staged++) {
+      const view = fleet(domain('d0', free, [group(SMALL), group(SMALL)]));
+      const [next] = planStagings(view, 1);
+      expect(next?.model.name).to.equal('large');
+      free = free.map(one => (one === next?.host ? host('large') : one));
     }
   });
 
-  it('leaves spares alone that are worth as much where they are', () => {
-    const groupCounts = new Map([
-      ['large', 1],
-      ['small', 1],
-    ]);
-    const full = new Map([
-      ['large', 3],
-      ['small', 3],
-    ]);
-    const free = [...hosts(1, 'large'), ...hosts(1, 'small')];
-    const domains = [{ fabricDomain: 'd0', free, groupCounts }];
-    expect(planStagings({ ...base, targets: full, domains })).to.deep.equal([]);
+  it('keeps a replacement for each model that has a group in the domain', () => {
+    const view = fleet(domain('d0', hosts(1), [group(LARGE), group(SMALL)]));
+    const planned = planStagings(view, 6);
+    expect(planned[0]?.host).to.equal(view.domains[0]?.free[0]);
+  });
+
+  it('lets a serving host stage what it may be needed for after a loss', () => {
+    const view = fleet(domain('d0', [], [group(LARGE), group(SMALL), group(SMALL), group(SMALL)]));
+    const [first] = planStagings(view, 1);
+    expect(first?.model.name).to.equal('large');
+    expect(first?.host.loadedModel).to.equal('small');
+  });
+
+  it('stages two of three stranded hosts for a model that they can serve', () => {
+    const view = fleet(domain('d0', hosts(3, 'large', 'large'), [group(LARGE)]));
+    const planned = planStagings(view, 2);
+    expect(modelsOf(planned)).to.deep.equal(['small', 'small']);
+  });
+
+  it('leaves a staged copy alone that a host has nothing loaded beside', () => {
+    const view = fleet(domain('d0', hosts(1, 'small'), [group(LARGE), group(SMALL)]));
+    expect(planStagings(view, 6).map(staging => staging.host)).to.not.include(
+      view.domains[0]?.free[0],
+    );
   });
 
-  it('never plans more loads than there are, nor a host twice', () => {
+  it('never plans more loads than there are, nor a host twice, and comes to an end', () => {
     const staged = fc.constantFrom(undefined, 'large', 'small');
+    const left = fc.oneof(fc.nat(8), fc.constant(Infinity));
     fc.assert(
-      fc.property(fc.array(staged, { maxLength: 12 }), fc.nat(8), (models, loadsLeft) => {
+      fc.property(fc.array(staged, { maxLength: 12 }), left, (models, loadsLeft) => {
         const free = models.map(model => host(model));
-        const domains = [{ fabricDomain: 'd0', free, groupCounts: new Map() }];
-        const planned = planStagings({ ...base, domains, loadsLeft });
+        const planned = planStagings(fleet(domain('d0', free)), loadsLeft);
         expect(planned.length).to.be.at.most(loadsLeft);
         expect(new Set(planned.map(staging => staging.host)).size).to.equal(planned.length);
       }),
--- a/packages/entry/src/groups/settling.ts
+++ b/packages/entry/src/groups/settling.ts
@@ -2,8 +2,11 @@
 
 /** Pause in which no new host may have come, in milliseconds. */
 const SETTLE_MS = 300;
-/** Longest wait, counted from the first host, in milliseconds. */
-const MAX_SETTLE_MS = 700;
+/**
+ * Longest wait, counted from the first host, in milliseconds. Hosts write their first entry within
+ * a heartbeat of their start, and an outage of the store holds some of them up a little longer.
+ */
+const MAX_SETTLE_MS = 3_500;
 
 /** Watches the number of hosts grow. */
 export class Settling {
--- a/packages/entry/src/groups/staging-plan.ts
+++ b/packages/entry/src/groups/staging-plan.ts
@@ -1,92 +1,66 @@
 /**
- * Decides which free hosts bring which models onto themselves. Pure.
+ * Decides which hosts bring which models onto themselves. Pure.
  *
- * Loads from the weight store are few, so each goes where it is worth most: a load may make the
- * spares of a fabric domain up to a group, or keep a spare at hand for a group that may lose a
- * member. Both are valued by what they take off the work of each group of the model.
+ * Loads from the weight store are few, so each goes where it is worth most for its time:
+ *
+ * - it completes a group of free hosts, alone or together with further loads;
+ * - it prepares hosts of less needed groups to form one that is needed more;
+ * - it lets a host, free or serving another model, replace a member that a group may lose;
+ * - it lets the members of a group serve another model once their own group has lost one.
+ *
+ * A host serves on while it stages, and it keeps the model of its last group beside the staged one.
  */
-import type { EngineProfile, GroupModel } from '../configuration/serving-configuration.js';
+import type { GroupModel } from '../configuration/serving-configuration.js';
 import type { HostEntry } from '../hosts/host-entry.js';
-
-/** A fabric domain with its free hosts and the groups that may need them. */
-export type StagingDomain = {
-  readonly fabricDomain: string;
-  readonly free: readonly HostEntry[];
-  /** Groups in this domain, by model name. */
-  readonly groupCounts: ReadonlyMap<string, number>;
-};
-
-/** What the plan starts from. */
-export type StagingInput = {
-  readonly profile: EngineProfile;
-  readonly domains: readonly StagingDomain[];
-  /** Groups that serve or form in all domains, by model name. */
-  readonly groupCounts: ReadonlyMap<string, number>;
-  /** Groups that there should be, by model name. */
-  readonly targets: ReadonlyMap<string, number>;
-  /** Model that is being staged on a host. */
-  readonly stagingNow: (hostId: string) => string | undefined;
-  readonly loadsLeft: number;
-};
+import type { CapacityValue } from './capacity-value.js';
+import type { FleetDomain, FleetView } from './fleet-view.js';
+import { valueOf, willHave } from './fleet-view.js';
 
 /** A host that is to stage a model. */
 export type PlannedStaging = { readonly host: HostEntry; readonly model: GroupModel };
 
-/** Chance that a host is lost before a spare could be staged for it. */
+/** Chance that a host is lost before a replacement could be staged (measured on played days). */
 const LOSS_CHANCE = 0.1;
-/** How quickly further spares of one model lose their worth. */
-const SPARE_EXPONENT = 1.5;
-/** How much more a spare must be worth than the one that is given up for it. */
+/** Worth of each further replacement of one model in a domain against the one before. */
+const NEXT_REPLACEMENT = 0.35;
+/** Part of the worth that is lost when a host gives up a staged copy that others may need. */
 const RESTAGE_FACTOR = 1.5;
-/** What it costs to give up a staged model, as a part of its load. */
-const RESTAGE_COST = 1;
 
-/** Stagings in the order of their worth. */
-export function planStagings(input: StagingInput): readonly PlannedStaging[] {
-  const shelves = input.domains.map(domain => new Shelf(domain, input));
-  const counts = new Map(input.groupCounts);
-  for (const shelf of shelves) {
-    shelf.countPrepared(input.profile, counts);
-  }
+/** Stagings in the order of their worth, at most `loadsLeft`. */
+export function planStagings(view: FleetView, loadsLeft: number): readonly PlannedStaging[] {
   const planned: PlannedStaging[] = [];
-  for (;;) {
-    const best = bestCandidate(shelves, input, counts);
-    if (best === undefined || planned.length + best.hosts.length > input.loadsLeft) {
+  const value = valueOf(view);
+  const begun = new Map<string, string>();
+  const stagingNow = (id: string): string | undefined => begun.get(id) ?? view.stagingNow(id);
+  const planning: FleetView = { ...view, stagingNow };
+  while (planned.length < loadsLeft) {
+    const best = bestCandidate(planning, value);
+    if (best === undefined) {
       return planned;
     }
-    if (best.completes) {
-      counts.set(best.model.name, countOf(counts, best.model) + 1);
-    }
-    for (const host of best.hosts) {
-      best.shelf.put(host, best.model.name);
-      planned.push({ host, model: best.model });
-    }
+    begun.set(best.host.id, best.model.name);
+    planned.push({ host: best.host, model: best.model });
   }
+  return planned;
 }
 
-type Candidate = {
-  readonly shelf: Shelf;
-  readonly model: GroupModel;
-  readonly hosts: readonly HostEntry[];
-  /** True when the spares make up a group with these hosts. */
-  readonly completes: boolean;
+type Candidate = PlannedStaging & {
   /** Worth for each millisecond of loading. */
   readonly score: number;
 };
 
-function bestCandidate(
-  shelves: readonly Shelf[],
-  input: StagingInput,
-  counts: ReadonlyMap<string, number>,
-): Candidate | undefined {
+function bestCandidate(view: FleetView, value: CapacityValue): Candidate | undefined {
   let best: Candidate | undefined;
-  for (const shelf of shelves) {
-    for (const model of input.profile.models) {
-      for (const candidate of [
-        completion(shelf, model, input, counts),
-        cover(shelf, model, input, counts),
-      ]) {
-        if (candidate !== undefined && (best === undefined || candidate.score > best.score)) {
+  for (const domain of view.domains) {
+    for (const model of view.profile.models) {
+      const candidates = [
+        ...completion(view, domain, model, value),
+        ...conversion(view, domain, model, value),
+        ...replacement(view, domain, model, value),
+        ...fallback(view, domain, model, value),
+      ];
+      for (const candidate of candidates) {
+        if (best === undefined || candidate.score > best.score) {
           best = candidate;
         }
       }
@@ -95,139 +69,144 @@
   return best;
 }
 
+// One of the loads that free hosts lack for another group.
 function completion(
-  shelf: Shelf,
+  view: FleetView,
+  domain: FleetDomain,
   model: GroupModel,
-  input: StagingInput,
-  counts: ReadonlyMap<string, number>,
-): Candidate | undefined {
-  if (countOf(counts, model) >= (input.targets.get(model.name) ?? 1)) {
-    return undefined;
-  }
-  const missing = model.size - (shelf.have(model.name) % model.size);
-  const hosts = shelf.available(model.name).slice(0, missing);
+  value: CapacityValue,
+): readonly Candidate[] {
+  const have = domain.free.filter(host => willHave(host, model, view)).length;
+  const missing = model.size - (have % model.size);
+  const hosts = domain.free.filter(host => canStage(host, model, view));
   if (hosts.length < missing) {
-    return undefined;
+    return [];
   }
-  const given = hosts.map(host => restageMs(shelf, host, input.profile));
-  const cost = missing * model.loadMs + given.reduce((sum, ms) => sum + ms, 0);
-  const score = reliefOf(model, countOf(counts, model)) / cost;
-  return { shelf, model, hosts, completes: true, score };
+  // Groups that are prepared already come before this one.
+  const prepared = Math.floor(have / model.size);
+  const gain = value.gain(model.name, domain.failureDomain) / (1 + prepared);
+  return candidateOf(view, hosts, model, gain, missing);
 }
 
-// Keeps one more spare for the groups of a model. A host that has nothing staged is taken first,
-// then a spare of another model that is worth less there.
-function cover(
-  shelf: Shelf,
+// One of the loads after which groups that are worth less, together with free hosts, could be
+// dissolved for a group of this model.
+function conversion(
+  view: FleetView,
+  domain: FleetDomain,
   model: GroupModel,
-  input: StagingInput,
-  counts: ReadonlyMap<string, number>,
-): Candidate | undefined {
-  const worth = spareWorth(shelf, model, shelf.have(model.name), counts);
-  const [idle] = shelf.idle();
-  if (idle !== undefined) {
-    return { shelf, model, hosts: [idle], completes: false, score: worth / model.loadMs };
-  }
-  let best: Candidate | undefined;
-  for (const other of input.profile.models) {
-    const host = shelf.available(model.name).find(spare => shelf.stagedOn(spare) === other.name);
-    if (host !== undefined) {
-      const given = spareWorth(shelf, other, shelf.have(other.name) - 1, counts);
-      const score = (worth - given * RESTAGE_FACTOR) / model.loadMs;
-      if (score > 0 && (best === undefined || score > best.score)) {
-        best = { shelf, model, hosts: [host], completes: false, score };
-      }
+  value: CapacityValue,
+): readonly Candidate[] {
+  const ready = (hosts: readonly HostEntry[]): number =>
+    hosts.filter(host => willHave(host, model, view)).length;
+  const groups = domain.groups
+    .filter(group => group.dissolvable && group.model !== model.name)
+    .sort((a, b) => ready(b.members) - ready(a.members));
+  const hosts = [...domain.free];
+  let net = value.gain(model.name, domain.failureDomain);
+  for (const group of groups) {
+    if (hosts.length >= model.size) {
+      break;
     }
+    hosts.push(...group.members);
+    net -= value.loss(group.model, domain.failureDomain);
   }
-  return best;
+  const missing = model.size - ready(hosts);
+  if (hosts.length < model.size || missing <= 0) {
+    return [];
+  }
+  const possible = hosts.filter(host => canAlsoStage(host, model, view));
+  return possible.length < missing ? [] : candidateOf(view, possible, model, net, missing);
 }
 
-// Each further spare is needed only if the ones before it are used up.
-function spareWorth(
-  shelf: Shelf,
+function candidateOf(
+  view: FleetView,
+  hosts: readonly HostEntry[],
   model: GroupModel,
-  before: number,
-  counts: ReadonlyMap<string, number>,
-): number {
-  const groups = shelf.groupsOf(model.name);
-  const chance = Math.min(1, groups * model.size * LOSS_CHANCE + LOSS_CHANCE / 10);
-  const used = Math.pow(chance, 1 + SPARE_EXPONENT * before);
-  return reliefOf(model, countOf(counts, model) - 1) * used;
-}
-
-// Work that one more group takes off each of the groups that are there.
-function reliefOf(model: GroupModel, groups: number): number {
-  const work = model.workShare * model.pace;
-  const before = Math.max(0, groups) + 0.5;
-  return work / before - work / (before + 1);
-}
-
-function restageMs(shelf: Shelf, host: HostEntry, profile: EngineProfile): number {
-  const staged = shelf.stagedOn(host);
-  const model = profile.models.find(candidate => candidate.name === staged);
-  return model === undefined ? 0 : model.loadMs * RESTAGE_COST;
-}
-
-function countOf(counts: ReadonlyMap<string, number>, model: GroupModel): number {
-  return counts.get(model.name) ?? 0;
+  gain: number,
+  missing: number,
+): readonly Candidate[] {
+  const [host] = sortedByUse(hosts, view);
+  if (host === undefined || gain <= 0) {
+    return [];
+  }
+  const score = gain / ((missing + lossOfCopy(view, host)) * model.loadMs);
+  return [{ host, model, score }];
 }
 
-/** The free hosts of a domain by what they have staged, or are staging. */
-class Shelf {
-  readonly #staged = new Map<HostEntry, string | undefined>();
-  readonly #pinned = new Set<HostEntry>();
-  readonly #domain: StagingDomain;
-
-  constructor(domain: StagingDomain, input: StagingInput) {
-    this.#domain = domain;
-    for (const host of domain.free) {
-      const staging = input.stagingNow(host.id);
-      this.#staged.set(host, staging ?? host.stagedModels.at(-1));
-      if (staging !== undefined) {
-        this.#pinned.add(host);
-      }
+// One more host that could take the place of a lost member: a free one, or one of a group that is
+// worth less and would be dissolved for it.
+function replacement(
+  view: FleetView,
+  domain: FleetDomain,
+  model: GroupModel,
+  value: CapacityValue,
+): readonly Candidate[] {
+  const groups = domain.groups.filter(group => group.model === model.name);
+  const chance = Math.min(1, groups.length * model.size * LOSS_CHANCE);
+  const worth = value.loss(model.name, domain.failureDomain);
+  const sources = [{ hosts: domain.free, net: worth }];
+  for (const group of domain.groups) {
+    const net = worth - value.loss(group.model, domain.failureDomain);
+    if (group.dissolvable && group.model !== model.name && net > 0) {
+      sources.push({ hosts: group.members, net });
     }
   }
+  const others = sources.flatMap(source => source.hosts);
+  const have = others.filter(host => willHave(host, model, view)).length;
+  const part = chance * Math.pow(NEXT_REPLACEMENT, have);
+  return sources.flatMap(({ hosts, net }) => {
+    const possible = hosts.filter(host => canAlsoStage(host, model, view));
+    return candidateOf(view, possible, model, part * net, 1);
+  });
+}
 
-  /** Adds the groups that the free hosts make up once their stagings are done. */
-  countPrepared(profile: EngineProfile, counts: Map<string, number>): void {
-    for (const model of profile.models) {
-      const prepared = Math.floor(this.have(model.name) / model.size);
-      counts.set(model.name, countOf(counts, model) + prepared);
+// Members of larger groups that could serve this model if their own group lost a member.
+function fallback(
+  view: FleetView,
+  domain: FleetDomain,
+  model: GroupModel,
+  value: CapacityValue,
+): readonly Candidate[] {
+  const gain = value.gain(model.name, domain.failureDomain);
+  return domain.groups.flatMap(group => {
+    const left = group.members.length - 1;
+    if (!group.dissolvable || group.model === model.name || left < model.size) {
+      return [];
     }
-  }
-
-  /** Groups of a model in this domain. */
-  groupsOf(model: string): number {
-    return this.#domain.groupCounts.get(model) ?? 0;
-  }
+    const have = group.members.filter(host => willHave(host, model, view)).length;
+    const host = group.members.find(member => canAlsoStage(member, model, view));
+    // One more than the model needs, since nobody knows which member will be lost.
+    if (host === undefined || have > model.size) {
+      return [];
+    }
+    const chance = Math.min(1, group.members.length * LOSS_CHANCE);
+    return [{ host, model, score: (chance * gain) / model.size / model.loadMs }];
+  });
+}
 
-  /** Free hosts that have a model staged, or will have. */
-  have(model: string): number {
-    return [...this.#staged.values()].filter(staged => staged === model).length;
-  }
+function canStage(host: HostEntry, model: GroupModel, view: FleetView): boolean {
+  return view.stagingNow(host.id) === undefined && !willHave(host, model, view);
+}
 
-  /** What a host has staged, or will have. */
-  stagedOn(host: HostEntry): string | undefined {
-    return this.#staged.get(host);
-  }
+// True when the host gives up no copy that may be of use. Copies are only given up to complete a
+// group; otherwise hosts would stage one model after the other for ever.
+function canAlsoStage(host: HostEntry, model: GroupModel, view: FleetView): boolean {
+  return canStage(host, model, view) && lossOfCopy(view, host) === 0;
+}
 
-  /** Hosts with nothing staged. */
-  idle(): readonly HostEntry[] {
-    return [...this.#staged].filter(([, staged]) => staged === undefined).map(([host]) => host);
-  }
+// Hosts whose staged copies nobody would miss come first.
+function sortedByUse(hosts: readonly HostEntry[], view: FleetView): readonly HostEntry[] {
+  return [...hosts].sort((a, b) => copiesOf(a, view) - copiesOf(b, view));
+}
 
-  /** Hosts that could stage a model, those with nothing staged first. */
-  available(model: string): readonly HostEntry[] {
-    const others = [...this.#staged].filter(
-      ([host, staged]) => staged !== undefined && staged !== model && !this.#pinned.has(host),
-    );
-    return [...this.idle(), ...others.map(([host]) => host)];
-  }
+// Staged copies that a host would give up, besides the one of the model it has loaded.
+function copiesOf(host: HostEntry, view: FleetView): number {
+  return view.profile.models.filter(
+    model => model.name !== host.loadedModel && host.stagedModels.includes(model.name),
+  ).length;
+}
 
-  /** The host is to stage a model. */
-  put(host: HostEntry, model: string): void {
-    this.#staged.set(host, model);
-    this.#pinned.add(host);
-  }
+function lossOfCopy(view: FleetView, host: HostEntry): number {
+  const full = host.stagedModels.length >= view.profile.stagedModelsKept;
+  return full && copiesOf(host, view) > 0 ? RESTAGE_FACTOR : 0;
 }
--- a/packages/entry/src/testing/groups.ts
+++ b/packages/entry/src/testing/groups.ts
@@ -26,7 +26,7 @@
     stagings: new Map(),
     heads: new Map(),
     incompleteSince: new Map(),
-    silent: new Set(),
+    silent: new Map(),
     justBack: new Set(),
     unlisted: new Map(),
     entriesMayReturn: false,
