Hosts keep the model of their last group in the planner's view after they have left it

Cause: a host tells of its model only while it is in a group.

Change: the registry remembers the model per host while its process lives.

A process that has just started does not know the models of hosts outside groups; that is left.

--- a/packages/entry/src/groups/capacity-log.ts
+++ b/packages/entry/src/groups/capacity-log.ts
@@ -56,7 +56,7 @@
 function sparesOf(domain: FleetDomain): string {
   const counts = new Map<string, number>();
   for (const host of domain.free) {
-    const model = host.loadedModel ?? host.stagedModels.at(-1) ?? '-';
+    const model = host.lastModel ?? host.stagedModels.at(-1) ?? '-';
     counts.set(model, (counts.get(model) ?? 0) + 1);
   }
   return [...counts].map(([model, count]) => `${model}:${count}`).join(',');
--- a/packages/entry/src/groups/fleet-view.ts
+++ b/packages/entry/src/groups/fleet-view.ts
@@ -34,7 +34,7 @@
 
 /** Time until a host is ready for a model without a load; undefined when it has to load. */
 export function warmMsOf(host: HostEntry, model: GroupModel, view: FleetView): number | undefined {
-  if (host.loadedModel === model.name) {
+  if (host.lastModel === model.name) {
     return REJOIN_MS;
   }
   // A join that needs the staged copy waits for a staging that is under way.
@@ -45,7 +45,7 @@
 /** True when a host is ready for a model without a load, or will be after its staging. */
 export function willHave(host: HostEntry, model: GroupModel, view: FleetView): boolean {
   const staging = view.stagingNow(host.id);
-  if (host.loadedModel === model.name || staging === model.name) {
+  if (host.lastModel === model.name || staging === model.name) {
     return true;
   }
   return staging === undefined && host.stagedModels.includes(model.name);
--- a/packages/entry/src/groups/plans.test.ts
+++ b/packages/entry/src/groups/plans.test.ts
@@ -42,7 +42,7 @@
 function host(staged?: string, loaded?: string): HostEntry {
   made += 1;
   const stagedModels = staged === undefined ? [] : [staged];
-  return testHost(`x${made}`, { stagedModels, loadedModel: loaded });
+  return testHost(`x${made}`, { stagedModels, loadedModel: loaded, lastModel: loaded });
 }
 
 function hosts(count: number, staged?: string, loaded?: string): HostEntry[] {
--- a/packages/entry/src/groups/staging-plan.ts
+++ b/packages/entry/src/groups/staging-plan.ts
@@ -202,7 +202,7 @@
 // Staged copies that a host would give up, besides the one of the model it has loaded.
 function copiesOf(host: HostEntry, view: FleetView): number {
   return view.profile.models.filter(
-    model => model.name !== host.loadedModel && host.stagedModels.includes(model.name),
+    model => model.name !== host.lastModel && host.stagedModels.includes(model.name),
   ).length;
 }
 
--- a/packages/entry/src/hosts/host-entry.ts
+++ b/packages/entry/src/hosts/host-entry.ts
@@ -29,6 +29,11 @@
   readonly stagedModels: readonly string[];
   /** Model that is loaded now. */
   readonly loadedModel: string | undefined;
+  /**
+   * Model of the host's last group, as far as this process has seen it. A host tells of its model
+   * only while it is in a group, but it can join another group of the same model without a load.
+   */
+  readonly lastModel: string | undefined;
   readonly membership: Membership | undefined;
 };
 
--- a/packages/entry/src/hosts/host-registry.ts
+++ b/packages/entry/src/hosts/host-registry.ts
@@ -89,7 +89,9 @@
     if (known === undefined) {
       this.#log.info('host arrived', { host: entry.id, domain: entry.fabricDomain });
     }
-    this.#hosts.set(object.name, entry);
+    const before = this.#hosts.get(object.name) ?? this.#departed.get(object.name)?.entry;
+    const lastModel = entry.loadedModel ?? before?.lastModel;
+    this.#hosts.set(object.name, { ...entry, lastModel });
     this.#departed.delete(object.name);
   }
 
--- a/packages/entry/src/testing/fleet-model.ts
+++ b/packages/entry/src/testing/fleet-model.ts
@@ -271,5 +271,11 @@
 
 function entryOf(host: ModelHost): HostEntry {
   const { id, fabricDomain, failureDomain, loaded, staged } = host;
-  return testHost(id, { fabricDomain, failureDomain, loadedModel: loaded, stagedModels: staged });
+  return testHost(id, {
+    fabricDomain,
+    failureDomain,
+    loadedModel: loaded,
+    lastModel: loaded,
+    stagedModels: staged,
+  });
 }
--- a/packages/entry/src/testing/groups.ts
+++ b/packages/entry/src/testing/groups.ts
@@ -14,6 +14,7 @@
     fabricDomain: 'd0',
     stagedModels: [],
     loadedModel: 'm',
+    lastModel: 'm',
     membership: undefined,
     ...change,
   };
