--- /dev/null
+++ b/packages/entry/src/groups/fleet-picture.test.ts
@@ -0,0 +1,77 @@
+import { expect } from 'chai';
+
+import type { EngineProfile } from '../configuration/serving-configuration.js';
+import type { HostEntry, MembershipState } from '../hosts/host-entry.js';
+import { testBeliefs, testHost } from '../testing/groups.js';
+import { fleetViewOf } from './fleet-picture.js';
+import type { FleetDomain } from './fleet-view.js';
+import type { GroupBeliefs } from './group-beliefs.js';
+import { replicaGroups } from './replica-groups.js';
+
+const PROFILE: EngineProfile = {
+  models: [{ name: 'm', size: 2, pace: 1, workShare: 1, loadMs: 1, warmMs: 1 }],
+  slots: 1,
+  loadsPerSecond: 1,
+  loadsAtOnce: 1,
+  stagedModelsKept: 1,
+};
+
+function member(id: string, rank: number, state: MembershipState): HostEntry {
+  return testHost(id, { membership: { group: 'g', epoch: 1, rank, state } });
+}
+
+function domainOf(hosts: readonly HostEntry[], change: Partial<GroupBeliefs> = {}): FleetDomain {
+  const view = fleetViewOf(hosts, replicaGroups(hosts), PROFILE, testBeliefs(change));
+  const [domain] = view.domains;
+  if (domain === undefined) {
+    throw new Error('no fabric domain');
+  }
+  return domain;
+}
+
+function namesOf(domain: FleetDomain): readonly string[] {
+  return domain.free.map(host => host.id);
+}
+
+describe('fleet picture', () => {
+  const open = [member('h', 0, 'open'), member('x', 1, 'ready'), testHost('spare')];
+
+  it('tells free hosts from those in groups', () => {
+    const domain = domainOf(open);
+    expect(namesOf(domain)).to.deep.equal(['spare']);
+    expect(domain.groups.map(group => group.dissolvable)).to.deep.equal([true]);
+  });
+
+  it('does not count on a group whose head does not answer', () => {
+    expect(domainOf(open, { silent: new Map([['h', 0]]) }).groups).to.deep.equal([]);
+  });
+
+  it('does not dissolve a group that lacks a member', () => {
+    const silent = new Map([['x', 0]]);
+    expect(domainOf(open, { silent }).groups[0]?.dissolvable).to.equal(false);
+  });
+
+  it('keeps the hosts of a domain for the group that another is dissolved for', () => {
+    const domain = domainOf(open, { dissolving: new Map([['g', 0]]) });
+    expect(namesOf(domain)).to.deep.equal([]);
+    expect(domain.groups).to.deep.equal([]);
+  });
+
+  it('takes hosts of a formation as its own, whatever their entries still name', () => {
+    const heads = new Map([['g', { host: open[0] as HostEntry, missingSince: 0, left: true }]]);
+    const left = [member('x', 1, 'ready'), testHost('spare')];
+    expect(namesOf(domainOf(left, { heads }))).to.deep.equal(['x', 'spare']);
+    const formation = {
+      group: 'n',
+      epoch: 2,
+      model: 'm',
+      members: ['x', 'spare'],
+      fabricDomain: 'd0',
+      loads: 0,
+      deadline: 1,
+    };
+    const domain = domainOf(left, { heads, formations: new Map([['n', formation]]) });
+    expect(namesOf(domain)).to.deep.equal([]);
+    expect(domain.groups.map(group => group.name)).to.deep.equal(['n']);
+  });
+});
--- a/packages/entry/src/groups/fleet-picture.ts
+++ b/packages/entry/src/groups/fleet-picture.ts
@@ -22,6 +22,7 @@
   beliefs: GroupBeliefs,
 ): FleetView {
   const drafts = new Map<string, Draft>();
+  const waiting = new Set<string>();
   const placed = [
     ...groups.flatMap(group => placedGroup(group, beliefs) ?? []),
     ...[...beliefs.formations.values()].map(one => formingGroup(one, hosts)),
@@ -32,9 +33,16 @@
       draftOf(drafts, anyMember).groups.push(group);
     }
   }
+  for (const { name, members } of groups) {
+    const anyMember = members.find(member => member !== undefined);
+    if (beliefs.dissolving.has(name) && anyMember !== undefined) {
+      waiting.add(fabricDomainOf(anyMember));
+    }
+  }
   for (const host of hosts) {
     const draft = draftOf(drafts, host);
-    if (isFree(host, beliefs)) {
+    // The hosts of a domain wait for those of a group that is being dissolved for them.
+    if (isFree(host, beliefs) && !waiting.has(draft.fabricDomain)) {
       draft.free.push(host);
     }
   }
@@ -64,7 +72,8 @@
   if (head === undefined || model === undefined || beliefs.formations.has(name)) {
     return undefined;
   }
-  if (beliefs.silent.has(head.id) || isReleased(name, beliefs)) {
+  const isEnding = isReleased(name, beliefs) || beliefs.dissolving.has(name);
+  if (isEnding || beliefs.silent.has(head.id)) {
     return undefined;
   }
   const members = group.members.filter(member => member !== undefined);
--- a/packages/entry/src/groups/group-beliefs.ts
+++ b/packages/entry/src/groups/group-beliefs.ts
@@ -35,6 +35,8 @@
 /** Beliefs, by group name or host id. */
 export type GroupBeliefs = {
   readonly formations: ReadonlyMap<string, Formation>;
+  /** Groups that are dissolved for others, with the time since when (monotonic milliseconds). */
+  readonly dissolving: ReadonlyMap<string, number>;
   readonly stagings: ReadonlyMap<string, Staging>;
   readonly heads: ReadonlyMap<string, KnownHead>;
   /** When a group was first seen without all its members (monotonic milliseconds). */
--- a/packages/entry/src/groups/group-repair.test.ts
+++ b/packages/entry/src/groups/group-repair.test.ts
@@ -98,6 +98,16 @@
     expect(repair(leaving)).to.equal('close member-leaving');
   });
 
+  it('lets requests finish for a while before it dissolves a group for another', () => {
+    const closing = [member('h', 0, 'closing'), member('x', 1, 'ready')];
+    const since = (ms: number): ReadonlyMap<string, number> => new Map([['g', 10_000 - ms]]);
+    expect(repair(open, { dissolving: since(0) })).to.equal('close needed-elsewhere');
+    expect(repair(closing, { dissolving: since(300) })).to.equal('nothing');
+    expect(repair(closing, { dissolving: since(1_000) })).to.equal('leave needed-elsewhere');
+    const done = [member('h', 0, 'ready'), member('x', 1, 'ready')];
+    expect(repair(done, { dissolving: since(300) })).to.equal('leave needed-elsewhere');
+  });
+
   it('opens it when all members are ready', () => {
     const ready = [member('h', 0, 'ready'), member('x', 1, 'ready')];
     expect(repair(ready)).to.equal('open members-ready');
--- a/packages/entry/src/groups/group-repair.ts
+++ b/packages/entry/src/groups/group-repair.ts
@@ -11,6 +11,11 @@
 const HEADLESS_MS = 2_300;
 /** Time for which a head has to be silent although its entry is still there, in milliseconds. */
 const HEAD_SILENT_MS = 900;
+/**
+ * Time that requests have to finish at a group that is dissolved for another, in milliseconds. Most
+ * streams take about a second; those that are cut after it go on at other groups.
+ */
+const DISSOLUTION_GRACE_MS = 800;
 /** Time that a group of another order giver has to become complete, in milliseconds. */
 const FOREIGN_FORMATION_MS = 3_000;
 
@@ -29,6 +34,10 @@
   if (beliefs.silent.has(head.id) || beliefs.justBack.has(head.id)) {
     return undefined;
   }
+  const dissolvingSince = beliefs.dissolving.get(group.name);
+  if (dissolvingSince !== undefined) {
+    return advanceDissolution(group, head, now - dissolvingSince);
+  }
   const size = sizeOf(group, profile, beliefs);
   switch (headState(group)) {
     case 'open':
@@ -81,6 +90,22 @@
   return profile.models.find(candidate => candidate.name === model)?.size;
 }
 
+// New requests go elsewhere at once, and what runs may finish within the grace time.
+function advanceDissolution(
+  group: ReplicaGroup,
+  head: HostEntry,
+  forMs: number,
+): PlannedOrder | undefined {
+  const state = headState(group);
+  const finishing = forMs < DISSOLUTION_GRACE_MS;
+  if (state === 'open' && finishing) {
+    const order: HostOrder = { kind: 'close', ...idOf(group), manner: 'pending' };
+    return { host: head, order, reason: 'needed-elsewhere' };
+  }
+  const waiting = state === 'closing' && finishing;
+  return waiting ? undefined : leave(group, head, 'needed-elsewhere');
+}
+
 function repairOpen(
   group: ReplicaGroup,
   head: HostEntry,
--- a/packages/entry/src/groups/group-task.ts
+++ b/packages/entry/src/groups/group-task.ts
@@ -12,7 +12,7 @@
 import { monotonicMs } from '../server/time.js';
 import { CapacityLog } from './capacity-log.js';
 import { fleetViewOf } from './fleet-picture.js';
-import type { FleetView, PlacedGroup } from './fleet-view.js';
+import type { FleetView } from './fleet-view.js';
 import type { PlannedFormation } from './formation-plan.js';
 import { FREE_LOADS, NO_LOADS, planFormations } from './formation-plan.js';
 import type { Formation, GroupBeliefs, PlannedOrder, Staging } from './group-beliefs.js';
@@ -24,7 +24,7 @@
 import type { GuardView } from './order-guard.js';
 import { refuseOrder } from './order-guard.js';
 import type { OrderSender } from './order-sender.js';
-import { planDissolution } from './rearrangement-plan.js';
+import { Rearrangement } from './rearrangement.js';
 import type { ReplicaGroup } from './replica-groups.js';
 import { replicaGroups } from './replica-groups.js';
 import { Settling } from './settling.js';
@@ -56,8 +56,6 @@
 /** Time after an outage of the store in which entries that went meanwhile are back. */
 const ENTRIES_RETURN_MS = 2_300;
 const LOAD_SLACK_FACTOR = 2;
-/** Least time between two dissolutions, so that the entries show what the first has brought. */
-const DISSOLUTION_PERIOD_MS = 1_500;
 /** Time for which a staging that was not taken is left alone, in milliseconds. */
 const STAGING_RETRY_MS = 1_500;
 /** Loads beyond those that run at full speed, so that none of these places stays empty. */
@@ -72,6 +70,7 @@
 export class GroupTask {
   readonly #options: GroupTaskOptions;
   readonly #formations = new Map<string, Formation>();
+  readonly #rearrangement: Rearrangement;
   readonly #stagings = new Map<string, Staging>();
   readonly #lastAccepted = new Map<string, AcceptedOrder>();
   readonly #observer: GroupObserver;
@@ -80,7 +79,6 @@
   readonly #capacityLog: CapacityLog;
   #term = 0;
   #formed = 0;
-  #dissolvedAt = -Infinity;
   /** True when no host had anything loaded or staged at the first plan; undefined before. */
   #beganBlank: boolean | undefined;
 
@@ -89,6 +87,7 @@
     this.#observer = new GroupObserver(id => options.registry.get(id));
     this.#loads = new LoadBudget(options.loadWindowMs);
     this.#capacityLog = new CapacityLog(options.log);
+    this.#rearrangement = new Rearrangement(options.log);
   }
 
   /** Looks at the hosts and gives the orders that are due. Cheap when nothing is. */
@@ -104,7 +103,7 @@
     this.#observe(hosts, groups, profile, now);
     const view = this.#view(profile, now);
     this.#repair(groups, profile, view, now);
-    if (this.#settling.isOver(hosts.length, now)) {
+    if (hosts.length > 0 && this.#settling.isOver(hosts.length, now)) {
       this.#beganBlank ??= hosts.every(isBlank);
       this.#form(hosts, groups, profile, view, now);
     }
@@ -126,6 +125,7 @@
     this.#term = term;
     this.#formed = 0;
     this.#formations.clear();
+    this.#rearrangement.clear();
     this.#stagings.clear();
   }
 
@@ -151,6 +151,7 @@
         this.#formations.delete(name);
       }
     }
+    this.#rearrangement.forgetEnded(groups);
     prober.watchDeparted(this.#options.registry.departedOf(this.#options.service));
   }
 
@@ -160,6 +161,7 @@
     const byRate = this.#options.mayLoadFreely() ? Infinity : profile.loadsPerSecond;
     return {
       formations: this.#formations,
+      dissolving: this.#rearrangement.dissolving,
       stagings: this.#stagings,
       heads: this.#observer.heads,
       incompleteSince: this.#observer.incompleteSince,
@@ -237,7 +239,7 @@
       return;
     }
     if (!free) {
-      this.#rearrange(fleet, view, now);
+      this.#rearrangement.look(fleet, now);
     }
     this.#stage(fleet, free ? Infinity : view.beliefs.loadsLeft, view, now);
   }
@@ -261,35 +263,6 @@
     return this.#beganBlank === true && this.#options.mayLoadFreely();
   }
 
-  #rearrange(fleet: FleetView, view: GuardView, now: number): void {
-    if (now - this.#dissolvedAt < DISSOLUTION_PERIOD_MS) {
-      return;
-    }
-    const planned = planDissolution(fleet);
-    if (planned === undefined) {
-      return;
-    }
-    this.#dissolvedAt = now;
-    for (const group of planned.groups) {
-      this.#dissolve(group, view, now);
-    }
-  }
-
-  #dissolve(group: PlacedGroup, view: GuardView, now: number): void {
-    const [head] = group.members;
-    const membership = head?.membership;
-    if (head === undefined || membership === undefined) {
-      return;
-    }
-    this.#options.log.info('group dissolved for another', {
-      group: membership.group,
-      model: group.model,
-      domain: head.fabricDomain,
-    });
-    const order: HostOrder = { kind: 'leave', group: membership.group, epoch: membership.epoch };
-    this.#send({ host: head, order, reason: 'needed-elsewhere' }, view, now);
-  }
-
   #begin(planned: PlannedFormation, view: GuardView, now: number): void {
     const { service, log } = this.#options;
     this.#formed += 1;
--- a/packages/entry/src/testing/groups.ts
+++ b/packages/entry/src/testing/groups.ts
@@ -24,6 +24,7 @@
 export function testBeliefs(change: Partial<GroupBeliefs> = {}): GroupBeliefs {
   return {
     formations: new Map(),
+    dissolving: new Map(),
     stagings: new Map(),
     heads: new Map(),
     incompleteSince: new Map(),
