--- a/packages/entry/src/groups/free-hosts.ts
+++ b/packages/entry/src/groups/free-hosts.ts
@@ -2,7 +2,7 @@
  * Tells which hosts may be put into a new group. Pure.
  *
  * A host that is a member of another group is free only once its head has left that group. Where
- * the head is out of sight nobody knows whether it still serves, so its members leave first.
+ * the head is unreachable nobody knows whether it still serves, so its members leave first.
  */
 import type { HostEntry } from '../hosts/host-entry.js';
 import type { GroupBeliefs } from './group-beliefs.js';
--- a/packages/entry/src/groups/group-repair.ts
+++ b/packages/entry/src/groups/group-repair.ts
@@ -30,7 +30,7 @@
   if (head === undefined) {
     return undefined;
   }
-  // A head out of reach may be well, and so may members that were asked while it was.
+  // An unreachable head may be well, and so may members that were asked while it was.
   if (beliefs.silent.has(head.id) || beliefs.justBack.has(head.id)) {
     return undefined;
   }
@@ -51,7 +51,7 @@
   }
 }
 
-/** What members of a group whose head is out of sight have to do before they go elsewhere. */
+/** What members of a group whose head is unreachable have to do before they go elsewhere. */
 export function releaseOf(
   group: ReplicaGroup,
   beliefs: GroupBeliefs,
