Broken streams of the gateway go on after a lost resume or a late certificate

Cause: after a stream had broken, one resume that was lost on its connection, or one readiness certificate that lapsed for a moment, ended the stream although its engine went on with it and its deadline was seconds away. Beside load (average 18) renewals come late and kept connections are closed in the same moment, so a stream ended after 2 of 12 events. Ruled out: exhausted resumes (16 cuts over 12 streams leave at most three for one) and a mix-up of streams with the same id (ids at the engine are unique per attempt). Change: a lost resume is repeated (attaching runs nothing); a stream that the caller already sees waits up to one life of a certificate while the view still shows its group as serving; a stream that the engine does not know ends at once.

--- a/packages/gateway/src/domain/group-directory.ts
+++ b/packages/gateway/src/domain/group-directory.ts
@@ -103,6 +103,13 @@
     return certificate?.epoch === epoch && monotonicMs() < certificate.expiresAt;
   }
 
+  /** True while the newest view shows that epoch of a group as serving, certified or not. */
+  mayServe(id: GroupId, epoch: number): boolean {
+    const group = this.#groups.get(id)?.group;
+    const serving = group?.state === 'ready' || group?.state === 'draining';
+    return serving && group.epoch === epoch;
+  }
+
   /** Groups of a model that may take new requests at this moment. */
   usable(model: string): GroupView[] {
     return [...this.#groups.values()].filter(
@@ -128,9 +135,7 @@
   // Certificates end early when the view shows another epoch or a suspended group.
   #dropUncertifiable(): void {
     for (const [id, certificate] of this.#certificates) {
-      const group = this.#groups.get(id)?.group;
-      const serving = group?.state === 'ready' || group?.state === 'draining';
-      if (!serving || group.epoch !== certificate.epoch) {
+      if (!this.mayServe(id, certificate.epoch)) {
         this.#lapse(id, certificate);
       }
     }
--- /dev/null
+++ b/packages/gateway/src/requests/completion-run.test.ts
@@ -0,0 +1,180 @@
+/** A stream that breaks goes on where it stopped, as long as its group may serve in time. */
+import type { CompletionRequest, GroupView } from '@hingescale/core';
+import type { Metrics } from '@hingescale/runtime';
+import { monotonicMs } from '@hingescale/runtime';
+import { expect } from 'chai';
+import Emittery from 'emittery';
+
+import type { DirectoryMessages, GroupDirectory } from '../domain/group-directory.js';
+import type { Router } from '../routing/router.js';
+import type { RunResult, RunServices } from './completion-run.js';
+import { CompletionRun } from './completion-run.js';
+import type { Attempt, AttemptEnd, AttemptSink, EngineClient } from './engine-client.js';
+import { RetryBudget } from './retry-budget.js';
+
+const TOKENS = 12;
+const DEADLINE_MS = 5_000;
+
+const TARGET = {
+  group: { id: 'g1', epoch: 3, content: { model: 'm' } },
+  members: [{ host: 'h1', address: '127.0.0.1:1' }],
+} as unknown as GroupView;
+
+/** What an exchange with the engine brings: tokens, then its end. */
+type Exchange = { readonly tokens: number; readonly end: AttemptEnd; readonly before?: () => void };
+
+const LOST: AttemptEnd = { kind: 'lost', detail: 'the connection broke' };
+const CUT: AttemptEnd = { kind: 'cut', detail: 'the stream broke' };
+
+class FakeDirectory {
+  readonly messages = new Emittery<DirectoryMessages>();
+  isCertified = true;
+  isServing = true;
+
+  certified(): boolean {
+    return this.isCertified;
+  }
+
+  mayServe(): boolean {
+    return this.isServing;
+  }
+
+  async lapse(): Promise<void> {
+    this.isCertified = false;
+    await this.messages.emit('lapsed', { group: 'g1', epoch: 3 });
+  }
+
+  async certify(): Promise<void> {
+    this.isCertified = true;
+    await this.messages.emit('changed');
+  }
+}
+
+class FakeEngine {
+  readonly offsets: number[] = [];
+  readonly #exchanges: Exchange[];
+
+  constructor(exchanges: readonly Exchange[]) {
+    this.#exchanges = [...exchanges];
+  }
+
+  generate(attempt: Attempt, sink: AttemptSink, signal: AbortSignal): Promise<AttemptEnd> {
+    return this.#play(attempt, sink, signal);
+  }
+
+  resume(
+    attempt: Attempt,
+    offset: number,
+    sink: AttemptSink,
+    signal: AbortSignal,
+  ): Promise<AttemptEnd> {
+    this.offsets.push(offset);
+    return this.#play(attempt, sink, signal);
+  }
+
+  cancel(): void {
+    // Nothing runs here.
+  }
+
+  async #play(attempt: Attempt, sink: AttemptSink, signal: AbortSignal): Promise<AttemptEnd> {
+    const { tokens, end, before } = this.#exchanges.shift() ?? { tokens: 0, end: LOST };
+    if (signal.aborted) {
+      return LOST;
+    }
+    if (tokens > 0) {
+      sink.accepted();
+    }
+    for (let token = 0; token < tokens; token++) {
+      await sink.token(`{"id":"${attempt.streamId}","token":${token}}`);
+    }
+    before?.();
+    await new Promise(resolve => setTimeout(resolve, 1));
+    return end;
+  }
+}
+
+function runOf(engine: FakeEngine, directory: FakeDirectory): Promise<RunResult> {
+  const services: RunServices = {
+    directory: directory as unknown as GroupDirectory,
+    router: {
+      pick: () => TARGET,
+      enter: () => ({ firstToken: () => undefined, leave: () => undefined }),
+    } as unknown as Router,
+    engine: engine as unknown as EngineClient,
+    budget: new RetryBudget(0.1),
+    metrics: {
+      count: () => undefined,
+      histogram: () => ({ record: () => undefined }),
+    } as unknown as Metrics,
+  };
+  const run = new CompletionRun(
+    services,
+    {
+      requestId: 'r',
+      workspace: 'w',
+      request: { shape: 'chat', model: 'm', prompt: 'p' } as CompletionRequest,
+      repeatable: true,
+      priority: 0,
+      deadline: monotonicMs() + DEADLINE_MS,
+      gone: new AbortController().signal,
+    },
+    {
+      streaming: true,
+      accepted: () => undefined,
+      token: () => undefined,
+      reset: () => undefined,
+    },
+  );
+  return run.run();
+}
+
+describe('a broken stream', () => {
+  const rest: Exchange = { tokens: TOKENS - 2, end: { kind: 'whole' } };
+
+  it('goes on when the first attempt to attach to it again is lost', async () => {
+    const engine = new FakeEngine([{ tokens: 2, end: CUT }, { tokens: 0, end: LOST }, rest]);
+    const result = await runOf(engine, new FakeDirectory());
+    expect(result.tokens).to.equal(TOKENS);
+    expect(engine.offsets).to.deep.equal([2, 2]);
+  });
+
+  it('goes on when the certificate of its group lapses and is renewed', async () => {
+    const directory = new FakeDirectory();
+    const lapse = (): void => {
+      void directory.lapse();
+      setTimeout(() => void directory.certify(), 50);
+    };
+    const engine = new FakeEngine([{ tokens: 2, end: CUT, before: lapse }, rest]);
+    const result = await runOf(engine, directory);
+    expect(result.tokens).to.equal(TOKENS);
+    expect(engine.offsets).to.deep.equal([2]);
+  });
+
+  it('is not attached to while its group is not certified', async () => {
+    const directory = new FakeDirectory();
+    const lapse = (): void => void directory.lapse();
+    const engine = new FakeEngine([{ tokens: 2, end: CUT, before: lapse }, rest]);
+    const outcome = await runOf(engine, directory).catch((error: unknown) => error);
+    expect(outcome).to.be.instanceOf(Error);
+    expect(engine.offsets).to.deep.equal([]);
+  });
+
+  it('ends at once when its group has lost a member', async () => {
+    const directory = new FakeDirectory();
+    directory.isServing = false;
+    const lapse = (): void => void directory.lapse();
+    const engine = new FakeEngine([{ tokens: 2, end: CUT, before: lapse }, rest]);
+    const startedAt = monotonicMs();
+    const outcome = await runOf(engine, directory).catch((error: unknown) => error);
+    expect(outcome).to.be.instanceOf(Error);
+    expect(monotonicMs() - startedAt).to.be.below(500);
+  });
+
+  it('ends at once when its engine does not know it', async () => {
+    const forgotten: AttemptEnd = { kind: 'forgotten', detail: 'status 404' };
+    const engine = new FakeEngine([{ tokens: 2, end: CUT }, { tokens: 0, end: forgotten }, rest]);
+    const outcome = await runOf(engine, new FakeDirectory()).catch((error: unknown) => error);
+    expect(outcome).to.be.instanceOf(Error);
+    expect(engine.offsets).to.deep.equal([2]);
+  });
+});
--- a/packages/gateway/src/requests/completion-run.ts
+++ b/packages/gateway/src/requests/completion-run.ts
@@ -2,7 +2,7 @@
 import type { CompletionRequest, GroupView } from '@hingescale/core';
 import { ProblemError } from '@hingescale/core';
 import type { Metrics } from '@hingescale/runtime';
-import { monotonicMs, newUuid } from '@hingescale/runtime';
+import { monotonicMs, newUuid, sleep } from '@hingescale/runtime';
 
 import type { GroupDirectory } from '../domain/group-directory.js';
 import type { Route, Router } from '../routing/router.js';
@@ -55,6 +55,14 @@
 
 const MAX_ATTEMPTS = 4;
 const MAX_RESUMES = 5;
+/**
+ * Longest wait, in milliseconds, for the certificate of a broken stream's group to be renewed. One
+ * life of a certificate by default (`certificate-ms`): a late renewal has come by then, or the
+ * group has lost a member.
+ */
+const RECERTIFY_MS = 1_500;
+/** Pause after a lost resume, in milliseconds: a broken connection shows within one round trip. */
+const RESUME_PAUSE_MS = 20;
 const RETRY_AFTER_LOST_S = 1;
 
 /** One run of a request; used once. */
@@ -139,28 +147,24 @@
       freshConnection: !repeatable,
       mayStart: () => directory.certified(target.group.id, target.group.epoch),
     };
-    const abort = this.#abortFor(target);
     const route = router.enter(target, request.prompt, workspace);
     this.#route = route;
     this.life.to('dispatching');
     this.#sentAt = monotonicMs();
-    try {
-      const end = await this.#follow(attempt, abort.signal);
-      metrics.count('attempts_total', { end: end.kind });
-      if (end.kind !== 'whole' && end.kind !== 'not-run') {
-        engine.cancel(attempt);
-      }
-      route.leave(end.kind === 'whole' ? 'whole' : end.kind, monotonicMs() - this.#sentAt);
-      return end;
-    } finally {
-      abort.dispose();
+    const end = await this.#follow(attempt);
+    metrics.count('attempts_total', { end: end.kind });
+    if (end.kind !== 'whole' && end.kind !== 'not-run') {
+      engine.cancel(attempt);
     }
+    route.leave(end.kind === 'whole' ? 'whole' : end.kind, monotonicMs() - this.#sentAt);
+    return end;
   }
 
-  // A broken stream is attached to again at its offset, as long as the group is certified.
-  async #follow(attempt: Attempt, signal: AbortSignal): Promise<AttemptEnd> {
-    const { engine, directory, metrics } = this.#services;
-    const { group } = attempt.target;
+  // A broken stream is attached to again at its offset. Attaching runs nothing, so that one that is
+  // lost is repeated; a lapsed certificate ends the exchange, and the stream goes on once it is
+  // renewed. Without this a gateway that is late with its renewals for a moment cuts all streams.
+  async #follow(attempt: Attempt): Promise<AttemptEnd> {
+    const { engine, metrics } = this.#services;
     const sink = {
       accepted: () => {
         this.life.to(this.life.state === 'streaming' ? 'streaming' : 'accepted');
@@ -168,22 +172,67 @@
       },
       token: (data: string) => this.#token(attempt, data),
     };
-    let end = await engine.generate(attempt, sink, signal);
+    let end = await this.#untilLapsed(attempt, signal => engine.generate(attempt, sink, signal));
     for (let resumes = 0; resumes < MAX_RESUMES; resumes++) {
       const broken = end.kind === 'cut' || end.kind === 'lost';
-      if (!broken || signal.aborted || !directory.certified(group.id, group.epoch)) {
+      if (!broken || !(await this.#certifiedAgain(attempt.target))) {
+        return end;
+      }
+      const resumed = await this.#untilLapsed(attempt, signal =>
+        engine.resume(attempt, this.#tokens, sink, signal),
+      );
+      metrics.count('resumes_total', { end: resumed.kind });
+      if (resumed.kind === 'forgotten') {
         return end;
       }
-      const before = end;
-      end = await engine.resume(attempt, this.#tokens, sink, signal);
-      metrics.count('resumes_total', { end: end.kind });
-      if (end.kind === 'lost') {
-        return before;
+      if (resumed.kind === 'lost') {
+        await sleep(RESUME_PAUSE_MS);
+      } else {
+        end = resumed;
       }
     }
     return end;
   }
 
+  async #untilLapsed(
+    attempt: Attempt,
+    run: (signal: AbortSignal) => Promise<AttemptEnd>,
+  ): Promise<AttemptEnd> {
+    const abort = this.#abortFor(attempt.target);
+    try {
+      return await run(abort.signal);
+    } finally {
+      abort.dispose();
+    }
+  }
+
+  get #wanted(): boolean {
+    const { gone, deadline } = this.#admitted;
+    return !gone.aborted && monotonicMs() < deadline;
+  }
+
+  // False when nobody wants the answer any more, another group may run it, or the group was not
+  // certified in time.
+  async #certifiedAgain({ group }: GroupView): Promise<boolean> {
+    const { directory } = this.#services;
+    const waitMs = this.life.state === 'streaming' ? RECERTIFY_MS : 0;
+    const limit = Math.min(this.#admitted.deadline, monotonicMs() + waitMs);
+    while (this.#wanted) {
+      if (directory.certified(group.id, group.epoch)) {
+        return true;
+      }
+      if (monotonicMs() >= limit || !directory.mayServe(group.id, group.epoch)) {
+        return false;
+      }
+      const left = AbortSignal.any([
+        this.#admitted.gone,
+        AbortSignal.timeout(Math.ceil(limit - monotonicMs())),
+      ]);
+      await nextChange(directory, left);
+    }
+    return false;
+  }
+
   #token(attempt: Attempt, data: string): Promise<void> | undefined {
     const { metrics } = this.#services;
     const now = monotonicMs();
@@ -225,11 +274,10 @@
   }
 
   #mayRetry(end: AttemptEnd): boolean {
-    const { repeatable, gone, deadline } = this.#admitted;
-    if (gone.aborted || monotonicMs() >= deadline || this.life.state === 'streaming') {
+    if (!this.#wanted || this.life.state === 'streaming') {
       return false;
     }
-    const allowed = end.kind === 'not-run' || repeatable;
+    const allowed = end.kind === 'not-run' || this.#admitted.repeatable;
     return allowed && this.#services.budget.take();
   }
 
@@ -287,3 +335,19 @@
 function placeOf(target: GroupView): string {
   return `${target.group.id}/${target.members[0].host}`;
 }
+
+/** Resolves at the next change of the groups' certificates, or when `signal` is raised. */
+function nextChange(directory: GroupDirectory, signal: AbortSignal): Promise<void> {
+  return new Promise(resolve => {
+    const done = (): void => {
+      off();
+      signal.removeEventListener('abort', done);
+      resolve();
+    };
+    const off = directory.messages.on('changed', done);
+    signal.addEventListener('abort', done);
+    if (signal.aborted) {
+      done();
+    }
+  });
+}
--- a/packages/gateway/src/requests/engine-client.ts
+++ b/packages/gateway/src/requests/engine-client.ts
@@ -29,6 +29,8 @@
   | { readonly kind: 'mismatch'; readonly detail: string }
   /** The stream broke without its end marker. */
   | { readonly kind: 'cut'; readonly detail: string }
+  /** The engine does not know the stream; only after a resume. */
+  | { readonly kind: 'forgotten'; readonly detail: string }
   /** The end marker came. */
   | { readonly kind: 'whole' };
 
@@ -101,9 +103,14 @@
     const url = `${streamUrl(attempt)}?offset=${offset}`;
     this.#log.message('engine', 'GET /v1/streams', { group: attempt.target.group.id });
     const call: ExchangeRequest = { url, method: 'GET', headers: {}, body: undefined };
-    const end = await this.#follow(attempt, call, sink, signal);
-    // An engine that does not know the stream may still find the request in its socket.
-    return end.kind === 'not-run' ? { kind: 'lost', detail: end.detail } : end;
+    const reading = new StreamReading(attempt, sink);
+    const end = reading.judge(await exchange(this.#agentOf(attempt), call, reading, signal));
+    if (end.kind !== 'not-run') {
+      return end;
+    }
+    // Attaching runs nothing; an engine that does not know the stream may still find the request
+    // in its socket. Only a refusal says that it does not know it.
+    return { kind: reading.refused ? 'forgotten' : 'lost', detail: end.detail };
   }
 
   /** Tells the engine that nobody wants the stream any more. */
@@ -127,9 +134,12 @@
     sink: AttemptSink,
     signal: AbortSignal,
   ): Promise<AttemptEnd> {
-    const agent = attempt.freshConnection ? this.#freshAgent : this.#agent;
     const reading = new StreamReading(attempt, sink);
-    return reading.judge(await exchange(agent, call, reading, signal));
+    return reading.judge(await exchange(this.#agentOf(attempt), call, reading, signal));
+  }
+
+  #agentOf(attempt: Attempt): Agent {
+    return attempt.freshConnection ? this.#freshAgent : this.#agent;
   }
 }
 
@@ -175,6 +185,11 @@
     this.#ownStart = `{"id":${JSON.stringify(attempt.streamId)},`;
   }
 
+  /** True when the engine has refused the request or does not know the stream. */
+  get refused(): boolean {
+    return this.#refusedBeforeRun;
+  }
+
   head(status: number, headers: IncomingHttpHeaders): boolean {
     this.#status = status;
     if (status !== 200) {
