A model that nobody serves gets its group, whatever the sizes of the others

Cause: with all hosts staged with a small model, the hosts for the large one were only to be had by dissolving more groups at once than the plan looked at (four, of one model), and by giving up the staged copy of a host that waits beside a group, which the plan only allowed to free hosts. The objective knew that an unserved model costs most; the search never reached the way out of it. Ruled out: the price of dissolution (the gain is 0.9 and more of the cost) and the loads (five stagings end within 60 s of the bound of 168 s). Both counterexamples stand in the test now, with 60 draws instead of 20.

--- a/packages/entry/src/groups/capacity-value.ts
+++ b/packages/entry/src/groups/capacity-value.ts
@@ -10,7 +10,7 @@
 /** How fast the cost rises with the work per group: 2 is the square, as queueing times suggest. */
 const COST_EXPONENT = 2;
 /** Cost of a model without any group; costs of served models stay well below 1. */
-const UNSERVED_COST = 10;
+export const UNSERVED_COST = 10;
 /** Groups added to each count, so that few groups have a finite cost. */
 const GROUP_OFFSET = 0.25;
 /** The same within one failure domain, where the others help most of the time. */
--- a/packages/entry/src/groups/fleet-days.test.ts
+++ b/packages/entry/src/groups/fleet-days.test.ts
@@ -27,6 +27,16 @@
   losses: fc.array(fc.nat(1_000), { maxLength: 6 }),
 });
 
+const ALL_STAGED = { shares: [1, 1, 1, 1], loadsAtOnce: 1, staged: [0], losses: [] };
+
+/** Deployments on which the larger model was once never served. */
+const ONCE_UNSERVED: readonly Deployment[] = [
+  // Needs more groups dissolved at once than a small gain is worth.
+  { ...ALL_STAGED, sizes: [1, 5], domainSizes: [5, 5] },
+  // Needs the host that waits beside a group with a copy of the other model.
+  { ...ALL_STAGED, sizes: [3, 4], domainSizes: [4, 4] },
+];
+
 function profileOf({ sizes, shares, loadsAtOnce }: Deployment): EngineProfile {
   const models: GroupModel[] = sizes.map((size, index) => ({
     name: `m${index}`,
@@ -105,7 +115,7 @@
           expect(fleet.serving(`m${index}`), `groups of m${index}`).to.be.at.least(1);
         });
       }),
-      { numRuns: 20 },
+      { numRuns: 60, examples: ONCE_UNSERVED.map(deployment => [deployment]) },
     );
   });
 
--- a/packages/entry/src/groups/staging-plan.ts
+++ b/packages/entry/src/groups/staging-plan.ts
@@ -123,7 +123,9 @@
   if (hosts.length < model.size || missing <= 0) {
     return [];
   }
-  const possible = hosts.filter(host => canAlsoStage(host, model, view));
+  // A model that nobody serves may also take copies that others would use.
+  const unserved = value.count(model.name) === 0;
+  const possible = hosts.filter(host => (unserved ? canStage : canAlsoStage)(host, model, view));
   return possible.length < missing ? [] : candidateOf(view, possible, model, net, missing);
 }
 
@@ -198,7 +200,8 @@
 }
 
 // True when the host gives up no copy that may be of use. Copies are only given up to complete a
-// group; otherwise hosts would stage one model after the other for ever.
+// group of free hosts or the only group of a model; otherwise hosts would stage one model after the
+// other for ever.
 function canAlsoStage(host: HostEntry, model: GroupModel, view: FleetView): boolean {
   return canStage(host, model, view) && lossOfCopy(view, host) === 0;
 }
