--- a/packages/entry/src/peers/member.ts
+++ b/packages/entry/src/peers/member.ts
@@ -14,7 +14,7 @@
 
 /** Whom a host may follow instead of the store. */
 export type Candidates = {
-  /** Followed first, best first: stronger hosts of the own failure domain. */
+  /** Followed first: stronger hosts of the own failure domain, then those of others. */
   readonly above: readonly Member[];
   /** Followed only while the store does not serve this host, best first. */
   readonly below: readonly Member[];
@@ -22,6 +22,8 @@
 
 /** Hosts of the own failure domain that are tried before the store. */
 const MAX_ABOVE = 3;
+/** Hosts of other failure domains that are tried before the store. */
+const MAX_REMOTE_ABOVE = 3;
 /** Hosts of the own failure domain that are tried after the store. */
 const MAX_BELOW = 4;
 /** Hosts of each other failure domain that are tried after the store. */
@@ -42,15 +44,24 @@
   return [...members].sort((a, b) => b.power - a.power || compare(a.name, b.name));
 }
 
-/** Whom a host may follow; a host that has not registered yet follows anybody. */
+/**
+ * Whom a host may follow; a host that has not registered yet follows anybody.
+ *
+ * Everybody above stands before this host in the one order of all hosts, so that nobody follows in a
+ * circle. With hosts of other failure domains above, one host of the whole system follows the store:
+ * a followed host of its own in each failure domain made 7 calls a second each.
+ */
 export function candidatesOf(self: Member, members: readonly Member[]): Candidates {
   const others = ranked(members.filter(member => member.name !== self.name));
   const own = others.filter(member => member.failureDomain === self.failureDomain);
-  const all = ranked([...own, self]);
-  const rank = all.indexOf(self);
-  const above = all.slice(0, Math.min(rank, MAX_ABOVE));
+  const remote = remoteHeads(self, others);
+  const order = ranked([...others, self]);
+  const before = new Set(order.slice(0, order.indexOf(self)));
+  const ownAbove = own.filter(member => before.has(member)).slice(0, MAX_ABOVE);
+  const remoteAbove = remote.filter(member => before.has(member)).slice(0, MAX_REMOTE_ABOVE);
+  const above = [...ownAbove, ...remoteAbove];
   const rest = own.filter(member => !above.includes(member)).slice(0, MAX_BELOW);
-  return { above, below: [...rest, ...remoteHeads(self, others)] };
+  return { above, below: [...rest, ...remote.filter(member => !above.includes(member))] };
 }
 
 /** The first hosts of each other failure domain. */
--- a/packages/entry/src/peers/peer-messages.ts
+++ b/packages/entry/src/peers/peer-messages.ts
@@ -29,7 +29,7 @@
   /** Undefined: the whole list. */
   readonly revision: number | undefined;
   readonly waitMs: number;
-  /** The asking host's own tally, with the kind that brings one back. */
+  /** Tally of the asking host and its followers, with the kind that brings one back. */
   readonly tally: Tally | undefined;
 };
 
@@ -41,7 +41,7 @@
   readonly inTouch: boolean;
   /** From when the question arrived to the store's last confirmation, in milliseconds. */
   readonly confirmedAfterMs: number;
-  /** Tally of all hosts but the asking one. */
+  /** Tally of all hosts but the asking one and its followers. */
   readonly tally: Tally | undefined;
 };
 
--- a/packages/entry/src/peers/peer-reader.ts
+++ b/packages/entry/src/peers/peer-reader.ts
@@ -16,8 +16,8 @@
   return {
     name,
     read: async (kind, revision, waitMs) => {
-      const own = kind === OBJECT_KINDS.hosts ? tally.own() : undefined;
-      const request: ReadRequest = { kind, revision, waitMs, tally: own };
+      const told = kind === OBJECT_KINDS.hosts ? tally.withFollowers() : undefined;
+      const request: ReadRequest = { kind, revision, waitMs, tally: told };
       const sentAt = monotonicMs();
       const timeoutMs = waitMs + ANSWER_MS;
       const reply = await link.request<ReadReply>(PEER_REQUESTS.read, request, timeoutMs);
--- a/packages/entry/src/peers/peer-server.test.ts
+++ b/packages/entry/src/peers/peer-server.test.ts
@@ -48,6 +48,7 @@
     const server = createPeerServer({
       listen: '127.0.0.1:0',
       key: '',
+      failureDomain: 'a',
       watchOf: () => watch,
       tally: new SharedTally({ loads: () => [], work: () => [] }),
       mayBeFollowed: () => mayBeFollowed,
--- a/packages/entry/src/peers/peer-server.ts
+++ b/packages/entry/src/peers/peer-server.ts
@@ -14,6 +14,8 @@
   /** `ip:port`; port 0 takes a free one. */
   readonly listen: string;
   readonly key: string;
+  /** Of this host. */
+  readonly failureDomain: string;
   readonly watchOf: (kind: ObjectKind) => WatchedKind | undefined;
   readonly tally: SharedTally;
   /** False while peers are better off without this host. */
@@ -26,14 +28,16 @@
 
 /** Starts no task of its own: a link server whose handlers read what is known here. */
 export function createPeerServer(options: PeerServerOptions): LinkServer {
-  const { listen, key, tally, suspected } = options;
+  const { listen, key, failureDomain, tally, suspected } = options;
   return new LinkServer({
     listen,
     key,
     handlers: {
       [PEER_REQUESTS.read]: (request: ReadRequest, peer: LinkIdentity) =>
         answerRead(options, request, peer),
-      [PEER_REQUESTS.tally]: (): TallyReply => ({ tally: tally.ofDomain() }),
+      [PEER_REQUESTS.tally]: (): TallyReply => ({
+        tally: tally.ofDomain(failureDomain),
+      }),
       [PEER_REQUESTS.suspect]: (request: SuspectRequest): null => {
         suspected(request);
         return null;
@@ -51,7 +55,7 @@
   const watch = watchOf(request.kind);
   const cache = watch?.cache;
   if (request.tally !== undefined) {
-    tally.noteFollower(peer.name, request.tally);
+    tally.noteFollower(peer.name, peer.failureDomain, request.tally);
   }
   // Whoever asks a host that has lost the store is better off elsewhere, and should know at once.
   const inTouch = (): boolean => mayBeFollowed() && (watch?.inTouch ?? false);
--- a/packages/entry/src/peers/peers.ts
+++ b/packages/entry/src/peers/peers.ts
@@ -47,8 +47,8 @@
 const REQUEST_TIMEOUT_MS = 400;
 /** The same group is not told of again within this time, in milliseconds. */
 const SUSPICION_PERIOD_MS = 500;
-/** A suspicion goes to the followed host, and from there to the order giver. */
-const SUSPICION_HOPS = 2;
+/** A suspicion goes up to two followed hosts, and from there to the host that gives orders. */
+const SUSPICION_HOPS = 3;
 
 /** The peers of this entry host. */
 export class Peers {
@@ -74,6 +74,7 @@
     this.#server = createPeerServer({
       listen: self.address,
       key,
+      failureDomain: self.failureDomain,
       watchOf,
       tally: this.tally,
       mayBeFollowed: () => this.#choice.mayBeFollowed,
@@ -156,7 +157,7 @@
       });
   }
 
-  // Only hosts that follow the store exchange tallies between failure domains.
+  // Hosts that follow the store ask failure domains of which nobody follows them for their tally.
   async #exchange(): Promise<void> {
     while (!this.#abort.signal.aborted) {
       await sleep(EXCHANGE_PERIOD_MS, this.#abort.signal);
@@ -169,6 +170,9 @@
   #firstReachable(): readonly Member[] {
     const chosen = new Map<string, Member>();
     for (const member of this.membership.remoteHeads) {
+      if (this.tally.hasFollowerIn(member.failureDomain)) {
+        continue;
+      }
       const taken = chosen.get(member.failureDomain);
       if (taken === undefined || this.#choice.isAvoided(taken.address)) {
         chosen.set(member.failureDomain, member);
--- /dev/null
+++ b/packages/entry/src/peers/shared-counts.test.ts
@@ -0,0 +1,55 @@
+/** Each host's numbers reach every other host once, along whom they follow. */
+import { expect } from 'chai';
+
+import { SharedCounts } from './shared-counts.js';
+
+const KEY = 'h1';
+
+/** A host with `own` requests in progress. */
+function hostWith(own: number): SharedCounts {
+  return new SharedCounts(() => [[KEY, own]]);
+}
+
+/** One exchange of a follower with the host that it follows. */
+function follow(
+  name: string,
+  domain: string,
+  follower: SharedCounts,
+  followed: SharedCounts,
+): void {
+  followed.noteFollower(name, domain, follower.withFollowers());
+  follower.noteFollowed(followed.allBut(name));
+}
+
+// Sums are used again for 50 ms.
+function sumsLapse(): Promise<void> {
+  return new Promise(resolve => setTimeout(resolve, 60));
+}
+
+describe('shared counts', () => {
+  it('add up over two levels of followed hosts, without counting any host twice', async () => {
+    const top = hostWith(1);
+    const head = hostWith(10);
+    const leaf = hostWith(100);
+    const leafOfTop = hostWith(1_000);
+    for (let round = 0; round < 4; round++) {
+      follow('leaf', 'b', leaf, head);
+      follow('leafOfTop', 'a', leafOfTop, top);
+      follow('head', 'b', head, top);
+      await sumsLapse();
+    }
+    expect(top.ofOthers(KEY)).to.equal(1_110);
+    expect(head.ofOthers(KEY)).to.equal(1_101);
+    expect(leaf.ofOthers(KEY)).to.equal(1_011);
+    expect(leafOfTop.ofOthers(KEY)).to.equal(111);
+  });
+
+  it('tell of the own failure domain only what its own hosts have', () => {
+    const top = hostWith(1);
+    top.noteFollower('head', 'b', [[KEY, 10]]);
+    top.noteFollower('leaf', 'a', [[KEY, 100]]);
+    expect(top.ofDomain('a')).to.deep.equal([[KEY, 101]]);
+    expect(top.hasFollowerIn('b')).to.equal(true);
+    expect(top.hasFollowerIn('c')).to.equal(false);
+  });
+});
--- a/packages/entry/src/peers/shared-counts.ts
+++ b/packages/entry/src/peers/shared-counts.ts
@@ -10,12 +10,16 @@
 /** Age at which what another host has told counts no more, in milliseconds. */
 const LAPSE_MS = 1_500;
 
+/** Time for which the sum of all is used again, in milliseconds; loads are older than this anyway. */
+const SUM_AGE_MS = 50;
+
 type Told = { readonly counts: Counts; readonly at: number };
+type ToldByFollower = Told & { readonly failureDomain: string };
 
 /** The sums as known here. */
 export class SharedCounts {
   readonly #own: () => Counts;
-  readonly #followers = new Map<string, Told>();
+  readonly #followers = new Map<string, ToldByFollower>();
   readonly #domains = new Map<string, Told>();
   #others: ReadonlyMap<string, number> = new Map();
   #othersAt = -Infinity;
@@ -31,18 +35,17 @@
     return this.#sum().get(key) ?? 0;
   }
 
-  /** This host's own numbers. */
-  own(): Counts {
-    return this.#own();
+  /** A host that follows this one has told what it and its own followers have. */
+  noteFollower(name: string, failureDomain: string, counts: Counts): void {
+    this.#followers.set(name, { counts, at: monotonicMs(), failureDomain });
   }
 
-  /** A host that follows this one has told its own counts. */
-  noteFollower(name: string, counts: Counts): void {
-    this.#followers.set(name, { counts, at: monotonicMs() });
-    this.#othersAt = -Infinity;
+  /** True while a host of the failure domain tells its counts by following this one. */
+  hasFollowerIn(failureDomain: string): boolean {
+    return this.#fresh(this.#followers).some(told => told.failureDomain === failureDomain);
   }
 
-  /** The host that this one follows has told the counts of all others. */
+  /** The host that this one follows has told what everybody has who does not follow this one. */
   noteFollowed(counts: Counts): void {
     this.#followed = { counts, at: monotonicMs() };
     this.#othersAt = -Infinity;
@@ -54,44 +57,65 @@
     this.#othersAt = -Infinity;
   }
 
-  /** Counts of this failure domain, as far as they come together here. */
-  ofDomain(): Counts {
-    return [...sumOf([this.#own(), ...this.#fresh(this.#followers)])];
+  /** Counts of this host and of its followers in its failure domain. */
+  ofDomain(failureDomain: string): Counts {
+    const followers = this.#fresh(this.#followers).filter(
+      told => told.failureDomain === failureDomain,
+    );
+    return [...sumOf([this.#own(), ...countsOf(followers)])];
   }
 
-  /** Counts of all hosts but one that follows this one. */
+  /** Counts of this host and of all that follow it. */
+  withFollowers(): Counts {
+    return [...sumOf([this.#own(), ...countsOf(this.#fresh(this.#followers))])];
+  }
+
+  /** Counts of all hosts but one that follows this one, and the followers of that one. */
   allBut(follower: string): Counts {
-    const followers = this.#fresh(this.#followers, follower);
-    return [...sumOf([this.#own(), ...followers, ...this.#fresh(this.#domains)])];
+    const told = this.#followers.get(follower);
+    const sums = sumOf([this.#own(), [...this.#sum()]]);
+    if (told !== undefined && isFresh(told)) {
+      subtract(sums, told.counts);
+    }
+    return [...sums].filter(([, count]) => count > 0);
   }
 
   #sum(): ReadonlyMap<string, number> {
     const now = monotonicMs();
-    if (now - this.#othersAt >= LAPSE_MS / 10) {
+    if (now - this.#othersAt >= SUM_AGE_MS) {
       this.#others = sumOf(this.#ofAllOthers());
       this.#othersAt = now;
     }
     return this.#others;
   }
 
-  // The host that is followed tells of everybody; what others tell here is part of that.
+  // The host that is followed tells of everybody but this one and its followers.
   #ofAllOthers(): readonly Counts[] {
+    const followers = countsOf(this.#fresh(this.#followers));
     if (this.#followed !== undefined && isFresh(this.#followed)) {
-      return [this.#followed.counts];
+      return [...followers, this.#followed.counts];
     }
-    return [...this.#fresh(this.#followers), ...this.#fresh(this.#domains)];
+    return [...followers, ...countsOf(this.#fresh(this.#domains))];
   }
 
-  #fresh(told: Map<string, Told>, except?: string): readonly Counts[] {
-    const fresh: Counts[] = [];
+  #fresh<T extends Told>(told: Map<string, T>): readonly T[] {
     for (const [name, entry] of told) {
       if (!isFresh(entry)) {
         told.delete(name);
-      } else if (name !== except) {
-        fresh.push(entry.counts);
       }
     }
-    return fresh;
+    return [...told.values()];
+  }
+}
+
+function countsOf(told: readonly Told[]): readonly Counts[] {
+  return told.map(({ counts }) => counts);
+}
+
+// What is subtracted may be newer than the sum, which then falls below zero for a moment.
+function subtract(sums: Map<string, number>, counts: Counts): void {
+  for (const [key, count] of counts) {
+    sums.set(key, (sums.get(key) ?? 0) - count);
   }
 }
 
@@ -99,7 +123,7 @@
   return monotonicMs() - told.at < LAPSE_MS;
 }
 
-function sumOf(parts: readonly Counts[]): ReadonlyMap<string, number> {
+function sumOf(parts: readonly Counts[]): Map<string, number> {
   const sums = new Map<string, number>();
   for (const [key, count] of parts.flat()) {
     sums.set(key, (sums.get(key) ?? 0) + count);
--- a/packages/entry/src/peers/shared-tally.ts
+++ b/packages/entry/src/peers/shared-tally.ts
@@ -15,18 +15,23 @@
     this.work = new SharedCounts(own.work);
   }
 
-  /** This host's own tally. */
-  own(): Tally {
-    return { loads: this.loads.own(), work: this.work.own() };
+  /** Tally of this host and of all that follow it. */
+  withFollowers(): Tally {
+    return { loads: this.loads.withFollowers(), work: this.work.withFollowers() };
   }
 
-  /** A host that follows this one has told its own tally. */
-  noteFollower(name: string, tally: Tally): void {
-    this.loads.noteFollower(name, tally.loads);
-    this.work.noteFollower(name, tally.work);
+  /** A host that follows this one has told the tally of itself and its own followers. */
+  noteFollower(name: string, failureDomain: string, tally: Tally): void {
+    this.loads.noteFollower(name, failureDomain, tally.loads);
+    this.work.noteFollower(name, failureDomain, tally.work);
   }
 
-  /** The host that this one follows has told the tally of all others. */
+  /** True while a host of the failure domain tells its tally by following this one. */
+  hasFollowerIn(failureDomain: string): boolean {
+    return this.loads.hasFollowerIn(failureDomain);
+  }
+
+  /** The host that this one follows has told the tally of all that do not follow this one. */
   noteFollowed(tally: Tally): void {
     this.loads.noteFollowed(tally.loads);
     this.work.noteFollowed(tally.work);
@@ -38,12 +43,12 @@
     this.work.noteDomain(failureDomain, tally.work);
   }
 
-  /** Tally of this failure domain. */
-  ofDomain(): Tally {
-    return { loads: this.loads.ofDomain(), work: this.work.ofDomain() };
+  /** Tally of this host and of its followers in its failure domain. */
+  ofDomain(failureDomain: string): Tally {
+    return { loads: this.loads.ofDomain(failureDomain), work: this.work.ofDomain(failureDomain) };
   }
 
-  /** Tally of all hosts but one that follows this one. */
+  /** Tally of all hosts but one that follows this one, and the followers of that one. */
   allBut(follower: string): Tally {
     return { loads: this.loads.allBut(follower), work: this.work.allBut(follower) };
   }
