Changes of hosts are taken as one batch for each answer; many arrivals make one log line

The first list of 930 hosts also filled the log's bound of lines for its second, so that lines on the recovery were left out. Ruled out: fewer changes (each is a step of a host and is needed by the leader). Change: observers take the changes of one answer together; the registry changes once for them. Measured: new tests (50 changes, one announcement; 900 arrivals, one line) fail on the code before.

--- a/packages/entry/src/configuration/configuration-holder.ts
+++ b/packages/entry/src/configuration/configuration-holder.ts
@@ -45,10 +45,12 @@
     }
   }
 
-  /** Takes one change. */
-  takeChange(change: ObjectChange): void {
-    if (!change.deleted && change.object.name === this.#options.objectName) {
-      this.#apply(change.object);
+  /** Takes changes, in the order in which they were made. */
+  takeChanges(changes: readonly ObjectChange[]): void {
+    for (const { object, deleted } of changes) {
+      if (!deleted && object.name === this.#options.objectName) {
+        this.#apply(object);
+      }
     }
   }
 
--- a/packages/entry/src/entry-host.ts
+++ b/packages/entry/src/entry-host.ts
@@ -242,8 +242,8 @@
         this.#holder.takeList(list);
         this.#applyConfiguration();
       },
-      changed: change => {
-        this.#holder.takeChange(change);
+      changed: changes => {
+        this.#holder.takeChanges(changes);
         this.#applyConfiguration();
       },
       confirmed: askedAt => {
@@ -258,8 +258,8 @@
         this.#registry.takeList(list);
         this.#hostsKnown = true;
       },
-      changed: change => {
-        this.#registry.takeChange(change);
+      changed: changes => {
+        this.#registry.takeChanges(changes);
       },
       confirmed: () => undefined,
     };
--- a/packages/entry/src/hosts/host-registry.test.ts
+++ b/packages/entry/src/hosts/host-registry.test.ts
@@ -1,5 +1,6 @@
 import { expect } from 'chai';
 
+import type { Log } from '../server/log.js';
 import { silentLog } from '../server/log.js';
 import { testHost } from '../testing/groups.js';
 import type { HostEntry } from './host-entry.js';
@@ -12,7 +13,7 @@
     const registry = new HostRegistry(read, silentLog());
     versions.forEach((value, index) => {
       const object = { name: 'h', revision: index + 1, value };
-      registry.takeChange({ object, deleted: false });
+      registry.takeChanges([{ object, deleted: false }]);
     });
     return registry;
   }
@@ -34,11 +35,43 @@
     expect(registry.get('h')?.lastModel).to.equal('small');
   });
 
+  it('takes the changes of one answer as one change of its own', async () => {
+    const registry = registryWith();
+    let told = 0;
+    registry.messages.on('changed', () => {
+      told += 1;
+    });
+    const versionBefore = registry.version;
+    registry.takeChanges(
+      Array.from({ length: 50 }, (_unused, index) => ({
+        object: { name: `h${index}`, revision: index + 1, value: {} },
+        deleted: false,
+      })),
+    );
+    await new Promise(resolve => setTimeout(resolve, 5));
+    expect(registry.version - versionBefore).to.equal(1);
+    expect(told).to.equal(1);
+  });
+
+  it('writes one line for many arrivals, so that the first list hides no other line', () => {
+    const lines: string[] = [];
+    const log = { ...silentLog(), info: (message: string) => lines.push(message) };
+    const registry = new HostRegistry(id => testHost(id, {}), log as Log);
+    const objects = Array.from({ length: 900 }, (_unused, index) => ({
+      name: `h${index}`,
+      revision: 1,
+      value: {},
+    }));
+    registry.takeList({ objects, revision: 1 });
+    registry.takeChanges([{ object: { name: 'late', revision: 2, value: {} }, deleted: false }]);
+    expect(lines).to.deep.equal(['hosts arrived', 'host arrived']);
+  });
+
   it('remembers it for a host whose entry went and came back', () => {
     const registry = registryWith({ loadedModel: 'large' });
-    registry.takeChange({ object: { name: 'h', revision: 2, value: undefined }, deleted: true });
+    registry.takeChanges([{ object: { name: 'h', revision: 2, value: undefined }, deleted: true }]);
     const object = { name: 'h', revision: 3, value: { loadedModel: undefined } };
-    registry.takeChange({ object, deleted: false });
+    registry.takeChanges([{ object, deleted: false }]);
     expect(registry.get('h')?.lastModel).to.equal('large');
   });
 });
--- a/packages/entry/src/hosts/host-registry.ts
+++ b/packages/entry/src/hosts/host-registry.ts
@@ -17,6 +17,8 @@
 export type HostReader = (id: string, value: unknown) => HostEntry;
 
 const FORGET_DEPARTED_MS = 60_000;
+/** Arrivals in one answer up to which each has a line: a rack or a scale-out, not a first list. */
+const MOST_ARRIVAL_LINES = 20;
 
 /** The hosts, by id and by service. */
 export class HostRegistry {
@@ -63,23 +65,32 @@
         this.#remove(id);
       }
     }
+    const arrived: HostEntry[] = [];
     for (const object of list.objects) {
-      this.#put(object);
+      this.#put(object, arrived);
     }
+    this.#logArrivals(arrived);
     this.#noteChange();
   }
 
-  /** Takes one change. */
-  takeChange(change: ObjectChange): void {
-    if (change.deleted) {
-      this.#remove(change.object.name);
-    } else {
-      this.#put(change.object);
+  /**
+   * Takes changes, in the order in which they were made, as one change of this registry: views that
+   * are derived from it are made anew once for all of them.
+   */
+  takeChanges(changes: readonly ObjectChange[]): void {
+    const arrived: HostEntry[] = [];
+    for (const { object, deleted } of changes) {
+      if (deleted) {
+        this.#remove(object.name);
+      } else {
+        this.#put(object, arrived);
+      }
     }
+    this.#logArrivals(arrived);
     this.#noteChange();
   }
 
-  #put(object: StoredObject): void {
+  #put(object: StoredObject, arrived: HostEntry[]): void {
     const known = this.#revisions.get(object.name);
     if (known !== undefined && known >= object.revision) {
       return;
@@ -87,7 +98,7 @@
     this.#revisions.set(object.name, object.revision);
     const entry = this.#read(object.name, object.value);
     if (known === undefined) {
-      this.#log.info('host arrived', { host: entry.id, domain: entry.fabricDomain });
+      arrived.push(entry);
     }
     const before = this.#hosts.get(object.name) ?? this.#departed.get(object.name)?.entry;
     const lastModel = entry.loadedModel ?? before?.lastModel;
@@ -95,6 +106,17 @@
     this.#departed.delete(object.name);
   }
 
+  // The first list would otherwise fill the log's bound of lines and hide what follows it.
+  #logArrivals(arrived: readonly HostEntry[]): void {
+    if (arrived.length > MOST_ARRIVAL_LINES) {
+      this.#log.info('hosts arrived', { count: arrived.length, first: arrived[0]?.id });
+      return;
+    }
+    for (const { id, fabricDomain } of arrived) {
+      this.#log.info('host arrived', { host: id, domain: fabricDomain });
+    }
+  }
+
   #remove(id: string): void {
     const entry = this.#hosts.get(id);
     if (entry === undefined) {
--- a/packages/entry/src/peers/membership.ts
+++ b/packages/entry/src/peers/membership.ts
@@ -38,13 +38,10 @@
           this.#put(object);
         });
       },
-      changed: ({ object, deleted }: ObjectChange): void => {
-        if (deleted) {
-          this.#members.delete(object.name);
-          this.#candidates = undefined;
-        } else {
-          this.#put(object);
-        }
+      changed: (changes: readonly ObjectChange[]): void => {
+        changes.forEach(change => {
+          this.#take(change);
+        });
       },
       confirmed: (): void => undefined,
     };
@@ -109,6 +106,15 @@
     }
   }
 
+  #take({ object, deleted }: ObjectChange): void {
+    if (deleted) {
+      this.#members.delete(object.name);
+      this.#candidates = undefined;
+    } else {
+      this.#put(object);
+    }
+  }
+
   #put(object: StoredObject): void {
     const member = readMember(object);
     if (member !== undefined) {
--- a/packages/entry/src/store/watched-kind.ts
+++ b/packages/entry/src/store/watched-kind.ts
@@ -14,7 +14,8 @@
 export type KindObserver = {
   /** The whole list; objects not in it are gone. */
   readonly listed: (list: ObjectList) => void;
-  readonly changed: (change: ObjectChange) => void;
+  /** The changes of one answer, in the order in which they were made; never empty. */
+  readonly changed: (changes: readonly ObjectChange[]) => void;
   /** The store answered; the question was sent at `askedAt` (monotonic milliseconds) or later. */
   readonly confirmed: (askedAt: number) => void;
 };
@@ -128,9 +129,9 @@
       }
     } else if (this.cache.takeChanges(answer.changes, answer.revision)) {
       changed = answer.changes.length > 0;
-      answer.changes.forEach(change => {
-        observer.changed(change);
-      });
+      if (changed) {
+        observer.changed(answer.changes);
+      }
     }
     this.#confirm(answer.kind === 'list' ? answer.list.revision : answer.revision, confirmedAt);
     return changed;
