Settings are read again on SIGHUP; broken ones change nothing

Ruled out: watching the file (a change without the signal holds from the next start or signal on). Change: bounds of keys, retries and planned stops are read at each use and hold from the signal on; the line names what changed and what waits for a restart; a file that can not be read or used is an error line, and the process goes on. Observers of configuration and hosts have a module of their own.

--- a/packages/entry/src/entry-host.ts
+++ b/packages/entry/src/entry-host.ts
@@ -21,18 +21,20 @@
 import { StallMonitor } from './requests/stall-monitor.js';
 import { DemandMeter } from './routing/demand-meter.js';
 import { HostActivities } from './routing/host-activity.js';
+import { liveRetryBounds } from './routing/retry-budget.js';
 import { TargetChooser } from './routing/target-chooser.js';
 import { CallerServer } from './server/caller-server.js';
 import type { EntrySettings } from './server/entry-settings.js';
 import type { Log } from './server/log.js';
 import { Counters, Latencies } from './server/metrics.js';
+import { changedSettings } from './server/settings-change.js';
 import { serveMetrics, serveReadiness } from './server/side-servers.js';
 import { monotonicMs, sleep } from './server/time.js';
 import { FollowedKinds } from './store/followed-kinds.js';
+import { configurationObserver, hostsObserver } from './store/kind-observers.js';
 import { storeReader } from './store/kind-reader.js';
 import type { ObjectStore } from './store/object-store.js';
 import { OBJECT_KINDS } from './store/object-store.js';
-import type { KindObserver } from './store/watched-kind.js';
 
 /** What the adapter of a platform brings. */
 export type EntryHostOptions = {
@@ -61,6 +63,7 @@
 export class EntryHost {
   readonly #options: EntryHostOptions;
   readonly #instance: string;
+  #settings: EntrySettings;
   readonly #counters = new Counters();
   readonly #latencies = new Latencies();
   readonly #holder: ConfigurationHolder;
@@ -85,6 +88,7 @@
 
   constructor(options: EntryHostOptions) {
     this.#options = options;
+    this.#settings = options.settings;
     const { settings, log, orders, store } = options;
     this.#instance = `${settings.name}-${randomUUID().slice(0, 8)}`;
     this.#holder = new ConfigurationHolder({
@@ -112,9 +116,8 @@
         this.#planSoon();
       },
     });
-    const { retryRatio, retrySlack, retryWindowMs } = settings.bounds;
     this.#limits = new ServiceLimits({
-      retries: { ratio: retryRatio, slack: retrySlack, windowMs: retryWindowMs },
+      retries: liveRetryBounds(() => this.#settings.bounds),
       // A host without peers is one of few.
       hosts: () => this.#peers?.membership.count ?? HOSTS_WITHOUT_PEERS,
     });
@@ -156,9 +159,22 @@
     });
   }
 
+  /**
+   * Takes changed settings without a break for any caller. Bounds of keys, retries and stops hold from
+   * now on; all others, addresses above all, from the next start.
+   */
+  applySettings(settings: EntrySettings): void {
+    const { changed, afterRestart } = changedSettings(this.#settings, settings);
+    this.#settings = settings;
+    this.#options.log.info('settings reloaded', {
+      changed: changed.join(','),
+      afterRestart: afterRestart.join(','),
+    });
+  }
+
   /** Planned stop: no longer ready, requests in progress finish, then everything ends. */
   async stop(): Promise<void> {
-    const { log, settings } = this.#options;
+    const { log } = this.#options;
     log.info('entry host stopping', { open: this.#intake.open });
     this.#stopping = true;
     this.#callers.drain();
@@ -168,7 +184,7 @@
     await sleep(NOTICE_MS);
     // Whoever still holds an idle connection would send into a host that is about to end.
     this.#callers.close();
-    const limit = settings.bounds.graceMs - GRACE_MARGIN_MS;
+    const limit = this.#settings.bounds.graceMs - GRACE_MARGIN_MS;
     while (this.#intake.open > 0 && monotonicMs() - startedAt < limit) {
       await sleep(DRAIN_STEP_MS);
       this.#callers.closeIdle();
@@ -226,8 +242,12 @@
     return new FollowedKinds({
       readers: this.#peers?.readers ?? alone,
       observers: {
-        [OBJECT_KINDS.configuration]: this.#configurationObserver(),
-        [OBJECT_KINDS.hosts]: this.#hostsObserver(),
+        [OBJECT_KINDS.configuration]: configurationObserver(this.#holder, () => {
+          this.#applyConfiguration();
+        }),
+        [OBJECT_KINDS.hosts]: hostsObserver(this.#registry, () => {
+          this.#hostsKnown = true;
+        }),
         ...(members === undefined ? {} : { [OBJECT_KINDS.members]: members }),
       },
       followsStore: () => this.#followsStore,
@@ -236,35 +256,6 @@
     });
   }
 
-  #configurationObserver(): KindObserver {
-    return {
-      listed: list => {
-        this.#holder.takeList(list);
-        this.#applyConfiguration();
-      },
-      changed: changes => {
-        this.#holder.takeChanges(changes);
-        this.#applyConfiguration();
-      },
-      confirmed: askedAt => {
-        this.#holder.confirm(askedAt);
-      },
-    };
-  }
-
-  #hostsObserver(): KindObserver {
-    return {
-      listed: list => {
-        this.#registry.takeList(list);
-        this.#hostsKnown = true;
-      },
-      changed: changes => {
-        this.#registry.takeChanges(changes);
-      },
-      confirmed: () => undefined,
-    };
-  }
-
   #runInBackground(name: string, running: Promise<void>): void {
     running.catch((error: unknown) => {
       this.#options.log.error('task ended', { task: name, cause: String((error as Error).stack) });
@@ -369,8 +360,7 @@
   }
 
   #relayServices(): RelayServices {
-    const { settings, headers, log } = this.#options;
-    const { bounds } = settings;
+    const { headers, log } = this.#options;
     return {
       headers,
       registry: this.#registry,
@@ -384,6 +374,7 @@
         this.#suspect(service, group);
       },
       keysHold: () => {
+        const { bounds } = this.#settings;
         const limit = bounds.keyRevocationMs - KEY_MARGIN_MS;
         return !bounds.keysFailClosed || this.#holder.confirmationAgeMs < limit;
       },
--- a/packages/entry/src/routing/retry-budget.ts
+++ b/packages/entry/src/routing/retry-budget.ts
@@ -4,6 +4,7 @@
  * The bound holds for all entry hosts together. Each spends in proportion to the requests that it
  * has itself seen, and a fixed part of the slack, so that no messages are needed.
  */
+import type { EntryBounds } from '../server/entry-settings.js';
 import { monotonicMs } from '../server/time.js';
 
 /** Bounds over all entry hosts. */
@@ -15,6 +16,19 @@
   readonly windowMs: number;
 };
 
+/** The bounds that settings give, read at each use since settings are reloaded; the window stays. */
+export function liveRetryBounds(bounds: () => EntryBounds): RetryBounds {
+  return {
+    get ratio() {
+      return bounds().retryRatio;
+    },
+    get slack() {
+      return bounds().retrySlack;
+    },
+    windowMs: bounds().retryWindowMs,
+  };
+}
+
 /** Entry hosts among which the slack is divided while their number is not known. */
 const UNKNOWN_HOSTS = 64;
 /** Part of the slack that is spent: hosts that start anew have forgotten what they spent. */
