Failures that were swallowed get a bounded log line; a cut body ends its request

Cause: a lease that could not be looked at or given back, a registration, suspicions and tallies that did not go through left no line; the reason of an outage was to be guessed from other lines. A body that its caller cut was read as no body at all, and only the order of two events of the connection kept such a request from going on without one. Change: a series of failures of one action makes a line at its first and one at its end; a cut body is a type of its own, counted in requests_cut_total, and its request ends there.

--- a/packages/entry/src/lease/lease-task.ts
+++ b/packages/entry/src/lease/lease-task.ts
@@ -7,6 +7,7 @@
  */
 import Emittery from 'emittery';
 
+import { FailureSeries } from '../server/failure-series.js';
 import type { Log } from '../server/log.js';
 import { monotonicMs, sleep } from '../server/time.js';
 import type { ObjectStore, StoredObject } from '../store/object-store.js';
@@ -53,6 +54,7 @@
   readonly messages = new Emittery<LeaseMessages>();
   readonly #options: LeaseOptions;
   readonly #abort = new AbortController();
+  readonly #failures: FailureSeries;
   #seen: StoredObject | undefined;
   #seenAt = 0;
   #term: number | undefined;
@@ -60,6 +62,7 @@
 
   constructor(options: LeaseOptions) {
     this.#options = options;
+    this.#failures = new FailureSeries(options.log, 'look at or renew the lease');
   }
 
   /** Term of the lease while it is held for sure, by the steady clock. */
@@ -78,8 +81,10 @@
     while (!this.#abort.signal.aborted) {
       try {
         await this.#step();
-      } catch {
-        // The store's loss is logged by its watches; here it only means that the lease may lapse.
+        this.#failures.succeeded();
+      } catch (error) {
+        // A lease that is held may lapse meanwhile.
+        this.#failures.failed(error);
       }
       this.#noteLapse();
       const spread = this.#term === undefined ? 0.8 + 0.4 * Math.random() : 1;
@@ -103,8 +108,8 @@
     try {
       const value: LeaseValue = { holder: NOBODY, host: this.#options.host };
       await this.#options.store.replace(OBJECT_KINDS.leases, LEASE_NAME, value, seen.revision);
-    } catch {
-      // It lapses by itself.
+    } catch (error) {
+      this.#options.log.warn('lease not given back, it lapses by itself', { cause: String(error) });
     }
   }
 
--- a/packages/entry/src/peers/membership.ts
+++ b/packages/entry/src/peers/membership.ts
@@ -1,4 +1,5 @@
 /** Registers this entry host in the store, and knows the others that did. */
+import { FailureSeries } from '../server/failure-series.js';
 import type { Log } from '../server/log.js';
 import { sleep } from '../server/time.js';
 import type { ObjectChange, ObjectList, ObjectStore, StoredObject } from '../store/object-store.js';
@@ -90,13 +91,14 @@
     if (isSame(this.#members.get(self.name), self)) {
       return;
     }
+    const failures = new FailureSeries(log, 'register this host');
     while (!this.#abort.signal.aborted) {
       try {
         await this.#registerOnce();
         log.info('entry host registered', { address: self.address, power: self.power });
         return;
-      } catch {
-        // The store's loss is logged by the watches.
+      } catch (error) {
+        failures.failed(error);
         await sleep(RETRY_MS * (0.5 + Math.random()), this.#abort.signal);
       }
     }
--- a/packages/entry/src/peers/peers.ts
+++ b/packages/entry/src/peers/peers.ts
@@ -5,6 +5,7 @@
 import type { LinkServer } from '@hingescale/link';
 import { LinkPool } from '@hingescale/link';
 
+import { FailureSeries } from '../server/failure-series.js';
 import type { Log } from '../server/log.js';
 import type { Counters } from '../server/metrics.js';
 import { monotonicMs, sleep } from '../server/time.js';
@@ -65,9 +66,13 @@
   readonly #readers = new Map<string, KindReader>();
   readonly #suspectedAt = new Map<string, number>();
   readonly #abort = new AbortController();
+  readonly #suspicionFailures: FailureSeries;
+  readonly #tallyFailures: FailureSeries;
 
   constructor(options: PeersOptions) {
     this.#options = options;
+    this.#suspicionFailures = new FailureSeries(options.log, 'pass a suspicion on');
+    this.#tallyFailures = new FailureSeries(options.log, 'ask a failure domain for its tally');
     const { self, seeds, key, store, watchOf, log } = options;
     this.membership = new Membership({ self, seeds, store, log });
     this.tally = new SharedTally({ loads: options.ownLoads, work: options.ownWork });
@@ -167,8 +172,12 @@
     this.#links
       .to(to.address)
       .request(PEER_REQUESTS.suspect, passed, REQUEST_TIMEOUT_MS)
-      .catch(() => {
+      .then(() => {
+        this.#suspicionFailures.succeeded();
+      })
+      .catch((error: unknown) => {
         counters.count('suspicions_dropped_total');
+        this.#suspicionFailures.failed(error);
       });
   }
 
@@ -203,8 +212,10 @@
       const link = this.#links.to(member.address);
       const reply = await link.request<TallyReply>(PEER_REQUESTS.tally, null, REQUEST_TIMEOUT_MS);
       this.tally.noteDomain(member.failureDomain, reply.tally);
-    } catch {
+      this.#tallyFailures.succeeded();
+    } catch (error) {
       this.#choice.note(reader, 'failed');
+      this.#tallyFailures.failed(error);
     }
   }
 }
--- a/packages/entry/src/requests/request-intake.ts
+++ b/packages/entry/src/requests/request-intake.ts
@@ -64,6 +64,10 @@
     if (gone.aborted) {
       return;
     }
+    if (isCut(body)) {
+      this.#endCut(request, response, body.cutBy);
+      return;
+    }
     if (table === undefined) {
       this.#refuse(request, response, unavailable('no-configuration'));
       return;
@@ -80,6 +84,17 @@
     await this.#relay({ ...admitted, request, response, body, arrivedAt, gone });
   }
 
+  // Without its whole body it is not the caller's request, and nobody waits for an answer.
+  #endCut(request: IncomingMessage, response: ServerResponse, error: Error): void {
+    const { counters, log, headers: names } = this.#services;
+    counters.count('requests_cut_total');
+    log.info('request cut by its caller', {
+      request: header(request, names.requestId),
+      cause: error.message,
+    });
+    response.destroy();
+  }
+
   #relay(context: Omit<RequestContext, 'deadline'>): Promise<void> {
     const given = Number(header(context.request, this.#services.headers.deadlineMs));
     const limit = given > 0 ? Math.min(given, context.route.timeoutMs) : context.route.timeoutMs;
@@ -155,6 +170,10 @@
   }
 }
 
+function isCut(body: Buffer | string | CutBody | undefined): body is CutBody {
+  return typeof body === 'object' && 'cutBy' in body;
+}
+
 function unavailable(reason: AnswerReason): FinalAnswer {
   return { status: 503, reason, retryAfterMs: RETRY_AFTER_MS };
 }
@@ -172,11 +191,14 @@
   return typeof value === 'string' ? value : undefined;
 }
 
+/** The caller's connection ended before the whole body had come. */
+type CutBody = { readonly cutBy: Error };
+
 // Undefined where the request has no body at all.
 async function readBody(
   request: IncomingMessage,
   maxBytes: number,
-): Promise<Buffer | undefined | 'too-large'> {
+): Promise<Buffer | undefined | 'too-large' | CutBody> {
   const { headers } = request;
   if (headers['content-length'] === undefined && headers['transfer-encoding'] === undefined) {
     request.resume();
@@ -191,9 +213,8 @@
         chunks.push(chunk as Buffer);
       }
     }
-  } catch {
-    // The caller has gone; nobody waits for an answer.
-    return undefined;
+  } catch (error) {
+    return { cutBy: error as Error };
   }
   return bytes > maxBytes ? 'too-large' : Buffer.concat(chunks);
 }
--- /dev/null
+++ b/packages/entry/src/server/failure-series.test.ts
@@ -0,0 +1,30 @@
+import { expect } from 'chai';
+
+import { FailureSeries } from './failure-series.js';
+import type { LogFields } from './log.js';
+
+describe('failure series', () => {
+  it('writes its first failure with the cause, and its end with how many there were', () => {
+    const lines: { message: string; fields: LogFields | undefined }[] = [];
+    const write = (message: string, fields?: LogFields): void => {
+      lines.push({ message, fields });
+    };
+    const series = new FailureSeries({ info: write, warn: write, error: write }, 'renew the lease');
+    series.succeeded();
+    for (let failure = 0; failure < 50; failure++) {
+      series.failed(new Error('store is down'));
+    }
+    series.succeeded();
+    series.succeeded();
+    expect(lines).to.deep.equal([
+      {
+        message: 'action fails',
+        fields: { action: 'renew the lease', cause: 'Error: store is down' },
+      },
+      {
+        message: 'action succeeds again',
+        fields: { action: 'renew the lease', failures: 50 },
+      },
+    ]);
+  });
+});
