--- a/packages/entry/src/groups/staging-plan.ts
+++ b/packages/entry/src/groups/staging-plan.ts
@@ -199,9 +199,9 @@
   return view.stagingNow(host.id) === undefined && !willHave(host, model, view);
 }
 
-// True when the host gives up no copy that may be of use. Copies are only given up to complete a
-// group of free hosts or the only group of a model; otherwise hosts would stage one model after the
-// other for ever.
+// True when the host replaces no copy that may be of use. Copies are only replaced to complete a group
+// of free hosts or the only group of a model; otherwise hosts would stage one model after the other
+// for ever.
 function canAlsoStage(host: HostEntry, model: GroupModel, view: FleetView): boolean {
   return canStage(host, model, view) && lossOfCopy(view, host) === 0;
 }
