A peer that had lost the store is asked again within half a second, as before

Peers without the store were left alone for up to 4 s, so that after an outage the confirmation of the configuration waited up to 4 s at each step of the chain of followed hosts; keys lapse after 4.5 s. Ruled out: calls (2,533) and processor time; that the keys lapsed was read, not shown by a log. Change: no doubling for such peers; the store itself is still asked by one kind at a time.

--- a/packages/entry/src/peers/reader-choice.test.ts
+++ b/packages/entry/src/peers/reader-choice.test.ts
@@ -139,4 +139,14 @@
     now = 500;
     expect(choice.usableInMs()).to.equal(0);
   });
+
+  it('asks a peer again within half a second, however long that has been without the store', () => {
+    let now = 0;
+    const choice = choiceOf({ above: [member('up', 2)], below: [] }, () => now);
+    const up = choice.choose();
+    for (; now < 8_000; now += 500) {
+      choice.note(up, 'stale');
+    }
+    expect(choice.choose()).to.equal(up);
+  });
 });
--- a/packages/entry/src/peers/reader-choice.ts
+++ b/packages/entry/src/peers/reader-choice.ts
@@ -24,10 +24,11 @@
 const AVOID_MS = {
   /** A peer that did not answer; doubled with each failure in a row. */
   failed: 2_000,
-  /** A peer that answered, but has lost the store itself; doubled with each time in a row. */
+  /**
+   * A peer that answered, but has lost the store itself. Not longer with each time in a row: after an
+   * outage what a peer confirms travels down the chain of followed hosts, and keys wait for it.
+   */
   stale: 500,
-  /** Longest time for such a peer: it is alive, and first in line again when it is back. */
-  mostStale: 4_000,
   /** The store, by a host that nobody stronger stands before. */
   storeOfFirst: 250,
   /**
@@ -106,7 +107,7 @@
       return;
     }
     // Several kinds are read at once; what they all lose at one time is one failure.
-    if (!this.isAvoided(reader.name)) {
+    if (outcome === 'failed' && !this.isAvoided(reader.name)) {
       this.#failures.set(reader.name, (this.#failures.get(reader.name) ?? 0) + 1);
     }
     this.#avoidUntil.set(reader.name, this.#now() + this.#avoidMs(reader, outcome));
@@ -124,8 +125,8 @@
   #avoidMs(reader: KindReader, outcome: 'stale' | 'failed'): number {
     if (reader !== this.#options.store) {
       const failures = this.#failures.get(reader.name) ?? 1;
-      const most = outcome === 'failed' ? AVOID_MS.most : AVOID_MS.mostStale;
-      return Math.min(most, AVOID_MS[outcome] * Math.pow(2, failures - 1));
+      const factor = outcome === 'failed' ? Math.pow(2, failures - 1) : 1;
+      return Math.min(AVOID_MS.most, AVOID_MS[outcome] * factor);
     }
     return this.#storeAvoidMs();
   }
