Gateway: the wait for a renewed certificate reads the clock once

Cause, found on reading the change: the limit was checked with one reading of the clock and the time-out made with a second, later one; a pause of over a millisecond between them gave a negative time-out, which throws. Change: one reading.

--- a/packages/gateway/src/requests/completion-run.ts
+++ b/packages/gateway/src/requests/completion-run.ts
@@ -221,14 +221,12 @@
       if (directory.certified(group.id, group.epoch)) {
         return true;
       }
-      if (monotonicMs() >= limit || !directory.mayServe(group.id, group.epoch)) {
+      const leftMs = limit - monotonicMs();
+      if (leftMs <= 0 || !directory.mayServe(group.id, group.epoch)) {
         return false;
       }
-      const left = AbortSignal.any([
-        this.#admitted.gone,
-        AbortSignal.timeout(Math.ceil(limit - monotonicMs())),
-      ]);
-      await nextChange(directory, left);
+      const timeout = AbortSignal.timeout(Math.ceil(leftMs));
+      await nextChange(directory, AbortSignal.any([this.#admitted.gone, timeout]));
     }
     return false;
   }
