Links between entry hosts leave a connection that has gone silent

Cause: open connections may go silent for good without a reset while new ones work. A request that timed out left its connection in place, so every later request to that peer timed out on it as well, and the peer counted as lost for as long as the process lived. Ruled out: keep-alive probes of the kernel; Node.js offers only the first delay, and the rest takes 10 s and more. Change: a request that times out closes its connection if nothing came on it since it was sent; other answers show that it lives. Requests on the connection that follows are not touched.

--- a/packages/link/src/link-client.ts
+++ b/packages/link/src/link-client.ts
@@ -23,6 +23,10 @@
 };
 
 type Pending = {
+  /** Connection that the request left on. */
+  readonly socket: Socket;
+  /** Monotonic milliseconds. */
+  readonly sentAt: number;
   readonly resolve: (body: unknown) => void;
   readonly reject: (error: LinkError) => void;
 };
@@ -35,6 +39,10 @@
   readonly #options: LinkClientOptions;
   readonly #pending = new Map<number, Pending>();
   #socket: Promise<Socket> | undefined;
+  /** The connection that `#socket` has brought. */
+  #current: Socket | undefined;
+  /** When bytes last came from the peer (monotonic milliseconds). */
+  #receivedAt = -Infinity;
   #nextId = 1;
   #closed = false;
 
@@ -54,9 +62,11 @@
     const id = this.#nextId++;
     return new Promise<T>((resolve, reject) => {
       const timer = setTimeout(() => {
-        this.#settle(id)?.reject(new LinkError('timeout', `no answer from ${this.address}`));
+        this.#timeOut(id, socket);
       }, timeoutMs);
       this.#pending.set(id, {
+        socket,
+        sentAt: performance.now(),
         resolve: value => {
           clearTimeout(timer);
           resolve(value as T);
@@ -79,6 +89,20 @@
     );
   }
 
+  // A connection can go silent for good without a reset. One on which nothing came since the request
+  // was sent is closed, so that the next request opens another instead of waiting in vain as well.
+  #timeOut(id: number, socket: Socket): void {
+    const pending = this.#settle(id);
+    if (pending === undefined) {
+      return;
+    }
+    pending.reject(new LinkError('timeout', `no answer from ${this.address}`));
+    if (this.#receivedAt < pending.sentAt) {
+      this.#lose(socket);
+      socket.destroy();
+    }
+  }
+
   async #open(): Promise<Socket> {
     try {
       return await this.#connect();
@@ -120,11 +144,13 @@
           }),
         );
         trusted = true;
+        this.#current = socket;
         reader.trust();
         clearTimeout(timer);
         resolve(socket);
       };
       socket.on('data', bytes => {
+        this.#receivedAt = performance.now();
         try {
           reader.feed(bytes).forEach(onValue);
         } catch (error) {
@@ -138,7 +164,7 @@
         clearTimeout(timer);
         reject(new Error('connection closed'));
         if (trusted) {
-          this.#lose();
+          this.#lose(socket);
         }
       });
     });
@@ -153,12 +179,17 @@
     }
   }
 
-  #lose(): void {
-    this.#socket = undefined;
-    const lost = [...this.#pending.values()];
-    this.#pending.clear();
-    for (const pending of lost) {
-      pending.reject(new LinkError('lost', `connection to ${this.address} was lost`));
+  // Requests on a connection that was opened in its place go on.
+  #lose(socket: Socket): void {
+    if (this.#current === socket) {
+      this.#current = undefined;
+      this.#socket = undefined;
+    }
+    for (const [id, pending] of this.#pending) {
+      if (pending.socket === socket) {
+        this.#pending.delete(id);
+        pending.reject(new LinkError('lost', `connection to ${this.address} was lost`));
+      }
     }
   }
 
