A request goes on after a rejection, and ends with the answer that a host made

The route bounds the runs, not the sends. A failure that a host had answered was replaced by one of ours when the next host rejected the request. A call that was held could still be sent after its caller had left. Ruled out: endless walks, three rejections end a request, and each takes a repeat of the budget. Change: rejections are counted apart from runs; the last answer of a host is kept; a held call looks whether its caller is there. The set of replaced headers is kept by its names, since one process may have several (tests do). Measured: two of the three new relay tests fail on the code before, the third guards the order of the checks.

--- a/packages/entry/src/requests/attempt-log.test.ts
+++ b/packages/entry/src/requests/attempt-log.test.ts
@@ -34,6 +34,29 @@
     expect(log.takeRetry()).to.equal(true);
   });
 
+  it('are not used up by hosts that reject the request, up to three of them', () => {
+    const call = { kind: 'non-idempotent', resumable: false, maxAttempts: 1 } as const;
+    const log = new AttemptLog(contextOf(call), fullBudget());
+    for (const host of ['full', 'no head any more']) {
+      log.noteSent(host);
+      log.noteRejected();
+      expect(log.takeRetry()).to.equal(true);
+    }
+    log.noteSent('full as well');
+    log.noteRejected();
+    expect(log.takeRetry()).to.equal(false);
+  });
+
+  it('of a call that runs once end with the first host that may have run it', () => {
+    const call = { kind: 'non-idempotent', resumable: false, maxAttempts: 1 } as const;
+    const log = new AttemptLog(contextOf(call), fullBudget());
+    log.noteSent('full');
+    log.noteRejected();
+    log.noteSent('silent');
+    log.noteMayRun();
+    expect(log.takeRetry()).to.equal(false);
+  });
+
   it('end when a call that may not be repeated may have run', () => {
     const log = new AttemptLog(
       contextOf({ kind: 'non-idempotent', resumable: false }),
--- a/packages/entry/src/requests/attempt-log.ts
+++ b/packages/entry/src/requests/attempt-log.ts
@@ -6,6 +6,11 @@
 
 /** Least time in which another attempt makes sense, in milliseconds. */
 const MIN_LEFT_MS = 60;
+/**
+ * Rejections after which a request is not sent on. A rejection costs a round trip and a repeat of the
+ * budget; three hosts in a row that reject mean that the service is full, or the list of hosts old.
+ */
+const MOST_REJECTIONS = 3;
 
 /** Keeps the attempts of one request; the only place that says whether it may be sent again. */
 export class AttemptLog {
@@ -14,6 +19,7 @@
   readonly #tried = new Set<string>();
   #mayHaveRun = false;
   #neverSent = 0;
+  #rejected = 0;
 
   constructor(context: RequestContext, budget: RetryBudget) {
     this.#context = context;
@@ -41,6 +47,11 @@
     this.#neverSent += 1;
   }
 
+  /** A host has said that it did not run the request: the route bounds runs, not rejections. */
+  noteRejected(): void {
+    this.#rejected += 1;
+  }
+
   /** The request may run, or has run, at a host. */
   noteMayRun(): void {
     this.#mayHaveRun = true;
@@ -65,7 +76,8 @@
     if (this.#mayHaveRun && !mayRepeat(route)) {
       return false;
     }
-    return this.#arrivals() < route.maxAttempts;
+    const runs = this.#arrivals() - this.#rejected;
+    return runs < route.maxAttempts && this.#rejected < MOST_REJECTIONS;
   }
 
   // A host that has ended counts too: entries also go while their hosts live on.
--- /dev/null
+++ b/packages/entry/src/requests/plain-relay.test.ts
@@ -0,0 +1,72 @@
+/** Calls that are held, rejected or failed by their hosts. */
+import type { ServerResponse } from 'node:http';
+
+import { expect } from 'chai';
+
+import type { Target } from '../routing/target-chooser.js';
+import { relayServices, requestContext, UpstreamStandIn } from '../testing/relay.js';
+import { PlainRelay } from './plain-relay.js';
+
+const HEAD = { 'x-request-id': 'r', 'x-stamp': 's' };
+
+function fails(response: ServerResponse): void {
+  response.writeHead(500, { ...HEAD, 'content-length': 5 }).end('sorry');
+}
+
+function rejects(response: ServerResponse): void {
+  response.writeHead(503, { ...HEAD, 'x-not-executed': '1' }).end();
+}
+
+function answers(response: ServerResponse): void {
+  response.writeHead(200, { ...HEAD, 'content-length': 4 }).end('done');
+}
+
+describe('a call of a caller', () => {
+  const hosts: UpstreamStandIn[] = [];
+
+  async function targets(answer: ((response: ServerResponse) => void)[]): Promise<Target[]> {
+    hosts.push(...answer.map(one => new UpstreamStandIn(one)));
+    return Promise.all(hosts.map((host, index) => host.listen(`h${index}`)));
+  }
+
+  afterEach(() => {
+    hosts.splice(0).forEach(host => {
+      host.close();
+    });
+  });
+
+  it('reaches no host once its caller has left while it was held', async () => {
+    const [target] = await targets([answers]);
+    const caller = new AbortController();
+    let asked = 0;
+    const services = relayServices(() => {
+      asked += 1;
+      if (asked === 1) {
+        setTimeout(() => {
+          caller.abort('left');
+        }, 5);
+        return undefined;
+      }
+      return target;
+    });
+    const { context } = requestContext('r', {}, caller.signal);
+    await new PlainRelay(context, services).run();
+    expect(hosts[0]?.seen).to.deep.equal([]);
+  });
+
+  it('ends with the failure of the host that ran it, not with one of our own', async () => {
+    const queue = await targets([fails, rejects, rejects, rejects]);
+    const services = relayServices(() => queue.shift());
+    const { context, answer } = requestContext('r', { maxAttempts: 3 });
+    await new PlainRelay(context, services).run();
+    expect(answer).to.deep.equal({ status: 500, body: 'sorry' });
+  });
+
+  it('that may run once only goes on to a host with room', async () => {
+    const queue = await targets([rejects, rejects, answers]);
+    const services = relayServices(() => queue.shift());
+    const { context, answer } = requestContext('r', { kind: 'non-idempotent', maxAttempts: 1 });
+    await new PlainRelay(context, services).run();
+    expect(answer).to.deep.equal({ status: 200, body: 'done' });
+  });
+});
--- a/packages/entry/src/requests/plain-relay.ts
+++ b/packages/entry/src/requests/plain-relay.ts
@@ -40,6 +40,7 @@
   readonly #context: RequestContext;
   readonly #services: RelayServices;
   readonly #log: AttemptLog;
+  /** The last answer of a host that was a failure: better than one of our own when nothing follows. */
   #lastFailure: WholeAnswer | undefined;
 
   constructor(context: RequestContext, services: RelayServices) {
@@ -53,6 +54,10 @@
   async run(): Promise<void> {
     for (;;) {
       const target = await this.#target();
+      // The caller may have left while the call was held: then it must not reach a host any more.
+      if (this.#context.gone.aborted) {
+        return;
+      }
       if (target === undefined) {
         this.#giveUp('no-target');
         return;
@@ -65,7 +70,9 @@
         this.#passOn(end.answer);
         return;
       }
-      this.#lastFailure = end.kind === 'answered' ? end.answer : undefined;
+      if (end.kind === 'answered') {
+        this.#lastFailure = end.answer;
+      }
       if (!this.#log.takeRetry()) {
         this.#giveUp('not-run');
         return;
@@ -161,6 +168,7 @@
       return { kind: 'gone' };
     }
     if (head !== undefined && saysNotRun(head, names.notExecuted)) {
+      this.#log.noteRejected();
       return { kind: 'not-run' };
     }
     this.#log.noteMayRun();
--- a/packages/entry/src/requests/stream-relay.ts
+++ b/packages/entry/src/requests/stream-relay.ts
@@ -37,6 +37,7 @@
   /** The attempt whose events are passed on. */
   #leader: StreamAttempt | undefined;
   #finishSend: ((end: StreamAttemptEnd) => void) | undefined;
+  /** The last answer of a host that was a failure: better than one of our own when nothing follows. */
   #failure: IncomingMessage | undefined;
   #failureBody: Buffer | undefined;
   #lastSentAt = 0;
@@ -117,7 +118,6 @@
   // that a wrong suspicion never ends an answer.
   #send(target: Target): Promise<StreamAttemptEnd> {
     this.#events.restart();
-    this.#failure = undefined;
     return new Promise(resolve => {
       this.#finishSend = resolve;
       this.#leader = this.#start(target);
@@ -194,7 +194,9 @@
   #note(end: StreamAttemptEnd): void {
     if (end.kind === 'never-sent') {
       this.#log.noteNeverSent();
-    } else if (end.kind !== 'not-run') {
+    } else if (end.kind === 'not-run') {
+      this.#log.noteRejected();
+    } else {
       this.#log.noteMayRun();
     }
     if (end.kind === 'failed') {
--- a/packages/entry/src/requests/upstream-request.ts
+++ b/packages/entry/src/requests/upstream-request.ts
@@ -42,11 +42,15 @@
   return Math.min(LEAST_URGENT, Math.max(MOST_URGENT, urgency));
 }
 
-let replaced: ReadonlySet<string> | undefined;
+const replacedByNames = new WeakMap<RelayHeaders, ReadonlySet<string>>();
 
-// The key itself never reaches a host.
 function replacedHeaders(names: RelayHeaders): ReadonlySet<string> {
-  replaced ??= new Set([
+  const known = replacedByNames.get(names);
+  if (known !== undefined) {
+    return known;
+  }
+  // The key itself never reaches a host.
+  const replaced = new Set([
     'authorization',
     'content-length',
     names.deadlineMs,
@@ -55,5 +59,6 @@
     names.urgency,
     names.lastEventId,
   ]);
+  replacedByNames.set(names, replaced);
   return replaced;
 }
--- /dev/null
+++ b/packages/entry/src/testing/relay.ts
@@ -0,0 +1,141 @@
+/** Requests and services for tests of relays, with upstream hosts on loopback. */
+import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import { createServer } from 'node:http';
+import type { AddressInfo } from 'node:net';
+
+import type { Route, Service } from '../configuration/serving-configuration.js';
+import type { HostEntry } from '../hosts/host-entry.js';
+import type { RelayServices } from '../requests/relay-services.js';
+import type { RequestContext } from '../requests/request-context.js';
+import { ServiceLimits } from '../requests/service-limits.js';
+import { StallMonitor } from '../requests/stall-monitor.js';
+import { HostActivities } from '../routing/host-activity.js';
+import type { Target, TargetChooser } from '../routing/target-chooser.js';
+import { silentLog } from '../server/log.js';
+import { Counters, Latencies } from '../server/metrics.js';
+import { monotonicMs } from '../server/time.js';
+
+/** Names of the headers in tests. */
+export const TEST_HEADERS = {
+  requestId: 'x-request-id',
+  deadlineMs: 'x-deadline-ms',
+  expectHost: 'x-expect-host',
+  workspace: 'x-workspace',
+  urgency: 'x-urgency',
+  answerStamp: 'x-stamp',
+  notExecuted: 'x-not-executed',
+  model: 'x-model',
+  tokenCounts: 'x-token-counts',
+  lengthHint: 'x-length-hint',
+  lastEventId: 'last-event-id',
+  faultyHost: 'x-faulty-host',
+} as const;
+
+const ROUTE: Route = {
+  name: 'read',
+  host: 'models.example',
+  pathPrefix: '/',
+  kind: 'idempotent',
+  resumable: false,
+  timeoutMs: 2_000,
+  objectiveMs: 400,
+  gapTargetMs: 200,
+  priority: 1,
+  targets: [{ service: 's', weight: 1 }],
+  maxAttempts: 2,
+  isPublic: true,
+};
+
+/** An upstream host that answers by a function. */
+export class UpstreamStandIn {
+  readonly seen: string[] = [];
+  readonly #server: Server;
+
+  constructor(answer: (response: ServerResponse, request: IncomingMessage) => void) {
+    this.#server = createServer((request, response) => {
+      this.seen.push(String(request.headers[TEST_HEADERS.requestId]));
+      request.resume();
+      answer(response, request);
+    });
+  }
+
+  /** Listens on loopback; gives the target that the host is. */
+  async listen(id: string): Promise<Target> {
+    await new Promise<void>(resolve => this.#server.listen(0, '127.0.0.1', resolve));
+    const { port } = this.#server.address() as AddressInfo;
+    const host = { id, service: 's', ip: '127.0.0.1', port, failureDomain: 'a' };
+    return { host: { ...host, accepting: true } as HostEntry, group: undefined };
+  }
+
+  /** Closes all connections. */
+  close(): void {
+    this.#server.close();
+    this.#server.closeAllConnections();
+  }
+}
+
+/** Services of which `choose` decides where requests go. */
+export function relayServices(choose: TargetChooser['choose']): RelayServices {
+  const limits = new ServiceLimits({
+    retries: { ratio: 1, slack: 100, windowMs: 10_000 },
+    hosts: () => 1,
+  });
+  return {
+    headers: TEST_HEADERS,
+    chooser: { choose, hasSound: () => false, expectedFirstMs: () => undefined },
+    activities: new HostActivities(),
+    stalls: new StallMonitor(),
+    budgetOf: (service: string) => limits.budgetOf(service),
+    connectionsOf: (service: Service) => limits.connectionsOf(service),
+    suspect: () => undefined,
+    keysHold: () => true,
+    log: silentLog(),
+    counters: new Counters(),
+    latencies: new Latencies(),
+  } as unknown as RelayServices;
+}
+
+/** What a caller got. */
+export type TestAnswer = { status: number; body: string };
+
+/** A request in progress, as a relay takes it, and what its caller gets. */
+export function requestContext(
+  id: string,
+  change: Partial<Route> = {},
+  gone: AbortSignal = new AbortController().signal,
+): { readonly context: RequestContext; readonly answer: TestAnswer } {
+  const answer: TestAnswer = { status: 0, body: '' };
+  const response = {
+    headersSent: false,
+    statusCode: 200,
+    setHeader: () => undefined,
+    writeHead: (status: number) => {
+      response.statusCode = status;
+      response.headersSent = true;
+    },
+    write: (chunk: Buffer) => {
+      answer.body += chunk.toString();
+      return true;
+    },
+    end: (chunk?: Buffer | string) => {
+      answer.status = response.statusCode;
+      answer.body += chunk?.toString() ?? '';
+    },
+    destroy: () => undefined,
+    once: () => undefined,
+  };
+  const route = { ...ROUTE, ...change };
+  const context = {
+    id,
+    request: { method: 'GET', url: '/', rawHeaders: ['host', route.host, 'x-request-id', id] },
+    response,
+    body: undefined,
+    route,
+    service: { name: 's', maxConnections: 100, engine: undefined },
+    priority: 1,
+    arrivedAt: monotonicMs(),
+    deadline: monotonicMs() + route.timeoutMs,
+    gone,
+  } as unknown as RequestContext;
+  return { context, answer };
+}
