Groups of a failure domain that was cut off are not dissolved when it is back

The cut healed at 38.6 s. From 38.85 to 39.94 s members of six sound groups there were told to leave (head-lost, then member-lost), because they answered before their heads were asked again, or their heads' entries were not back yet. Ruled out: the power-off at 41.2 s, since requests of second 39 were late already.

--- a/packages/entry/src/groups/fleet-picture.ts
+++ b/packages/entry/src/groups/fleet-picture.ts
@@ -1,6 +1,7 @@
 /** Draws the picture that plans start from, out of entries of hosts and beliefs. Pure. */
 import type { EngineProfile } from '../configuration/serving-configuration.js';
 import type { HostEntry } from '../hosts/host-entry.js';
+import { fabricDomainOf } from './fabric-domain.js';
 import type { FleetDomain, FleetView, PlacedGroup } from './fleet-view.js';
 import { isFree, isReleased } from './free-hosts.js';
 import type { Formation, GroupBeliefs } from './group-beliefs.js';
@@ -51,11 +52,6 @@
   return { profile, domains, stagingNow };
 }
 
-/** Name of the fabric domain of a host; hosts that tell none share their failure domain. */
-export function fabricDomainOf(host: HostEntry): string {
-  return host.fabricDomain ?? host.failureDomain;
-}
-
 function draftOf(drafts: Map<string, Draft>, host: HostEntry): Draft {
   const fabricDomain = fabricDomainOf(host);
   let draft = drafts.get(fabricDomain);
--- a/packages/entry/src/groups/group-beliefs.ts
+++ b/packages/entry/src/groups/group-beliefs.ts
@@ -49,6 +49,8 @@
   readonly unlisted: ReadonlyMap<string, HostEntry>;
   /** The store came back a moment ago: hosts without an entry may live, and be back soon. */
   readonly entriesMayReturn: boolean;
+  /** Fabric domains that lack most of their entries, or did a moment ago. */
+  readonly lapsedDomains: ReadonlySet<string>;
   /** Hosts with an order under way. */
   readonly busy: ReadonlySet<string>;
   /** Loads from the weight store that may begin now. */
--- a/packages/entry/src/groups/group-repair.test.ts
+++ b/packages/entry/src/groups/group-repair.test.ts
@@ -56,6 +56,19 @@
     expect(release({}, 1_000)).to.deep.equal([]);
     expect(release({ entriesMayReturn: true }, 5_000)).to.deep.equal([]);
   });
+
+  it('waits where most entries of the fabric domain went at once, as in a cut', () => {
+    expect(release({ lapsedDomains: new Set(['d0']) }, 5_000)).to.deep.equal([]);
+    expect(release({ lapsedDomains: new Set(['d1']) }, 5_000)).to.deep.equal(['x leave']);
+  });
+
+  it('waits where a member has only just answered again: so may the head', () => {
+    const open = [member('h', 0, 'open'), member('x', 1, 'ready')];
+    const [group] = replicaGroups(open);
+    const silent = new Map([['h', 5_000]]);
+    const beliefs = testBeliefs({ silent, justBack: new Set(['x']) });
+    expect(group === undefined ? undefined : releaseOf(group, beliefs, 10_000)).to.deep.equal([]);
+  });
 });
 
 describe('repair of a group', () => {
--- a/packages/entry/src/groups/group-repair.ts
+++ b/packages/entry/src/groups/group-repair.ts
@@ -1,6 +1,7 @@
 /** Decides what existing groups need: open, close, or dissolve at the head. Pure. */
 import type { EngineProfile } from '../configuration/serving-configuration.js';
 import type { HostEntry } from '../hosts/host-entry.js';
+import { fabricDomainOf } from './fabric-domain.js';
 import type { Formation, GroupBeliefs, PlannedOrder } from './group-beliefs.js';
 import type { OrderReason } from './group-beliefs.js';
 import type { HostOrder } from './host-orders.js';
@@ -58,7 +59,8 @@
   now: number,
 ): readonly PlannedOrder[] {
   const known = beliefs.heads.get(group.name);
-  if (known?.left === true || !isHeadLost(group, beliefs, now)) {
+  const unsure = entriesMayReturn(group, beliefs) || isJustBack(group, beliefs);
+  if (unsure || known?.left === true || !isHeadLost(group, beliefs, now)) {
     return [];
   }
   const others = group.members.filter(member => member !== undefined && member !== group.head);
@@ -76,7 +78,19 @@
     return silentSince !== undefined && now - silentSince > HEAD_SILENT_MS;
   }
   const since = beliefs.heads.get(group.name)?.missingSince;
-  return since !== undefined && now - since >= HEADLESS_MS && !beliefs.entriesMayReturn;
+  return since !== undefined && now - since >= HEADLESS_MS;
+}
+
+// After an outage of the store, or a cut of the group's hosts from it, missing entries say nothing.
+function entriesMayReturn(group: ReplicaGroup, beliefs: GroupBeliefs): boolean {
+  const [anyMember] = group.members.filter(member => member !== undefined);
+  const domain = anyMember === undefined ? undefined : fabricDomainOf(anyMember);
+  return beliefs.entriesMayReturn || (domain !== undefined && beliefs.lapsedDomains.has(domain));
+}
+
+// When a cut heals, members answer again a moment before their head is asked once more.
+function isJustBack({ members }: ReplicaGroup, { justBack }: GroupBeliefs): boolean {
+  return members.some(member => member !== undefined && justBack.has(member.id));
 }
 
 /** Hosts that the group's model needs; undefined while the model is not known. */
@@ -156,7 +170,7 @@
   if (size === undefined || present.length < size) {
     const since = beliefs.incompleteSince.get(group.name);
     const waited = since !== undefined && now - since > FOREIGN_FORMATION_MS;
-    return waited && !beliefs.entriesMayReturn;
+    return waited && !entriesMayReturn(group, beliefs);
   }
   return false;
 }
@@ -167,7 +181,7 @@
   for (let rank = 0; rank < places; rank++) {
     const member = group.members[rank];
     if (member === undefined) {
-      if (!beliefs.entriesMayReturn && !heldByUnlisted(group, rank, beliefs)) {
+      if (!entriesMayReturn(group, beliefs) && !heldByUnlisted(group, rank, beliefs)) {
         return true;
       }
     } else if (beliefs.silent.has(member.id)) {
--- a/packages/entry/src/groups/group-task.ts
+++ b/packages/entry/src/groups/group-task.ts
@@ -5,7 +5,7 @@
  * are never used twice, and epochs rise with the lease's term.
  */
 import type { EngineProfile } from '../configuration/serving-configuration.js';
-import type { HostEntry } from '../hosts/host-entry.js';
+import type { DepartedHost, HostEntry } from '../hosts/host-entry.js';
 import type { HostRegistry } from '../hosts/host-registry.js';
 import type { Log } from '../server/log.js';
 import type { Counters } from '../server/metrics.js';
@@ -19,6 +19,7 @@
 import { GroupObserver } from './group-observer.js';
 import { releaseOf, repairOf } from './group-repair.js';
 import type { HostOrder, OrderOutcome } from './host-orders.js';
+import { LapsedDomains } from './lapsed-domains.js';
 import { LoadBudget } from './load-budget.js';
 import type { MemberProber } from './member-prober.js';
 import type { GuardView } from './order-guard.js';
@@ -76,6 +77,7 @@
   readonly #observer: GroupObserver;
   readonly #loads: LoadBudget;
   readonly #settling = new Settling();
+  readonly #lapsed = new LapsedDomains();
   readonly #capacityLog: CapacityLog;
   #term = 0;
   #formed = 0;
@@ -152,7 +154,11 @@
       }
     }
     this.#rearrangement.forgetEnded(groups);
-    prober.watchDeparted(this.#options.registry.departedOf(this.#options.service));
+    prober.watchDeparted(this.#departed());
+  }
+
+  #departed(): readonly DepartedHost[] {
+    return this.#options.registry.departedOf(this.#options.service);
   }
 
   #beliefs(hosts: readonly HostEntry[], profile: EngineProfile, now: number): GroupBeliefs {
@@ -169,6 +175,7 @@
       justBack: prober.justBack,
       unlisted: prober.unlisted,
       entriesMayReturn: now - this.#options.inTouchSince() < ENTRIES_RETURN_MS,
+      lapsedDomains: this.#lapsed.observe(hosts, this.#departed(), now),
       busy: sender.busy,
       loadsLeft: this.#loads.left(now, byRate, profile.loadsAtOnce + EXTRA_LOADS, running),
     };
--- a/packages/entry/src/testing/groups.ts
+++ b/packages/entry/src/testing/groups.ts
@@ -32,6 +32,7 @@
     justBack: new Set(),
     unlisted: new Map(),
     entriesMayReturn: false,
+    lapsedDomains: new Set(),
     busy: new Set(),
     loadsLeft: 10,
     ...change,
