--- a/packages/entry/src/peers/peer-reader.ts
+++ b/packages/entry/src/peers/peer-reader.ts
@@ -1,8 +1,8 @@
 /** Reads kinds from a peer that follows them. */
 import type { LinkClient } from '@hingescale/link';
 
-import { monotonicMs } from '../server/time.js';
 import type { OutlierReport } from '../routing/outlier-reports.js';
+import { monotonicMs } from '../server/time.js';
 import type { KindReader } from '../store/kind-reader.js';
 import { OBJECT_KINDS } from '../store/object-store.js';
 import type { ReadReply, ReadRequest } from './peer-messages.js';
--- a/packages/entry/src/peers/peer-server.test.ts
+++ b/packages/entry/src/peers/peer-server.test.ts
@@ -2,8 +2,8 @@
 import { LinkPool } from '@hingescale/link';
 import { expect } from 'chai';
 
-import { silentLog } from '../server/log.js';
 import { OutlierReports } from '../routing/outlier-reports.js';
+import { silentLog } from '../server/log.js';
 import { monotonicMs } from '../server/time.js';
 import { storeReader } from '../store/kind-reader.js';
 import { OBJECT_KINDS } from '../store/object-store.js';
--- a/packages/entry/src/peers/peer-server.ts
+++ b/packages/entry/src/peers/peer-server.ts
@@ -2,8 +2,8 @@
 import type { LinkIdentity } from '@hingescale/link';
 import { LinkServer } from '@hingescale/link';
 
-import { monotonicMs } from '../server/time.js';
 import type { OutlierReports } from '../routing/outlier-reports.js';
+import { monotonicMs } from '../server/time.js';
 import type { ObjectKind } from '../store/object-store.js';
 import type { WatchedKind } from '../store/watched-kind.js';
 import type { ReadReply, ReadRequest, SuspectRequest, TallyReply } from './peer-messages.js';
