A group with a missing member gets no requests while others are whole

Ruled out: dropping them altogether; after an outage of the store entries of sound members are missing for up to 2.3 s, so that the rule holds only outside of that time and yields where nothing else is left. Change: targets know whether their group is whole. Measured: the new test fails without the check.

--- a/packages/entry/src/entry-host.ts
+++ b/packages/entry/src/entry-host.ts
@@ -5,10 +5,9 @@
 import type { ConfigurationReader } from './configuration/configuration-holder.js';
 import { ConfigurationHolder } from './configuration/configuration-holder.js';
 import type { EngineProfile } from './configuration/serving-configuration.js';
-import { GroupTask } from './groups/group-task.js';
+import { Coordinator } from './groups/coordinator.js';
+import { ENTRIES_RETURN_MS } from './groups/group-task.js';
 import type { HostOrders } from './groups/host-orders.js';
-import { MemberProber } from './groups/member-prober.js';
-import { OrderSender } from './groups/order-sender.js';
 import type { ReplicaGroup } from './groups/replica-groups.js';
 import type { HostReader } from './hosts/host-registry.js';
 import { HostRegistry } from './hosts/host-registry.js';
@@ -52,7 +51,6 @@
 
 /** Part of the revocation bound that is left for what is under way. */
 const KEY_MARGIN_MS = 500;
-const PLAN_PERIOD_MS = 100;
 /** Entry hosts that share the bounds where they do not know each other. */
 const HOSTS_WITHOUT_PEERS = 10;
 /** Time that callers' balancers need to notice that this host is leaving. */
@@ -73,24 +71,20 @@
   readonly #demand = new DemandMeter(key => this.#peers?.tally.work.ofOthers(key) ?? 0);
   readonly #chooser: TargetChooser;
   readonly #lease: LeaseTask;
-  readonly #sender: OrderSender;
-  readonly #prober: MemberProber;
-  readonly #groupTasks = new Map<string, GroupTask>();
+  readonly #coordinator: Coordinator;
   readonly #limits: ServiceLimits;
   readonly #intake: RequestIntake;
   readonly #callers: CallerServer;
   readonly #peers: Peers | undefined;
   readonly #kinds: FollowedKinds;
   readonly #sideServers: Server[] = [];
-  #planTimer: NodeJS.Timeout | undefined;
-  #planPending = false;
   #hostsKnown = false;
   #stopping = false;
 
   constructor(options: EntryHostOptions) {
     this.#options = options;
     this.#settings = options.settings;
-    const { settings, log, orders, store } = options;
+    const { settings, log, store } = options;
     this.#instance = `${settings.name}-${randomUUID().slice(0, 8)}`;
     this.#holder = new ConfigurationHolder({
       read: options.readConfiguration,
@@ -108,15 +102,7 @@
     });
     this.#peers = this.#makePeers();
     this.#kinds = this.#makeKinds();
-    this.#sender = new OrderSender(orders, log, this.#counters);
-    this.#prober = new MemberProber({
-      orders,
-      log,
-      counters: this.#counters,
-      changed: () => {
-        this.#planSoon();
-      },
-    });
+    this.#coordinator = this.#makeCoordinator();
     this.#limits = new ServiceLimits({
       retries: liveRetryBounds(() => this.#settings.bounds),
       // A host without peers is one of few.
@@ -125,6 +111,7 @@
     this.#chooser = new TargetChooser(this.#registry, this.#activities, {
       failureDomain: settings.failureDomain,
       othersAt: hostId => this.#peers?.tally.loads.ofOthers(hostId) ?? 0,
+      entriesAreComplete: () => this.#entriesAreComplete(),
       isOutlier: (target, now) => this.#isOutlier(target, now),
     });
     this.#intake = new RequestIntake(this.#holder, this.#relayServices());
@@ -143,10 +130,7 @@
     const { settings, log } = this.#options;
     await this.#peers?.start();
     this.#kinds.start();
-    this.#registry.messages.on('changed', () => {
-      this.#planSoon();
-    });
-    this.#planWhileLeading();
+    this.#coordinator.start();
     this.#runInBackground('lease', this.#competeForLease());
     const { callers, readiness, metrics } = settings;
     await this.#callers.listen(callers.ip, callers.port);
@@ -180,7 +164,7 @@
     log.info('entry host stopping', { open: this.#intake.open });
     this.#stopping = true;
     this.#callers.drain();
-    clearInterval(this.#planTimer);
+    this.#coordinator.stop();
     await this.#lease.stop();
     const startedAt = monotonicMs();
     await sleep(NOTICE_MS);
@@ -198,7 +182,7 @@
   /** Ends at once: what is in progress is cut. */
   end(): void {
     this.#stopping = true;
-    clearInterval(this.#planTimer);
+    this.#coordinator.stop();
     this.#lease.abandon();
     this.#callers.close();
     this.#kinds.stop();
@@ -230,13 +214,39 @@
       ownWork: () => this.#demand.counts(),
       orderGiver: () => (this.#lease.term === undefined ? this.#lease.holderHost : name),
       suspected: ({ service, group }) => {
-        this.#suspectHere(service, group);
+        this.#coordinator.suspect(service, group);
       },
       log,
       counters: this.#counters,
     });
   }
 
+  #makeCoordinator(): Coordinator {
+    const { orders, log, settings } = this.#options;
+    return new Coordinator({
+      orders,
+      registry: this.#registry,
+      lease: this.#lease,
+      isReady: () => this.ready,
+      profileOf: service => this.#profileOf(service),
+      inTouchSince: () => this.#kinds.of(OBJECT_KINDS.hosts)?.inTouchSince ?? Infinity,
+      loadWindowMs: settings.bounds.loadWindowMs,
+      mayLoadFreely: () => this.#intake.total === 0,
+      log,
+      counters: this.#counters,
+    });
+  }
+
+  // The declared shares hold at the start only; later the work is divided as it comes.
+  #profileOf(service: string): EngineProfile | undefined {
+    const profile = this.#holder.table?.service(service)?.engine;
+    if (profile === undefined) {
+      return undefined;
+    }
+    const models = this.#demand.shared(service, profile.models);
+    return { ...profile, models };
+  }
+
   #makeKinds(): FollowedKinds {
     const store = storeReader(this.#options.store);
     const alone = { choose: () => store, note: (): void => undefined, usableInMs: () => 0 };
@@ -258,6 +268,11 @@
     });
   }
 
+  async #competeForLease(): Promise<void> {
+    await this.#peers?.membership.known();
+    await this.#lease.run();
+  }
+
   #runInBackground(name: string, running: Promise<void>): void {
     running.catch((error: unknown) => {
       this.#options.log.error('task ended', { task: name, cause: String((error as Error).stack) });
@@ -270,89 +285,24 @@
       return;
     }
     this.#callers.applyLimits(table.limits);
-    for (const service of table.services) {
-      if (service.engine !== undefined && !this.#groupTasks.has(service.name)) {
-        this.#groupTasks.set(service.name, this.#makeGroupTask(service.name));
-      }
-    }
-  }
-
-  #makeGroupTask(service: string): GroupTask {
-    const { bounds } = this.#options.settings;
-    return new GroupTask({
-      service,
-      profile: () => this.#profileOf(service),
-      registry: this.#registry,
-      sender: this.#sender,
-      prober: this.#prober,
-      inTouchSince: () => this.#kinds.of(OBJECT_KINDS.hosts)?.inTouchSince ?? Infinity,
-      loadWindowMs: bounds.loadWindowMs,
-      mayLoadFreely: () => this.#intake.total === 0,
-      log: this.#options.log,
-      counters: this.#counters,
-    });
-  }
-
-  // The declared shares hold at the start only; later the work is divided as it comes.
-  #profileOf(service: string): EngineProfile | undefined {
-    const profile = this.#holder.table?.service(service)?.engine;
-    if (profile === undefined) {
-      return undefined;
-    }
-    const models = this.#demand.shared(service, profile.models);
-    return { ...profile, models };
-  }
-
-  async #competeForLease(): Promise<void> {
-    await this.#peers?.membership.known();
-    await this.#lease.run();
-  }
-
-  // Only the host that holds the lease wakes up to plan: at 195 hosts the timers of the others were
-  // 1,900 wake-ups a second in all.
-  #planWhileLeading(): void {
-    this.#lease.messages.on('taken', () => {
-      clearInterval(this.#planTimer);
-      this.#planTimer = setInterval(() => {
-        this.#plan();
-      }, PLAN_PERIOD_MS);
-    });
-    this.#lease.messages.on('lost', () => {
-      clearInterval(this.#planTimer);
-    });
-  }
-
-  #planSoon(): void {
-    if (this.#planPending || this.#stopping || this.#lease.term === undefined) {
-      return;
-    }
-    this.#planPending = true;
-    setImmediate(() => {
-      this.#planPending = false;
-      this.#plan();
-    });
-  }
-
-  #plan(): void {
-    const term = this.#lease.term;
-    if (term === undefined || !this.ready) {
-      return;
-    }
-    this.#prober.recheckSilent(id => this.#registry.get(id));
-    for (const task of this.#groupTasks.values()) {
-      task.step(term);
-    }
+    this.#coordinator.follow(table.services);
   }
 
   #suspect(service: string, group: ReplicaGroup): void {
     this.#counters.count('groups_suspected_total');
     if (this.#peers === undefined) {
-      this.#suspectHere(service, group.name);
+      this.#coordinator.suspect(service, group.name);
     } else {
       this.#peers.suspect(service, group.name);
     }
   }
 
+  // Hosts whose entries lapsed in an outage of the store write them again soon after it.
+  #entriesAreComplete(): boolean {
+    const since = this.#kinds.of(OBJECT_KINDS.hosts)?.inTouchSince ?? Infinity;
+    return monotonicMs() - since > ENTRIES_RETURN_MS;
+  }
+
   #isOutlier({ host, group }: Target, now: number): boolean {
     const { failureDomain } = this.#settings;
     const name = group?.name ?? host.id;
@@ -360,14 +310,6 @@
     return outliers?.isEjected(name, host.failureDomain, failureDomain, now) ?? false;
   }
 
-  // Only the host that gives orders looks into a suspicion.
-  #suspectHere(service: string, name: string): void {
-    const group = this.#chooser.groupsOf(service).find(candidate => candidate.name === name);
-    if (this.#lease.term !== undefined && group !== undefined) {
-      this.#prober.suspect(group.members.filter(member => member !== undefined));
-    }
-  }
-
   #relayServices(): RelayServices {
     const { headers, log } = this.#options;
     return {
--- /dev/null
+++ b/packages/entry/src/groups/coordinator.ts
@@ -0,0 +1,136 @@
+/** Plans the groups of all engine services while this process holds the lease. */
+import type { EngineProfile, Service } from '../configuration/serving-configuration.js';
+import type { HostRegistry } from '../hosts/host-registry.js';
+import type { LeaseTask } from '../lease/lease-task.js';
+import type { Log } from '../server/log.js';
+import type { Counters } from '../server/metrics.js';
+import { GroupTask } from './group-task.js';
+import type { HostOrders } from './host-orders.js';
+import { MemberProber } from './member-prober.js';
+import { OrderSender } from './order-sender.js';
+
+/** Options of a coordinator. */
+export type CoordinatorOptions = {
+  readonly orders: HostOrders;
+  readonly registry: HostRegistry;
+  readonly lease: LeaseTask;
+  /** False while too little is known to plan. */
+  readonly isReady: () => boolean;
+  /** Models of a service with their shares of the work as measured. */
+  readonly profileOf: (service: string) => EngineProfile | undefined;
+  /** Since when the store has told of hosts without a break (monotonic milliseconds). */
+  readonly inTouchSince: () => number;
+  readonly loadWindowMs: number;
+  /** True before the first request: then loads are quick and do not count. */
+  readonly mayLoadFreely: () => boolean;
+  readonly log: Log;
+  readonly counters: Counters;
+};
+
+const PLAN_PERIOD_MS = 100;
+
+/** Makes a plan when something has changed, and every 100 ms; idle without the lease. */
+export class Coordinator {
+  readonly #options: CoordinatorOptions;
+  readonly #sender: OrderSender;
+  readonly #prober: MemberProber;
+  readonly #groupTasks = new Map<string, GroupTask>();
+  #planTimer: NodeJS.Timeout | undefined;
+  #planPending = false;
+  #stopped = false;
+
+  constructor(options: CoordinatorOptions) {
+    this.#options = options;
+    const { orders, log, counters } = options;
+    this.#sender = new OrderSender(orders, log, counters);
+    this.#prober = new MemberProber({
+      orders,
+      log,
+      counters,
+      changed: () => {
+        this.#planSoon();
+      },
+    });
+  }
+
+  /** Plans from now on whenever this process holds the lease. */
+  start(): void {
+    const { registry, lease } = this.#options;
+    registry.messages.on('changed', () => {
+      this.#planSoon();
+    });
+    // Only the host that holds the lease wakes up to plan: at 195 hosts the timers of the others were
+    // 1,900 wake-ups a second in all.
+    lease.messages.on('taken', () => {
+      clearInterval(this.#planTimer);
+      this.#planTimer = setInterval(() => {
+        this.#plan();
+      }, PLAN_PERIOD_MS);
+    });
+    lease.messages.on('lost', () => {
+      clearInterval(this.#planTimer);
+    });
+  }
+
+  /** Gives no more orders. */
+  stop(): void {
+    this.#stopped = true;
+    clearInterval(this.#planTimer);
+  }
+
+  /** Looks after the groups of these services, as far as they have model engines. */
+  follow(services: readonly Service[]): void {
+    for (const { name, engine } of services) {
+      if (engine !== undefined && !this.#groupTasks.has(name)) {
+        this.#groupTasks.set(name, this.#makeGroupTask(name));
+      }
+    }
+  }
+
+  /** Asks the members of a group that is said to be lost or slow, if this process leads. */
+  suspect(service: string, name: string): void {
+    if (this.#options.lease.term === undefined) {
+      return;
+    }
+    const hosts = this.#options.registry.ofService(service);
+    this.#prober.suspect(hosts.filter(host => host.membership?.group === name));
+  }
+
+  #makeGroupTask(service: string): GroupTask {
+    const { registry, inTouchSince, loadWindowMs, mayLoadFreely, log, counters } = this.#options;
+    return new GroupTask({
+      service,
+      profile: () => this.#options.profileOf(service),
+      registry,
+      sender: this.#sender,
+      prober: this.#prober,
+      inTouchSince,
+      loadWindowMs,
+      mayLoadFreely,
+      log,
+      counters,
+    });
+  }
+
+  #planSoon(): void {
+    if (this.#planPending || this.#stopped || this.#options.lease.term === undefined) {
+      return;
+    }
+    this.#planPending = true;
+    setImmediate(() => {
+      this.#planPending = false;
+      this.#plan();
+    });
+  }
+
+  #plan(): void {
+    const { lease, isReady, registry } = this.#options;
+    if (this.#stopped || lease.term === undefined || !isReady()) {
+      return;
+    }
+    this.#prober.recheckSilent(id => registry.get(id));
+    for (const task of this.#groupTasks.values()) {
+      task.step(lease.term);
+    }
+  }
+}
--- a/packages/entry/src/groups/group-task.ts
+++ b/packages/entry/src/groups/group-task.ts
@@ -55,7 +55,7 @@
 const ENTRY_LAG_MS = 900;
 const STAGING_SLACK_MS = 10_000;
 /** Time after an outage of the store in which entries that went meanwhile are back. */
-const ENTRIES_RETURN_MS = 2_300;
+export const ENTRIES_RETURN_MS = 2_300;
 const LOAD_SLACK_FACTOR = 2;
 /** Time for which a staging that was not taken is left alone, in milliseconds. */
 const STAGING_RETRY_MS = 1_500;
--- a/packages/entry/src/routing/target-chooser.test.ts
+++ b/packages/entry/src/routing/target-chooser.test.ts
@@ -4,6 +4,7 @@
 import type { HostEntry } from '../hosts/host-entry.js';
 import { HostRegistry } from '../hosts/host-registry.js';
 import { silentLog } from '../server/log.js';
+import { testHost } from '../testing/groups.js';
 import { HostActivities } from './host-activity.js';
 import { TargetChooser } from './target-chooser.js';
 
@@ -98,6 +99,28 @@
     expect([...taken()].filter(id => reported.has(id ?? ''))).not.to.have.length(0);
   });
 
+  it('leaves a group alone whose member has left, but not while entries may be missing', () => {
+    const model = { name: 'm', size: 2, pace: 1, workShare: 1, loadMs: 1, warmMs: 1 };
+    const engine = { models: [model], slots: 1, loadsPerSecond: 1, loadsAtOnce: 1 };
+    const service: Service = { ...SERVICE, engine: { ...engine, stagedModelsKept: 1 } };
+    const registry = new HostRegistry((_, value) => value as HostEntry, silentLog());
+    const member = (id: string, group: string, rank: number): HostEntry =>
+      testHost(id, { service: 's', membership: { group, epoch: 1, rank, state: 'open' } });
+    const hosts = [member('whole', 'g1', 0), member('x', 'g1', 1), member('lacking', 'g2', 0)];
+    const objects = hosts.map(value => ({ name: value.id, revision: 1, value }));
+    registry.takeList({ objects, revision: 1 });
+    let complete = true;
+    const chooser = new TargetChooser(registry, new HostActivities(), {
+      failureDomain: 'a',
+      othersAt: id => (id === 'whole' ? 100 : 0),
+      entriesAreComplete: () => complete,
+    });
+    const query = { service, model: 'm', exclude: NOBODY };
+    expect(chooser.choose(query)?.host.id).to.equal('whole');
+    complete = false;
+    expect(chooser.choose(query)?.host.id).to.equal('lacking');
+  });
+
   it('follows each change of the hosts', () => {
     const registry = registryOf(['h0']);
     const chooser = new TargetChooser(registry, new HostActivities(), {
--- a/packages/entry/src/routing/target-chooser.ts
+++ b/packages/entry/src/routing/target-chooser.ts
@@ -1,7 +1,7 @@
 /** Chooses the host that takes a request: a group's head, or a host of a plain service. */
 import type { Service } from '../configuration/serving-configuration.js';
 import type { ReplicaGroup } from '../groups/replica-groups.js';
-import { headState, replicaGroups } from '../groups/replica-groups.js';
+import { headState, isComplete, replicaGroups } from '../groups/replica-groups.js';
 import type { HostEntry } from '../hosts/host-entry.js';
 import type { HostRegistry } from '../hosts/host-registry.js';
 import { monotonicMs } from '../server/time.js';
@@ -12,6 +12,8 @@
   readonly host: HostEntry;
   /** The group whose head it is, for model engines. */
   readonly group: ReplicaGroup | undefined;
+  /** False when an entry of a member is missing, or tells of another group. */
+  readonly isWhole: boolean;
 };
 
 /** What a target is chosen for. */
@@ -29,6 +31,11 @@
   /** Requests of other entry hosts in progress at a host. */
   readonly othersAt: (hostId: string) => number;
   /** True while entry hosts report the group as stalled or slow; `now` in monotonic milliseconds. */
+  /**
+   * True while a missing entry means that its host has left or is lost. After an outage of the store
+   * entries are missing of hosts that are well.
+   */
+  readonly entriesAreComplete?: () => boolean;
   readonly isOutlier?: (target: Target, now: number) => boolean;
 };
 
@@ -69,7 +76,7 @@
   choose(query: TargetQuery): Target | undefined {
     const now = monotonicMs();
     const usable = this.#candidates(query).filter(target => !query.exclude.has(target.host.id));
-    const sound = usable.filter(target => this.#isSound(target.host, now));
+    const sound = usable.filter(target => this.#isSound(target, now));
     const from = this.#withoutOutliers(sound.length > 0 ? sound : usable, now);
     let best: Target | undefined;
     let bestCost = Infinity;
@@ -87,7 +94,7 @@
   hasSound(query: TargetQuery): boolean {
     const now = monotonicMs();
     return this.#candidates(query).some(
-      target => !query.exclude.has(target.host.id) && this.#isSound(target.host, now),
+      target => !query.exclude.has(target.host.id) && this.#isSound(target, now),
     );
   }
 
@@ -98,8 +105,9 @@
   expectedFirstMs(query: TargetQuery): number | undefined {
     const now = monotonicMs();
     let least: number | undefined;
-    for (const { host } of this.#candidates(query)) {
-      if (!this.#isSound(host, now)) {
+    for (const target of this.#candidates(query)) {
+      const { host } = target;
+      if (!this.#isSound(target, now)) {
         continue;
       }
       const firstMs = this.#activities.recentFirstMs(host.id, now);
@@ -111,8 +119,7 @@
     return least;
   }
 
-  /** Groups of a service, as their members tell. */
-  groupsOf(service: string): readonly ReplicaGroup[] {
+  #groupsOf(service: string): readonly ReplicaGroup[] {
     this.#forgetOlderVersion();
     let groups = this.#groups.get(service);
     if (groups === undefined) {
@@ -148,13 +155,14 @@
       return this.#registry
         .ofService(service.name)
         .filter(host => host.accepting)
-        .map(host => ({ host, group: undefined }));
+        .map(host => ({ host, group: undefined, isWhole: true }));
     }
-    return this.groupsOf(service.name).flatMap(group => {
+    return this.#groupsOf(service.name).flatMap(group => {
       const { head } = group;
       const serves = head?.accepting === true && headState(group) === 'open';
       const fits = model === undefined || group.model === model;
-      return head !== undefined && serves && fits ? [{ host: head, group }] : [];
+      const isWhole = isComplete(group, service.engine);
+      return head !== undefined && serves && fits ? [{ host: head, group, isWhole }] : [];
     });
   }
 
@@ -168,7 +176,12 @@
     return kept.length >= targets.length * (1 - MOST_EJECTED_PART) ? kept : targets;
   }
 
-  #isSound({ id, failureDomain }: HostEntry, now: number): boolean {
+  // A head whose member has left or is lost still takes requests, and none of them moves on.
+  #isSound({ host, isWhole }: Target, now: number): boolean {
+    if (!isWhole && (this.#options.entriesAreComplete?.() ?? true)) {
+      return false;
+    }
+    const { id, failureDomain } = host;
     const { reach } = this.#activities;
     const cutOff =
       failureDomain !== this.#options.failureDomain && reach.isCutOff(failureDomain, now);
