Slow members are replaced by free hosts that are ready for the model

Four of 14 groups of the smaller model took 1.2 to 2.3 s to the first event for 10 s, while 11 to 31 hosts were free. The leader asked the members for their pace on each suspicion, and did not look at it. Ruled out: giving up slow groups without a replacement; at a fifth of the speed they serve more than none. Change: the prober keeps who is slow (pace 1.8 or more) and asks again each second; a group with slow members is dissolved when its fabric domain has as many sound hosts ready for the model, without the pause between other dissolutions; formations take slow hosts last.

--- a/packages/entry/src/groups/coordinator.ts
+++ b/packages/entry/src/groups/coordinator.ts
@@ -128,7 +128,7 @@
     if (this.#stopped || lease.term === undefined || !isReady()) {
       return;
     }
-    this.#prober.recheckSilent(id => registry.get(id));
+    this.#prober.recheck(id => registry.get(id));
     for (const task of this.#groupTasks.values()) {
       task.step(lease.term);
     }
--- a/packages/entry/src/groups/fleet-picture.ts
+++ b/packages/entry/src/groups/fleet-picture.ts
@@ -49,7 +49,7 @@
   }
   const domains: readonly FleetDomain[] = [...drafts.values()];
   const stagingNow = (id: string): string | undefined => beliefs.stagings.get(id)?.model;
-  return { profile, domains, stagingNow };
+  return { profile, domains, stagingNow, slow: beliefs.slow };
 }
 
 function draftOf(drafts: Map<string, Draft>, host: HostEntry): Draft {
--- a/packages/entry/src/groups/fleet-view.ts
+++ b/packages/entry/src/groups/fleet-view.ts
@@ -27,6 +27,8 @@
   readonly domains: readonly FleetDomain[];
   /** Model that a host is staging. */
   readonly stagingNow: (hostId: string) => string | undefined;
+  /** Hosts that are slow: a group runs at the pace of its slowest member. */
+  readonly slow: ReadonlySet<string>;
 };
 
 /** Time of a join that needs no load, in milliseconds (from the platform's protocol). */
--- a/packages/entry/src/groups/formation-plan.ts
+++ b/packages/entry/src/groups/formation-plan.ts
@@ -33,6 +33,12 @@
  */
 const WAIT_WORTH = 0.2;
 
+/**
+ * What a slow host costs against one that has to load, in milliseconds: it would make its whole group
+ * slow for as long as it lasts, some 10 s on the users' days, so that it is taken last.
+ */
+const SLOW_HOST_MS = 60_000;
+
 /** Plans formations in the order of their worth, until hosts or loads run out. */
 export function planFormations(
   view: FleetView,
@@ -170,5 +176,6 @@
   const others = view.profile.models.filter(
     other => other !== model && warmMsOf(host, other, view) !== undefined,
   );
-  return (warmMs ?? model.loadMs) + others.length;
+  const slowMs = view.slow.has(host.id) ? SLOW_HOST_MS : 0;
+  return (warmMs ?? model.loadMs) + others.length + slowMs;
 }
--- a/packages/entry/src/groups/group-beliefs.ts
+++ b/packages/entry/src/groups/group-beliefs.ts
@@ -43,6 +43,8 @@
   readonly incompleteSince: ReadonlyMap<string, number>;
   /** Hosts that did not answer when asked, with the time since when (monotonic milliseconds). */
   readonly silent: ReadonlyMap<string, number>;
+  /** Hosts that said that they are slow; a group runs at the pace of its slowest member. */
+  readonly slow: ReadonlySet<string>;
   /** Hosts that answer again since a moment ago. */
   readonly justBack: ReadonlySet<string>;
   /** Hosts whose entries went but that still answer. */
--- a/packages/entry/src/groups/group-task.ts
+++ b/packages/entry/src/groups/group-task.ts
@@ -172,6 +172,7 @@
       heads: this.#observer.heads,
       incompleteSince: this.#observer.incompleteSince,
       silent: prober.silent,
+      slow: prober.slow,
       justBack: prober.justBack,
       unlisted: prober.unlisted,
       entriesMayReturn: now - this.#options.inTouchSince() < ENTRIES_RETURN_MS,
--- a/packages/entry/src/groups/member-prober.ts
+++ b/packages/entry/src/groups/member-prober.ts
@@ -23,11 +23,18 @@
 /** All silent hosts are asked again at least once in this time. */
 const JUST_BACK_MS = 1_800;
 
-/** Keeps which hosts do not answer. */
+/**
+ * Factor on a host's times from which it counts as slow. A group runs at the pace of its slowest
+ * member; forming it anew with another one takes it out of service for about 1.5 s.
+ */
+const SLOW_PACE = 1.8;
+
+/** Keeps which hosts do not answer, and which are slow. */
 export class MemberProber {
   readonly #options: MemberProberOptions;
   /** Since when hosts do not answer (monotonic milliseconds). */
   readonly #silent = new Map<string, number>();
+  readonly #slow = new Set<string>();
   readonly #unlisted = new Map<string, HostEntry>();
   readonly #asked = new Map<string, number>();
   readonly #backSince = new Map<string, number>();
@@ -41,6 +48,11 @@
     return this.#silent;
   }
 
+  /** Hosts that said that they are slow when they were last asked. */
+  get slow(): ReadonlySet<string> {
+    return this.#slow;
+  }
+
   /** Hosts that answer again since a moment ago: what is believed of their peers may be old. */
   get justBack(): ReadonlySet<string> {
     const oldest = monotonicMs() - JUST_BACK_MS;
@@ -79,11 +91,12 @@
     }
   }
 
-  /** Asks silent hosts again, so that a wrong belief does not last. */
-  recheckSilent(entryOf: (id: string) => HostEntry | undefined): void {
-    for (const id of this.#silent.keys()) {
+  /** Asks silent and slow hosts again, so that a wrong belief does not last. */
+  recheck(entryOf: (id: string) => HostEntry | undefined): void {
+    for (const id of [...this.#silent.keys(), ...this.#slow]) {
       const entry = entryOf(id);
       if (entry === undefined) {
+        this.#slow.delete(id);
         continue;
       }
       this.#askEvery(entry, SILENT_PERIOD_MS);
@@ -112,6 +125,25 @@
       (await first);
     counters.count('probes_total', { answered: String(answered !== undefined) });
     this.#believe(host, answered !== undefined);
+    this.#believePace(host, answered?.pace ?? 1);
+  }
+
+  #believePace(host: HostEntry, pace: number): void {
+    const isSlow = pace >= SLOW_PACE;
+    if (isSlow === this.#slow.has(host.id)) {
+      return;
+    }
+    if (isSlow) {
+      this.#slow.add(host.id);
+    } else {
+      this.#slow.delete(host.id);
+    }
+    this.#options.log.info(isSlow ? 'host is slow' : 'host is not slow any more', {
+      host: host.id,
+      group: host.membership?.group,
+      pace,
+    });
+    this.#options.changed();
   }
 
   #believe(host: HostEntry, answers: boolean): void {
--- a/packages/entry/src/groups/plans.test.ts
+++ b/packages/entry/src/groups/plans.test.ts
@@ -60,7 +60,7 @@
 }
 
 function fleet(...domains: FleetDomain[]): FleetView {
-  return { profile: PROFILE, domains, stagingNow: () => undefined };
+  return { profile: PROFILE, domains, stagingNow: () => undefined, slow: new Set() };
 }
 
 function modelsOf(planned: readonly { readonly model: GroupModel }[]): readonly string[] {
--- a/packages/entry/src/groups/rearrangement.ts
+++ b/packages/entry/src/groups/rearrangement.ts
@@ -3,6 +3,7 @@
 import type { FleetView } from './fleet-view.js';
 import { planDissolution } from './rearrangement-plan.js';
 import type { ReplicaGroup } from './replica-groups.js';
+import { planSlowReplacements } from './slow-members.js';
 
 /** Time between two looks for a better arrangement, in milliseconds; a look takes about 1 ms. */
 const LOOK_PERIOD_MS = 300;
@@ -30,11 +31,14 @@
 
   /** Decides whether groups are to be dissolved; their repair gives the orders. */
   look(fleet: FleetView, now: number): void {
-    const tooSoon = now - this.#dissolvedAt < DISSOLUTION_PERIOD_MS;
-    if (tooSoon || now - this.#lookedAt < LOOK_PERIOD_MS) {
+    if (now - this.#lookedAt < LOOK_PERIOD_MS) {
       return;
     }
     this.#lookedAt = now;
+    this.#replaceSlowMembers(fleet, now);
+    if (now - this.#dissolvedAt < DISSOLUTION_PERIOD_MS) {
+      return;
+    }
     const planned = planDissolution(fleet);
     for (const group of planned?.groups ?? []) {
       this.#dissolvedAt = now;
@@ -48,6 +52,19 @@
     }
   }
 
+  // These wait for nothing: each gives its hosts back to a group of the same model.
+  #replaceSlowMembers(fleet: FleetView, now: number): void {
+    for (const group of planSlowReplacements(fleet)) {
+      this.#dissolving.set(group.name, now);
+      this.#log.info('group dissolved to replace slow members', {
+        group: group.name,
+        model: group.model,
+        domain: group.members[0]?.fabricDomain,
+        slow: group.members.flatMap(({ id }) => (fleet.slow.has(id) ? [id] : [])).join(','),
+      });
+    }
+  }
+
   /** Forgets groups that have no head any more. */
   forgetEnded(groups: readonly ReplicaGroup[]): void {
     for (const name of this.#dissolving.keys()) {
--- a/packages/entry/src/testing/fleet-model.ts
+++ b/packages/entry/src/testing/fleet-model.ts
@@ -259,7 +259,7 @@
     });
     const stagingNow = (id: string): string | undefined =>
       this.#hosts.find(host => host.id === id)?.staging?.model.name;
-    return { profile: this.#profile, domains, stagingNow };
+    return { profile: this.#profile, domains, stagingNow, slow: new Set() };
   }
 }
 
--- a/packages/entry/src/testing/groups.ts
+++ b/packages/entry/src/testing/groups.ts
@@ -29,6 +29,7 @@
     heads: new Map(),
     incompleteSince: new Map(),
     silent: new Map(),
+    slow: new Set(),
     justBack: new Set(),
     unlisted: new Map(),
     entriesMayReturn: false,
