Second attempts start where they pay, and reports of stalls apart from them

A second attempt at 120 ms that needs 159 ms to its first event can not keep a gap target of 200 ms. At 89 entry hosts each has one stream at a head, so the check that others there stand still as well was always true. Ruled out: leaving stalls unnoticed for longer: reports to the other entry hosts stay at the gap target, and a stall that others have met already is left at 0.6 of it. Change: requests/stall-limits.ts decides both limits from the gap target, the objective and the usual time to the first event of the model (host-activity.ts); attempts are looked at again when a group is ejected. Measured: tests of both patterns.

--- a/packages/entry/src/entry-host.ts
+++ b/packages/entry/src/entry-host.ts
@@ -68,6 +68,7 @@
   readonly #holder: ConfigurationHolder;
   readonly #registry: HostRegistry;
   readonly #activities = new HostActivities();
+  readonly #stalls = new StallMonitor();
   readonly #demand = new DemandMeter(key => this.#peers?.tally.work.ofOthers(key) ?? 0);
   readonly #chooser: TargetChooser;
   readonly #lease: LeaseTask;
@@ -216,6 +217,11 @@
       suspected: ({ service, group }) => {
         this.#coordinator.suspect(service, group);
       },
+      ejected: () => {
+        setImmediate(() => {
+          this.#stalls.lookNow();
+        });
+      },
       log,
       counters: this.#counters,
     });
@@ -318,12 +324,13 @@
       chooser: this.#chooser,
       activities: this.#activities,
       demand: this.#demand,
-      stalls: new StallMonitor(),
+      stalls: this.#stalls,
       budgetOf: service => this.#limits.budgetOf(service),
       connectionsOf: service => this.#limits.connectionsOf(service),
       suspect: (service, group) => {
         this.#suspect(service, group);
       },
+      isOutlier: target => this.#isOutlier(target, monotonicMs()),
       keysHold: () => {
         const { bounds } = this.#settings;
         const limit = bounds.keyRevocationMs - KEY_MARGIN_MS;
--- a/packages/entry/src/peers/peers.test.ts
+++ b/packages/entry/src/peers/peers.test.ts
@@ -38,6 +38,7 @@
     ownWork: () => [],
     orderGiver: () => undefined,
     suspected: () => undefined,
+    ejected: () => undefined,
     log: silentLog(),
     counters: new Counters(),
     ...change,
--- a/packages/entry/src/peers/peers.ts
+++ b/packages/entry/src/peers/peers.ts
@@ -43,6 +43,8 @@
   readonly orderGiver: () => string | undefined;
   /** This host gives orders, and a group is said to stand still. */
   readonly suspected: (request: SuspectRequest) => void;
+  /** A group was ejected that was not before. */
+  readonly ejected: () => void;
   readonly log: Log;
   readonly counters: Counters;
 };
@@ -172,6 +174,7 @@
     if (isNews) {
       this.#options.counters.count('outliers_ejected_total');
       this.#options.watchOf(OBJECT_KINDS.hosts)?.cache.wakeAll();
+      this.#options.ejected();
     }
   }
 
--- a/packages/entry/src/requests/plain-relay.ts
+++ b/packages/entry/src/requests/plain-relay.ts
@@ -1,6 +1,7 @@
 /** Relays calls with one answer; the answer is read whole before any of it is passed on. */
 import type { IncomingMessage } from 'node:http';
 
+import { kindOf } from '../routing/host-activity.js';
 import type { Target } from '../routing/target-chooser.js';
 import { monotonicMs, sleep } from '../server/time.js';
 import { AttemptLog } from './attempt-log.js';
@@ -196,7 +197,8 @@
     }
     if (end.kind === 'answered' && (end.answer.head.statusCode ?? 0) < 500) {
       activities.noteProgress(target.host);
-      activities.noteFirst(target.host.id, ms);
+      const kind = kindOf(this.#context.service.name, undefined);
+      activities.noteFirst(target.host.id, ms, kind);
     } else if (end.kind !== 'gone') {
       if (end.kind === 'never-sent') {
         activities.noteUnreachable(target.host);
--- a/packages/entry/src/requests/relay-services.ts
+++ b/packages/entry/src/requests/relay-services.ts
@@ -5,7 +5,7 @@
 import type { DemandMeter } from '../routing/demand-meter.js';
 import type { HostActivities } from '../routing/host-activity.js';
 import type { RetryBudget } from '../routing/retry-budget.js';
-import type { TargetChooser } from '../routing/target-chooser.js';
+import type { Target, TargetChooser } from '../routing/target-chooser.js';
 import type { Log } from '../server/log.js';
 import type { Counters, Latencies } from '../server/metrics.js';
 import type { RelayHeaders } from './relay-headers.js';
@@ -24,6 +24,8 @@
   readonly connectionsOf: (service: Service) => UpstreamConnections;
   /** Tells the order giver that a group stands still. */
   readonly suspect: (service: string, group: ReplicaGroup) => void;
+  /** True while entry hosts report the target's group as stalled or slow. */
+  readonly isOutlier: (target: Target) => boolean;
   /** True while keys may be honoured. */
   readonly keysHold: () => boolean;
   readonly log: Log;
--- /dev/null
+++ b/packages/entry/src/requests/stall-limits.test.ts
@@ -0,0 +1,52 @@
+/** The patterns: a group reads long prompts of others between two events; a group dies. */
+import { expect } from 'chai';
+
+import type { SilentRun } from './stall-limits.js';
+import { stallLimits } from './stall-limits.js';
+
+const RUN: SilentRun = {
+  begun: true,
+  resumed: false,
+  hostServesOthers: false,
+  isOutlier: false,
+  objectiveMs: 300,
+  gapTargetMs: 200,
+  typicalFirstMs: 160,
+};
+
+describe('limits of a silent run', () => {
+  it('start no second attempt for a pause that keeps the gap target', () => {
+    const { reportMs, secondAttemptMs } = stallLimits(RUN);
+    expect(reportMs).to.be.at.least(RUN.gapTargetMs);
+    expect(secondAttemptMs).to.be.greaterThan(RUN.gapTargetMs);
+  });
+
+  it('start one soon where other entry hosts have met the same stall', () => {
+    expect(stallLimits({ ...RUN, isOutlier: true }).secondAttemptMs).to.be.below(RUN.gapTargetMs);
+    const first = stallLimits({ ...RUN, begun: false, isOutlier: true });
+    expect(first.secondAttemptMs).to.be.below(RUN.objectiveMs);
+  });
+
+  it('wait longest at a host that serves others meanwhile', () => {
+    const busy = stallLimits({ ...RUN, hostServesOthers: true });
+    expect(busy.secondAttemptMs).to.be.greaterThan(stallLimits(RUN).secondAttemptMs);
+  });
+
+  it('start a second attempt before the first event only while it can be in time', () => {
+    const quick = stallLimits({ ...RUN, begun: false, typicalFirstMs: 80 });
+    expect(quick.secondAttemptMs + 80).to.be.at.most(RUN.objectiveMs);
+    const usual = stallLimits({ ...RUN, begun: false });
+    expect(usual.secondAttemptMs).to.be.greaterThan(RUN.objectiveMs);
+  });
+
+  it('report a first event that is far later than usual, and never before it is', () => {
+    expect(stallLimits({ ...RUN, begun: false, typicalFirstMs: 80 }).reportMs).to.equal(200);
+    const unknown = stallLimits({ ...RUN, begun: false, typicalFirstMs: undefined });
+    expect(unknown.reportMs).to.be.greaterThan(RUN.objectiveMs);
+  });
+
+  it('of a resumed run follow the gap target, since its caller waits since the last event', () => {
+    const resumed = stallLimits({ ...RUN, begun: false, resumed: true });
+    expect(resumed.secondAttemptMs).to.equal(560);
+  });
+});
--- /dev/null
+++ b/packages/entry/src/requests/stall-limits.ts
@@ -0,0 +1,84 @@
+/**
+ * Decides after which silence a run at a host is reported to other entry hosts, and after which a
+ * second attempt starts beside it. Pure.
+ *
+ * A second attempt reads the whole prompt anew and makes its group slower for all. It pays in two
+ * cases only: its first event can still be in time, or the first host will not go on at all. Before
+ * this, at 89 entry hosts, 6% of all streams got a second attempt in quiet seconds because a group
+ * read others' prompts for longer than 0.6 of the gap target, and nearly all were for nothing.
+ */
+
+/** What is known of a run that is silent. */
+export type SilentRun = {
+  /** Its first event has come. */
+  readonly begun: boolean;
+  /** It goes on behind an event of an earlier run, so that its caller waits since that one. */
+  readonly resumed: boolean;
+  /** Others' streams at the host go on meanwhile: it is busy, not lost. */
+  readonly hostServesOthers: boolean;
+  /** Entry hosts report the group as stalled or slow. */
+  readonly isOutlier: boolean;
+  readonly objectiveMs: number;
+  readonly gapTargetMs: number;
+  /** Usual time to the first event of the model, in milliseconds; undefined while not known. */
+  readonly typicalFirstMs: number | undefined;
+};
+
+/** Silences in milliseconds. */
+export type StallLimits = {
+  /** The group is reported, and new requests go elsewhere. */
+  readonly reportMs: number;
+  /** A second attempt starts. */
+  readonly secondAttemptMs: number;
+};
+
+/** A gap longer than the target makes a stream late; groups that go on stay below it. */
+const GAP_REPORT_PART = 1;
+/** The stream is late by then, so that the second attempt only has to end it at all. */
+const GAP_SECOND_PART = 1.5;
+/** The same at a host that serves others meanwhile: most such pauses end by themselves. */
+const GAP_BUSY_PART = 2.5;
+/** Part of a limit that is waited for where others have met the same stall already. */
+const OUTLIER_PART = 0.6;
+/** Times to the first event this much over the usual one are outliers; long prompts stay below. */
+const FIRST_OUTLIER_FACTOR = 2.5;
+/** The usual time has to have passed by half before a second attempt can be the quicker one. */
+const FIRST_SECOND_FACTOR = 1.5;
+/** Silence before the first event after which a request is late in any case, of the objective. */
+const FIRST_LATE_PART = 1.4;
+/** Gap targets within which a resumed run should bring its first event. */
+const RESUMED_GAPS = 2;
+
+/** The limits of a run as things stand. */
+export function stallLimits(run: SilentRun): StallLimits {
+  const limits = run.begun ? gapLimits(run) : firstLimits(run);
+  if (!run.isOutlier) {
+    return limits;
+  }
+  const soonMs = (run.begun ? run.gapTargetMs : run.objectiveMs) * OUTLIER_PART;
+  return { ...limits, secondAttemptMs: Math.min(limits.secondAttemptMs, soonMs) };
+}
+
+function gapLimits({ gapTargetMs, hostServesOthers }: SilentRun): StallLimits {
+  if (hostServesOthers) {
+    const busyMs = gapTargetMs * GAP_BUSY_PART;
+    return { reportMs: busyMs, secondAttemptMs: busyMs };
+  }
+  return {
+    reportMs: gapTargetMs * GAP_REPORT_PART,
+    secondAttemptMs: gapTargetMs * GAP_SECOND_PART,
+  };
+}
+
+function firstLimits(run: SilentRun): StallLimits {
+  const { objectiveMs, gapTargetMs, typicalFirstMs, resumed } = run;
+  const lateMs = (resumed ? gapTargetMs * RESUMED_GAPS : objectiveMs) * FIRST_LATE_PART;
+  if (typicalFirstMs === undefined) {
+    return { reportMs: lateMs, secondAttemptMs: lateMs };
+  }
+  const reportMs = Math.min(lateMs, typicalFirstMs * FIRST_OUTLIER_FACTOR);
+  // The last moment at which a second attempt would usually be in time.
+  const inTimeMs = objectiveMs - typicalFirstMs;
+  const rescues = !resumed && inTimeMs >= typicalFirstMs * FIRST_SECOND_FACTOR;
+  return { reportMs, secondAttemptMs: rescues ? inTimeMs : lateMs };
+}
--- a/packages/entry/src/requests/stall-monitor.ts
+++ b/packages/entry/src/requests/stall-monitor.ts
@@ -31,6 +31,13 @@
     this.#schedule(now, attempt.look(now));
   }
 
+  /** Looks at all attempts at once: something was learned that shortens their limits. */
+  lookNow(): void {
+    if (this.#attempts.size > 0) {
+      this.#look();
+    }
+  }
+
   /** The attempt is over. */
   remove(attempt: Stallable): void {
     this.#attempts.delete(attempt);
--- a/packages/entry/src/requests/stream-attempt.ts
+++ b/packages/entry/src/requests/stream-attempt.ts
@@ -1,6 +1,7 @@
 /** One run of a stream at one host. */
 import type { IncomingMessage, ServerResponse } from 'node:http';
 
+import { kindOf } from '../routing/host-activity.js';
 import type { Target } from '../routing/target-chooser.js';
 import { monotonicMs } from '../server/time.js';
 import type { Exchange, ExchangeEnd } from './exchange.js';
@@ -9,6 +10,8 @@
 import type { RelayServices } from './relay-services.js';
 import type { RequestContext } from './request-context.js';
 import { mayRepeat } from './request-context.js';
+import type { StallLimits } from './stall-limits.js';
+import { stallLimits } from './stall-limits.js';
 import { upstreamHeaders } from './upstream-request.js';
 
 /** How a run ended. */
@@ -35,14 +38,6 @@
 type Stall = { readonly silence: number; readonly hostSilence: number; readonly limit: number };
 
 const CONNECT_TIMEOUT_MS = 300;
-/** Silence, as a part of the gap target, after which a begun stream stands still. */
-const GAP_PART = 0.6;
-/** Silence before the first event, as a part of the objective. */
-const FIRST_PART = 0.6;
-/** The same where nothing shows that the host does not serve others meanwhile. */
-const FIRST_PART_BUSY = 1.4;
-/** Silence of a begun stream at a host that serves others meanwhile, as a part of the gap target. */
-const GAP_PART_BUSY = 2.5;
 const MAX_FAILURE_BYTES = 256 * 1024;
 
 /** One run. */
@@ -148,19 +143,22 @@
    */
   look(now: number): number {
     const silence = now - this.#lastProgressAt;
-    const least = this.#limitMs(true, 1);
-    if (this.#paused || silence < least) {
-      return least - (this.#paused ? 0 : silence);
-    }
     const { activities } = this.#services;
-    const hostId = this.#target.host.id;
-    const hostSilence = now - Math.max(activities.of(hostId).lastProgressAt, this.#startedAt);
-    const limit = this.#limitMs(hostSilence >= silence - 1, activities.of(hostId).begun);
-    if (silence >= limit) {
-      this.#suspectOnce({ silence, hostSilence, limit });
+    const { lastProgressAt } = activities.of(this.#target.host.id);
+    const hostSilence = now - Math.max(lastProgressAt, this.#startedAt);
+    const limits = this.#limits(hostSilence < silence - 1);
+    const leftMs = Math.min(limits.reportMs, limits.secondAttemptMs) - silence;
+    if (this.#paused || leftMs > 0) {
+      return Math.max(0, leftMs);
+    }
+    if (silence >= limits.reportMs) {
+      this.#suspectOnce({ silence, hostSilence, limit: limits.reportMs });
+    }
+    if (silence >= limits.secondAttemptMs) {
       this.#options.stalled();
     }
-    return 0;
+    const nextMs = Math.max(limits.reportMs, limits.secondAttemptMs) - silence;
+    return Math.max(0, nextMs);
   }
 
   #suspectOnce({ silence, hostSilence, limit }: Stall): void {
@@ -191,16 +189,18 @@
     }
   }
 
-  // Before its first event a request can not tell a host that stands still from one that is busy,
-  // unless others that had begun there stand still too.
-  #limitMs(hostSilent: boolean, begunThere: number): number {
-    const { route } = this.#context;
-    if (this.#begun) {
-      return route.gapTargetMs * (hostSilent ? GAP_PART : GAP_PART_BUSY);
-    }
-    const resumed = this.#options.lastEventId !== this.#context.lastEventId;
-    const base = resumed ? route.gapTargetMs * 2 : route.objectiveMs;
-    return base * (hostSilent && begunThere > 0 ? FIRST_PART : FIRST_PART_BUSY);
+  #limits(hostServesOthers: boolean): StallLimits {
+    const { route, service, model } = this.#context;
+    const { activities, isOutlier } = this.#services;
+    return stallLimits({
+      begun: this.#begun,
+      resumed: this.#options.lastEventId !== this.#context.lastEventId,
+      hostServesOthers,
+      isOutlier: isOutlier(this.#target),
+      objectiveMs: route.objectiveMs,
+      gapTargetMs: route.gapTargetMs,
+      typicalFirstMs: activities.typicalFirstMs(kindOf(service.name, model)),
+    });
   }
 
   #takeHead(answer: IncomingMessage): void {
@@ -235,7 +235,8 @@
     if (!this.#begun) {
       this.#begun = true;
       activities.begin(hostId);
-      activities.noteFirst(hostId, now - this.#startedAt);
+      const { service, model } = this.#context;
+      activities.noteFirst(hostId, now - this.#startedAt, kindOf(service.name, model));
     }
     this.#options.events(chunk);
   }
--- a/packages/entry/src/routing/host-activity.ts
+++ b/packages/entry/src/routing/host-activity.ts
@@ -27,11 +27,26 @@
   consecutiveFailures: number;
 };
 
+/** Weight of the newest value in the usual times of a kind of request. */
+const TYPICAL_SMOOTHING = 0.05;
+/** Values from which the usual time of a kind counts as known. */
+const TYPICAL_LEAST = 10;
+/** Factor over the usual time to which a value is cut, so that a lost group does not become usual. */
+const TYPICAL_CUT = 3;
+
+type Typical = { ms: number; count: number };
+
+/** Requests whose times can be compared: those of one model, or of one plain service. */
+export function kindOf(service: string, model: string | undefined): string {
+  return `${service}/${model ?? ''}`;
+}
+
 /** The activity of all hosts, by id. */
 export class HostActivities {
   /** Failure domains as seen by this entry host. */
   readonly reach = new DomainReach();
   readonly #hosts = new Map<string, HostActivity>();
+  readonly #typical = new Map<string, Typical>();
 
   /** Activity of a host, made on first use. */
   of(id: string): HostActivity {
@@ -93,8 +108,9 @@
     this.reach.noteUnreachable(host.failureDomain, host.id);
   }
 
-  /** The first event or the answer of a request has come. */
-  noteFirst(id: string, ms: number): void {
+  /** The first event or the answer of a request has come; `kind` as of {@link kindOf}. */
+  noteFirst(id: string, ms: number, kind: string): void {
+    this.#noteTypical(ms, kind);
     const activity = this.of(id);
     const before = activity.firstMs ?? ms;
     activity.firstMs = before + SMOOTHING * (ms - before);
@@ -102,6 +118,21 @@
     activity.consecutiveFailures = 0;
   }
 
+  /** Usual time to the first event of a kind at all hosts, in milliseconds; undefined at first. */
+  typicalFirstMs(kind: string): number | undefined {
+    const typical = this.#typical.get(kind);
+    return typical === undefined || typical.count < TYPICAL_LEAST ? undefined : typical.ms;
+  }
+
+  #noteTypical(ms: number, kind: string): void {
+    const typical = this.#typical.get(kind) ?? { ms, count: 0 };
+    const value = Math.min(ms, TYPICAL_CUT * typical.ms);
+    // An average of all at first, then one of the last twenty.
+    const weight = Math.max(TYPICAL_SMOOTHING, 1 / (typical.count + 1));
+    const next = { ms: typical.ms + weight * (value - typical.ms), count: typical.count + 1 };
+    this.#typical.set(kind, next);
+  }
+
   /**
    * Moving average of the time to the first event; undefined when it is old or not known. `now` in
    * monotonic milliseconds: a choice looks at many hosts and reads the clock once.
--- a/packages/entry/src/routing/target-chooser.test.ts
+++ b/packages/entry/src/routing/target-chooser.test.ts
@@ -143,9 +143,9 @@
       othersAt: () => 0,
     });
     const query = { service: SERVICE, model: undefined, exclude: NOBODY };
-    activities.noteFirst('h0', 300);
+    activities.noteFirst('h0', 300, 's/');
     expect(chooser.expectedFirstMs(query)).to.equal(undefined);
-    activities.noteFirst('h1', 200);
+    activities.noteFirst('h1', 200, 's/');
     expect(chooser.expectedFirstMs(query)).to.equal(200);
   });
 
