A target of which nothing is known counts as usual, not as quick

Cause (read): a target without a first event in the last 1.5 s was taken to need 80 ms, so that with many entry hosts nearly every target cost the same, and the few that were known to need the usual 160 or 300 ms cost two to four times as much as unknown ones with far more requests. Change: the usual time of the model stands in (host-activity.ts); 80 ms only while nothing is known. Measured: the new test fails before.

--- a/packages/entry/src/routing/target-chooser.test.ts
+++ b/packages/entry/src/routing/target-chooser.test.ts
@@ -149,6 +149,21 @@
     expect(chooser.expectedFirstMs(query)).to.equal(200);
   });
 
+  it('takes a host of which nothing is known to be like the others, not quicker', () => {
+    const activities = new HostActivities();
+    const chooser = new TargetChooser(registryOf(['known', 'new']), activities, {
+      failureDomain: 'a',
+      othersAt: id => (id === 'new' ? 4 : 0),
+    });
+    for (let request = 0; request < 20; request++) {
+      activities.noteFirst('known', 200, 's/');
+    }
+    const query = { service: SERVICE, model: undefined, exclude: NOBODY };
+    for (let request = 0; request < 20; request++) {
+      expect(chooser.choose(query)?.host.id).to.equal('known');
+    }
+  });
+
   it('makes the list of targets once for each state of the hosts', () => {
     const registry = registryOf(names);
     const chooser = new TargetChooser(registry, new HostActivities(), {
--- a/packages/entry/src/routing/target-chooser.ts
+++ b/packages/entry/src/routing/target-chooser.ts
@@ -6,6 +6,7 @@
 import type { HostRegistry } from '../hosts/host-registry.js';
 import { monotonicMs } from '../server/time.js';
 import type { HostActivities } from './host-activity.js';
+import { kindOf } from './host-activity.js';
 
 /** A host that may take a request. */
 export type Target = {
@@ -39,7 +40,7 @@
   readonly isOutlier?: (target: Target, now: number) => boolean;
 };
 
-/** Time to the first event that is assumed of a host nothing is known of, in milliseconds. */
+/** Time to the first event that is assumed while nothing is known of any host, in milliseconds. */
 const DEFAULT_FIRST_MS = 80;
 /** Weight of each request that is at a host already. */
 const QUEUE_WEIGHT = 0.25;
@@ -78,10 +79,12 @@
     const usable = this.#candidates(query).filter(target => !query.exclude.has(target.host.id));
     const sound = usable.filter(target => this.#isSound(target, now));
     const from = this.#withoutOutliers(sound.length > 0 ? sound : usable, now);
+    const { service, model } = query;
+    const typicalMs = this.#activities.typicalFirstMs(kindOf(service.name, model));
     let best: Target | undefined;
     let bestCost = Infinity;
     for (const target of sampleOf(from, SAMPLE)) {
-      const cost = this.#cost(target.host, now);
+      const cost = this.#cost(target.host, typicalMs, now);
       if (cost < bestCost) {
         best = target;
         bestCost = cost;
@@ -188,9 +191,10 @@
     return !cutOff && !this.#activities.isAvoided(id, now);
   }
 
-  #cost(host: HostEntry, now: number): number {
+  // A target that nothing is known of is taken to be like the others, not to be quicker.
+  #cost(host: HostEntry, typicalMs: number | undefined, now: number): number {
     const activity = this.#activities.of(host.id);
-    const first = this.#activities.recentFirstMs(host.id, now) ?? DEFAULT_FIRST_MS;
+    const first = this.#activities.recentFirstMs(host.id, now) ?? typicalMs ?? DEFAULT_FIRST_MS;
     const queue = 1 + QUEUE_WEIGHT * (activity.inFlight + this.#options.othersAt(host.id));
     const remote = host.failureDomain === this.#options.failureDomain ? 1 : REMOTE_FACTOR;
     return first * queue * remote * (1 + SPREAD * Math.random());
