Followers hear of the hosts that requests may go to, and ask peers first when they start

Every host followed every entry of every engine, nine of ten of them no heads, and at a start each asked the store for all of them. Ruled out: filtering at the store, which has no such question; deltas of single fields, which leave thousands of entries to every host. Change: a followed host answers with a view of plain hosts and heads (store/routing-view.ts), made once for each revision; the names of groups that lack a member travel beside it. Hosts that may have to give orders, and followed ones, still follow all. A host that starts asks for the members first, then its peers; a peer that knows nothing yet keeps the question until it does. Measured: tests of the view, of the change of views and of the kept question.

--- a/packages/entry/src/entry-host.ts
+++ b/packages/entry/src/entry-host.ts
@@ -8,7 +8,9 @@
 import { Coordinator } from './groups/coordinator.js';
 import { ENTRIES_RETURN_MS } from './groups/group-task.js';
 import type { HostOrders } from './groups/host-orders.js';
+import { LackingGroups } from './groups/lacking-groups.js';
 import type { ReplicaGroup } from './groups/replica-groups.js';
+import { isComplete } from './groups/replica-groups.js';
 import type { HostReader } from './hosts/host-registry.js';
 import { HostRegistry } from './hosts/host-registry.js';
 import { DEFAULT_LEASE_TIMING, LeaseTask } from './lease/lease-task.js';
@@ -69,6 +71,10 @@
   readonly #registry: HostRegistry;
   readonly #activities = new HostActivities();
   readonly #stalls = new StallMonitor();
+  readonly #lacking = new LackingGroups(
+    () => this.#allGroups(),
+    group => this.#lacksMember(group),
+  );
   readonly #demand = new DemandMeter(key => this.#peers?.tally.work.ofOthers(key) ?? 0);
   readonly #chooser: TargetChooser;
   readonly #lease: LeaseTask;
@@ -112,7 +118,7 @@
     this.#chooser = new TargetChooser(this.#registry, this.#activities, {
       failureDomain: settings.failureDomain,
       othersAt: hostId => this.#peers?.tally.loads.ofOthers(hostId) ?? 0,
-      entriesAreComplete: () => this.#entriesAreComplete(),
+      lacksMember: group => this.#lacksMember(group),
       isOutlier: (target, now) => this.#isOutlier(target, now),
     });
     this.#intake = new RequestIntake(this.#holder, this.#relayServices());
@@ -217,6 +223,8 @@
       suspected: ({ service, group }) => {
         this.#coordinator.suspect(service, group);
       },
+      isRoutable: id => this.#isRoutable(id),
+      lackingGroups: () => this.#lacking.names(),
       ejected: () => {
         setImmediate(() => {
           this.#stalls.lookNow();
@@ -269,6 +277,8 @@
         ...(members === undefined ? {} : { [OBJECT_KINDS.members]: members }),
       },
       followsStore: () => this.#followsStore,
+      hostsView: () => this.#peers?.hostsView ?? 'full',
+      peersKnown: () => this.#peers?.membership.known() ?? Promise.resolve(),
       givesOrders: () => this.#lease.term !== undefined,
       log: this.#options.log,
     });
@@ -303,6 +313,30 @@
     }
   }
 
+  // Requests may go to hosts of plain services and to the heads of groups.
+  #isRoutable(id: string): boolean {
+    const entry = this.#registry.get(id);
+    if (entry === undefined) {
+      return false;
+    }
+    const engine = this.#holder.table?.service(entry.service)?.engine;
+    return engine === undefined || entry.membership?.rank === 0;
+  }
+
+  #lacksMember(group: ReplicaGroup): boolean {
+    if (this.#kinds.of(OBJECT_KINDS.hosts)?.view === 'routing') {
+      return this.#peers?.toldLacking.has(group.name) ?? false;
+    }
+    const service = group.head?.service ?? '';
+    const engine = this.#holder.table?.service(service)?.engine;
+    return this.#entriesAreComplete() && !isComplete(group, engine);
+  }
+
+  #allGroups(): readonly ReplicaGroup[] {
+    const services = this.#holder.table?.services ?? [];
+    return services.flatMap(service => this.#chooser.groupsOf(service.name));
+  }
+
   // Hosts whose entries lapsed in an outage of the store write them again soon after it.
   #entriesAreComplete(): boolean {
     const since = this.#kinds.of(OBJECT_KINDS.hosts)?.inTouchSince ?? Infinity;
--- a/packages/entry/src/hosts/host-registry.ts
+++ b/packages/entry/src/hosts/host-registry.ts
@@ -17,8 +17,8 @@
 export type HostReader = (id: string, value: unknown) => HostEntry;
 
 const FORGET_DEPARTED_MS = 60_000;
-/** Arrivals in one answer up to which each has a line: a rack or a scale-out, not a first list. */
-const MOST_ARRIVAL_LINES = 20;
+/** Hosts of one answer up to which each has a line: a rack or a scale-out, not a whole list. */
+const MOST_LINES = 20;
 
 /** The hosts, by id and by service. */
 export class HostRegistry {
@@ -60,11 +60,11 @@
   /** Takes the whole list; hosts not in it are gone. */
   takeList(list: ObjectList): void {
     const present = new Set(list.objects.map(object => object.name));
-    for (const id of [...this.#hosts.keys()]) {
-      if (!present.has(id)) {
-        this.#remove(id);
-      }
-    }
+    const gone = [...this.#hosts.keys()].filter(id => !present.has(id));
+    gone.forEach(id => {
+      this.#remove(id);
+    });
+    this.#logDepartures(gone);
     const arrived: HostEntry[] = [];
     for (const object of list.objects) {
       this.#put(object, arrived);
@@ -79,13 +79,16 @@
    */
   takeChanges(changes: readonly ObjectChange[]): void {
     const arrived: HostEntry[] = [];
+    const gone: string[] = [];
     for (const { object, deleted } of changes) {
-      if (deleted) {
+      if (deleted && this.#hosts.has(object.name)) {
         this.#remove(object.name);
-      } else {
+        gone.push(object.name);
+      } else if (!deleted) {
         this.#put(object, arrived);
       }
     }
+    this.#logDepartures(gone);
     this.#logArrivals(arrived);
     this.#noteChange();
   }
@@ -108,7 +111,7 @@
 
   // The first list would otherwise fill the log's bound of lines and hide what follows it.
   #logArrivals(arrived: readonly HostEntry[]): void {
-    if (arrived.length > MOST_ARRIVAL_LINES) {
+    if (arrived.length > MOST_LINES) {
       this.#log.info('hosts arrived', { count: arrived.length, first: arrived[0]?.id });
       return;
     }
@@ -117,6 +120,17 @@
     }
   }
 
+  #logDepartures(gone: readonly string[]): void {
+    if (gone.length > MOST_LINES) {
+      this.#log.info('hosts departed', { count: gone.length, first: gone[0] });
+      return;
+    }
+    for (const host of gone) {
+      const group = this.#departed.get(host)?.entry.membership?.group;
+      this.#log.info('host departed', { host, group });
+    }
+  }
+
   #remove(id: string): void {
     const entry = this.#hosts.get(id);
     if (entry === undefined) {
@@ -125,7 +139,6 @@
     this.#hosts.delete(id);
     this.#revisions.delete(id);
     this.#departed.set(id, { entry, since: monotonicMs() });
-    this.#log.info('host departed', { host: id, group: entry.membership?.group });
     void this.messages.emit('departed', entry);
   }
 
--- a/packages/entry/src/peers/peer-messages.ts
+++ b/packages/entry/src/peers/peer-messages.ts
@@ -1,6 +1,6 @@
 /** Messages between entry hosts, on links. */
 import type { OutlierReport } from '../routing/outlier-reports.js';
-import type { KindAnswer } from '../store/kind-reader.js';
+import type { KindAnswer, KindView } from '../store/kind-reader.js';
 import type { ObjectKind } from '../store/object-store.js';
 
 /** Names of the requests. */
@@ -30,6 +30,7 @@
   /** Undefined: the whole list. */
   readonly revision: number | undefined;
   readonly waitMs: number;
+  readonly view: KindView;
   /** Tally of the asking host and its followers, with the kind that brings one back. */
   readonly tally: Tally | undefined;
 };
@@ -46,6 +47,8 @@
   readonly tally: Tally | undefined;
   /** Groups that entry hosts lately found stalled or slow; none beside other kinds. */
   readonly outliers: readonly OutlierReport[];
+  /** Groups that lack a member; told beside the routing view, which does not show members. */
+  readonly lackingGroups: readonly string[];
 };
 
 /** Answer to a question for a failure domain's tally. */
--- a/packages/entry/src/peers/peer-reader.ts
+++ b/packages/entry/src/peers/peer-reader.ts
@@ -1,7 +1,6 @@
 /** Reads kinds from a peer that follows them. */
 import type { LinkClient } from '@hingescale/link';
 
-import type { OutlierReport } from '../routing/outlier-reports.js';
 import { monotonicMs } from '../server/time.js';
 import type { KindReader } from '../store/kind-reader.js';
 import { OBJECT_KINDS } from '../store/object-store.js';
@@ -12,18 +11,19 @@
 /** Time that a peer has to answer beyond the wait of the question, in milliseconds. */
 const ANSWER_MS = 400;
 
-/** A reader over one link; what it hears of outliers goes to `heard`. */
+/** A reader over one link; what comes beside the objects goes to `heard`. */
 export function peerReader(
   name: string,
   link: LinkClient,
   tally: SharedTally,
-  heard: (outliers: readonly OutlierReport[]) => void,
+  heard: (reply: ReadReply) => void,
 ): KindReader {
   return {
     name,
-    read: async (kind, revision, waitMs) => {
+    hasViews: true,
+    read: async (kind, revision, waitMs, view) => {
       const told = kind === OBJECT_KINDS.hosts ? tally.withFollowers() : undefined;
-      const request: ReadRequest = { kind, revision, waitMs, tally: told };
+      const request: ReadRequest = { kind, revision, waitMs, view, tally: told };
       const sentAt = monotonicMs();
       const timeoutMs = waitMs + ANSWER_MS;
       const reply = await link.request<ReadReply>(PEER_REQUESTS.read, request, timeoutMs);
@@ -33,7 +33,7 @@
       if (reply.tally !== undefined) {
         tally.noteFollowed(reply.tally);
       }
-      heard(reply.outliers);
+      heard(reply);
       // The question arrived after it was sent, so the confirmation is not older than this.
       const confirmedAt = sentAt + reply.confirmedAfterMs;
       return { answer: reply.answer, confirmedAt, inTouch: reply.inTouch };
--- a/packages/entry/src/peers/peer-server.test.ts
+++ b/packages/entry/src/peers/peer-server.test.ts
@@ -5,6 +5,7 @@
 import { OutlierReports } from '../routing/outlier-reports.js';
 import { silentLog } from '../server/log.js';
 import { monotonicMs } from '../server/time.js';
+import { KindCache } from '../store/kind-cache.js';
 import { storeReader } from '../store/kind-reader.js';
 import { OBJECT_KINDS } from '../store/object-store.js';
 import { WatchedKind } from '../store/watched-kind.js';
@@ -58,12 +59,15 @@
       outliers: new OutlierReports(),
       mayBeFollowed: () => mayBeFollowed,
       suspected: () => undefined,
+      isRoutable: () => true,
+      lackingGroups: () => [],
     });
     const link = links.to(await server.listen());
     const request: ReadRequest = {
       kind: OBJECT_KINDS.configuration,
       revision: 5,
       waitMs: WAIT_MS,
+      view: 'full',
       tally: { loads: [['h1', 10]], work: [] },
     };
     const startedAt = monotonicMs();
@@ -82,6 +86,36 @@
     expect(tookMs).to.be.at.least(WAIT_MS - 20);
   });
 
+  it('for a list waits for the first one of a peer that has just started', async () => {
+    const watch = await watchInSync();
+    const cache = new KindCache();
+    const starting = { cache, inTouch: true, view: 'full' } as WatchedKind;
+    const server = createPeerServer({
+      listen: '127.0.0.1:0',
+      key: '',
+      failureDomain: 'a',
+      watchOf: () => starting,
+      tally: new SharedTally({ loads: () => [], work: () => [] }),
+      outliers: new OutlierReports(),
+      mayBeFollowed: () => true,
+      suspected: () => undefined,
+      isRoutable: () => true,
+      lackingGroups: () => [],
+    });
+    const link = links.to(await server.listen());
+    setTimeout(() => cache.takeList({ objects: [], revision: 9 }), 50);
+    const request = {
+      kind: OBJECT_KINDS.hosts,
+      revision: undefined,
+      waitMs: WAIT_MS,
+      view: 'routing',
+    };
+    const reply = await link.request<ReadReply>(PEER_REQUESTS.read, request, 2 * WAIT_MS);
+    expect(reply.answer).to.deep.equal({ kind: 'list', list: { objects: [], revision: 9 } });
+    watch.stop();
+    await server.stop();
+  });
+
   it('is answered at once where it may not', async () => {
     const { reply, tookMs, tally } = await ask(false);
     expect(reply.inTouch).to.equal(false);
--- a/packages/entry/src/peers/peer-server.ts
+++ b/packages/entry/src/peers/peer-server.ts
@@ -4,7 +4,10 @@
 
 import type { OutlierReports } from '../routing/outlier-reports.js';
 import { monotonicMs } from '../server/time.js';
+import type { KindCache } from '../store/kind-cache.js';
+import type { KindAnswer } from '../store/kind-reader.js';
 import type { ObjectKind } from '../store/object-store.js';
+import { RoutingView } from '../store/routing-view.js';
 import type { WatchedKind } from '../store/watched-kind.js';
 import type { ReadReply, ReadRequest, SuspectRequest, TallyReply } from './peer-messages.js';
 import { PEER_REQUESTS } from './peer-messages.js';
@@ -23,6 +26,9 @@
   /** False while peers are better off without this host. */
   readonly mayBeFollowed: () => boolean;
   readonly suspected: (request: SuspectRequest) => void;
+  /** True for hosts that requests may go to, by their name. */
+  readonly isRoutable: (name: string) => boolean;
+  readonly lackingGroups: () => readonly string[];
 };
 
 /** Longest wait that a question may ask for, in milliseconds. */
@@ -31,12 +37,24 @@
 /** Starts no task of its own: a link server whose handlers read what is known here. */
 export function createPeerServer(options: PeerServerOptions): LinkServer {
   const { listen, key, failureDomain, tally, suspected } = options;
+  const views = new Map<KindCache, RoutingView>();
+  const answerOf = (cache: KindCache, { view, revision }: ReadRequest): KindAnswer | undefined => {
+    if (view === 'full') {
+      return cache.answerSince(revision);
+    }
+    let routing = views.get(cache);
+    if (routing === undefined) {
+      routing = new RoutingView(cache, options.isRoutable);
+      views.set(cache, routing);
+    }
+    return routing.answerSince(revision);
+  };
   return new LinkServer({
     listen,
     key,
     handlers: {
       [PEER_REQUESTS.read]: (request: ReadRequest, peer: LinkIdentity) =>
-        answerRead(options, request, peer),
+        answerRead(options, answerOf, request, peer),
       [PEER_REQUESTS.tally]: (): TallyReply => ({
         tally: tally.ofDomain(failureDomain),
       }),
@@ -49,7 +67,8 @@
 }
 
 async function answerRead(
-  { watchOf, tally, outliers, mayBeFollowed }: PeerServerOptions,
+  { watchOf, tally, outliers, mayBeFollowed, lackingGroups }: PeerServerOptions,
+  answerOf: (cache: KindCache, request: ReadRequest) => KindAnswer | undefined,
   request: ReadRequest,
   peer: LinkIdentity,
 ): Promise<ReadReply> {
@@ -66,11 +85,17 @@
   if (request.revision !== undefined && cache?.revision !== undefined && mayBeFollowed()) {
     await cache.waitBeyond(request.revision, Math.min(request.waitMs, MAX_WAIT_MS));
   }
+  // Whoever starts at the same moment as this host finds here what this host is about to learn.
+  if (request.revision === undefined && mayBeFollowed()) {
+    await cache?.waitForList(Math.min(request.waitMs, MAX_WAIT_MS));
+  }
+  const hasView = request.view === 'routing' || watch?.view === 'full';
   return {
-    answer: cache?.answerSince(request.revision),
+    answer: cache === undefined || !hasView ? undefined : answerOf(cache, request),
     inTouch: mayBeFollowed() && (watch?.inTouch ?? false),
     confirmedAfterMs: (cache?.confirmedAt ?? -Infinity) - arrivedAt,
     tally: request.tally !== undefined && mayBeFollowed() ? tally.allBut(peer.name) : undefined,
     outliers: request.tally === undefined ? [] : outliers.recent(),
+    lackingGroups: request.view === 'routing' ? lackingGroups() : [],
   };
 }
--- a/packages/entry/src/peers/peers.test.ts
+++ b/packages/entry/src/peers/peers.test.ts
@@ -39,6 +39,8 @@
     orderGiver: () => undefined,
     suspected: () => undefined,
     ejected: () => undefined,
+    isRoutable: () => true,
+    lackingGroups: () => [],
     log: silentLog(),
     counters: new Counters(),
     ...change,
@@ -82,7 +84,7 @@
     const objects = members.map(value => ({ name: value.name, revision: 1, value }));
     const cache = new KindCache();
     cache.takeList({ objects: [], revision: 5 });
-    const watch = { cache, inTouch: true } as WatchedKind;
+    const watch = { cache, inTouch: true, view: 'full' } as WatchedKind;
     const all = members.map(self => peersOf(self, { watchOf: () => watch }));
     await Promise.all(all.map(peers => peers.start()));
     all.forEach(peers => {
@@ -90,7 +92,7 @@
     });
     const [, second, third, fourth] = all as [Peers, Peers, Peers, Peers];
     const startedAt = monotonicMs();
-    const waiting = fourth.readers.choose().read(OBJECT_KINDS.hosts, 5, 2_000);
+    const waiting = fourth.readers.choose().read(OBJECT_KINDS.hosts, 5, 2_000, 'full');
     await new Promise(resolve => setTimeout(resolve, 100));
     second.suspect('lm', 'g1');
     third.suspect('lm', 'g1');
--- a/packages/entry/src/peers/peers.ts
+++ b/packages/entry/src/peers/peers.ts
@@ -11,7 +11,7 @@
 import type { Log } from '../server/log.js';
 import type { Counters } from '../server/metrics.js';
 import { monotonicMs, sleep } from '../server/time.js';
-import type { KindReader } from '../store/kind-reader.js';
+import type { KindReader, KindView } from '../store/kind-reader.js';
 import { storeReader } from '../store/kind-reader.js';
 import type { ObjectKind, ObjectStore } from '../store/object-store.js';
 import { OBJECT_KINDS } from '../store/object-store.js';
@@ -43,6 +43,10 @@
   readonly orderGiver: () => string | undefined;
   /** This host gives orders, and a group is said to stand still. */
   readonly suspected: (request: SuspectRequest) => void;
+  /** True for hosts that requests may go to, by their name. */
+  readonly isRoutable: (name: string) => boolean;
+  /** Groups that lack a member, as far as this host sees members. */
+  readonly lackingGroups: () => readonly string[];
   /** A group was ejected that was not before. */
   readonly ejected: () => void;
   readonly log: Log;
@@ -72,6 +76,7 @@
   readonly #choice: PeerReaderChoice;
   readonly #readers = new Map<string, KindReader>();
   readonly #suspectedAt = new Map<string, number>();
+  #toldLacking: ReadonlySet<string> = new Set();
   readonly #abort = new AbortController();
   readonly #suspicionFailures: FailureSeries;
   readonly #tallyFailures: FailureSeries;
@@ -93,6 +98,8 @@
       tally: this.tally,
       outliers: this.outliers,
       mayBeFollowed: () => this.#choice.mayBeFollowed,
+      isRoutable: options.isRoutable,
+      lackingGroups: options.lackingGroups,
       suspected: request => {
         this.#noteOutliers([{ ...request, target: request.group, ageMs: 0 }]);
         this.#passOn(request);
@@ -128,6 +135,19 @@
     );
   }
 
+  /**
+   * How much of the hosts this host needs: all only where it may have to give orders, or others
+   * follow it.
+   */
+  get hostsView(): KindView {
+    return this.mayLead || this.tally.loads.hasFollowers ? 'full' : 'routing';
+  }
+
+  /** Groups that lack a member, as the followed host has told. */
+  get toldLacking(): ReadonlySet<string> {
+    return this.#toldLacking;
+  }
+
   /** Listens for peers, registers this host, and begins to exchange tallies. */
   async start(): Promise<void> {
     await this.#server.listen();
@@ -159,8 +179,9 @@
     let reader = this.#readers.get(member.address);
     if (reader === undefined) {
       const link = this.#links.to(member.address);
-      reader = peerReader(member.address, link, this.tally, outliers => {
+      reader = peerReader(member.address, link, this.tally, ({ outliers, lackingGroups }) => {
         this.#noteOutliers(outliers);
+        this.#toldLacking = new Set(lackingGroups);
       });
       this.#readers.set(member.address, reader);
     }
--- a/packages/entry/src/peers/reader-choice.test.ts
+++ b/packages/entry/src/peers/reader-choice.test.ts
@@ -10,7 +10,7 @@
 }
 
 function reader(name: string): KindReader {
-  return { name, read: () => Promise.reject(new Error('not used')) };
+  return { name, hasViews: true, read: () => Promise.reject(new Error('not used')) };
 }
 
 const STORE = reader('store');
--- a/packages/entry/src/peers/shared-counts.ts
+++ b/packages/entry/src/peers/shared-counts.ts
@@ -40,6 +40,11 @@
     this.#followers.set(name, { counts, at: monotonicMs(), failureDomain });
   }
 
+  /** True while any host tells its counts by following this one. */
+  get hasFollowers(): boolean {
+    return this.#fresh(this.#followers).length > 0;
+  }
+
   /** True while a host of the failure domain tells its counts by following this one. */
   hasFollowerIn(failureDomain: string): boolean {
     return this.#fresh(this.#followers).some(told => told.failureDomain === failureDomain);
--- a/packages/entry/src/routing/target-chooser.test.ts
+++ b/packages/entry/src/routing/target-chooser.test.ts
@@ -99,7 +99,7 @@
     expect([...taken()].filter(id => reported.has(id ?? ''))).not.to.have.length(0);
   });
 
-  it('leaves a group alone whose member has left, but not while entries may be missing', () => {
+  it('leaves a group alone that lacks a member', () => {
     const model = { name: 'm', size: 2, pace: 1, workShare: 1, loadMs: 1, warmMs: 1 };
     const engine = { models: [model], slots: 1, loadsPerSecond: 1, loadsAtOnce: 1 };
     const service: Service = { ...SERVICE, engine: { ...engine, stagedModelsKept: 1 } };
@@ -109,15 +109,15 @@
     const hosts = [member('whole', 'g1', 0), member('x', 'g1', 1), member('lacking', 'g2', 0)];
     const objects = hosts.map(value => ({ name: value.id, revision: 1, value }));
     registry.takeList({ objects, revision: 1 });
-    let complete = true;
+    let told = new Set(['g2']);
     const chooser = new TargetChooser(registry, new HostActivities(), {
       failureDomain: 'a',
       othersAt: id => (id === 'whole' ? 100 : 0),
-      entriesAreComplete: () => complete,
+      lacksMember: group => told.has(group.name),
     });
     const query = { service, model: 'm', exclude: NOBODY };
     expect(chooser.choose(query)?.host.id).to.equal('whole');
-    complete = false;
+    told = new Set();
     expect(chooser.choose(query)?.host.id).to.equal('lacking');
   });
 
--- a/packages/entry/src/routing/target-chooser.ts
+++ b/packages/entry/src/routing/target-chooser.ts
@@ -1,7 +1,7 @@
 /** Chooses the host that takes a request: a group's head, or a host of a plain service. */
 import type { Service } from '../configuration/serving-configuration.js';
 import type { ReplicaGroup } from '../groups/replica-groups.js';
-import { headState, isComplete, replicaGroups } from '../groups/replica-groups.js';
+import { headState, replicaGroups } from '../groups/replica-groups.js';
 import type { HostEntry } from '../hosts/host-entry.js';
 import type { HostRegistry } from '../hosts/host-registry.js';
 import { monotonicMs } from '../server/time.js';
@@ -13,8 +13,6 @@
   readonly host: HostEntry;
   /** The group whose head it is, for model engines. */
   readonly group: ReplicaGroup | undefined;
-  /** False when an entry of a member is missing, or tells of another group. */
-  readonly isWhole: boolean;
 };
 
 /** What a target is chosen for. */
@@ -32,11 +30,8 @@
   /** Requests of other entry hosts in progress at a host. */
   readonly othersAt: (hostId: string) => number;
   /** True while entry hosts report the group as stalled or slow; `now` in monotonic milliseconds. */
-  /**
-   * True while a missing entry means that its host has left or is lost. After an outage of the store
-   * entries are missing of hosts that are well.
-   */
-  readonly entriesAreComplete?: () => boolean;
+  /** True when a member of the group has left it or is lost. */
+  readonly lacksMember?: (group: ReplicaGroup) => boolean;
   readonly isOutlier?: (target: Target, now: number) => boolean;
 };
 
@@ -122,7 +117,8 @@
     return least;
   }
 
-  #groupsOf(service: string): readonly ReplicaGroup[] {
+  /** Groups of a service, as their members tell. */
+  groupsOf(service: string): readonly ReplicaGroup[] {
     this.#forgetOlderVersion();
     let groups = this.#groups.get(service);
     if (groups === undefined) {
@@ -158,14 +154,13 @@
       return this.#registry
         .ofService(service.name)
         .filter(host => host.accepting)
-        .map(host => ({ host, group: undefined, isWhole: true }));
+        .map(host => ({ host, group: undefined }));
     }
-    return this.#groupsOf(service.name).flatMap(group => {
+    return this.groupsOf(service.name).flatMap(group => {
       const { head } = group;
       const serves = head?.accepting === true && headState(group) === 'open';
       const fits = model === undefined || group.model === model;
-      const isWhole = isComplete(group, service.engine);
-      return head !== undefined && serves && fits ? [{ host: head, group, isWhole }] : [];
+      return head !== undefined && serves && fits ? [{ host: head, group }] : [];
     });
   }
 
@@ -180,8 +175,8 @@
   }
 
   // A head whose member has left or is lost still takes requests, and none of them moves on.
-  #isSound({ host, isWhole }: Target, now: number): boolean {
-    if (!isWhole && (this.#options.entriesAreComplete?.() ?? true)) {
+  #isSound({ host, group }: Target, now: number): boolean {
+    if (group !== undefined && this.#options.lacksMember?.(group) === true) {
       return false;
     }
     const { id, failureDomain } = host;
--- a/packages/entry/src/store/followed-kinds.ts
+++ b/packages/entry/src/store/followed-kinds.ts
@@ -1,5 +1,6 @@
 /** The kinds that an entry host follows, and how closely. */
 import type { Log } from '../server/log.js';
+import type { KindView } from './kind-reader.js';
 import type { ObjectKind } from './object-store.js';
 import { OBJECT_KINDS } from './object-store.js';
 import type { KindObserver, ReaderChoice } from './watched-kind.js';
@@ -11,6 +12,10 @@
   readonly observers: Readonly<Partial<Record<ObjectKind, KindObserver>>>;
   /** True while the store itself is followed, not a peer. */
   readonly followsStore: () => boolean;
+  /** How much of the hosts this host needs. */
+  readonly hostsView: () => KindView;
+  /** Resolves when the peers are known, from whom kinds are then read, or after a moment. */
+  readonly peersKnown: () => Promise<void>;
   /** True while this host gives orders. */
   readonly givesOrders: () => boolean;
   readonly log: Log;
@@ -64,10 +69,10 @@
 /** A watch for each kind that has an observer. */
 export class FollowedKinds {
   readonly #watches = new Map<ObjectKind, WatchedKind>();
-  readonly #log: Log;
+  readonly #options: FollowedKindsOptions;
 
   constructor(options: FollowedKindsOptions) {
-    this.#log = options.log;
+    this.#options = options;
     for (const [name, observer] of Object.entries(options.observers)) {
       const kind = name as ObjectKind;
       const timing = KIND_TIMINGS[kind];
@@ -84,10 +89,16 @@
 
   /** Follows all kinds until it is stopped. */
   start(): void {
+    const { log, peersKnown } = this.#options;
     for (const [kind, watch] of this.#watches) {
-      watch.run().catch((error: unknown) => {
-        this.#log.error('task ended', { task: kind, cause: String((error as Error).stack) });
-      });
+      // A host that starts among others asks them, not the store: 300 hosts that start at once would
+      // ask it for thousands of entries each.
+      const before = kind === OBJECT_KINDS.members ? Promise.resolve() : peersKnown();
+      before
+        .then(() => watch.run())
+        .catch((error: unknown) => {
+          log.error('task ended', { task: kind, cause: String((error as Error).stack) });
+        });
     }
   }
 
@@ -103,11 +114,12 @@
   kind: ObjectKind,
   observer: KindObserver,
   timing: Timing,
-  { readers, followsStore, givesOrders, log }: FollowedKindsOptions,
+  { readers, followsStore, hostsView, givesOrders, log }: FollowedKindsOptions,
 ): WatchedKind {
   return new WatchedKind({
     readers,
     kind,
+    ...(kind === OBJECT_KINDS.hosts ? { view: hostsView } : {}),
     waitMs: () => (followsStore() ? timing.storeWaitMs : timing.peerWaitMs),
     pauseMs: () => (givesOrders() ? timing.giverPauseMs : timing.pauseMs),
     staleMs: timing.staleMs,
--- a/packages/entry/src/store/kind-cache.ts
+++ b/packages/entry/src/store/kind-cache.ts
@@ -95,12 +95,21 @@
     return { kind: 'changes', changes: [...newest.values()], revision: reached };
   }
 
+  /** Resolves when there is a list, or after `waitMs`. */
+  waitForList(waitMs: number): Promise<void> {
+    return this.#revision === undefined ? this.#wait(waitMs) : Promise.resolve();
+  }
+
   /** Resolves when there are changes after `revision`, or after `waitMs`. */
   waitBeyond(revision: number, waitMs: number): Promise<void> {
     const last = this.#batches.at(-1);
     if (revision < this.#historyFrom || (last !== undefined && last.revision > revision)) {
       return Promise.resolve();
     }
+    return this.#wait(waitMs);
+  }
+
+  #wait(waitMs: number): Promise<void> {
     return new Promise(resolve => {
       const done = (): void => {
         clearTimeout(timer);
--- a/packages/entry/src/store/kind-reader.ts
+++ b/packages/entry/src/store/kind-reader.ts
@@ -23,10 +23,15 @@
   readonly inTouch: boolean;
 };
 
+/** How much of a kind is followed: all of it, or what routing needs (see `routing-view.ts`). */
+export type KindView = 'full' | 'routing';
+
 /** A place to read kinds from. */
 export type KindReader = {
   /** For logs. */
   readonly name: string;
+  /** False where every answer is of the full view. */
+  readonly hasViews: boolean;
   /**
    * Gives the whole list when `revision` is undefined, else waits up to `waitMs` for changes after
    * it. Rejects when there is no answer.
@@ -35,6 +40,7 @@
     kind: ObjectKind,
     revision: number | undefined,
     waitMs: number,
+    view: KindView,
   ) => Promise<KindReading>;
 };
 
@@ -45,6 +51,7 @@
 export function storeReader(store: ObjectStore): KindReader {
   return {
     name: STORE_READER_NAME,
+    hasViews: false,
     read: async (kind, revision, waitMs) => {
       const confirmedAt = monotonicMs();
       if (revision === undefined) {
--- /dev/null
+++ b/packages/entry/src/store/routing-view.test.ts
@@ -0,0 +1,62 @@
+/** The pattern: hundreds of entry hosts hear of thousands of model hosts, most of them no heads. */
+import { expect } from 'chai';
+
+import { KindCache } from './kind-cache.js';
+import type { ObjectChange, StoredObject } from './object-store.js';
+import { RoutingView } from './routing-view.js';
+
+function object(name: string, revision: number): StoredObject {
+  return { name, revision, value: revision };
+}
+
+function put(name: string, revision: number): ObjectChange {
+  return { object: object(name, revision), deleted: false };
+}
+
+describe('routing view', () => {
+  let cache: KindCache;
+  let heads: Set<string>;
+  let view: RoutingView;
+
+  beforeEach(() => {
+    cache = new KindCache();
+    heads = new Set(['h1']);
+    view = new RoutingView(cache, name => heads.has(name));
+    cache.takeList({ objects: [object('h1', 1), object('m1', 2), object('m2', 3)], revision: 3 });
+  });
+
+  it('lists the routable hosts only', () => {
+    const answer = view.answerSince(undefined);
+    expect(answer).to.deep.equal({
+      kind: 'list',
+      list: { objects: [object('h1', 1)], revision: 3 },
+    });
+  });
+
+  it('passes changes of other hosts over, but moves the revision on', () => {
+    cache.takeChanges([put('m1', 4), put('m2', 5)], 5);
+    expect(view.answerSince(3)).to.deep.equal({ kind: 'changes', changes: [], revision: 5 });
+  });
+
+  it('tells of a host that becomes a head, and when it is none any more', () => {
+    view.answerSince(undefined);
+    heads.add('m1');
+    cache.takeChanges([put('m1', 4)], 4);
+    expect(view.answerSince(3)).to.deep.include({ changes: [put('m1', 4)] });
+    heads.delete('m1');
+    cache.takeChanges([put('m1', 5)], 5);
+    const gone = { object: { name: 'm1', revision: 5, value: null }, deleted: true };
+    expect(view.answerSince(4)).to.deep.include({ changes: [gone] });
+  });
+
+  it('tells of hosts that are gone', () => {
+    view.answerSince(undefined);
+    cache.takeChanges([{ object: object('h1', 4), deleted: true }], 4);
+    const answer = view.answerSince(3);
+    expect(answer?.kind === 'changes' && answer.changes[0]?.deleted).to.equal(true);
+  });
+
+  it('makes each answer once, however many ask', () => {
+    expect(view.answerSince(undefined)).to.equal(view.answerSince(undefined));
+  });
+});
--- a/packages/entry/src/store/watched-kind.test.ts
+++ b/packages/entry/src/store/watched-kind.test.ts
@@ -1,8 +1,9 @@
 import { expect } from 'chai';
 
 import { silentLog } from '../server/log.js';
+import { monotonicMs } from '../server/time.js';
 import { NO_STORE } from '../testing/no-store.js';
-import type { KindReader } from './kind-reader.js';
+import type { KindAnswer, KindReader, KindView } from './kind-reader.js';
 import { storeReader } from './kind-reader.js';
 import type { ObjectStore, WatchAnswer } from './object-store.js';
 import { OBJECT_KINDS, StoreError } from './object-store.js';
@@ -58,12 +59,44 @@
     expect(calls - before).to.be.at.least(5);
   }).timeout(10_000);
 
+  it('lists anew when it needs another view, and goes on from there', async () => {
+    const asked: string[] = [];
+    const peer: KindReader = {
+      name: 'peer',
+      hasViews: true,
+      read: async (_kind, revision, _waitMs, view) => {
+        await wait(5);
+        asked.push(`${view} ${revision ?? 'list'}`);
+        const answer: KindAnswer =
+          revision === undefined
+            ? { kind: 'list', list: { objects: [], revision: 7 } }
+            : { kind: 'changes', changes: [], revision };
+        return { answer, confirmedAt: monotonicMs(), inTouch: true };
+      },
+    };
+    let view: KindView = 'routing';
+    const watch = new WatchedKind({
+      readers: { choose: () => peer, note: () => undefined, usableInMs: () => 0 },
+      ...SETTINGS,
+      view: () => view,
+    });
+    void watch.run();
+    await wait(60);
+    expect(watch.view).to.equal('routing');
+    view = 'full';
+    await wait(60);
+    watch.stop();
+    expect([...new Set(asked)]).to.deep.equal(['routing list', 'routing 7', 'full list', 'full 7']);
+    expect(watch.view).to.equal('full');
+  });
+
   it('goes to another reader at once when one is stale', async () => {
     const answer: WatchAnswer = { kind: 'changes', changes: [], revision: 2 };
     const store = storeReader(storeOf({ watch: () => wait(5).then(() => answer) }));
     const stale = { answer: { kind: 'list' as const, list: { objects: [], revision: 1 } } };
     const peer: KindReader = {
       name: 'peer',
+      hasViews: true,
       read: () => Promise.resolve({ ...stale, confirmedAt: -Infinity, inTouch: false }),
     };
     let isPeerStale = false;
--- a/packages/entry/src/store/watched-kind.ts
+++ b/packages/entry/src/store/watched-kind.ts
@@ -7,7 +7,7 @@
 import type { Log } from '../server/log.js';
 import { monotonicMs, sleep } from '../server/time.js';
 import { KindCache } from './kind-cache.js';
-import type { KindReader, KindReading } from './kind-reader.js';
+import type { KindReader, KindReading, KindView } from './kind-reader.js';
 import type { ObjectChange, ObjectKind, ObjectList } from './object-store.js';
 
 /** Receives what a watch brings. */
@@ -36,6 +36,8 @@
 export type WatchOptions = {
   readonly readers: ReaderChoice;
   readonly kind: ObjectKind;
+  /** How much of the kind this host needs; all of it where nothing is said. */
+  readonly view?: () => KindView;
   /** Longest wait of one call, in milliseconds. */
   readonly waitMs: () => number;
   /** Age of a confirmation from which a reader counts as stale, in milliseconds. */
@@ -61,6 +63,7 @@
   #expired = false;
   #failures = 0;
   #inTouchSince: number | undefined;
+  #view: KindView = 'full';
 
   constructor(options: WatchOptions) {
     this.#options = options;
@@ -87,6 +90,11 @@
     return this.#failures === 0 && this.cache.revision !== undefined;
   }
 
+  /** How much of the kind the cache holds. */
+  get view(): KindView {
+    return this.#view;
+  }
+
   /** When it last came in touch with the store (monotonic milliseconds). */
   get inTouchSince(): number {
     return this.#inTouchSince ?? Infinity;
@@ -99,11 +107,13 @@
 
   async #step(reader: KindReader): Promise<boolean> {
     const { kind, waitMs, staleMs, readers } = this.#options;
-    const revision = this.#expired ? undefined : this.cache.revision;
+    const view = reader.hasViews ? (this.#options.view?.() ?? 'full') : 'full';
+    const goesOn = !this.#expired && view === this.#view;
+    const revision = goesOn ? this.cache.revision : undefined;
     // After a loss the first answer is wanted at once: it confirms what is known.
     const wait = this.#failures > 0 ? 0 : waitMs();
-    const reading = await reader.read(kind, revision, wait);
-    const changed = this.#take(reading);
+    const reading = await reader.read(kind, revision, wait, view);
+    const changed = this.#take(reading, view);
     const age = monotonicMs() - reading.confirmedAt;
     const fresh = reading.inTouch && age < staleMs;
     readers.note(reader, fresh ? 'fresh' : 'stale');
@@ -116,7 +126,7 @@
     return changed;
   }
 
-  #take({ answer, confirmedAt }: KindReading): boolean {
+  #take({ answer, confirmedAt }: KindReading, view: KindView): boolean {
     const { observer } = this.#options;
     if (answer.kind === 'expired') {
       this.#expired = true;
@@ -127,8 +137,11 @@
       this.#expired = false;
       changed = this.cache.takeList(answer.list);
       if (changed) {
+        this.#view = view;
         observer.listed(answer.list);
       }
+      // An older list than what is known was not taken; its sender needs a moment to catch up.
+      changed = true;
     } else if (this.cache.takeChanges(answer.changes, answer.revision)) {
       changed = answer.changes.length > 0;
       if (changed) {
--- a/packages/entry/src/testing/relay.ts
+++ b/packages/entry/src/testing/relay.ts
@@ -64,7 +64,7 @@
     await new Promise<void>(resolve => this.#server.listen(0, '127.0.0.1', resolve));
     const { port } = this.#server.address() as AddressInfo;
     const host = { id, service: 's', ip: '127.0.0.1', port, failureDomain: 'a' };
-    return { host: { ...host, accepting: true } as HostEntry, group: undefined, isWhole: true };
+    return { host: { ...host, accepting: true } as HostEntry, group: undefined };
   }
 
   /** Closes all connections. */
