Few observations of a host are weighed against what is usual

With the usual time in place of 80 ms for unknown targets, one first event within 1.5 s decided between three heads, and it says more about a prompt (up to 4,030 tokens, mean 1,420) than about a group; loads counted less than that noise. Change: a host's times count by how many there are, against four usual ones. Measured: the new test fails before.

--- a/packages/entry/src/routing/host-activity.ts
+++ b/packages/entry/src/routing/host-activity.ts
@@ -20,6 +20,8 @@
   firstMs: number | undefined;
   /** When `firstMs` was last fed (monotonic milliseconds). */
   firstAt: number;
+  /** Values behind `firstMs`, of which older ones count less. */
+  firstWeight: number;
   /** When bytes last came from the host (monotonic milliseconds). */
   lastProgressAt: number;
   /** Until when new requests avoid the host. */
@@ -27,6 +29,8 @@
   consecutiveFailures: number;
 };
 
+/** Usual requests that the few of one host are weighed against. */
+const PRIOR_REQUESTS = 4;
 /** Weight of the newest value in the usual times of a kind of request. */
 const TYPICAL_SMOOTHING = 0.05;
 /** Values from which the usual time of a kind counts as known. */
@@ -57,6 +61,7 @@
         begun: 0,
         firstMs: undefined,
         firstAt: -Infinity,
+        firstWeight: 0,
         lastProgressAt: -Infinity,
         avoidUntil: -Infinity,
         consecutiveFailures: 0,
@@ -113,8 +118,10 @@
     this.#noteTypical(ms, kind);
     const activity = this.of(id);
     const before = activity.firstMs ?? ms;
+    const now = monotonicMs();
     activity.firstMs = before + SMOOTHING * (ms - before);
-    activity.firstAt = monotonicMs();
+    activity.firstWeight = 1 + decayedWeight(activity, now);
+    activity.firstAt = now;
     activity.consecutiveFailures = 0;
   }
 
@@ -143,6 +150,20 @@
     return isRecent ? activity.firstMs : undefined;
   }
 
+  /**
+   * Expected time to the first event, in milliseconds. A few requests say little of a host, since one
+   * prompt is ten times as long as another: they count against {@link PRIOR_REQUESTS} usual ones.
+   */
+  expectedFirstMs(id: string, typicalMs: number, now: number): number {
+    const activity = this.#hosts.get(id);
+    if (activity?.firstMs === undefined) {
+      return typicalMs;
+    }
+    const weight = decayedWeight(activity, now);
+    const part = weight / (weight + PRIOR_REQUESTS);
+    return typicalMs + part * (activity.firstMs - typicalMs);
+  }
+
   /** A request failed at the host, or stands still there: avoid it for a while. */
   noteFailure(id: string): void {
     const activity = this.of(id);
@@ -166,3 +187,7 @@
     }
   }
 }
+
+function decayedWeight({ firstWeight, firstAt }: HostActivity, now: number): number {
+  return firstWeight * Math.exp(-Math.max(0, now - firstAt) / FIRST_VALID_MS);
+}
--- a/packages/entry/src/routing/target-chooser.test.ts
+++ b/packages/entry/src/routing/target-chooser.test.ts
@@ -164,6 +164,21 @@
     }
   });
 
+  it('goes by load where only one late first event speaks against a host', () => {
+    const activities = new HostActivities();
+    const chooser = new TargetChooser(registryOf(['late', 'busy']), activities, {
+      failureDomain: 'a',
+      othersAt: id => (id === 'busy' ? 17 : 10),
+    });
+    for (let request = 0; request < 20; request++) {
+      activities.noteFirst('elsewhere', 300, 's/');
+    }
+    activities.noteFirst('late', 600, 's/');
+    const query = { service: SERVICE, model: undefined, exclude: NOBODY };
+    const taken = Array.from({ length: 20 }, () => chooser.choose(query)?.host.id);
+    expect(taken.filter(id => id === 'late').length).to.be.greaterThan(15);
+  });
+
   it('makes the list of targets once for each state of the hosts', () => {
     const registry = registryOf(names);
     const chooser = new TargetChooser(registry, new HostActivities(), {
--- a/packages/entry/src/routing/target-chooser.ts
+++ b/packages/entry/src/routing/target-chooser.ts
@@ -189,7 +189,8 @@
   // A target that nothing is known of is taken to be like the others, not to be quicker.
   #cost(host: HostEntry, typicalMs: number | undefined, now: number): number {
     const activity = this.#activities.of(host.id);
-    const first = this.#activities.recentFirstMs(host.id, now) ?? typicalMs ?? DEFAULT_FIRST_MS;
+    const usualMs = typicalMs ?? DEFAULT_FIRST_MS;
+    const first = this.#activities.expectedFirstMs(host.id, usualMs, now);
     const queue = 1 + QUEUE_WEIGHT * (activity.inFlight + this.#options.othersAt(host.id));
     const remote = host.failureDomain === this.#options.failureDomain ? 1 : REMOTE_FACTOR;
     return first * queue * remote * (1 + SPREAD * Math.random());
