--- a/packages/entry/src/entry-host.ts
+++ b/packages/entry/src/entry-host.ts
@@ -239,7 +239,7 @@
       orders,
       registry: this.#registry,
       lease: this.#lease,
-      isReady: () => this.ready,
+      isReady: () => this.ready && this.#seesMembers,
       profileOf: service => this.#profileOf(service),
       inTouchSince: () => this.#kinds.of(OBJECT_KINDS.hosts)?.inTouchSince ?? Infinity,
       loadWindowMs: settings.bounds.loadWindowMs,
@@ -321,9 +321,13 @@
     return engine === undefined || entry.membership?.rank === 0;
   }
 
+  // Plans need all hosts, which this one may not have followed before it took the lease.
+  get #seesMembers(): boolean {
+    return this.#kinds.of(OBJECT_KINDS.hosts)?.view !== 'routing';
+  }
+
   #lacksMember(group: ReplicaGroup): boolean {
-    const seesMembers = this.#kinds.of(OBJECT_KINDS.hosts)?.view !== 'routing';
-    const names = seesMembers ? this.#lacking.names : this.#peers?.toldLacking;
+    const names = this.#seesMembers ? this.#lacking.names : this.#peers?.toldLacking;
     return names?.has(group.name) ?? false;
   }
 
--- a/packages/entry/src/peers/peers.ts
+++ b/packages/entry/src/peers/peers.ts
@@ -140,7 +140,9 @@
    * follow it.
    */
   get hostsView(): KindView {
-    return this.mayLead || this.tally.loads.hasFollowers ? 'full' : 'routing';
+    const { self, orderGiver } = this.#options;
+    const leads = orderGiver() === self.name;
+    return leads || this.mayLead || this.tally.loads.hasFollowers ? 'full' : 'routing';
   }
 
   /** Groups that lack a member, as the followed host has told. */
