Loads are free only until any entry host has had a request

Ruled out: the load budget, which is not asked while loads are free. Change: the sums of requests that other entry hosts tell count as well; they are half a second old.

--- a/packages/entry/src/entry-host.ts
+++ b/packages/entry/src/entry-host.ts
@@ -243,7 +243,7 @@
       profileOf: service => this.#profileOf(service),
       inTouchSince: () => this.#kinds.of(OBJECT_KINDS.hosts)?.inTouchSince ?? Infinity,
       loadWindowMs: settings.bounds.loadWindowMs,
-      mayLoadFreely: () => this.#intake.total === 0,
+      mayLoadFreely: service => this.#intake.total === 0 && !this.#demand.hasRequests(service),
       log,
       counters: this.#counters,
     });
--- a/packages/entry/src/groups/coordinator.ts
+++ b/packages/entry/src/groups/coordinator.ts
@@ -21,8 +21,8 @@
   /** Since when the store has told of hosts without a break (monotonic milliseconds). */
   readonly inTouchSince: () => number;
   readonly loadWindowMs: number;
-  /** True before the first request: then loads are quick and do not count. */
-  readonly mayLoadFreely: () => boolean;
+  /** True before the first request for a service: then loads are quick and do not count. */
+  readonly mayLoadFreely: (service: string) => boolean;
   readonly log: Log;
   readonly counters: Counters;
 };
@@ -97,7 +97,7 @@
   }
 
   #makeGroupTask(service: string): GroupTask {
-    const { registry, inTouchSince, loadWindowMs, mayLoadFreely, log, counters } = this.#options;
+    const { registry, inTouchSince, loadWindowMs, log, counters } = this.#options;
     return new GroupTask({
       service,
       profile: () => this.#options.profileOf(service),
@@ -106,7 +106,7 @@
       prober: this.#prober,
       inTouchSince,
       loadWindowMs,
-      mayLoadFreely,
+      mayLoadFreely: () => this.#options.mayLoadFreely(service),
       log,
       counters,
     });
--- a/packages/entry/src/routing/demand-meter.ts
+++ b/packages/entry/src/routing/demand-meter.ts
@@ -61,6 +61,11 @@
     return [...this.#sums].map(([key, measured]) => [key, Math.round(decayed(measured, now))]);
   }
 
+  /** True once any entry host has had a request for the service, as far as others have told. */
+  hasRequests(service: string): boolean {
+    return this.#sumOf(keyOf(service, ALL_REQUESTS)) > 0;
+  }
+
   /**
    * Models with their part of the work, 0 to 1, and their pressure; declared shares and a pressure of
    * 1 count until enough is measured.
--- a/packages/entry/src/routing/routing.test.ts
+++ b/packages/entry/src/routing/routing.test.ts
@@ -135,6 +135,15 @@
     }
   });
 
+  it('knows of the first request by what other entry hosts tell', () => {
+    let told = 0;
+    const meter = new DemandMeter(key => (key === 'lm/' ? told : 0));
+    expect(meter.hasRequests('lm')).to.equal(false);
+    told = 1;
+    expect(meter.hasRequests('lm')).to.equal(true);
+    expect(meter.hasRequests('other')).to.equal(false);
+  });
+
   it('believes few own requests less than many of others', () => {
     const others = new DemandMeter();
     for (let request = 0; request < 1_000; request++) {
