What peers tell each other at hundreds of hosts: only news, and only the loads that matter

Each answer brought the loads of all groups (6 kB at 330) and every report of the last seconds again, and an answer went out for each change of any model host. Ruled out: deltas of loads by follower, which need the state of 300 followers; after the most loaded 48 the rest differ little, and slow groups are told apart by reports. Change: reports of outliers are numbered and told once; whoever only routes hears the 48 most loaded hosts, and is answered when something that it follows has changed.

--- a/packages/entry/src/peers/peer-messages.ts
+++ b/packages/entry/src/peers/peer-messages.ts
@@ -33,6 +33,8 @@
   readonly view: KindView;
   /** Tally of the asking host and its followers, with the kind that brings one back. */
   readonly tally: Tally | undefined;
+  /** Number of the last report of an outlier that the asking host has heard from this peer. */
+  readonly outliersHeard: number;
 };
 
 /** Answer to a question for a kind. */
@@ -45,8 +47,10 @@
   readonly confirmedAfterMs: number;
   /** Tally of all hosts but the asking one and its followers; none where it must not follow. */
   readonly tally: Tally | undefined;
-  /** Groups that entry hosts lately found stalled or slow; none beside other kinds. */
+  /** Groups that entry hosts lately found stalled or slow and that the asking host has not heard of. */
   readonly outliers: readonly OutlierReport[];
+  /** Number of the last of these reports. */
+  readonly outlierSequence: number;
   /** Groups that lack a member; told beside the routing view, which does not show members. */
   readonly lackingGroups: readonly string[];
 };
--- a/packages/entry/src/peers/peer-reader.ts
+++ b/packages/entry/src/peers/peer-reader.ts
@@ -18,12 +18,13 @@
   tally: SharedTally,
   heard: (reply: ReadReply) => void,
 ): KindReader {
+  let outliersHeard = 0;
   return {
     name,
     hasViews: true,
     read: async (kind, revision, waitMs, view) => {
       const told = kind === OBJECT_KINDS.hosts ? tally.withFollowers() : undefined;
-      const request: ReadRequest = { kind, revision, waitMs, view, tally: told };
+      const request: ReadRequest = { kind, revision, waitMs, view, tally: told, outliersHeard };
       const sentAt = monotonicMs();
       const timeoutMs = waitMs + ANSWER_MS;
       const reply = await link.request<ReadReply>(PEER_REQUESTS.read, request, timeoutMs);
@@ -33,7 +34,10 @@
       if (reply.tally !== undefined) {
         tally.noteFollowed(reply.tally);
       }
-      heard(reply);
+      if (told !== undefined) {
+        outliersHeard = reply.outlierSequence;
+        heard(reply);
+      }
       // The question arrived after it was sent, so the confirmation is not older than this.
       const confirmedAt = sentAt + reply.confirmedAfterMs;
       return { answer: reply.answer, confirmedAt, inTouch: reply.inTouch };
--- a/packages/entry/src/peers/peer-server.test.ts
+++ b/packages/entry/src/peers/peer-server.test.ts
@@ -69,6 +69,7 @@
       waitMs: WAIT_MS,
       view: 'full',
       tally: { loads: [['h1', 10]], work: [] },
+      outliersHeard: 0,
     };
     const startedAt = monotonicMs();
     const reply = await link.request<ReadReply>(PEER_REQUESTS.read, request, 2 * WAIT_MS);
@@ -86,6 +87,34 @@
     expect(tookMs).to.be.at.least(WAIT_MS - 20);
   });
 
+  it('of a host that only routes brings the most loaded hosts, not thousands', async () => {
+    const watch = await watchInSync();
+    const loads = Array.from({ length: 300 }, (_, index) => [`h${index}`, index + 1] as const);
+    const server = createPeerServer({
+      listen: '127.0.0.1:0',
+      key: '',
+      failureDomain: 'a',
+      watchOf: () => watch,
+      tally: new SharedTally({ loads: () => loads, work: () => [] }),
+      outliers: new OutlierReports(),
+      mayBeFollowed: () => true,
+      suspected: () => undefined,
+      isRoutable: () => true,
+      lackingGroups: () => [],
+    });
+    const link = links.to(await server.listen());
+    const tally = { loads: [], work: [] };
+    const base = { kind: OBJECT_KINDS.configuration, revision: 5, waitMs: 0, outliersHeard: 0 };
+    const told = async (view: string): Promise<ReadReply> =>
+      link.request<ReadReply>(PEER_REQUESTS.read, { ...base, tally, view }, WAIT_MS);
+    const routing = (await told('routing')).tally?.loads ?? [];
+    expect(routing.length).to.be.below(60);
+    expect(routing[0]).to.deep.equal(['h299', 300]);
+    expect((await told('full')).tally?.loads).to.have.length(300);
+    watch.stop();
+    await server.stop();
+  });
+
   it('for a list waits for the first one of a peer that has just started', async () => {
     const watch = await watchInSync();
     const cache = new KindCache();
--- a/packages/entry/src/peers/peer-server.ts
+++ b/packages/entry/src/peers/peer-server.ts
@@ -9,7 +9,13 @@
 import type { ObjectKind } from '../store/object-store.js';
 import { RoutingView } from '../store/routing-view.js';
 import type { WatchedKind } from '../store/watched-kind.js';
-import type { ReadReply, ReadRequest, SuspectRequest, TallyReply } from './peer-messages.js';
+import type {
+  Counts,
+  ReadReply,
+  ReadRequest,
+  SuspectRequest,
+  TallyReply,
+} from './peer-messages.js';
 import { PEER_REQUESTS } from './peer-messages.js';
 import type { SharedTally } from './shared-tally.js';
 
@@ -33,6 +39,11 @@
 
 /** Longest wait that a question may ask for, in milliseconds. */
 const MAX_WAIT_MS = 10_000;
+/**
+ * Hosts whose load is told to those who only route: they are the ones to stay away from, the others are
+ * all less loaded. Of 330 groups the loads of all are 6 kB, four times a second to each entry host.
+ */
+const MOST_LOADS = 48;
 
 /** Starts no task of its own: a link server whose handlers read what is known here. */
 export function createPeerServer(options: PeerServerOptions): LinkServer {
@@ -67,11 +78,12 @@
 }
 
 async function answerRead(
-  { watchOf, tally, outliers, mayBeFollowed, lackingGroups }: PeerServerOptions,
+  options: PeerServerOptions,
   answerOf: (cache: KindCache, request: ReadRequest) => KindAnswer | undefined,
   request: ReadRequest,
   peer: LinkIdentity,
 ): Promise<ReadReply> {
+  const { watchOf, tally, outliers, mayBeFollowed, lackingGroups } = options;
   const arrivedAt = monotonicMs();
   const watch = watchOf(request.kind);
   const cache = watch?.cache;
@@ -83,19 +95,56 @@
   // A host that has lost the store for a moment keeps the question: it mostly regains it meanwhile,
   // while its followers would all go to the store.
   if (request.revision !== undefined && cache?.revision !== undefined && mayBeFollowed()) {
-    await cache.waitBeyond(request.revision, Math.min(request.waitMs, MAX_WAIT_MS));
+    await waitForNews(options, cache, answerOf, request);
   }
   // Whoever starts at the same moment as this host finds here what this host is about to learn.
   if (request.revision === undefined && mayBeFollowed()) {
     await cache?.waitForList(Math.min(request.waitMs, MAX_WAIT_MS));
   }
+  const all = tally.allBut(peer.name);
+  // Whoever adds up for others needs all of it; to route, the most loaded hosts are enough.
+  const told = request.view === 'full' ? all : { ...all, loads: mostLoaded(all.loads) };
   const hasView = request.view === 'routing' || watch?.view === 'full';
   return {
     answer: cache === undefined || !hasView ? undefined : answerOf(cache, request),
     inTouch: mayBeFollowed() && (watch?.inTouch ?? false),
     confirmedAfterMs: (cache?.confirmedAt ?? -Infinity) - arrivedAt,
-    tally: request.tally !== undefined && mayBeFollowed() ? tally.allBut(peer.name) : undefined,
-    outliers: request.tally === undefined ? [] : outliers.recent(),
+    tally: request.tally !== undefined && mayBeFollowed() ? told : undefined,
+    outliers: request.tally === undefined ? [] : outliers.since(request.outliersHeard),
+    outlierSequence: outliers.sequence,
     lackingGroups: request.view === 'routing' ? lackingGroups() : [],
   };
 }
+
+// Changes of hosts that the asking one does not follow are no news, and at thousands of hosts come all
+// the time.
+async function waitForNews(
+  { outliers }: PeerServerOptions,
+  cache: KindCache,
+  answerOf: (cache: KindCache, request: ReadRequest) => KindAnswer | undefined,
+  request: ReadRequest,
+): Promise<void> {
+  const until = monotonicMs() + Math.min(request.waitMs, MAX_WAIT_MS);
+  let seen = request.revision ?? 0;
+  for (;;) {
+    const leftMs = until - monotonicMs();
+    if (leftMs <= 0) {
+      return;
+    }
+    await cache.waitBeyond(seen, leftMs);
+    const answer = answerOf(cache, request);
+    const isNews = answer?.kind !== 'changes' || answer.changes.length > 0;
+    const hearsOutliers = request.tally !== undefined;
+    if (isNews || (hearsOutliers && outliers.sequence !== request.outliersHeard)) {
+      return;
+    }
+    seen = cache.revision ?? seen;
+  }
+}
+
+function mostLoaded(loads: Counts): Counts {
+  if (loads.length <= MOST_LOADS) {
+    return loads;
+  }
+  return [...loads].sort(([, a], [, b]) => b - a).slice(0, MOST_LOADS);
+}
--- a/packages/entry/src/routing/outlier-reports.test.ts
+++ b/packages/entry/src/routing/outlier-reports.test.ts
@@ -58,16 +58,25 @@
     expect(ejectedMs()).to.equal(4 * first);
     expect(ejectedMs()).to.equal(4 * first);
     now += 20_000;
-    reports.recent();
+    reports.since(0);
     expect(ejectedMs()).to.equal(first);
   });
 
+  it('are passed on once to whoever names the last one it has heard', () => {
+    reports.note(report('e1'));
+    const { sequence } = reports;
+    expect(reports.since(sequence)).to.deep.equal([]);
+    reports.note(report('e2'));
+    expect(reports.since(sequence).map(({ reporter }) => reporter)).to.deep.equal(['e2']);
+    expect(reports.since(sequence + 100), 'of an earlier start').to.have.length(2);
+  });
+
   it('pass on what is needed, however many have met the target, and keep their age', () => {
     for (let host = 0; host < 50; host++) {
       reports.note(report(`e${host}`, host < 25 ? 'a' : 'b'));
     }
     now += 1_000;
-    const passed = reports.recent();
+    const passed = reports.since(0);
     expect(passed).to.have.length(4);
     const follower = new OutlierReports(() => now);
     passed.forEach(one => follower.note(one));
--- a/packages/entry/src/routing/outlier-reports.ts
+++ b/packages/entry/src/routing/outlier-reports.ts
@@ -31,7 +31,7 @@
 /** A target that was well for this long starts from the shortest time again, in milliseconds. */
 const RELAPSE_MS = 3_000;
 
-type Reporter = { readonly domain: string; readonly at: number };
+type Reporter = { readonly domain: string; readonly at: number; readonly sequence: number };
 type Outlier = {
   readonly reporters: Map<string, Reporter>;
   ejectionMs: number;
@@ -43,12 +43,18 @@
 export class OutlierReports {
   readonly #outliers = new Map<string, Outlier>();
   readonly #now: () => number;
+  #sequence = 0;
 
   /** `now` in monotonic milliseconds; for tests. */
   constructor(now: () => number = monotonicMs) {
     this.#now = now;
   }
 
+  /** Number of the newest report; rises with each that is taken. */
+  get sequence(): number {
+    return this.#sequence;
+  }
+
   /** Takes a report; true when it makes the target one that others should hear of at once. */
   note({ target, reporter, reporterDomain, ageMs }: OutlierReport): boolean {
     const now = this.#now();
@@ -65,7 +71,8 @@
     if (now - outlier.lastAt >= outlier.ejectionMs) {
       lengthen(outlier, now);
     }
-    outlier.reporters.set(reporter, { domain: reporterDomain, at });
+    this.#sequence += 1;
+    outlier.reporters.set(reporter, { domain: reporterDomain, at, sequence: this.#sequence });
     outlier.lastAt = Math.max(outlier.lastAt, at);
     return before < LEAST_REPORTERS && freshIn(outlier, reporterDomain, now) >= LEAST_REPORTERS;
   }
@@ -84,16 +91,20 @@
     return own >= LEAST_REPORTERS || freshIn(outlier, targetDomain, now) >= LEAST_REPORTERS;
   }
 
-  /** Reports that hosts which follow this one should know, as few for each target as are needed. */
-  recent(): readonly OutlierReport[] {
+  /**
+   * Reports after a sequence number that hosts which follow this one should know, as few for each
+   * target as are needed. A number that is not reached yet is of an earlier start of this process.
+   */
+  since(sequence: number): readonly OutlierReport[] {
     const now = this.#now();
+    const after = sequence > this.#sequence ? 0 : sequence;
     const reports: OutlierReport[] = [];
     for (const [target, outlier] of this.#outliers) {
       if (forgetOld(outlier, now)) {
         this.#outliers.delete(target);
         continue;
       }
-      reports.push(...newestByDomain(target, outlier, now));
+      reports.push(...newestByDomain(target, outlier, after, now));
     }
     return reports;
   }
@@ -132,15 +143,20 @@
   return reporters.size === 0;
 }
 
-function newestByDomain(target: string, outlier: Outlier, now: number): readonly OutlierReport[] {
+function newestByDomain(
+  target: string,
+  outlier: Outlier,
+  after: number,
+  now: number,
+): readonly OutlierReport[] {
   const newest = [...outlier.reporters]
     .filter(([, reporter]) => now - reporter.at < outlier.ejectionMs)
     .sort(([, a], [, b]) => b.at - a.at);
   const taken = new Map<string, number>();
-  return newest.flatMap(([reporter, { domain, at }]) => {
+  return newest.flatMap(([reporter, { domain, at, sequence }]) => {
     const count = taken.get(domain) ?? 0;
     taken.set(domain, count + 1);
     const report = { target, reporter, reporterDomain: domain, ageMs: now - at };
-    return count < LEAST_REPORTERS ? [report] : [];
+    return count < LEAST_REPORTERS && sequence > after ? [report] : [];
   });
 }
