--- a/packages/entry/src/configuration/serving-configuration.ts
+++ b/packages/entry/src/configuration/serving-configuration.ts
@@ -41,11 +41,6 @@
   readonly pace: number;
   /** Part of the service's requests, 0 to 1. */
   readonly workShare: number;
-  /**
-   * How much closer the model's first events come to their objectives than those of the service's
-   * other models; 1 where they are alike, or nothing was measured.
-   */
-  readonly pressure?: number;
   /** Time of a load from the weight store, in milliseconds. */
   readonly loadMs: number;
   /** Time of a load from the host's own copy, in milliseconds. */
--- a/packages/entry/src/groups/capacity-log.ts
+++ b/packages/entry/src/groups/capacity-log.ts
@@ -37,9 +37,7 @@
       return;
     }
     this.#last = text;
-    const shares = profile.models.map(
-      model => `${model.name}:${model.workShare.toFixed(2)}x${(model.pressure ?? 1).toFixed(1)}`,
-    );
+    const shares = profile.models.map(model => `${model.name}:${model.workShare.toFixed(2)}`);
     const { forming, free, staging, domains } = idle;
     const withFree = domains.filter(domain => domain.free.length > 0);
     const spares = withFree.map(domain => `${domain.fabricDomain}(${sparesOf(domain)})`);
--- a/packages/entry/src/groups/capacity-value.ts
+++ b/packages/entry/src/groups/capacity-value.ts
@@ -2,8 +2,7 @@
  * Values the groups of a service: what one more or one less is worth. Pure.
  *
  * The cost of a model rises with the work that each of its groups has to carry. It rises faster than
- * in proportion, because a busy group makes all of its requests late, and with the model's pressure: a
- * model whose answers are all near their objective gains most from a further group. A failure domain that is cut
+ * in proportion, because a busy group makes all of its requests late. A failure domain that is cut
  * off has to serve its callers by itself, so each one is valued on its own as well.
  */
 import type { GroupModel } from '../configuration/serving-configuration.js';
@@ -27,7 +26,6 @@
 /** Numbers of groups by model and failure domain, and what they are worth. */
 export class CapacityValue {
   readonly #work = new Map<string, number>();
-  readonly #pressure = new Map<string, number>();
   readonly #counts = new Map<string, number>();
   readonly #failureDomains: number;
 
@@ -38,7 +36,6 @@
     for (const model of models) {
       const part = total > 0 ? workOf(model) / total : 1 / models.length;
       this.#work.set(model.name, Math.max(LEAST_WORK, part));
-      this.#pressure.set(model.name, model.pressure ?? 1);
     }
   }
 
@@ -88,8 +85,7 @@
     if (groups <= 0) {
       return UNSERVED_COST;
     }
-    const perGroup = work / (groups + GROUP_OFFSET);
-    return this.#pressureOf(model) * work * Math.pow(perGroup, COST_EXPONENT);
+    return work * Math.pow(work / (groups + GROUP_OFFSET), COST_EXPONENT);
   }
 
   #domainCost(model: string, groups: number): number {
@@ -98,12 +94,7 @@
     }
     const work = (this.#work.get(model) ?? LEAST_WORK) / this.#failureDomains;
     const perGroup = work / (Math.max(0, groups) + DOMAIN_GROUP_OFFSET);
-    const cost = this.#pressureOf(model) * work * Math.pow(perGroup, COST_EXPONENT);
-    return FAILURE_DOMAIN_WEIGHT * cost;
-  }
-
-  #pressureOf(model: string): number {
-    return this.#pressure.get(model) ?? 1;
+    return FAILURE_DOMAIN_WEIGHT * work * Math.pow(perGroup, COST_EXPONENT);
   }
 
   #countIn(model: string, failureDomain: string): number {
--- a/packages/entry/src/groups/plans.test.ts
+++ b/packages/entry/src/groups/plans.test.ts
@@ -80,15 +80,6 @@
     }
   });
 
-  it('gains more for a model whose answers come near their objective', () => {
-    const gainOf = (pressure: number): number => {
-      const value = new CapacityValue([{ ...LARGE, pressure }, SMALL], 1);
-      value.add('large', 'a', 3);
-      return value.gain('large', 'a');
-    };
-    expect(gainOf(3)).to.be.closeTo(3 * gainOf(1), 1e-9);
-  });
-
   it('gains more in a failure domain that has no group yet', () => {
     const value = new CapacityValue(PROFILE.models, 2);
     value.add('large', 'a', 2);
--- a/packages/entry/src/requests/stream-relay.ts
+++ b/packages/entry/src/requests/stream-relay.ts
@@ -210,11 +210,9 @@
     if (events === undefined) {
       return;
     }
-    const { response, arrivedAt, route, service, model } = this.#context;
+    const { response, arrivedAt, route } = this.#context;
     const now = monotonicMs();
     if (!response.headersSent) {
-      const part = (now - arrivedAt) / route.objectiveMs;
-      this.#services.demand.noteFirst(service.name, model ?? '', part);
       this.#sendHead(this.#leader?.head);
       this.#services.latencies.record('first_event', { route: route.name }, now - arrivedAt);
     } else {
--- a/packages/entry/src/routing/routing.test.ts
+++ b/packages/entry/src/routing/routing.test.ts
@@ -110,31 +110,6 @@
     expect(second?.workShare).to.be.within(0.68, 0.8);
   });
 
-  it('gives a model whose first events come near their objective more pressure', () => {
-    const meter = new DemandMeter();
-    for (let request = 0; request < 100; request++) {
-      meter.noteFirst('lm', 'n', 0.5);
-    }
-    expect(meter.shared('lm', models)[0]?.pressure).to.equal(1);
-    for (let request = 0; request < 50; request++) {
-      meter.noteFirst('lm', 'm', 0.75);
-    }
-    const [near, far] = meter.shared('lm', models);
-    expect(near?.pressure).to.be.within(2, 3);
-    expect(far?.pressure).to.be.within(0.5, 0.9);
-  });
-
-  it('gives every model the same pressure while all are late', () => {
-    const meter = new DemandMeter();
-    for (let request = 0; request < 100; request++) {
-      meter.noteFirst('lm', 'n', 5);
-      meter.noteFirst('lm', 'm', 9);
-    }
-    for (const { pressure } of meter.shared('lm', models)) {
-      expect(pressure).to.be.closeTo(1, 0.01);
-    }
-  });
-
   it('knows of the first request by what other entry hosts tell', () => {
     let told = 0;
     const meter = new DemandMeter(key => (key === 'lm/' ? told : 0));
--- a/packages/entry/src/testing/relay.ts
+++ b/packages/entry/src/testing/relay.ts
@@ -9,7 +9,6 @@
 import type { RequestContext } from '../requests/request-context.js';
 import { ServiceLimits } from '../requests/service-limits.js';
 import { StallMonitor } from '../requests/stall-monitor.js';
-import { DemandMeter } from '../routing/demand-meter.js';
 import { HostActivities } from '../routing/host-activity.js';
 import type { Target, TargetChooser } from '../routing/target-chooser.js';
 import { silentLog } from '../server/log.js';
@@ -85,7 +84,6 @@
     headers: TEST_HEADERS,
     chooser: { choose, hasSound: () => false, expectedFirstMs: () => undefined },
     activities: new HostActivities(),
-    demand: new DemandMeter(),
     stalls: new StallMonitor(),
     budgetOf: (service: string) => limits.budgetOf(service),
     connectionsOf: (service: Service) => limits.connectionsOf(service),
