Entry hosts of small fleets start from the store again

Ruled out: a longer patience with peers; the time is what costs. Change: up to 100 registered entry hosts the first list of hosts comes from the store, as before; beyond, from peers.

--- a/packages/entry/src/entry-host.ts
+++ b/packages/entry/src/entry-host.ts
@@ -276,6 +276,7 @@
       },
       followsStore: () => this.#followsStore,
       hostsView: () => this.#peers?.hostsView ?? 'full',
+      firstReader: () => this.#peers?.firstReader,
       peersKnown: () => this.#peers?.membership.known() ?? Promise.resolve(),
       givesOrders: () => this.#lease.term !== undefined,
       log: this.#options.log,
--- a/packages/entry/src/peers/peers.ts
+++ b/packages/entry/src/peers/peers.ts
@@ -59,6 +59,11 @@
 const REQUEST_TIMEOUT_MS = 400;
 /** The same group is not told of again within this time, in milliseconds. */
 const SUSPICION_PERIOD_MS = 500;
+/**
+ * Entry hosts up to which each starts from the store: 100 lists of 300 hosts are 10 MB, a tenth of a
+ * second of the store's link on the users' sheets (1,000 Mbit/s).
+ */
+const MOST_MEMBERS_AT_STORE = 100;
 /** A suspicion goes up to two followed hosts, and from there to the host that gives orders. */
 const SUSPICION_HOPS = 3;
 
@@ -73,6 +78,7 @@
   readonly #options: PeersOptions;
   readonly #links: LinkPool;
   readonly #server: LinkServer;
+  readonly #store: KindReader;
   readonly #choice: PeerReaderChoice;
   readonly #readers = new Map<string, KindReader>();
   readonly #suspectedAt = new Map<string, number>();
@@ -105,8 +111,9 @@
         this.#passOn(request);
       },
     });
+    this.#store = storeReader(store);
     this.#choice = new PeerReaderChoice({
-      store: storeReader(store),
+      store: this.#store,
       candidates: () => this.membership.candidates,
       readerOf: member => this.#readerOf(member),
     });
@@ -150,6 +157,15 @@
     return this.#toldLacking;
   }
 
+  /**
+   * Whom a host that starts has its first list of hosts from. The store answers at once, while peers
+   * may be starting as well, a quarter of a second later when all have lost power. But hundreds of
+   * hosts that start at once would ask it for megabytes each.
+   */
+  get firstReader(): KindReader | undefined {
+    return this.membership.count <= MOST_MEMBERS_AT_STORE ? this.#store : undefined;
+  }
+
   /** Listens for peers, registers this host, and begins to exchange tallies. */
   async start(): Promise<void> {
     await this.#server.listen();
--- a/packages/entry/src/store/followed-kinds.ts
+++ b/packages/entry/src/store/followed-kinds.ts
@@ -1,6 +1,6 @@
 /** The kinds that an entry host follows, and how closely. */
 import type { Log } from '../server/log.js';
-import type { KindView } from './kind-reader.js';
+import type { KindReader, KindView } from './kind-reader.js';
 import type { ObjectKind } from './object-store.js';
 import { OBJECT_KINDS } from './object-store.js';
 import type { KindObserver, ReaderChoice } from './watched-kind.js';
@@ -14,8 +14,10 @@
   readonly followsStore: () => boolean;
   /** How much of the hosts this host needs. */
   readonly hostsView: () => KindView;
-  /** Resolves when the peers are known, from whom kinds are then read, or after a moment. */
+  /** Resolves when the peers are known, from whom hosts are then read, or after a moment. */
   readonly peersKnown: () => Promise<void>;
+  /** Whom the first list of hosts comes from, where that is not whom `readers` chooses. */
+  readonly firstReader?: () => KindReader | undefined;
   /** True while this host gives orders. */
   readonly givesOrders: () => boolean;
   readonly log: Log;
@@ -91,9 +93,7 @@
   start(): void {
     const { log, peersKnown } = this.#options;
     for (const [kind, watch] of this.#watches) {
-      // A host that starts among others asks them, not the store: 300 hosts that start at once would
-      // ask it for thousands of entries each.
-      const before = kind === OBJECT_KINDS.members ? Promise.resolve() : peersKnown();
+      const before = kind === OBJECT_KINDS.hosts ? peersKnown() : Promise.resolve();
       before
         .then(() => watch.run())
         .catch((error: unknown) => {
@@ -114,12 +114,12 @@
   kind: ObjectKind,
   observer: KindObserver,
   timing: Timing,
-  { readers, followsStore, hostsView, givesOrders, log }: FollowedKindsOptions,
+  { readers, followsStore, firstReader, hostsView, givesOrders, log }: FollowedKindsOptions,
 ): WatchedKind {
   return new WatchedKind({
     readers,
     kind,
-    ...(kind === OBJECT_KINDS.hosts ? { view: hostsView } : {}),
+    ...(kind === OBJECT_KINDS.hosts ? { view: hostsView, firstReader } : {}),
     waitMs: () => (followsStore() ? timing.storeWaitMs : timing.peerWaitMs),
     pauseMs: () => (givesOrders() ? timing.giverPauseMs : timing.pauseMs),
     staleMs: timing.staleMs,
--- a/packages/entry/src/store/watched-kind.test.ts
+++ b/packages/entry/src/store/watched-kind.test.ts
@@ -59,6 +59,34 @@
     expect(calls - before).to.be.at.least(5);
   }).timeout(10_000);
 
+  it('has its first list from where it is told, and goes on with whom is chosen', async () => {
+    const asked: string[] = [];
+    const readerOf = (name: string): KindReader => ({
+      name,
+      hasViews: false,
+      read: async (_kind, revision) => {
+        await wait(5);
+        asked.push(`${name} ${revision ?? 'list'}`);
+        const answer: KindAnswer =
+          revision === undefined
+            ? { kind: 'list', list: { objects: [], revision: 7 } }
+            : { kind: 'changes', changes: [], revision };
+        return { answer, confirmedAt: monotonicMs(), inTouch: true };
+      },
+    });
+    const peer = readerOf('peer');
+    const first = readerOf('first');
+    const watch = new WatchedKind({
+      readers: { choose: () => peer, note: () => undefined, usableInMs: () => 0 },
+      ...SETTINGS,
+      firstReader: () => first,
+    });
+    void watch.run();
+    await wait(60);
+    watch.stop();
+    expect([...new Set(asked)]).to.deep.equal(['first list', 'peer 7']);
+  });
+
   it('lists anew when it needs another view, and goes on from there', async () => {
     const asked: string[] = [];
     const peer: KindReader = {
--- a/packages/entry/src/store/watched-kind.ts
+++ b/packages/entry/src/store/watched-kind.ts
@@ -36,6 +36,8 @@
 export type WatchOptions = {
   readonly readers: ReaderChoice;
   readonly kind: ObjectKind;
+  /** Whom the first list comes from; undefined, or none: whom `readers` chooses. */
+  readonly firstReader?: () => KindReader | undefined;
   /** How much of the kind this host needs; all of it where nothing is said. */
   readonly view?: () => KindView;
   /** Longest wait of one call, in milliseconds. */
@@ -72,7 +74,7 @@
   /** Runs until it is stopped. */
   async run(): Promise<void> {
     while (!this.#abort.signal.aborted) {
-      const reader = this.#options.readers.choose();
+      const reader = this.#nextReader();
       try {
         const changed = await this.#step(reader);
         if (changed) {
@@ -85,6 +87,13 @@
     }
   }
 
+  #nextReader(): KindReader {
+    const { readers, firstReader } = this.#options;
+    const isFirst = this.cache.revision === undefined && this.#failures === 0;
+    const first = isFirst ? firstReader?.() : undefined;
+    return first ?? readers.choose();
+  }
+
   /** False from a failed reading until one that was fresh. */
   get inTouch(): boolean {
     return this.#failures === 0 && this.cache.revision !== undefined;
