--- /dev/null
+++ b/packages/entry/src/requests/exchange.test.ts
@@ -0,0 +1,52 @@
+/** Exchanges over kept connections that go silent without a reset. */
+import { CutProxy } from '@hingescale/runtime/testing';
+import { expect } from 'chai';
+
+import type { HostEntry } from '../hosts/host-entry.js';
+import { UpstreamStandIn } from '../testing/relay.js';
+import type { ExchangeEnd } from './exchange.js';
+import { startExchange } from './exchange.js';
+import { UpstreamConnections } from './upstream-connections.js';
+
+const PATIENCE_MS = 150;
+
+function exchange(host: HostEntry, connections: UpstreamConnections): Promise<ExchangeEnd> {
+  return new Promise(resolve => {
+    const started = startExchange(
+      {
+        host,
+        method: 'GET',
+        url: '/',
+        headers: ['host', 'models.example'],
+        body: undefined,
+        connections,
+        connectTimeoutMs: 300,
+      },
+      { head: () => undefined, data: () => undefined, ended: resolve },
+    );
+    setTimeout(() => {
+      started.cancel();
+    }, PATIENCE_MS);
+  });
+}
+
+describe('an exchange', () => {
+  it('that is given up on a kept connection closes the other idle ones of the host', async () => {
+    const upstream = new UpstreamStandIn(response => {
+      setTimeout(() => response.end('ok'), 20);
+    });
+    const { host: direct } = await upstream.listen('h');
+    const proxy = new CutProxy(`${direct.ip}:${direct.port}`);
+    const [, port] = (await proxy.listen()).split(':');
+    const host = { ...direct, port: Number(port) };
+    const connections = new UpstreamConnections(10);
+    const calls = Array.from({ length: 3 }, () => exchange(host, connections));
+    expect(await Promise.all(calls)).to.deep.equal(['whole', 'whole', 'whole']);
+    proxy.silence();
+    expect(await exchange(host, connections)).to.equal('cancelled');
+    expect(await exchange(host, connections)).to.equal('whole');
+    connections.destroy();
+    await proxy.stop();
+    upstream.close();
+  });
+});
--- a/packages/entry/src/requests/exchange.ts
+++ b/packages/entry/src/requests/exchange.ts
@@ -70,6 +70,10 @@
     ended = true;
     clearTimeout(connectTimer);
     if (how !== 'whole') {
+      // A kept connection can go silent for good without a reset, and so may others to the host.
+      if (how === 'cancelled' && answer === undefined && sent.reusedSocket) {
+        connections?.closeIdleTo(host.ip, host.port);
+      }
       sent.destroy();
     }
     observer.ended(how);
--- a/packages/entry/src/requests/upstream-connections.ts
+++ b/packages/entry/src/requests/upstream-connections.ts
@@ -26,6 +26,14 @@
     });
   }
 
+  /** Closes the idle connections to one host: they may have gone silent like the one just given up. */
+  closeIdleTo(ip: string, port: number): void {
+    const name = this.getName({ host: ip, port });
+    this.freeSockets[name]?.forEach(socket => {
+      socket.destroy();
+    });
+  }
+
   override keepSocketAlive(socket: Duplex): boolean {
     // The types call the result void; it tells whether the connection may be kept.
     const keep = (super.keepSocketAlive as (socket: Duplex) => boolean).call(this, socket);
--- a/packages/link/src/link-client.test.ts
+++ b/packages/link/src/link-client.test.ts
@@ -1,7 +1,5 @@
 /** Links over connections that go silent without a reset. */
-import type { AddressInfo, Server, Socket } from 'node:net';
-import { connect, createServer } from 'node:net';
-
+import { CutProxy } from '@hingescale/runtime/testing';
 import { expect } from 'chai';
 
 import { LinkClient } from './link-client.js';
@@ -10,47 +8,9 @@
 const KEY = 'key of the test';
 const TIMEOUT_MS = 150;
 
-/** Passes connections on; those that are open when it is told so go silent for good. */
-class SilencingProxy {
-  readonly #server: Server;
-  readonly #open = new Set<Socket>();
-  accepted = 0;
-
-  constructor(target: string) {
-    const [host = '', port = ''] = target.split(':');
-    this.#server = createServer(incoming => {
-      this.accepted += 1;
-      const outgoing = connect(Number(port), host);
-      incoming.pipe(outgoing);
-      outgoing.pipe(incoming);
-      [incoming, outgoing].forEach(socket => {
-        this.#open.add(socket);
-        socket.on('error', () => socket.destroy());
-      });
-    });
-  }
-
-  async listen(): Promise<string> {
-    await new Promise<void>(resolve => this.#server.listen(0, '127.0.0.1', resolve));
-    return `127.0.0.1:${(this.#server.address() as AddressInfo).port}`;
-  }
-
-  silence(): void {
-    for (const socket of this.#open) {
-      socket.unpipe();
-      socket.pause();
-    }
-  }
-
-  close(): void {
-    this.#server.close();
-    this.#open.forEach(socket => socket.destroy());
-  }
-}
-
 describe('a link', () => {
   let server: LinkServer;
-  let proxy: SilencingProxy;
+  let proxy: CutProxy;
   let client: LinkClient;
 
   beforeEach(async () => {
@@ -62,14 +22,14 @@
         never: () => new Promise(() => undefined),
       },
     });
-    proxy = new SilencingProxy(await server.listen());
+    proxy = new CutProxy(await server.listen());
     const identity = { role: 'entry', name: 'client', failureDomain: 'a' } as const;
     client = new LinkClient({ address: await proxy.listen(), key: KEY, identity });
   });
 
   afterEach(async () => {
     client.close();
-    proxy.close();
+    await proxy.stop();
     await server.stop();
   });
 
--- a/packages/proofs/src/deployment/cut-proxy.ts
+++ b/packages/runtime/src/testing/cut-proxy.ts
@@ -2,11 +2,13 @@
 import type { AddressInfo, Socket } from 'node:net';
 import { connect, createServer } from 'node:net';
 
-import { splitAddress } from '@hingescale/runtime';
+import { splitAddress } from '../address.js';
 
 /** Forwards connections to one address until it is cut. */
 export class CutProxy {
   readonly #target: string;
+  /** Connections that were made through this proxy. */
+  accepted = 0;
   readonly #sockets = new Set<Socket>();
   readonly #server = createServer(socket => {
     this.#accept(socket);
@@ -28,6 +30,11 @@
   /** Cuts everything: connections are held without any byte passing, as a partition does. */
   cut(): void {
     this.#cut = true;
+    this.silence();
+  }
+
+  /** Open connections go silent for good, without a reset; new ones work. */
+  silence(): void {
     for (const socket of this.#sockets) {
       socket.unpipe();
       socket.pause();
@@ -55,6 +62,7 @@
   }
 
   #accept(socket: Socket): void {
+    this.accepted += 1;
     this.#hold(socket);
     if (this.#cut) {
       socket.pause();
