Only the first hosts of a failure domain follow all hosts when everybody starts

A peer that knew nothing yet gave up on such a question after 0.25 s. Change: all hosts are followed by the first three of a failure domain by the order of all, by whoever leads, and by whoever is followed. A first list is waited for up to 0.7 s.

--- a/packages/entry/src/peers/member.ts
+++ b/packages/entry/src/peers/member.ts
@@ -18,6 +18,8 @@
   readonly above: readonly Member[];
   /** Followed only while the store does not serve this host, best first. */
   readonly below: readonly Member[];
+  /** True for the first few hosts of the failure domain, whether the others can be reached or not. */
+  readonly isAmongFirst: boolean;
 };
 
 /** Hosts of the own failure domain that are tried before the store. */
@@ -57,11 +59,13 @@
   const remote = remoteHeads(self, others);
   const order = ranked([...others, self]);
   const before = new Set(order.slice(0, order.indexOf(self)));
-  const ownAbove = own.filter(member => before.has(member)).slice(0, MAX_ABOVE);
+  const ownBefore = own.filter(member => before.has(member));
+  const ownAbove = ownBefore.slice(0, MAX_ABOVE);
   const remoteAbove = remote.filter(member => before.has(member)).slice(0, MAX_REMOTE_ABOVE);
   const above = [...ownAbove, ...remoteAbove];
   const rest = own.filter(member => !above.includes(member)).slice(0, MAX_BELOW);
-  return { above, below: [...rest, ...remote.filter(member => !above.includes(member))] };
+  const below = [...rest, ...remote.filter(member => !above.includes(member))];
+  return { above, below, isAmongFirst: ownBefore.length < MAX_ABOVE };
 }
 
 /** The first hosts of each other failure domain. */
--- a/packages/entry/src/peers/membership.ts
+++ b/packages/entry/src/peers/membership.ts
@@ -152,7 +152,7 @@
     const unknown = seeds
       .filter(address => address !== self.address)
       .map(address => ({ name: address, address, failureDomain: '', power: 0 }));
-    return { above: [], below: unknown };
+    return { above: [], below: unknown, isAmongFirst: true };
   }
 }
 
--- a/packages/entry/src/peers/peers.ts
+++ b/packages/entry/src/peers/peers.ts
@@ -144,12 +144,14 @@
 
   /**
    * How much of the hosts this host needs: all only where it may have to give orders, or others
-   * follow it.
+   * follow it. When hundreds of hosts start at once, those before them in the order do not answer yet,
+   * and each would ask another failure domain for megabytes if it then counted itself among the first.
    */
   get hostsView(): KindView {
     const { self, orderGiver } = this.#options;
     const leads = orderGiver() === self.name;
-    return leads || this.mayLead || this.tally.loads.hasFollowers ? 'full' : 'routing';
+    const mayLead = this.mayLead && this.membership.candidates.isAmongFirst;
+    return leads || mayLead || this.tally.loads.hasFollowers ? 'full' : 'routing';
   }
 
   /** Groups that lack a member, as the followed host has told. */
--- a/packages/entry/src/peers/reader-choice.test.ts
+++ b/packages/entry/src/peers/reader-choice.test.ts
@@ -62,10 +62,18 @@
       }
     }
   });
+
+  it('tell the first few of a failure domain from the others, whoever answers', () => {
+    const members = Array.from({ length: 10 }, (_, index) => member(`m${index}`, 10 - index));
+    const first = members.map(self => candidatesOf(self, members).isAmongFirst);
+    expect(first.filter(Boolean)).to.have.length(3);
+    expect(first.slice(0, 3)).to.deep.equal([true, true, true]);
+    expect(candidatesOf(member('other', 0.1, 'b'), members).isAmongFirst).to.equal(true);
+  });
 });
 
 describe('choice of what to follow', () => {
-  const candidates = { above: [member('up', 2)], below: [member('down', 0.5)] };
+  const candidates = { above: [member('up', 2)], below: [member('down', 0.5)], isAmongFirst: true };
 
   it('is the stronger peer, then the store, then any peer', () => {
     const choice = choiceOf(candidates);
@@ -114,7 +122,7 @@
 
   it('lets one kind at a time ask the store again, and seldom while stronger peers are there', () => {
     let now = 0;
-    const choice = choiceOf({ above: [member('up', 2)], below: [] }, () => now);
+    const choice = choiceOf({ above: [member('up', 2)], below: [], isAmongFirst: true }, () => now);
     let storeCalls = 0;
     for (; now < 10_000; now += 10) {
       for (let kind = 0; kind < 3; kind++) {
@@ -131,7 +139,7 @@
 
   it('tells when the next reader is worth asking', () => {
     let now = 0;
-    const choice = choiceOf({ above: [member('up', 2)], below: [] }, () => now);
+    const choice = choiceOf({ above: [member('up', 2)], below: [], isAmongFirst: true }, () => now);
     choice.note(choice.choose(), 'stale');
     expect(choice.usableInMs()).to.equal(0);
     choice.note(STORE, 'failed');
@@ -142,7 +150,7 @@
 
   it('asks a peer again within half a second, however long that has been without the store', () => {
     let now = 0;
-    const choice = choiceOf({ above: [member('up', 2)], below: [] }, () => now);
+    const choice = choiceOf({ above: [member('up', 2)], below: [], isAmongFirst: true }, () => now);
     const up = choice.choose();
     for (; now < 8_000; now += 500) {
       choice.note(up, 'stale');
--- a/packages/entry/src/store/watched-kind.ts
+++ b/packages/entry/src/store/watched-kind.ts
@@ -53,6 +53,11 @@
 };
 
 const RETRY_MS = 150;
+/**
+ * Wait for a first list, in milliseconds: a peer that has just started as well has one soon, while
+ * whoever goes elsewhere meanwhile asks those who have even more to do.
+ */
+const LIST_WAIT_MS = 700;
 /** Short, since a host that has just started knows nothing until the store is back. */
 const MAX_RETRY_MS = 300;
 
@@ -120,7 +125,7 @@
     const goesOn = !this.#expired && view === this.#view;
     const revision = goesOn ? this.cache.revision : undefined;
     // After a loss the first answer is wanted at once: it confirms what is known.
-    const wait = this.#failures > 0 ? 0 : waitMs();
+    const wait = this.#failures > 0 ? 0 : revision === undefined ? LIST_WAIT_MS : waitMs();
     const reading = await reader.read(kind, revision, wait, view);
     const changed = this.#take(reading, view);
     const age = monotonicMs() - reading.confirmedAt;
