A failure domain that is cut off is found out by all of its entry hosts together

Change: a report tells whether no connection could be made; such reports of the own failure domain count for the check of whole failure domains as own failures do.

--- a/packages/entry/src/entry-host.ts
+++ b/packages/entry/src/entry-host.ts
@@ -218,8 +218,11 @@
       ownLoads: () => this.#activities.loads(),
       ownWork: () => this.#demand.counts(),
       orderGiver: () => (this.#lease.term === undefined ? this.#lease.holderHost : name),
-      suspected: ({ service, group }) => {
-        this.#coordinator.suspect(service, group);
+      suspected: ({ service, report }) => {
+        this.#coordinator.suspect(service, report.target);
+      },
+      unreachable: (failureDomain, hostId) => {
+        this.#activities.reach.noteUnreachable(failureDomain, hostId);
       },
       isRoutable: id => this.#isRoutable(id),
       lackingGroups: () => [...this.#lacking.names],
@@ -303,13 +306,18 @@
     this.#coordinator.follow(table.services);
   }
 
-  #suspect(service: string, group: ReplicaGroup): void {
+  // Hosts of plain services are in no group; each entry host leaves them by its own failures.
+  #suspect(service: string, { host, group }: Target, isUnreachable: boolean): void {
+    if (group === undefined) {
+      return;
+    }
     this.#counters.count('groups_suspected_total');
     if (this.#peers === undefined) {
       this.#coordinator.suspect(service, group.name);
-    } else {
-      this.#peers.suspect(service, group.name);
+      return;
     }
+    const { id: targetHost, failureDomain: targetDomain } = host;
+    this.#peers.suspect(service, { target: group.name, targetHost, targetDomain, isUnreachable });
   }
 
   // Requests may go to hosts of plain services and to the heads of groups.
@@ -355,8 +363,8 @@
       stalls: this.#stalls,
       budgetOf: service => this.#limits.budgetOf(service),
       connectionsOf: service => this.#limits.connectionsOf(service),
-      suspect: (service, group) => {
-        this.#suspect(service, group);
+      suspect: (service, target, isUnreachable) => {
+        this.#suspect(service, target, isUnreachable);
       },
       isOutlier: target => this.#isOutlier(target, monotonicMs()),
       keysHold: () => {
--- a/packages/entry/src/peers/peer-messages.ts
+++ b/packages/entry/src/peers/peer-messages.ts
@@ -61,10 +61,8 @@
 /** A group that stands still. */
 export type SuspectRequest = {
   readonly service: string;
-  readonly group: string;
-  /** Entry host that has met the group, and its failure domain. */
-  readonly reporter: string;
-  readonly reporterDomain: string;
+  /** What was met, and by which entry host. */
+  readonly report: OutlierReport;
   /** Times this message may still be passed on. */
   readonly hops: number;
 };
--- a/packages/entry/src/peers/peers.test.ts
+++ b/packages/entry/src/peers/peers.test.ts
@@ -15,6 +15,8 @@
 import type { PeersOptions } from './peers.js';
 import { Peers } from './peers.js';
 
+const GROUP = { target: 'g1', targetHost: 'h1', targetDomain: 'b', isUnreachable: true } as const;
+
 function freeAddress(): Promise<string> {
   return new Promise(resolve => {
     const server = createServer();
@@ -38,6 +40,7 @@
     ownWork: () => [],
     orderGiver: () => undefined,
     suspected: () => undefined,
+    unreachable: () => undefined,
     ejected: () => undefined,
     isRoutable: () => true,
     lackingGroups: () => [],
@@ -63,9 +66,11 @@
     await giver.start();
     await follower.start();
     follower.readers.choose();
-    follower.suspect('lm', 'g1');
+    follower.suspect('lm', GROUP);
     await new Promise(resolve => setTimeout(resolve, 200));
-    expect(heard.map(({ service, group }) => `${service} ${group}`)).to.deep.equal(['lm g1']);
+    expect(heard.map(({ service, report }) => `${service} ${report.target}`)).to.deep.equal([
+      'lm g1',
+    ]);
     follower.end();
     giver.end();
   });
@@ -85,7 +90,13 @@
     const cache = new KindCache();
     cache.takeList({ objects: [], revision: 5 });
     const watch = { cache, inTouch: true, view: 'full' } as WatchedKind;
-    const all = members.map(self => peersOf(self, { watchOf: () => watch }));
+    const cutOff: string[] = [];
+    const all = members.map(self =>
+      peersOf(self, {
+        watchOf: () => watch,
+        unreachable: (domain, host) => cutOff.push(`${self.name}: ${domain} ${host}`),
+      }),
+    );
     await Promise.all(all.map(peers => peers.start()));
     all.forEach(peers => {
       peers.membership.observer.listed({ objects, revision: 1 });
@@ -94,11 +105,12 @@
     const startedAt = monotonicMs();
     const waiting = fourth.readers.choose().read(OBJECT_KINDS.hosts, 5, 2_000, 'full');
     await new Promise(resolve => setTimeout(resolve, 100));
-    second.suspect('lm', 'g1');
-    third.suspect('lm', 'g1');
+    second.suspect('lm', GROUP);
+    third.suspect('lm', GROUP);
     await waiting;
     expect(monotonicMs() - startedAt).to.be.below(1_000);
     expect(fourth.outliers.isEjected('g1', 'b', 'a', monotonicMs())).to.equal(true);
+    expect(cutOff).to.include('e4: b h1');
     all.forEach(peers => {
       peers.end();
     });
--- a/packages/entry/src/peers/peers.ts
+++ b/packages/entry/src/peers/peers.ts
@@ -47,12 +47,17 @@
   readonly isRoutable: (name: string) => boolean;
   /** Groups that lack a member, as far as this host sees members. */
   readonly lackingGroups: () => readonly string[];
+  /** An entry host of the own failure domain could not connect to a host of another or the own one. */
+  readonly unreachable: (failureDomain: string, hostId: string) => void;
   /** A group was ejected that was not before. */
   readonly ejected: () => void;
   readonly log: Log;
   readonly counters: Counters;
 };
 
+/** A group that this host has met, without who has met it. */
+export type SuspectedGroup = Omit<OutlierReport, 'reporter' | 'reporterDomain' | 'ageMs'>;
+
 const EXCHANGE_PERIOD_MS = 250;
 /** The same for hosts that follow a peer, which brings the tally of all, in milliseconds. */
 const IDLE_EXCHANGE_PERIOD_MS = 1_000;
@@ -107,7 +112,7 @@
       isRoutable: options.isRoutable,
       lackingGroups: options.lackingGroups,
       suspected: request => {
-        this.#noteOutliers([{ ...request, target: request.group, ageMs: 0 }]);
+        this.#noteOutliers([request.report]);
         this.#passOn(request);
       },
     });
@@ -176,15 +181,16 @@
   }
 
   /** Tells the order giver that a group stands still. */
-  suspect(service: string, group: string): void {
+  suspect(service: string, group: SuspectedGroup): void {
     const now = monotonicMs();
-    if (now - (this.#suspectedAt.get(group) ?? -Infinity) < SUSPICION_PERIOD_MS) {
+    if (now - (this.#suspectedAt.get(group.target) ?? -Infinity) < SUSPICION_PERIOD_MS) {
       return;
     }
-    this.#suspectedAt.set(group, now);
+    this.#suspectedAt.set(group.target, now);
     const { name: reporter, failureDomain: reporterDomain } = this.#options.self;
-    this.#noteOutliers([{ target: group, reporter, reporterDomain, ageMs: 0 }]);
-    this.#passOn({ service, group, reporter, reporterDomain, hops: SUSPICION_HOPS });
+    const report: OutlierReport = { ...group, reporter, reporterDomain, ageMs: 0 };
+    this.#noteOutliers([report]);
+    this.#passOn({ service, report, hops: SUSPICION_HOPS });
   }
 
   /** Closes all links. */
@@ -211,7 +217,16 @@
   // Hosts that follow this one hear of a new outlier at once: it travels with the answers that they
   // wait for, in a few milliseconds instead of the quarter of a second between two questions.
   #noteOutliers(reports: readonly OutlierReport[]): void {
-    const isNews = reports.filter(report => this.outliers.note(report)).length > 0;
+    const { self, unreachable } = this.#options;
+    let isNews = false;
+    for (const report of reports) {
+      const outcome = this.outliers.note(report);
+      isNews ||= outcome === 'ejected';
+      const fromHere = report.reporterDomain === self.failureDomain;
+      if (outcome !== 'known' && report.isUnreachable && fromHere) {
+        unreachable(report.targetDomain, report.targetHost);
+      }
+    }
     if (isNews) {
       this.#options.counters.count('outliers_ejected_total');
       this.#options.watchOf(OBJECT_KINDS.hosts)?.cache.wakeAll();
--- a/packages/entry/src/requests/relay-services.ts
+++ b/packages/entry/src/requests/relay-services.ts
@@ -1,6 +1,5 @@
 /** What the relays of requests share. */
 import type { Service } from '../configuration/serving-configuration.js';
-import type { ReplicaGroup } from '../groups/replica-groups.js';
 import type { HostRegistry } from '../hosts/host-registry.js';
 import type { DemandMeter } from '../routing/demand-meter.js';
 import type { HostActivities } from '../routing/host-activity.js';
@@ -22,8 +21,8 @@
   readonly demand: DemandMeter;
   readonly budgetOf: (service: string) => RetryBudget;
   readonly connectionsOf: (service: Service) => UpstreamConnections;
-  /** Tells the order giver that a group stands still. */
-  readonly suspect: (service: string, group: ReplicaGroup) => void;
+  /** Tells the other entry hosts and the one that gives orders that a group stalls or is lost. */
+  readonly suspect: (service: string, target: Target, isUnreachable: boolean) => void;
   /** True while entry hosts report the target's group as stalled or slow. */
   readonly isOutlier: (target: Target) => boolean;
   /** True while keys may be honoured. */
--- a/packages/entry/src/requests/stream-attempt.ts
+++ b/packages/entry/src/requests/stream-attempt.ts
@@ -178,15 +178,12 @@
       hostSilentMs: Math.round(hostSilence),
       limitMs: Math.round(limit),
     });
-    this.#suspect();
+    this.#suspect(false);
   }
 
   // Tells the other entry hosts, and the host that gives orders, that the group may be lost or slow.
-  #suspect(): void {
-    const { group } = this.#target;
-    if (group !== undefined) {
-      this.#services.suspect(this.#context.service.name, group);
-    }
+  #suspect(isUnreachable: boolean): void {
+    this.#services.suspect(this.#context.service.name, this.#target, isUnreachable);
   }
 
   #limits(hostServesOthers: boolean): StallLimits {
@@ -278,7 +275,7 @@
     // What stood still has been noted when it was suspected.
     if (end.kind === 'never-sent') {
       activities.noteUnreachable(this.#target.host);
-      this.#suspect();
+      this.#suspect(true);
     } else if (end.kind !== 'superseded') {
       activities.noteFailure(this.#target.host.id);
     }
--- a/packages/entry/src/routing/domain-reach.ts
+++ b/packages/entry/src/routing/domain-reach.ts
@@ -2,8 +2,9 @@
  * Tells which failure domains this entry host seems to be cut off from.
  *
  * Each upstream host that can not be reached costs a request the time of a connection attempt.
- * When several hosts of one failure domain fail so in a row, the others of it are not tried for a
- * while.
+ * When several hosts of one failure domain fail so in a row, for this entry host or others of its own
+ * failure domain, the rest of it is not tried for a while: 30 entry hosts that are cut off together
+ * would otherwise lose three requests each, and one more each 1.5 s.
  */
 import { monotonicMs } from '../server/time.js';
 
--- a/packages/entry/src/routing/outlier-reports.test.ts
+++ b/packages/entry/src/routing/outlier-reports.test.ts
@@ -5,7 +5,8 @@
 import { OutlierReports } from './outlier-reports.js';
 
 function report(reporter: string, reporterDomain = 'a', ageMs = 0): OutlierReport {
-  return { target: 'g1', reporter, reporterDomain, ageMs };
+  const target = { target: 'g1', targetHost: 'h1', targetDomain: 'b', isUnreachable: false };
+  return { ...target, reporter, reporterDomain, ageMs };
 }
 
 describe('reports of outliers', () => {
@@ -21,10 +22,10 @@
   });
 
   it('eject a target once two entry hosts have met it', () => {
-    expect(reports.note(report('e1'))).to.equal(false);
-    expect(reports.note(report('e1'))).to.equal(false);
+    expect(reports.note(report('e1'))).to.equal('taken');
+    expect(reports.note(report('e1'))).to.equal('known');
     expect(ejectedFor('a')).to.equal(false);
-    expect(reports.note(report('e2'))).to.equal(true);
+    expect(reports.note(report('e2'))).to.equal('ejected');
     expect(ejectedFor('a')).to.equal(true);
   });
 
--- a/packages/entry/src/routing/outlier-reports.ts
+++ b/packages/entry/src/routing/outlier-reports.ts
@@ -12,6 +12,11 @@
 export type OutlierReport = {
   /** Name of the group; a group that is formed anew has another one. */
   readonly target: string;
+  /** Id of its head. */
+  readonly targetHost: string;
+  readonly targetDomain: string;
+  /** No connection could be made: where several are, their whole failure domain may be cut off. */
+  readonly isUnreachable: boolean;
   /** Name of the entry host. */
   readonly reporter: string;
   readonly reporterDomain: string;
@@ -31,7 +36,10 @@
 /** A target that was well for this long starts from the shortest time again, in milliseconds. */
 const RELAPSE_MS = 3_000;
 
-type Reporter = { readonly domain: string; readonly at: number; readonly sequence: number };
+type Reporter = { readonly report: OutlierReport; readonly at: number; readonly sequence: number };
+
+/** What a report has changed: nothing, or what is known, or also whether its target is left alone. */
+export type ReportOutcome = 'known' | 'taken' | 'ejected';
 type Outlier = {
   readonly reporters: Map<string, Reporter>;
   ejectionMs: number;
@@ -55,26 +63,28 @@
     return this.#sequence;
   }
 
-  /** Takes a report; true when it makes the target one that others should hear of at once. */
-  note({ target, reporter, reporterDomain, ageMs }: OutlierReport): boolean {
+  /** Takes a report; those with the outcome `ejected` are news that others should hear at once. */
+  note(report: OutlierReport): ReportOutcome {
+    const { target, reporter, reporterDomain, ageMs } = report;
     const now = this.#now();
     const at = now - ageMs;
     if (ageMs > MOST_EJECTION_MS) {
-      return false;
+      return 'known';
     }
     const outlier = this.#of(target);
     const known = outlier.reporters.get(reporter);
     if (known !== undefined && known.at >= at) {
-      return false;
+      return 'known';
     }
     const before = freshIn(outlier, reporterDomain, now);
     if (now - outlier.lastAt >= outlier.ejectionMs) {
       lengthen(outlier, now);
     }
     this.#sequence += 1;
-    outlier.reporters.set(reporter, { domain: reporterDomain, at, sequence: this.#sequence });
+    outlier.reporters.set(reporter, { report, at, sequence: this.#sequence });
     outlier.lastAt = Math.max(outlier.lastAt, at);
-    return before < LEAST_REPORTERS && freshIn(outlier, reporterDomain, now) >= LEAST_REPORTERS;
+    const after = freshIn(outlier, reporterDomain, now);
+    return before < LEAST_REPORTERS && after >= LEAST_REPORTERS ? 'ejected' : 'taken';
   }
 
   /**
@@ -104,7 +114,7 @@
         this.#outliers.delete(target);
         continue;
       }
-      reports.push(...newestByDomain(target, outlier, after, now));
+      reports.push(...newestByDomain(outlier, after, now));
     }
     return reports;
   }
@@ -128,7 +138,8 @@
 function freshIn({ reporters, ejectionMs }: Outlier, domain: string, now: number): number {
   let count = 0;
   for (const reporter of reporters.values()) {
-    count += Number(reporter.domain === domain && now - reporter.at < ejectionMs);
+    const isFrom = reporter.report.reporterDomain === domain;
+    count += Number(isFrom && now - reporter.at < ejectionMs);
   }
   return count;
 }
@@ -143,20 +154,15 @@
   return reporters.size === 0;
 }
 
-function newestByDomain(
-  target: string,
-  outlier: Outlier,
-  after: number,
-  now: number,
-): readonly OutlierReport[] {
-  const newest = [...outlier.reporters]
-    .filter(([, reporter]) => now - reporter.at < outlier.ejectionMs)
-    .sort(([, a], [, b]) => b.at - a.at);
+function newestByDomain(outlier: Outlier, after: number, now: number): readonly OutlierReport[] {
+  const newest = [...outlier.reporters.values()]
+    .filter(reporter => now - reporter.at < outlier.ejectionMs)
+    .sort((a, b) => b.at - a.at);
   const taken = new Map<string, number>();
-  return newest.flatMap(([reporter, { domain, at, sequence }]) => {
-    const count = taken.get(domain) ?? 0;
-    taken.set(domain, count + 1);
-    const report = { target, reporter, reporterDomain: domain, ageMs: now - at };
-    return count < LEAST_REPORTERS && sequence > after ? [report] : [];
+  return newest.flatMap(({ report, at, sequence }) => {
+    const count = taken.get(report.reporterDomain) ?? 0;
+    taken.set(report.reporterDomain, count + 1);
+    const isWanted = count < LEAST_REPORTERS && sequence > after;
+    return isWanted ? [{ ...report, ageMs: now - at }] : [];
   });
 }
