--- a/packages/entry/src/peers/peer-server.test.ts
+++ b/packages/entry/src/peers/peer-server.test.ts
@@ -1,4 +1,5 @@
 /** What a peer answers to those that follow it. */
+import type { LinkServer } from '@hingescale/link';
 import { LinkPool } from '@hingescale/link';
 import { expect } from 'chai';
 
@@ -12,6 +13,7 @@
 import { NO_STORE } from '../testing/no-store.js';
 import type { ReadReply, ReadRequest } from './peer-messages.js';
 import { PEER_REQUESTS } from './peer-messages.js';
+import type { PeerServerOptions } from './peer-server.js';
 import { createPeerServer } from './peer-server.js';
 import { SharedTally } from './shared-tally.js';
 
@@ -35,6 +37,22 @@
   return watch;
 }
 
+function serverWith(change: Partial<PeerServerOptions>): LinkServer {
+  return createPeerServer({
+    listen: '127.0.0.1:0',
+    key: '',
+    failureDomain: 'a',
+    watchOf: () => undefined,
+    tally: new SharedTally({ loads: () => [], work: () => [] }),
+    outliers: new OutlierReports(),
+    mayBeFollowed: () => true,
+    suspected: () => undefined,
+    isRoutable: () => true,
+    lackingGroups: () => [],
+    ...change,
+  });
+}
+
 describe('a question to a peer', () => {
   const links = new LinkPool({
     key: '',
@@ -50,18 +68,7 @@
   async function ask(mayBeFollowed: boolean): Promise<Asked> {
     const watch = await watchInSync();
     const tally = new SharedTally({ loads: () => [['h1', 1]], work: () => [] });
-    const server = createPeerServer({
-      listen: '127.0.0.1:0',
-      key: '',
-      failureDomain: 'a',
-      watchOf: () => watch,
-      tally,
-      outliers: new OutlierReports(),
-      mayBeFollowed: () => mayBeFollowed,
-      suspected: () => undefined,
-      isRoutable: () => true,
-      lackingGroups: () => [],
-    });
+    const server = serverWith({ watchOf: () => watch, tally, mayBeFollowed: () => mayBeFollowed });
     const link = links.to(await server.listen());
     const request: ReadRequest = {
       kind: OBJECT_KINDS.configuration,
@@ -90,17 +97,9 @@
   it('of a host that only routes brings the most loaded hosts, not thousands', async () => {
     const watch = await watchInSync();
     const loads = Array.from({ length: 300 }, (_, index) => [`h${index}`, index + 1] as const);
-    const server = createPeerServer({
-      listen: '127.0.0.1:0',
-      key: '',
-      failureDomain: 'a',
+    const server = serverWith({
       watchOf: () => watch,
       tally: new SharedTally({ loads: () => loads, work: () => [] }),
-      outliers: new OutlierReports(),
-      mayBeFollowed: () => true,
-      suspected: () => undefined,
-      isRoutable: () => true,
-      lackingGroups: () => [],
     });
     const link = links.to(await server.listen());
     const tally = { loads: [], work: [] };
@@ -119,17 +118,9 @@
     const watch = await watchInSync();
     const cache = new KindCache();
     const starting = { cache, inTouch: true, view: 'full' } as WatchedKind;
-    const server = createPeerServer({
-      listen: '127.0.0.1:0',
-      key: '',
-      failureDomain: 'a',
+    const server = serverWith({
       watchOf: () => starting,
       tally: new SharedTally({ loads: () => [], work: () => [] }),
-      outliers: new OutlierReports(),
-      mayBeFollowed: () => true,
-      suspected: () => undefined,
-      isRoutable: () => true,
-      lackingGroups: () => [],
     });
     const link = links.to(await server.listen());
     setTimeout(() => cache.takeList({ objects: [], revision: 9 }), 50);
--- a/packages/entry/src/routing/outlier-reports.ts
+++ b/packages/entry/src/routing/outlier-reports.ts
@@ -48,6 +48,7 @@
 
 /** What a report has changed: nothing, or what is known, or also whether its target is left alone. */
 export type ReportOutcome = 'known' | 'taken' | 'ejected';
+
 type Outlier = {
   readonly reporters: Map<string, Reporter>;
   ejectionMs: number;
