Successors of the leader follow all hosts all the time

Cause (read): the second and third host of a failure domain followed the routing view while the first was well. Ruled out: telling last models along with the view; three hosts a failure domain are few. Change: the first three of each failure domain always follow all hosts.

--- a/packages/entry/src/peers/peers.test.ts
+++ b/packages/entry/src/peers/peers.test.ts
@@ -117,6 +117,28 @@
   });
 });
 
+describe('the hosts that a host follows', () => {
+  it('are all for the first of a failure domain, and the routable ones for the others', async () => {
+    const members = await Promise.all(
+      Array.from({ length: 5 }, async (_, index) => ({
+        name: `e${index}`,
+        address: await freeAddress(),
+        failureDomain: 'a',
+        power: 5 - index,
+      })),
+    );
+    const objects = members.map(value => ({ name: value.name, revision: 1, value }));
+    const views = (orderGiver: string): readonly string[] =>
+      members.map(self => {
+        const peers = peersOf(self, { orderGiver: () => orderGiver });
+        peers.membership.observer.listed({ objects, revision: 1 });
+        return peers.hostsView;
+      });
+    expect(views('e0')).to.deep.equal(['full', 'full', 'full', 'routing', 'routing']);
+    expect(views('e4')).to.deep.equal(['full', 'full', 'full', 'routing', 'full']);
+  });
+});
+
 describe('candidates for the lease', () => {
   it('are the first hosts of each failure domain, whomever they follow', async () => {
     const members = await Promise.all(
--- a/packages/entry/src/peers/peers.ts
+++ b/packages/entry/src/peers/peers.ts
@@ -148,15 +148,16 @@
   }
 
   /**
-   * How much of the hosts this host needs: all only where it may have to give orders, or others
-   * follow it. When hundreds of hosts start at once, those before them in the order do not answer yet,
-   * and each would ask another failure domain for megabytes if it then counted itself among the first.
+   * How much of the hosts this host needs: all where others follow it, and among the first of a failure
+   * domain, who may have to give orders. A successor that has followed all hosts knows which model each
+   * free one can rejoin in 0.2 s, which entries do not tell. Whether the hosts before this one answer
+   * does not matter: when hundreds start at once, each would count itself among the first.
    */
   get hostsView(): KindView {
     const { self, orderGiver } = this.#options;
     const leads = orderGiver() === self.name;
-    const mayLead = this.mayLead && this.membership.candidates.isAmongFirst;
-    return leads || mayLead || this.tally.loads.hasFollowers ? 'full' : 'routing';
+    const { isAmongFirst } = this.membership.candidates;
+    return leads || isAmongFirst || this.tally.loads.hasFollowers ? 'full' : 'routing';
   }
 
   /** Groups that lack a member, as the followed host has told. */
