What requests may go to is told by a host's entry, not by the configuration

One that knew the hosts before the configuration took all of them for routable: it passed on 3,000 entries, a megabyte, to each of 100 followers, and told of all of them from then on. Ruled out: the store (100 entry hosts that start from it serve again after 1 s). Change: an entry that tells no fabric domain, or rank 0 of a group, is routable (hosts/host-entry.ts).

--- a/packages/entry/src/entry-host.ts
+++ b/packages/entry/src/entry-host.ts
@@ -9,6 +9,7 @@
 import type { HostOrders } from './groups/host-orders.js';
 import { LackingGroups } from './groups/lacking-groups.js';
 import type { ReplicaGroup } from './groups/replica-groups.js';
+import { isRoutable } from './hosts/host-entry.js';
 import type { HostReader } from './hosts/host-registry.js';
 import { HostRegistry } from './hosts/host-registry.js';
 import { DEFAULT_LEASE_TIMING, LeaseTask } from './lease/lease-task.js';
@@ -225,7 +226,7 @@
       unreachable: (failureDomain, hostId) => {
         this.#activities.reach.noteUnreachable(failureDomain, hostId);
       },
-      isRoutable: id => this.#isRoutable(id),
+      isRoutable: id => isRoutable(this.#registry.get(id)),
       lackingGroups: () => [...this.#lacking.names],
       ejected: () => {
         setImmediate(() => {
@@ -321,16 +322,6 @@
     this.#peers.suspect(service, { target: group.name, targetHost, targetDomain, isUnreachable });
   }
 
-  // Requests may go to hosts of plain services and to the heads of groups.
-  #isRoutable(id: string): boolean {
-    const entry = this.#registry.get(id);
-    if (entry === undefined) {
-      return false;
-    }
-    const engine = this.#holder.table?.service(entry.service)?.engine;
-    return engine === undefined || entry.membership?.rank === 0;
-  }
-
   // Plans need all hosts, which this one may not have followed before it took the lease.
   get #seesMembers(): boolean {
     return this.#kinds.of(OBJECT_KINDS.hosts)?.view !== 'routing';
--- a/packages/entry/src/hosts/host-entry.ts
+++ b/packages/entry/src/hosts/host-entry.ts
@@ -43,3 +43,16 @@
   /** Monotonic milliseconds when the departure was seen. */
   readonly since: number;
 };
+
+/**
+ * True where requests may go to the host: it is the head of a group, or of a plain service. Told by the
+ * entry alone: a host that starts may know the hosts before the configuration, and would pass thousands
+ * of entries on to each of its followers.
+ */
+export function isRoutable(entry: HostEntry | undefined): boolean {
+  if (entry === undefined) {
+    return false;
+  }
+  const { membership, fabricDomain } = entry;
+  return membership === undefined ? fabricDomain === undefined : membership.rank === 0;
+}
--- a/packages/entry/src/hosts/host-registry.test.ts
+++ b/packages/entry/src/hosts/host-registry.test.ts
@@ -4,6 +4,7 @@
 import { silentLog } from '../server/log.js';
 import { testHost } from '../testing/groups.js';
 import type { HostEntry } from './host-entry.js';
+import { isRoutable } from './host-entry.js';
 import { HostRegistry } from './host-registry.js';
 
 describe('host registry', () => {
@@ -75,3 +76,15 @@
     expect(registry.get('h')?.lastModel).to.equal('large');
   });
 });
+
+describe('hosts that requests may go to', () => {
+  it('are heads of groups and hosts of plain services, by their entries alone', () => {
+    const member = (rank: number): HostEntry =>
+      testHost('m', { membership: { group: 'g', epoch: 1, rank, state: 'joining' } });
+    expect(isRoutable(member(0))).to.equal(true);
+    expect(isRoutable(member(1))).to.equal(false);
+    expect(isRoutable(testHost('free'))).to.equal(false);
+    expect(isRoutable(testHost('plain', { fabricDomain: undefined }))).to.equal(true);
+    expect(isRoutable(undefined)).to.equal(false);
+  });
+});
