A follower of the routing view lists anew when it changes to another peer

The peer that they followed had changed when the leader was killed at 10.6 s. The next one tells of a host that is not routable any more only if it has told of it itself, and these it had not. Ruled out: lost watches (the other failure domains knew at once). Change: another peer is asked for the whole list of routable hosts (9 kB here); a process that begins to answer counts the hosts that are routable then as told.

--- a/packages/entry/src/store/routing-view.test.ts
+++ b/packages/entry/src/store/routing-view.test.ts
@@ -21,8 +21,8 @@
   beforeEach(() => {
     cache = new KindCache();
     heads = new Set(['h1']);
-    view = new RoutingView(cache, name => heads.has(name));
     cache.takeList({ objects: [object('h1', 1), object('m1', 2), object('m2', 3)], revision: 3 });
+    view = new RoutingView(cache, name => heads.has(name));
   });
 
   it('lists the routable hosts only', () => {
@@ -49,6 +49,13 @@
     expect(view.answerSince(4)).to.deep.include({ changes: [gone] });
   });
 
+  it('tells of a host that was routable when this process began to answer', () => {
+    heads.delete('h1');
+    cache.takeChanges([put('h1', 4)], 4);
+    const answer = view.answerSince(3);
+    expect(answer?.kind === 'changes' && answer.changes[0]?.deleted).to.equal(true);
+  });
+
   it('tells of hosts that are gone', () => {
     view.answerSince(undefined);
     cache.takeChanges([{ object: object('h1', 4), deleted: true }], 4);
--- a/packages/entry/src/store/routing-view.ts
+++ b/packages/entry/src/store/routing-view.ts
@@ -20,6 +20,8 @@
   constructor(cache: KindCache, isRoutable: (name: string) => boolean) {
     this.#cache = cache;
     this.#isRoutable = isRoutable;
+    // Whoever has followed this host before it started again knows those that are routable now.
+    this.#narrowed(cache.answerSince(undefined));
   }
 
   /** What somebody lacks who knows the routable hosts as of `revision`; the list without one. */
--- a/packages/entry/src/store/watched-kind.test.ts
+++ b/packages/entry/src/store/watched-kind.test.ts
@@ -59,6 +59,40 @@
     expect(calls - before).to.be.at.least(5);
   }).timeout(10_000);
 
+  it('lists anew from another peer, which does not know what the first one has told', async () => {
+    const asked: string[] = [];
+    const readerOf = (name: string): KindReader => ({
+      name,
+      hasViews: true,
+      read: async (_kind, revision) => {
+        await wait(5);
+        asked.push(`${name} ${revision ?? 'list'}`);
+        const answer: KindAnswer =
+          revision === undefined
+            ? { kind: 'list', list: { objects: [], revision: 7 } }
+            : { kind: 'changes', changes: [], revision };
+        return { answer, confirmedAt: monotonicMs(), inTouch: true };
+      },
+    });
+    const readers = [readerOf('first'), readerOf('second')];
+    let chosen = 0;
+    const watch = new WatchedKind({
+      readers: {
+        choose: () => readers[chosen] as KindReader,
+        note: () => undefined,
+        usableInMs: () => 0,
+      },
+      ...SETTINGS,
+      view: () => 'routing',
+    });
+    void watch.run();
+    await wait(60);
+    chosen = 1;
+    await wait(60);
+    watch.stop();
+    expect([...new Set(asked)]).to.deep.equal(['first list', 'first 7', 'second list', 'second 7']);
+  });
+
   it('has its first list from where it is told, and goes on with whom is chosen', async () => {
     const asked: string[] = [];
     const readerOf = (name: string): KindReader => ({
--- a/packages/entry/src/store/watched-kind.ts
+++ b/packages/entry/src/store/watched-kind.ts
@@ -71,6 +71,8 @@
   #failures = 0;
   #inTouchSince: number | undefined;
   #view: KindView = 'full';
+  /** Whom the last answer came from. */
+  #lastReader: KindReader | undefined;
 
   constructor(options: WatchOptions) {
     this.#options = options;
@@ -122,12 +124,15 @@
   async #step(reader: KindReader): Promise<boolean> {
     const { kind, waitMs, staleMs, readers } = this.#options;
     const view = reader.hasViews ? (this.#options.view?.() ?? 'full') : 'full';
-    const goesOn = !this.#expired && view === this.#view;
+    // Another peer does not know which routable hosts this one has heard of, so that it would not tell
+    // when one of them is none any more.
+    const isKnown = view === 'full' || reader === this.#lastReader;
+    const goesOn = !this.#expired && view === this.#view && isKnown;
     const revision = goesOn ? this.cache.revision : undefined;
     // After a loss the first answer is wanted at once: it confirms what is known.
     const wait = this.#failures > 0 ? 0 : revision === undefined ? LIST_WAIT_MS : waitMs();
     const reading = await reader.read(kind, revision, wait, view);
-    const changed = this.#take(reading, view);
+    const changed = this.#take(reading, view, reader);
     const age = monotonicMs() - reading.confirmedAt;
     const fresh = reading.inTouch && age < staleMs;
     readers.note(reader, fresh ? 'fresh' : 'stale');
@@ -140,7 +145,7 @@
     return changed;
   }
 
-  #take({ answer, confirmedAt }: KindReading, view: KindView): boolean {
+  #take({ answer, confirmedAt }: KindReading, view: KindView, reader: KindReader): boolean {
     const { observer } = this.#options;
     if (answer.kind === 'expired') {
       this.#expired = true;
@@ -152,6 +157,7 @@
       changed = this.cache.takeList(answer.list);
       if (changed) {
         this.#view = view;
+        this.#lastReader = reader;
         observer.listed(answer.list);
       }
       // An older list than what is known was not taken; its sender needs a moment to catch up.
