Eligibility of upstream hosts, asked at each choice and each send; evacuations followed

Ruled out: checks in each relay (three places of sending, one would be forgotten); evacuations within the configuration object (operators write them apart, and they change apart). Change: routing/eligibility.ts, pure, with one typed verdict; claim-target.ts asks it in the step that sends; evacuation/evacuated-domains.ts follows the store's objects through the chain of entry hosts; a host is ready once it has seen their list. Settings, routes, workspaces, services and host entries carry the new fields; the limit of cold hosts is a stub that allows all.

--- a/packages/entry/src/configuration/serving-configuration.ts
+++ b/packages/entry/src/configuration/serving-configuration.ts
@@ -30,6 +30,8 @@
   readonly maxAttempts: number;
   /** Needs no key. */
   readonly isPublic: boolean;
+  /** Regions whose hosts may run its requests; empty: any. */
+  readonly homeRegions: readonly string[];
 };
 
 /** A model that a service's hosts can form groups for. */
@@ -60,11 +62,21 @@
   readonly stagedModelsKept: number;
 };
 
+/** What hosts of a service bear for a while after they have started. */
+export type SlowStart = {
+  /** Requests a second that a cold host can handle. */
+  readonly requestsPerSecond: number;
+  /** Time for which a host usually stays cold, in milliseconds. */
+  readonly coldMs: number;
+};
+
 /** A service: hosts that answer the same requests. */
 export type Service = {
   readonly name: string;
   /** Connections a host accepts from all entry hosts together. */
   readonly maxConnections: number;
+  /** Undefined where a host bears its full rate from the start. */
+  readonly slowStart: SlowStart | undefined;
   /** Present where the hosts are model engines that form groups. */
   readonly engine: EngineProfile | undefined;
 };
@@ -74,6 +86,8 @@
   readonly name: string;
   readonly keys: readonly string[];
   readonly priority: number | undefined;
+  /** Regions whose hosts may run its requests, beside those of the route; empty: any. */
+  readonly homeRegions: readonly string[];
 };
 
 /** Bounds on what a caller may send, and on how long it may stay idle. */
--- a/packages/entry/src/entry-host.ts
+++ b/packages/entry/src/entry-host.ts
@@ -5,6 +5,7 @@
 import type { ConfigurationReader } from './configuration/configuration-holder.js';
 import { ConfigurationHolder } from './configuration/configuration-holder.js';
 import type { EngineProfile } from './configuration/serving-configuration.js';
+import { EvacuatedDomains } from './evacuation/evacuated-domains.js';
 import { Coordinator } from './groups/coordinator.js';
 import type { HostOrders } from './groups/host-orders.js';
 import { LackingGroups } from './groups/lacking-groups.js';
@@ -23,6 +24,7 @@
 import { HostActivities } from './routing/host-activity.js';
 import type { OutlierVerdict } from './routing/outlier-reports.js';
 import { liveRetryBounds } from './routing/retry-budget.js';
+import { SendEligibility } from './routing/send-eligibility.js';
 import type { Target } from './routing/target-chooser.js';
 import { TargetChooser } from './routing/target-chooser.js';
 import { CallerServer } from './server/caller-server.js';
@@ -32,6 +34,7 @@
 import { changedSettings } from './server/settings-change.js';
 import { serveMetrics, serveReadiness } from './server/side-servers.js';
 import { monotonicMs, sleep } from './server/time.js';
+import { NO_COLD_HOSTS } from './slow-start/cold-sends.js';
 import { FollowedKinds } from './store/followed-kinds.js';
 import { configurationObserver, hostsObserver } from './store/kind-observers.js';
 import { storeReader } from './store/kind-reader.js';
@@ -76,6 +79,8 @@
     entryOf: id => this.#registry.get(id),
   });
   readonly #demand = new DemandMeter(key => this.#peers?.tally.work.ofOthers(key) ?? 0);
+  readonly #evacuated: EvacuatedDomains;
+  readonly #eligibility: SendEligibility;
   readonly #chooser: TargetChooser;
   readonly #lease: LeaseTask;
   readonly #coordinator: Coordinator;
@@ -99,6 +104,18 @@
       log,
     });
     this.#registry = new HostRegistry(options.readHost, log);
+    this.#evacuated = new EvacuatedDomains({
+      isFollowed: settings.bounds.evacuationMs !== undefined,
+      changed: () => undefined,
+      ended: () => undefined,
+      log,
+    });
+    const regionOf = (domain: string): string | undefined =>
+      settings.regions.find(({ failureDomain }) => failureDomain === domain)?.region;
+    this.#eligibility = new SendEligibility(
+      { evacuations: this.#evacuated, coldSends: NO_COLD_HOSTS, regionOf },
+      this.#counters,
+    );
     this.#lease = new LeaseTask({
       store,
       host: settings.name,
@@ -117,6 +134,7 @@
     });
     this.#chooser = new TargetChooser(this.#registry, this.#activities, {
       failureDomain: settings.failureDomain,
+      eligibility: (host, homes, now) => this.#eligibility.of(host, homes, now),
       othersAt: hostId => this.#peers?.tally.loads.ofOthers(hostId) ?? 0,
       lacksMember: group => this.#lacksMember(group),
       outlier: (target, now) => this.#outlier(target, now),
@@ -129,7 +147,8 @@
 
   /** True while new callers are welcome. */
   get ready(): boolean {
-    return !this.#stopping && this.#holder.table !== undefined && this.#hostsKnown;
+    const isInformed = this.#hostsKnown && this.#evacuated.isKnown;
+    return !this.#stopping && this.#holder.table !== undefined && isInformed;
   }
 
   /** Starts all tasks and listens. */
@@ -266,6 +285,7 @@
 
   #makeKinds(): FollowedKinds {
     const store = storeReader(this.#options.store);
+    const { bounds } = this.#settings;
     const alone = { choose: () => store, note: (): void => undefined, usableInMs: () => 0 };
     const members = this.#peers?.membership.observer;
     return new FollowedKinds({
@@ -278,6 +298,9 @@
           this.#hostsKnown = true;
         }),
         ...(members === undefined ? {} : { [OBJECT_KINDS.members]: members }),
+        ...(bounds.evacuationMs === undefined
+          ? {}
+          : { [OBJECT_KINDS.evacuations]: this.#evacuated.observer }),
       },
       followsStore: () => this.#followsStore,
       hostsView: () => this.#peers?.hostsView ?? 'full',
@@ -349,6 +372,7 @@
       headers,
       registry: this.#registry,
       chooser: this.#chooser,
+      eligibility: this.#eligibility,
       activities: this.#activities,
       demand: this.#demand,
       stalls: this.#stalls,
--- /dev/null
+++ b/packages/entry/src/requests/claim-target.ts
@@ -0,0 +1,20 @@
+/** Chooses a target and claims the right to send to it, as one step. */
+import type { Target, TargetQuery } from '../routing/target-chooser.js';
+import { monotonicMs } from '../server/time.js';
+import type { RelayServices } from './relay-services.js';
+
+/**
+ * The target to which the request must be sent at once, without waiting in between: what makes a host
+ * eligible may end at any moment, and a cold host's allowance is used. Undefined while there is none.
+ */
+export function claimTarget(
+  { chooser, eligibility }: RelayServices,
+  query: TargetQuery,
+): Target | undefined {
+  const target = chooser.choose(query);
+  if (target === undefined) {
+    return undefined;
+  }
+  const verdict = eligibility.take(target.host, query.homeRegions, monotonicMs());
+  return verdict === 'eligible' ? target : undefined;
+}
--- a/packages/entry/src/requests/plain-relay.ts
+++ b/packages/entry/src/requests/plain-relay.ts
@@ -5,6 +5,7 @@
 import type { Target } from '../routing/target-chooser.js';
 import { monotonicMs, sleep } from '../server/time.js';
 import { AttemptLog } from './attempt-log.js';
+import { claimTarget } from './claim-target.js';
 import type { ExchangeEnd } from './exchange.js';
 import { startExchange } from './exchange.js';
 import type { FinalAnswer } from './final-answer.js';
@@ -83,11 +84,11 @@
   }
 
   async #target(): Promise<Target | undefined> {
-    const { service, route, arrivedAt, gone } = this.#context;
-    const query = { service, model: undefined, exclude: this.#log.tried };
+    const { service, route, arrivedAt, gone, homeRegions } = this.#context;
+    const query = { service, model: undefined, homeRegions, exclude: this.#log.tried };
     const holdUntil = arrivedAt + route.objectiveMs * HOLD_PART;
     for (;;) {
-      const target = this.#services.chooser.choose(query);
+      const target = claimTarget(this.#services, query);
       if (target !== undefined || monotonicMs() >= holdUntil || gone.aborted) {
         return target;
       }
--- a/packages/entry/src/requests/relay-services.ts
+++ b/packages/entry/src/requests/relay-services.ts
@@ -4,6 +4,7 @@
 import type { DemandMeter } from '../routing/demand-meter.js';
 import type { HostActivities } from '../routing/host-activity.js';
 import type { RetryBudget } from '../routing/retry-budget.js';
+import type { SendEligibility } from '../routing/send-eligibility.js';
 import type { Target, TargetChooser } from '../routing/target-chooser.js';
 import type { Log } from '../server/log.js';
 import type { Counters, Latencies } from '../server/metrics.js';
@@ -25,6 +26,8 @@
   readonly suspect: (service: string, target: Target, isUnreachable: boolean) => void;
   /** True while entry hosts report that they can not connect to the target. */
   readonly isUnreachable: (target: Target) => boolean;
+  /** Asked at the moment of each send. */
+  readonly eligibility: SendEligibility;
   /** True while keys may be honoured. */
   readonly keysHold: () => boolean;
   readonly log: Log;
--- a/packages/entry/src/requests/request-context.ts
+++ b/packages/entry/src/requests/request-context.ts
@@ -2,6 +2,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 
 import type { Route, Service } from '../configuration/serving-configuration.js';
+import type { HomeRegions } from '../routing/eligibility.js';
 
 /** A request of a caller. */
 export type RequestContext = {
@@ -13,6 +14,8 @@
   readonly service: Service;
   /** Workspace of the caller's key; undefined on public routes. */
   readonly workspace: string | undefined;
+  /** Home regions of its route and of its workspace. */
+  readonly homeRegions: HomeRegions;
   /** Rank among all requests, 0 first. */
   readonly priority: number;
   /** Model that the request names. */
--- a/packages/entry/src/requests/request-intake.ts
+++ b/packages/entry/src/requests/request-intake.ts
@@ -4,7 +4,8 @@
 import type { ConfigurationHolder } from '../configuration/configuration-holder.js';
 import type { RouteTable } from '../configuration/route-table.js';
 import { pickService } from '../configuration/route-table.js';
-import type { Route } from '../configuration/serving-configuration.js';
+import type { Route, Workspace } from '../configuration/serving-configuration.js';
+import type { HomeRegions } from '../routing/eligibility.js';
 import { monotonicMs } from '../server/time.js';
 import type { AnswerReason, FinalAnswer } from './final-answer.js';
 import { giveFinalAnswer } from './final-answer.js';
@@ -143,6 +144,7 @@
       route,
       service,
       workspace: workspace?.name,
+      homeRegions: homeRegionsOf(route, workspace),
       priority: priorityOf(route, workspace?.priority),
       model: header(request, names.model),
       lastEventId: header(request, names.lastEventId),
@@ -182,6 +184,12 @@
   return ofWorkspace ?? route.priority;
 }
 
+// Both bind where both are set.
+function homeRegionsOf(route: Route, workspace: Workspace | undefined): HomeRegions {
+  const all = [route.homeRegions, workspace?.homeRegions ?? []];
+  return all.filter(regions => regions.length > 0);
+}
+
 function keyOf(request: IncomingMessage): string | undefined {
   return BEARER.exec(request.headers.authorization ?? '')?.[1];
 }
--- a/packages/entry/src/requests/stream-relay.ts
+++ b/packages/entry/src/requests/stream-relay.ts
@@ -5,9 +5,10 @@
 import type { IncomingMessage } from 'node:http';
 
 import { isRefused } from '../routing/overload-guard.js';
-import type { Target } from '../routing/target-chooser.js';
+import type { Target, TargetQuery } from '../routing/target-chooser.js';
 import { monotonicMs, sleep } from '../server/time.js';
 import { AttemptLog } from './attempt-log.js';
+import { claimTarget } from './claim-target.js';
 import { EventForwarder } from './event-forwarder.js';
 import type { FinalAnswer } from './final-answer.js';
 import { giveFinalAnswer } from './final-answer.js';
@@ -52,8 +53,8 @@
 
   /** Runs the stream to its end, at as many hosts as it may. */
   async run(): Promise<void> {
-    const { gone, deadline, service, model, route } = this.#context;
-    if (isRefused(this.#services.chooser, service, model, route.objectiveMs, Math.random())) {
+    const { gone, deadline } = this.#context;
+    if (this.#isRefused()) {
       this.#giveUp('overloaded');
       return;
     }
@@ -72,6 +73,12 @@
     }
   }
 
+  #isRefused(): boolean {
+    const { service, model, homeRegions, route } = this.#context;
+    const { chooser } = this.#services;
+    return isRefused(chooser, service, model, homeRegions, route.objectiveMs, Math.random());
+  }
+
   async #attempts(): Promise<void> {
     const { gone } = this.#context;
     for (;;) {
@@ -100,13 +107,13 @@
   }
 
   async #target(): Promise<Target | undefined> {
-    const { service, model, route, arrivedAt, gone, deadline } = this.#context;
-    const query = { service, model, exclude: this.#log.tried };
+    const { route, arrivedAt, gone, deadline } = this.#context;
+    const query = this.#query();
     const held = arrivedAt + route.objectiveMs * HOLD_PART;
     // Once a stream has begun, waiting is better than breaking it.
     const holdUntil = this.#log.mayHaveRun ? deadline - 2 * DEADLINE_MARGIN_MS : held;
     for (;;) {
-      const target = this.#services.chooser.choose(query);
+      const target = claimTarget(this.#services, query);
       if (target !== undefined || monotonicMs() >= holdUntil || gone.aborted) {
         return target;
       }
@@ -114,6 +121,11 @@
     }
   }
 
+  #query(): TargetQuery {
+    const { service, model, homeRegions } = this.#context;
+    return { service, model, homeRegions, exclude: this.#log.tried };
+  }
+
   // While an attempt stands still a second one may run beside it; the first that goes on wins, so
   // that a wrong suspicion never ends an answer.
   #send(target: Target): Promise<StreamAttemptEnd> {
@@ -144,14 +156,13 @@
   }
 
   #startBackup(stalled: StreamAttempt): void {
-    const { service, model } = this.#context;
-    const query = { service, model, exclude: this.#log.tried };
+    const query = this.#query();
     const { chooser, counters } = this.#services;
     const possible = stalled === this.#leader && this.#running.size === 1;
     if (!possible || !this.#log.couldMove() || !chooser.hasSound(query)) {
       return;
     }
-    const target = chooser.choose(query);
+    const target = claimTarget(this.#services, query);
     if (target !== undefined && this.#log.takeRetry('beside')) {
       counters.count('retries_total', { service: 'engine', after: 'stalled' });
       this.#start(target);
@@ -269,8 +280,7 @@
 
   #finalAnswer(reason: GiveUpReason): FinalAnswer {
     if (!this.#log.mayHaveRun) {
-      const { service, model } = this.#context;
-      const any = this.#services.chooser.hasSound({ service, model, exclude: new Set() });
+      const any = this.#services.chooser.hasSound({ ...this.#query(), exclude: new Set() });
       const retryAfterMs = any ? RETRY_AFTER_MS : RETRY_AFTER_NO_GROUP_MS;
       return { status: 503, reason, retryAfterMs };
     }
--- /dev/null
+++ b/packages/entry/src/routing/eligibility.ts
@@ -0,0 +1,99 @@
+/**
+ * Tells whether an upstream host may receive a request now, and why not. Pure.
+ *
+ * It is asked when a target is chosen and again at the moment of each send: for first and second
+ * attempts, streams that resume, and plain calls. Each fact comes from the part that owns it; no part
+ * knows another.
+ */
+import type { HostEntry } from '../hosts/host-entry.js';
+
+/** Whether a host may receive a request; all but `eligible` say why not. */
+export type Eligibility =
+  | 'eligible'
+  /** The host has announced its end. */
+  | 'draining'
+  /** This entry host has not yet seen which failure domains are evacuated. */
+  | 'evacuations-unknown'
+  /** The host's failure domain is evacuated. */
+  | 'evacuated'
+  /** The request has home regions, and the host is in none that all of them name. */
+  | 'outside-home-regions'
+  /** The host is cold, and this entry host may not send it more at this moment. */
+  | 'cold-limit';
+
+/** What is known of evacuations. */
+export type EvacuationFacts = {
+  /** True once this entry host has seen which failure domains are evacuated, if any can be. */
+  readonly isKnown: boolean;
+  readonly isEvacuated: (failureDomain: string) => boolean;
+};
+
+/** The rate limit of cold hosts, as this entry host may use it. */
+export type ColdSendFacts = {
+  /** True when a request may be sent to the host now; `now` in monotonic milliseconds. */
+  readonly hasRoom: (host: HostEntry, now: number) => boolean;
+  /** Uses the allowance for one request; false when there is none. */
+  readonly take: (host: HostEntry, now: number) => boolean;
+};
+
+/** All facts that decide. */
+export type EligibilityFacts = {
+  readonly evacuations: EvacuationFacts;
+  readonly coldSends: ColdSendFacts;
+  /** Region of a failure domain; undefined where none is declared. */
+  readonly regionOf: (failureDomain: string) => string | undefined;
+};
+
+/** Home regions that bind a request: those of its route and of its workspace, as far as they have some. */
+export type HomeRegions = readonly (readonly string[])[];
+
+/** Whether the host may receive a request now, without using any allowance. */
+export function eligibilityOf(
+  host: HostEntry,
+  homeRegions: HomeRegions,
+  facts: EligibilityFacts,
+  now: number,
+): Eligibility {
+  const standing = standingOf(host, homeRegions, facts);
+  if (standing !== 'eligible') {
+    return standing;
+  }
+  return facts.coldSends.hasRoom(host, now) ? 'eligible' : 'cold-limit';
+}
+
+/** The same at the moment of a send; uses the allowance of a cold host where it says `eligible`. */
+export function takeEligibility(
+  host: HostEntry,
+  homeRegions: HomeRegions,
+  facts: EligibilityFacts,
+  now: number,
+): Eligibility {
+  const standing = standingOf(host, homeRegions, facts);
+  if (standing !== 'eligible') {
+    return standing;
+  }
+  return facts.coldSends.take(host, now) ? 'eligible' : 'cold-limit';
+}
+
+// All but the rate limit: what does not pass by itself within a second.
+function standingOf(
+  host: HostEntry,
+  homeRegions: HomeRegions,
+  { evacuations, regionOf }: EligibilityFacts,
+): Eligibility {
+  if (!host.accepting) {
+    return 'draining';
+  }
+  if (!evacuations.isKnown) {
+    return 'evacuations-unknown';
+  }
+  if (evacuations.isEvacuated(host.failureDomain)) {
+    return 'evacuated';
+  }
+  return isAtHome(regionOf(host.failureDomain), homeRegions) ? 'eligible' : 'outside-home-regions';
+}
+
+// A host whose region is not declared is at home nowhere but where any region will do.
+function isAtHome(region: string | undefined, homeRegions: HomeRegions): boolean {
+  return homeRegions.every(homes => region !== undefined && homes.includes(region));
+}
--- a/packages/entry/src/routing/overload-guard.ts
+++ b/packages/entry/src/routing/overload-guard.ts
@@ -5,6 +5,7 @@
  * refused rises with the expected time to the first event, as this entry host has seen it.
  */
 import type { Service } from '../configuration/serving-configuration.js';
+import type { HomeRegions } from './eligibility.js';
 import type { TargetChooser } from './target-chooser.js';
 
 /** Expected time, as a part of the objective, up to which every request is taken. */
@@ -24,10 +25,11 @@
   chooser: TargetChooser,
   service: Service,
   model: string | undefined,
+  homeRegions: HomeRegions,
   objectiveMs: number,
   draw: number,
 ): boolean {
-  const expected = chooser.expectedFirstMs({ service, model, exclude: NO_HOSTS });
+  const expected = chooser.expectedFirstMs({ service, model, homeRegions, exclude: NO_HOSTS });
   return expected !== undefined && draw < refusedPart(expected, objectiveMs);
 }
 
--- a/packages/entry/src/routing/routing.test.ts
+++ b/packages/entry/src/routing/routing.test.ts
@@ -20,6 +20,7 @@
     targets: [{ service: 's', weight: 1 }],
     maxAttempts: 2,
     isPublic: true,
+    homeRegions: [],
   };
 }
 
@@ -28,7 +29,7 @@
     version: 1,
     routes: [route('short', '/a/'), route('long', '/a/b/')],
     services: [],
-    workspaces: [{ name: 'north', keys: ['k1'], priority: undefined }],
+    workspaces: [{ name: 'north', keys: ['k1'], priority: undefined, homeRegions: [] }],
     limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
   };
 
--- a/packages/entry/src/routing/target-chooser.test.ts
+++ b/packages/entry/src/routing/target-chooser.test.ts
@@ -9,7 +9,12 @@
 import type { OutlierVerdict } from './outlier-reports.js';
 import { TargetChooser } from './target-chooser.js';
 
-const SERVICE: Service = { name: 's', maxConnections: 10, engine: undefined };
+const SERVICE: Service = {
+  name: 's',
+  maxConnections: 10,
+  slowStart: undefined,
+  engine: undefined,
+};
 const NOBODY: ReadonlySet<string> = new Set();
 
 function registryOf(
@@ -37,9 +42,15 @@
     for (let host = 0; host < 200; host++) {
       const chooser = new TargetChooser(registry, new HostActivities(), {
         failureDomain: 'a',
+        eligibility: () => 'eligible',
         othersAt: id => loads.get(id) ?? 0,
       });
-      const target = chooser.choose({ service: SERVICE, model: undefined, exclude: NOBODY });
+      const target = chooser.choose({
+        service: SERVICE,
+        model: undefined,
+        homeRegions: [],
+        exclude: NOBODY,
+      });
       const id = target?.host.id ?? '';
       taken.set(id, (taken.get(id) ?? 0) + 1);
     }
@@ -51,10 +62,11 @@
     const activities = new HostActivities();
     const chooser = new TargetChooser(registryOf(['good', 'bad']), activities, {
       failureDomain: 'a',
+      eligibility: () => 'eligible',
       othersAt: id => (id === 'good' ? 50 : 0),
     });
     activities.noteFailure('bad');
-    const query = { service: SERVICE, model: undefined };
+    const query = { service: SERVICE, model: undefined, homeRegions: [] };
     for (let request = 0; request < 20; request++) {
       expect(chooser.choose({ ...query, exclude: NOBODY })?.host.id).to.equal('good');
     }
@@ -66,11 +78,12 @@
     const registry = registryOf(names, name => (Number(name[1]) < 8 ? 'b' : 'a'));
     const chooser = new TargetChooser(registry, activities, {
       failureDomain: 'a',
+      eligibility: () => 'eligible',
       othersAt: id => (registry.get(id)?.failureDomain === 'a' ? 50 : 0),
     });
     const hostOf = (name: string): HostEntry => registry.get(name) as HostEntry;
     const taken = (): Set<string | undefined> => {
-      const query = { service: SERVICE, model: undefined, exclude: NOBODY };
+      const query = { service: SERVICE, model: undefined, homeRegions: [], exclude: NOBODY };
       const targets = Array.from({ length: 40 }, () => chooser.choose(query));
       return new Set(targets.map(target => target?.host.failureDomain));
     };
@@ -86,11 +99,12 @@
   function chooserWith(verdicts: ReadonlyMap<string, OutlierVerdict>): () => Set<string> {
     const chooser = new TargetChooser(registryOf(names), new HostActivities(), {
       failureDomain: 'a',
+      eligibility: () => 'eligible',
       othersAt: id => (verdicts.has(id) ? 0 : 50),
       outlier: ({ host }) => verdicts.get(host.id),
     });
     return () => {
-      const query = { service: SERVICE, model: undefined, exclude: NOBODY };
+      const query = { service: SERVICE, model: undefined, homeRegions: [], exclude: NOBODY };
       const targets = Array.from({ length: 200 }, () => chooser.choose(query));
       return new Set(targets.map(target => target?.host.id ?? ''));
     };
@@ -133,10 +147,11 @@
     let told = new Set(['g2']);
     const chooser = new TargetChooser(registry, new HostActivities(), {
       failureDomain: 'a',
+      eligibility: () => 'eligible',
       othersAt: id => (id === 'whole' ? 100 : 0),
       lacksMember: group => told.has(group.name),
     });
-    const query = { service, model: 'm', exclude: NOBODY };
+    const query = { service, model: 'm', homeRegions: [], exclude: NOBODY };
     expect(chooser.choose(query)?.host.id).to.equal('whole');
     told = new Set();
     expect(chooser.choose(query)?.host.id).to.equal('lacking');
@@ -146,9 +161,10 @@
     const registry = registryOf(['h0']);
     const chooser = new TargetChooser(registry, new HostActivities(), {
       failureDomain: 'a',
+      eligibility: () => 'eligible',
       othersAt: () => 0,
     });
-    const query = { service: SERVICE, model: undefined, exclude: NOBODY };
+    const query = { service: SERVICE, model: undefined, homeRegions: [], exclude: NOBODY };
     expect(chooser.choose(query)?.host.id).to.equal('h0');
     registry.takeChanges([{ object: { name: 'h0', revision: 2, value: null }, deleted: true }]);
     expect(chooser.choose(query)).to.equal(undefined);
@@ -161,9 +177,10 @@
     const activities = new HostActivities();
     const chooser = new TargetChooser(registryOf(['h0', 'h1']), activities, {
       failureDomain: 'a',
+      eligibility: () => 'eligible',
       othersAt: () => 0,
     });
-    const query = { service: SERVICE, model: undefined, exclude: NOBODY };
+    const query = { service: SERVICE, model: undefined, homeRegions: [], exclude: NOBODY };
     activities.noteFirst('h0', 300, 's/');
     expect(chooser.expectedFirstMs(query)).to.equal(undefined);
     activities.noteFirst('h1', 200, 's/');
@@ -174,12 +191,13 @@
     const activities = new HostActivities();
     const chooser = new TargetChooser(registryOf(['known', 'new']), activities, {
       failureDomain: 'a',
+      eligibility: () => 'eligible',
       othersAt: id => (id === 'new' ? 4 : 0),
     });
     for (let request = 0; request < 20; request++) {
       activities.noteFirst('known', 200, 's/');
     }
-    const query = { service: SERVICE, model: undefined, exclude: NOBODY };
+    const query = { service: SERVICE, model: undefined, homeRegions: [], exclude: NOBODY };
     for (let request = 0; request < 20; request++) {
       expect(chooser.choose(query)?.host.id).to.equal('known');
     }
@@ -189,13 +207,14 @@
     const activities = new HostActivities();
     const chooser = new TargetChooser(registryOf(['late', 'busy']), activities, {
       failureDomain: 'a',
+      eligibility: () => 'eligible',
       othersAt: id => (id === 'busy' ? 17 : 10),
     });
     for (let request = 0; request < 20; request++) {
       activities.noteFirst('elsewhere', 300, 's/');
     }
     activities.noteFirst('late', 600, 's/');
-    const query = { service: SERVICE, model: undefined, exclude: NOBODY };
+    const query = { service: SERVICE, model: undefined, homeRegions: [], exclude: NOBODY };
     const taken = Array.from({ length: 20 }, () => chooser.choose(query)?.host.id);
     expect(taken.filter(id => id === 'late').length).to.be.greaterThan(15);
   });
@@ -204,6 +223,7 @@
     const registry = registryOf(names);
     const chooser = new TargetChooser(registry, new HostActivities(), {
       failureDomain: 'a',
+      eligibility: () => 'eligible',
       othersAt: () => 0,
     });
     let lists = 0;
@@ -213,7 +233,7 @@
       return ofService(service);
     };
     for (let request = 0; request < 50; request++) {
-      chooser.choose({ service: SERVICE, model: undefined, exclude: NOBODY });
+      chooser.choose({ service: SERVICE, model: undefined, homeRegions: [], exclude: NOBODY });
     }
     expect(lists).to.equal(1);
   });
--- a/packages/entry/src/routing/target-chooser.ts
+++ b/packages/entry/src/routing/target-chooser.ts
@@ -5,6 +5,7 @@
 import type { HostEntry } from '../hosts/host-entry.js';
 import type { HostRegistry } from '../hosts/host-registry.js';
 import { monotonicMs } from '../server/time.js';
+import type { Eligibility, HomeRegions } from './eligibility.js';
 import type { HostActivities } from './host-activity.js';
 import { kindOf } from './host-activity.js';
 import type { OutlierVerdict } from './outlier-reports.js';
@@ -23,6 +24,8 @@
   readonly model: string | undefined;
   /** Hosts that the request was sent to before. */
   readonly exclude: ReadonlySet<string>;
+  /** Regions that its hosts have to be in. */
+  readonly homeRegions: HomeRegions;
 };
 
 /** What a chooser knows beside the hosts. */
@@ -30,9 +33,11 @@
   readonly failureDomain: string;
   /** Requests of other entry hosts in progress at a host. */
   readonly othersAt: (hostId: string) => number;
-  /** What entry hosts report of the target; `now` in monotonic milliseconds. */
+  /** Whether the host may receive such a request; `now` in monotonic milliseconds. */
+  readonly eligibility: (host: HostEntry, homeRegions: HomeRegions, now: number) => Eligibility;
   /** True when a member has left the group (see `lacking-groups.ts`). */
   readonly lacksMember?: (group: ReplicaGroup) => boolean;
+  /** What entry hosts report of the target; `now` in monotonic milliseconds. */
   readonly outlier?: (target: Target, now: number) => OutlierVerdict | undefined;
 };
 
@@ -76,7 +81,7 @@
    */
   choose(query: TargetQuery): Target | undefined {
     const now = monotonicMs();
-    const usable = this.#candidates(query).filter(target => !query.exclude.has(target.host.id));
+    const usable = this.#eligible(query, now).filter(({ host }) => !query.exclude.has(host.id));
     const sound = usable.filter(target => this.#isSound(target, now));
     const from = this.#withoutOutliers(sound.length > 0 ? sound : usable, now);
     const { service, model } = query;
@@ -96,7 +101,7 @@
   /** True when a target other than the excluded ones exists that is not avoided. */
   hasSound(query: TargetQuery): boolean {
     const now = monotonicMs();
-    return this.#candidates(query).some(
+    return this.#eligible(query, now).some(
       target => !query.exclude.has(target.host.id) && this.#isSound(target, now),
     );
   }
@@ -108,7 +113,7 @@
   expectedFirstMs(query: TargetQuery): number | undefined {
     const now = monotonicMs();
     let least: number | undefined;
-    for (const target of this.#candidates(query)) {
+    for (const target of this.#eligible(query, now)) {
       const { host } = target;
       if (!this.#isSound(target, now)) {
         continue;
@@ -141,6 +146,13 @@
     }
   }
 
+  #eligible(query: TargetQuery, now: number): readonly Target[] {
+    const { homeRegions } = query;
+    return this.#candidates(query).filter(
+      ({ host }) => this.#options.eligibility(host, homeRegions, now) === 'eligible',
+    );
+  }
+
   #candidates(query: TargetQuery): readonly Target[] {
     this.#forgetOlderVersion();
     const { service, model } = query;
@@ -156,14 +168,11 @@
 
   #targetsOf({ service, model }: TargetQuery): readonly Target[] {
     if (service.engine === undefined) {
-      return this.#registry
-        .ofService(service.name)
-        .filter(host => host.accepting)
-        .map(host => ({ host, group: undefined }));
+      return this.#registry.ofService(service.name).map(host => ({ host, group: undefined }));
     }
     return this.groupsOf(service.name).flatMap(group => {
       const { head } = group;
-      const serves = head?.accepting === true && headState(group) === 'open';
+      const serves = headState(group) === 'open';
       const fits = model === undefined || group.model === model;
       return head !== undefined && serves && fits ? [{ host: head, group }] : [];
     });
--- a/packages/entry/src/server/entry-settings.ts
+++ b/packages/entry/src/server/entry-settings.ts
@@ -22,6 +22,12 @@
   readonly retrySlack: number;
   /** Window in which loads from the weight store are counted. */
   readonly loadWindowMs: number;
+  /** Time after which nothing reaches an evacuated failure domain; undefined: none is ever evacuated. */
+  readonly evacuationMs: number | undefined;
+  /** Factor on a cold host's rate up to which arrivals of all entry hosts are allowed. */
+  readonly coldOvershoot: number;
+  /** Arrivals in a second at a cold host that are allowed beyond that. */
+  readonly coldSlack: number;
 };
 
 /** How entry hosts reach each other. */
@@ -35,10 +41,15 @@
   readonly power: number;
 };
 
+/** The region that a failure domain lies in. */
+export type DomainRegion = { readonly failureDomain: string; readonly region: string };
+
 /** Settings of an entry host. */
 export type EntrySettings = {
   readonly name: string;
   readonly failureDomain: string;
+  /** Regions of failure domains, as far as they are declared. */
+  readonly regions: readonly DomainRegion[];
   readonly callers: SocketAddress;
   readonly readiness: SocketAddress;
   readonly metrics: SocketAddress | undefined;
@@ -78,6 +89,7 @@
   const settings: EntrySettings = {
     name: reader.text('entry', 'name'),
     failureDomain: reader.text('entry', 'failure-domain'),
+    regions: readRegions(reader),
     callers: reader.address('listen', 'callers'),
     readiness: reader.address('listen', 'readiness'),
     metrics: reader.has('listen', 'metrics') ? reader.address('listen', 'metrics') : undefined,
@@ -93,6 +105,11 @@
       retryWindowMs: reader.number('bounds', 'retry-window-s', 10) * MS_PER_S,
       retrySlack: reader.number('bounds', 'retry-slack', 20),
       loadWindowMs: reader.number('bounds', 'load-window-s', 5) * MS_PER_S,
+      evacuationMs: reader.has('bounds', 'evacuation-ms')
+        ? reader.number('bounds', 'evacuation-ms', 0)
+        : undefined,
+      coldOvershoot: reader.number('bounds', 'cold-overshoot', 1),
+      coldSlack: reader.number('bounds', 'cold-slack', 0),
     },
   };
   if (reader.findings.length > 0) {
@@ -101,6 +118,12 @@
   return settings;
 }
 
+function readRegions(reader: SettingsReader): readonly DomainRegion[] {
+  return reader
+    .keysOf('regions')
+    .map(failureDomain => ({ failureDomain, region: reader.text('regions', failureDomain) }));
+}
+
 function readPeers(reader: SettingsReader): PeerSettings {
   return {
     listen: reader.address('peers', 'listen'),
@@ -162,6 +185,11 @@
       .filter(entry => entry !== '');
   }
 
+  /** The keys that a section has. */
+  keysOf(section: string): readonly string[] {
+    return Object.keys((this.#sections[section] ?? {}) as Readonly<Record<string, unknown>>);
+  }
+
   address(section: string, key: string): SocketAddress {
     const value = this.text(section, key);
     const colon = value.lastIndexOf(':');
--- a/packages/entry/src/store/followed-kinds.ts
+++ b/packages/entry/src/store/followed-kinds.ts
@@ -61,11 +61,23 @@
   giverPauseMs: 500,
   staleMs: 9_000,
 };
+/**
+ * Evacuations are rare, and a waiting question is answered as soon as there is one: long waits cost few
+ * calls. They bound how long a silent reader goes unnoticed, out of the seconds that an evacuation has.
+ */
+const EVACUATIONS_TIMING: Timing = {
+  storeWaitMs: 1_500,
+  peerWaitMs: 1_000,
+  pauseMs: 50,
+  giverPauseMs: 50,
+  staleMs: 4_500,
+};
 /** The timing of each kind. */
 export const KIND_TIMINGS: Readonly<Partial<Record<ObjectKind, Timing>>> = {
   [OBJECT_KINDS.configuration]: CONFIGURATION_TIMING,
   [OBJECT_KINDS.hosts]: HOSTS_TIMING,
   [OBJECT_KINDS.members]: MEMBERS_TIMING,
+  [OBJECT_KINDS.evacuations]: EVACUATIONS_TIMING,
 };
 
 /** A watch for each kind that has an observer. */
--- a/packages/entry/src/store/object-store.ts
+++ b/packages/entry/src/store/object-store.ts
@@ -7,6 +7,8 @@
   leases: 'leases',
   /** The entry hosts themselves. */
   members: 'members',
+  /** Failure domains that operators have evacuated, by their names. */
+  evacuations: 'evacuations',
 } as const;
 /** One of the kinds. */
 export type ObjectKind = (typeof OBJECT_KINDS)[keyof typeof OBJECT_KINDS];
--- a/packages/entry/src/testing/groups.ts
+++ b/packages/entry/src/testing/groups.ts
@@ -16,6 +16,7 @@
     loadedModel: 'm',
     lastModel: 'm',
     membership: undefined,
+    coldLeftMs: 0,
     ...change,
   };
 }
--- a/packages/entry/src/testing/relay.ts
+++ b/packages/entry/src/testing/relay.ts
@@ -44,6 +44,7 @@
   targets: [{ service: 's', weight: 1 }],
   maxAttempts: 2,
   isPublic: true,
+  homeRegions: [],
 };
 
 /** An upstream host that answers by a function. */
@@ -89,6 +90,7 @@
     connectionsOf: (service: Service) => limits.connectionsOf(service),
     suspect: () => undefined,
     isUnreachable: () => false,
+    eligibility: { take: () => 'eligible' },
     keysHold: () => true,
     log: silentLog(),
     counters: new Counters(),
@@ -132,7 +134,8 @@
     response,
     body: undefined,
     route,
-    service: { name: 's', maxConnections: 100, engine: undefined },
+    service: { name: 's', maxConnections: 100, slowStart: undefined, engine: undefined },
+    homeRegions: [],
     priority: 1,
     arrivedAt: monotonicMs(),
     deadline: monotonicMs() + route.timeoutMs,
