Home regions as of each send; a request waits only for a target that is likely to come

Cause: a request carried the home regions of its arrival, so that a stream that resumed, and a second attempt of a call, went on in regions that an operator had meanwhile taken away. Without a target every request was held for a fifth of its objective, whatever was known, and the refusal did not say why. Ruled out: the homes as of arrival and of the send both binding (moving a workspace would refuse all that runs); a hold to the deadline for all (a caller that is held and refused has lost its own retry). Change: requests/home-regions.ts finds route and workspace in the configuration in force at each send; a route or key that was dropped binds on. requests/wait-for-target.ts, pure, decides by the outlook (routing/target-outlook.ts): groups that form, the turn at a cold host, news under way; refused at once where operators allow no host or all hosts have rejected. A bad entry of [regions] is reported with its section and key. Settings with a region without a value, or with two, were taken before.

--- a/packages/entry/src/requests/final-answer.ts
+++ b/packages/entry/src/requests/final-answer.ts
@@ -1,6 +1,8 @@
 /** Final answers of the entry host's own: refusals and failures, told at once. */
 import type { ServerResponse } from 'node:http';
 
+import type { NoTargetReason } from './wait-for-target.js';
+
 /** Why a request gets an answer of the entry host's own. */
 export type AnswerReason =
   | 'no-configuration'
@@ -10,7 +12,7 @@
   | 'configuration-unconfirmed'
   | 'body-too-large'
   | 'no-service'
-  | 'no-target'
+  | NoTargetReason
   | 'not-run'
   | 'overloaded'
   | 'keys-lapsed'
--- a/packages/entry/src/requests/plain-relay.ts
+++ b/packages/entry/src/requests/plain-relay.ts
@@ -2,10 +2,10 @@
 import type { IncomingMessage } from 'node:http';
 
 import { kindOf } from '../routing/host-activity.js';
-import type { Target } from '../routing/target-chooser.js';
-import { monotonicMs, sleep } from '../server/time.js';
+import type { Target, TargetQuery } from '../routing/target-chooser.js';
+import { monotonicMs } from '../server/time.js';
 import { AttemptLog } from './attempt-log.js';
-import { claimTarget } from './claim-target.js';
+import { awaitTarget, isTarget } from './await-target.js';
 import type { ExchangeEnd } from './exchange.js';
 import { startExchange } from './exchange.js';
 import type { FinalAnswer } from './final-answer.js';
@@ -15,10 +15,8 @@
 import type { RequestContext } from './request-context.js';
 import { mayRepeat } from './request-context.js';
 import { upstreamHeaders } from './upstream-request.js';
+import type { NoTargetReason } from './wait-for-target.js';
 
-/** Longest time a request waits for a first target, as a part of its objective. */
-const HOLD_PART = 0.2;
-const HOLD_STEP_MS = 15;
 const CONNECT_TIMEOUT_MS = 300;
 const RETRY_AFTER_MS = 250;
 const MAX_ANSWER_BYTES = 16 * 1024 * 1024;
@@ -26,6 +24,8 @@
 const DEADLINE_MARGIN_MS = 15;
 const NOTHING_DROPPED: ReadonlySet<string> = new Set(['content-length']);
 
+type GiveUpReason = NoTargetReason | 'not-run';
+
 type WholeAnswer = { readonly head: IncomingMessage; readonly body: Buffer };
 
 type AttemptEnd =
@@ -55,13 +55,14 @@
   /** Sends the call until it is answered or may not be sent again; then answers. */
   async run(): Promise<void> {
     for (;;) {
-      const target = await this.#target();
+      const query = (): TargetQuery => this.#query();
+      const target = await awaitTarget(this.#services, this.#context, query);
       // The caller may have left while the call was held: then it must not reach a host any more.
       if (this.#context.gone.aborted) {
         return;
       }
-      if (target === undefined) {
-        this.#giveUp('no-target');
+      if (!isTarget(target)) {
+        this.#giveUp(target.reason);
         return;
       }
       const end = await this.#attempt(target);
@@ -83,17 +84,10 @@
     }
   }
 
-  async #target(): Promise<Target | undefined> {
-    const { service, route, arrivedAt, gone, homeRegions } = this.#context;
-    const query = { service, model: undefined, homeRegions, exclude: this.#log.tried };
-    const holdUntil = arrivedAt + route.objectiveMs * HOLD_PART;
-    for (;;) {
-      const target = claimTarget(this.#services, query);
-      if (target !== undefined || monotonicMs() >= holdUntil || gone.aborted) {
-        return target;
-      }
-      await sleep(HOLD_STEP_MS, gone);
-    }
+  #query(): TargetQuery {
+    const { service, homes } = this.#context;
+    const homeRegions = homes.inForce();
+    return { service, model: undefined, homeRegions, exclude: this.#log.tried };
   }
 
   // An own failure of a host, or an answer of which nobody can tell whether it is whole, is worth
@@ -234,7 +228,7 @@
     latencies.record('answer', { kind: route.kind }, monotonicMs() - arrivedAt);
   }
 
-  #giveUp(reason: 'no-target' | 'not-run'): void {
+  #giveUp(reason: GiveUpReason): void {
     if (this.#lastFailure !== undefined) {
       this.#passOn(this.#lastFailure);
       return;
@@ -254,7 +248,7 @@
     giveFinalAnswer(response, answer);
   }
 
-  #finalAnswer(reason: 'no-target' | 'not-run'): FinalAnswer {
+  #finalAnswer(reason: GiveUpReason): FinalAnswer {
     if (!this.#log.mayHaveRun) {
       return { status: 503, reason, retryAfterMs: RETRY_AFTER_MS };
     }
--- a/packages/entry/src/requests/request-context.ts
+++ b/packages/entry/src/requests/request-context.ts
@@ -2,7 +2,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 
 import type { Route, Service } from '../configuration/serving-configuration.js';
-import type { HomeRegions } from '../routing/eligibility.js';
+import type { RequestHomes } from './home-regions.js';
 
 /** A request of a caller. */
 export type RequestContext = {
@@ -14,8 +14,8 @@
   readonly service: Service;
   /** Workspace of the caller's key; undefined on public routes. */
   readonly workspace: string | undefined;
-  /** Home regions of its route and of its workspace. */
-  readonly homeRegions: HomeRegions;
+  /** Home regions of its route and of its workspace; asked anew at each send. */
+  readonly homes: RequestHomes;
   /** Rank among all requests, 0 first. */
   readonly priority: number;
   /** Model that the request names. */
--- a/packages/entry/src/requests/request-intake.ts
+++ b/packages/entry/src/requests/request-intake.ts
@@ -4,11 +4,11 @@
 import type { ConfigurationHolder } from '../configuration/configuration-holder.js';
 import type { RouteTable } from '../configuration/route-table.js';
 import { pickService } from '../configuration/route-table.js';
-import type { Route, Workspace } from '../configuration/serving-configuration.js';
-import type { HomeRegions } from '../routing/eligibility.js';
+import type { Route } from '../configuration/serving-configuration.js';
 import { monotonicMs } from '../server/time.js';
 import type { AnswerReason, FinalAnswer } from './final-answer.js';
 import { giveFinalAnswer } from './final-answer.js';
+import { RequestHomes } from './home-regions.js';
 import { PlainRelay } from './plain-relay.js';
 import type { RelayServices } from './relay-services.js';
 import type { RequestContext } from './request-context.js';
@@ -119,11 +119,12 @@
     | Omit<RequestContext, 'deadline' | 'request' | 'response' | 'body' | 'arrivedAt' | 'gone'>
     | FinalAnswer {
     const names = this.#services.headers;
-    const route = table.routeOf(request.headers.host ?? '', request.url ?? '/');
+    const key = keyOf(request);
+    const named = { hostHeader: request.headers.host ?? '', url: request.url ?? '/', key };
+    const route = table.routeOf(named.hostHeader, named.url);
     if (route === undefined) {
       return this.#negative(404, 'no-route');
     }
-    const key = keyOf(request);
     const needsKey = table.keysRequired && !route.isPublic;
     const workspace = key === undefined ? undefined : table.workspaceOf(key);
     if (needsKey) {
@@ -144,7 +145,7 @@
       route,
       service,
       workspace: workspace?.name,
-      homeRegions: homeRegionsOf(route, workspace),
+      homes: new RequestHomes(() => this.#holder.table, named, { route, workspace }),
       priority: priorityOf(route, workspace?.priority),
       model: header(request, names.model),
       lastEventId: header(request, names.lastEventId),
@@ -184,12 +185,6 @@
   return ofWorkspace ?? route.priority;
 }
 
-// Both bind where both are set.
-function homeRegionsOf(route: Route, workspace: Workspace | undefined): HomeRegions {
-  const all = [route.homeRegions, workspace?.homeRegions ?? []];
-  return all.filter(regions => regions.length > 0);
-}
-
 function keyOf(request: IncomingMessage): string | undefined {
   return BEARER.exec(request.headers.authorization ?? '')?.[1];
 }
--- a/packages/entry/src/requests/stream-relay.ts
+++ b/packages/entry/src/requests/stream-relay.ts
@@ -6,8 +6,9 @@
 
 import { isRefused } from '../routing/overload-guard.js';
 import type { Target, TargetQuery } from '../routing/target-chooser.js';
-import { monotonicMs, sleep } from '../server/time.js';
+import { monotonicMs } from '../server/time.js';
 import { AttemptLog } from './attempt-log.js';
+import { awaitTarget, isTarget } from './await-target.js';
 import { claimTarget } from './claim-target.js';
 import { EventForwarder } from './event-forwarder.js';
 import type { FinalAnswer } from './final-answer.js';
@@ -17,16 +18,14 @@
 import type { RequestContext } from './request-context.js';
 import type { StreamAttemptEnd } from './stream-attempt.js';
 import { StreamAttempt } from './stream-attempt.js';
+import type { NoTargetReason } from './wait-for-target.js';
 
-/** Longest time a request waits for a first target, as a part of its objective. */
-const HOLD_PART = 0.2;
-const HOLD_STEP_MS = 15;
 const RETRY_AFTER_MS = 250;
 const RETRY_AFTER_NO_GROUP_MS = 800;
 const DEADLINE_MARGIN_MS = 15;
 const DROPPED_HEADERS: ReadonlySet<string> = new Set(['content-length']);
 
-type GiveUpReason = 'no-target' | 'not-run' | 'overloaded';
+type GiveUpReason = NoTargetReason | 'not-run' | 'overloaded';
 
 /** One stream of a caller. */
 export class StreamRelay {
@@ -74,20 +73,20 @@
   }
 
   #isRefused(): boolean {
-    const { service, model, homeRegions, route } = this.#context;
-    const { chooser } = this.#services;
-    return isRefused(chooser, service, model, homeRegions, route.objectiveMs, Math.random());
+    const { objectiveMs } = this.#context.route;
+    return isRefused(this.#services.chooser, this.#query(), objectiveMs, Math.random());
   }
 
   async #attempts(): Promise<void> {
     const { gone } = this.#context;
     for (;;) {
-      const target = await this.#target();
+      const query = (): TargetQuery => this.#query();
+      const target = await awaitTarget(this.#services, this.#context, query);
       if (gone.aborted) {
         return;
       }
-      if (target === undefined) {
-        this.#giveUp('no-target');
+      if (!isTarget(target)) {
+        this.#giveUp(target.reason);
         return;
       }
       const end = await this.#send(target);
@@ -106,24 +105,9 @@
     }
   }
 
-  async #target(): Promise<Target | undefined> {
-    const { route, arrivedAt, gone, deadline } = this.#context;
-    const query = this.#query();
-    const held = arrivedAt + route.objectiveMs * HOLD_PART;
-    // Once a stream has begun, waiting is better than breaking it.
-    const holdUntil = this.#log.mayHaveRun ? deadline - 2 * DEADLINE_MARGIN_MS : held;
-    for (;;) {
-      const target = claimTarget(this.#services, query);
-      if (target !== undefined || monotonicMs() >= holdUntil || gone.aborted) {
-        return target;
-      }
-      await sleep(HOLD_STEP_MS, gone);
-    }
-  }
-
   #query(): TargetQuery {
-    const { service, model, homeRegions } = this.#context;
-    return { service, model, homeRegions, exclude: this.#log.tried };
+    const { service, model, homes } = this.#context;
+    return { service, model, homeRegions: homes.inForce(), exclude: this.#log.tried };
   }
 
   // While an attempt stands still a second one may run beside it; the first that goes on wins, so
--- /dev/null
+++ b/packages/entry/src/requests/wait-for-target.test.ts
@@ -0,0 +1,59 @@
+import { expect } from 'chai';
+
+import type { Eligibility } from '../routing/eligibility.js';
+import type { TargetOutlook } from '../routing/target-outlook.js';
+import { noTargetReason, waitsForTarget } from './wait-for-target.js';
+
+function outlook(verdicts: readonly Eligibility[], formingMs?: number): TargetOutlook {
+  return { verdicts: new Set(verdicts), allTried: false, formingMs };
+}
+
+const fresh = { lackingMs: 0, leftMs: 6_000, begun: false };
+
+describe('a request without a target', () => {
+  it('waits for a group that can serve it before its deadline, and for no other', () => {
+    expect(waitsForTarget(outlook([], 1_600), { ...fresh, lackingMs: 1_000 })).to.equal(true);
+    expect(waitsForTarget(outlook([], 12_000), { ...fresh, lackingMs: 1_000 })).to.equal(false);
+    // Of a load that it has seen for a while, less is left.
+    const later = { ...fresh, lackingMs: 1_500, leftMs: 1_000 };
+    expect(waitsForTarget(outlook([], 1_600), later)).to.equal(true);
+  });
+
+  it('waits for news for a moment only', () => {
+    expect(waitsForTarget(outlook([]), fresh)).to.equal(true);
+    expect(waitsForTarget(outlook([]), { ...fresh, lackingMs: 150 })).to.equal(false);
+    expect(waitsForTarget(outlook(['draining']), { ...fresh, lackingMs: 150 })).to.equal(false);
+  });
+
+  it('is refused at once where operators allow no host', () => {
+    for (const verdict of ['evacuated', 'outside-home-regions'] as const) {
+      expect(waitsForTarget(outlook([verdict]), fresh)).to.equal(false);
+      expect(waitsForTarget(outlook([verdict, 'draining']), fresh)).to.equal(false);
+      expect(noTargetReason(outlook(['draining', verdict]))).to.equal(verdict);
+    }
+  });
+
+  it('is refused at once when all hosts that there are have rejected it', () => {
+    const rejected = { ...outlook([]), allTried: true };
+    expect(waitsForTarget(rejected, fresh)).to.equal(false);
+    expect(waitsForTarget({ ...rejected, formingMs: 500 }, fresh)).to.equal(true);
+  });
+
+  it('waits its turn at a cold host, for as long as the rate counts', () => {
+    const cold = outlook(['cold-limit', 'evacuated']);
+    expect(waitsForTarget(cold, { ...fresh, lackingMs: 500 })).to.equal(true);
+    expect(waitsForTarget(cold, { ...fresh, lackingMs: 1_100 })).to.equal(false);
+    expect(noTargetReason(cold)).to.equal('cold-limit');
+  });
+
+  it('is not held until its deadline has passed', () => {
+    const late = { ...fresh, leftMs: 40 };
+    expect(waitsForTarget(outlook(['eligible'], 0), late)).to.equal(false);
+  });
+
+  it('waits to its deadline once its caller has a part of the answer', () => {
+    const begun = { lackingMs: 3_000, leftMs: 200, begun: true };
+    expect(waitsForTarget(outlook([]), begun)).to.equal(true);
+    expect(waitsForTarget(outlook([]), { ...begun, leftMs: 20 })).to.equal(false);
+  });
+});
--- /dev/null
+++ b/packages/entry/src/requests/wait-for-target.ts
@@ -0,0 +1,79 @@
+/**
+ * Decides whether a request that has no target waits for one. Pure.
+ *
+ * A caller that is held and then refused has lost the time in which it could have asked again, while
+ * one that is refused at once may find a place elsewhere. So a request waits only for what is on its
+ * way and can still come in time: a group that is forming, the allowance of a cold host, a change that
+ * this entry host has not heard of yet. A stream that has brought events waits for anything: its
+ * caller would lose them.
+ */
+import type { Eligibility } from '../routing/eligibility.js';
+import type { TargetOutlook } from '../routing/target-outlook.js';
+
+/** Why a request has no target, as its refusal says. */
+export type NoTargetReason = Exclude<Eligibility, 'eligible' | 'draining'> | 'no-target';
+
+/** A request without a target. */
+export type Waiter = {
+  /** For how long it has had none, in milliseconds. */
+  readonly lackingMs: number;
+  /** Time until its final answer is due, in milliseconds. */
+  readonly leftMs: number;
+  /** Its caller has a part of the answer already. */
+  readonly begun: boolean;
+};
+
+/** Least time in which a run makes sense, in milliseconds; as for another attempt. */
+const LEAST_RUN_MS = 60;
+/** Time left at which an answer of our own still reaches the caller before it leaves, in milliseconds. */
+const ANSWER_MARGIN_MS = 30;
+/**
+ * Time in which a change that others know of reaches this entry host with a sound store, in
+ * milliseconds: a host that was replaced, a group that was opened, a list that was never seen.
+ */
+const NEWS_LAG_MS = 100;
+/**
+ * Time within which the allowance of a cold host comes round to an entry host, in milliseconds: its rate
+ * is counted by the second. Whoever has none by then is one of too many.
+ */
+const COLD_TURN_MS = 1_000;
+
+/** True when the request waits on. */
+export function waitsForTarget(outlook: TargetOutlook, waiter: Waiter): boolean {
+  const { lackingMs, leftMs, begun } = waiter;
+  if (begun) {
+    return leftMs > ANSWER_MARGIN_MS;
+  }
+  const runnableMs = leftMs - LEAST_RUN_MS;
+  if (runnableMs <= 0) {
+    return false;
+  }
+  const { verdicts, allTried, formingMs } = outlook;
+  const isForming = formingMs !== undefined && formingMs - lackingMs <= runnableMs;
+  if (verdicts.has('eligible') || isForming) {
+    return true;
+  }
+  if (verdicts.has('cold-limit')) {
+    return lackingMs < COLD_TURN_MS;
+  }
+  // Hosts that have rejected it are there: its caller is told when to come back to them.
+  return !allTried && !isForbidden(verdicts) && lackingMs < NEWS_LAG_MS;
+}
+
+/** What the refusal says; of several reasons the one that ends soonest. */
+export function noTargetReason({ verdicts }: TargetOutlook): NoTargetReason {
+  const reasons: readonly NoTargetReason[] = [
+    'cold-limit',
+    'evacuations-unknown',
+    'evacuated',
+    'outside-home-regions',
+  ];
+  const told = reasons.find(reason => (verdicts as ReadonlySet<string>).has(reason));
+  return told ?? 'no-target';
+}
+
+// Hosts are there, and an operator wants none of them to have the request: no news will change that.
+function isForbidden(verdicts: ReadonlySet<Eligibility>): boolean {
+  const isDeclared = verdicts.has('evacuated') || verdicts.has('outside-home-regions');
+  return isDeclared && !verdicts.has('evacuations-unknown');
+}
--- a/packages/entry/src/routing/overload-guard.ts
+++ b/packages/entry/src/routing/overload-guard.ts
@@ -4,9 +4,7 @@
  * A request that waits in a long queue is late, and makes all behind it late. The part that is
  * refused rises with the expected time to the first event, as this entry host has seen it.
  */
-import type { Service } from '../configuration/serving-configuration.js';
-import type { HomeRegions } from './eligibility.js';
-import type { TargetChooser } from './target-chooser.js';
+import type { TargetChooser, TargetQuery } from './target-chooser.js';
 
 /** Expected time, as a part of the objective, up to which every request is taken. */
 const FREE_PART = 1.5;
@@ -23,14 +21,10 @@
 /** True when a request is to be refused; `draw` is uniform in [0, 1). */
 export function isRefused(
   chooser: TargetChooser,
-  service: Service,
-  model: string | undefined,
-  homeRegions: HomeRegions,
+  query: TargetQuery,
   objectiveMs: number,
   draw: number,
 ): boolean {
-  const expected = chooser.expectedFirstMs({ service, model, homeRegions, exclude: NO_HOSTS });
+  const expected = chooser.expectedFirstMs(query);
   return expected !== undefined && draw < refusedPart(expected, objectiveMs);
 }
-
-const NO_HOSTS: ReadonlySet<string> = new Set();
--- a/packages/entry/src/routing/target-chooser.ts
+++ b/packages/entry/src/routing/target-chooser.ts
@@ -9,6 +9,8 @@
 import type { HostActivities } from './host-activity.js';
 import { kindOf } from './host-activity.js';
 import type { OutlierVerdict } from './outlier-reports.js';
+import type { TargetOutlook } from './target-outlook.js';
+import { formingMs } from './target-outlook.js';
 
 /** A host that may take a request. */
 export type Target = {
@@ -127,6 +129,26 @@
     return least;
   }
 
+  /** When a request that has no target could have one. */
+  outlook(query: TargetQuery): TargetOutlook {
+    const now = monotonicMs();
+    const { service, model, homeRegions, exclude } = query;
+    const verdictOf = (host: HostEntry): Eligibility =>
+      this.#options.eligibility(host, homeRegions, now);
+    const candidates = this.#candidates(query);
+    const untried = candidates.filter(({ host }) => !exclude.has(host.id));
+    const verdicts = new Set(untried.map(({ host }) => verdictOf(host)));
+    const isOpenTo = (head: HostEntry): boolean =>
+      ['eligible', 'cold-limit'].includes(verdictOf(head));
+    const { engine } = service;
+    const groups = engine === undefined ? [] : this.groupsOf(service.name);
+    return {
+      verdicts,
+      allTried: candidates.length > 0 && untried.length === 0,
+      formingMs: engine === undefined ? undefined : formingMs(groups, engine, model, isOpenTo),
+    };
+  }
+
   /** Groups of a service, as their members tell. */
   groupsOf(service: string): readonly ReplicaGroup[] {
     this.#forgetOlderVersion();
--- a/packages/entry/src/server/entry-settings.ts
+++ b/packages/entry/src/server/entry-settings.ts
@@ -118,10 +118,11 @@
   return settings;
 }
 
+// Without its region a host counts as at home nowhere, so that a slip here would refuse callers.
 function readRegions(reader: SettingsReader): readonly DomainRegion[] {
   return reader
     .keysOf('regions')
-    .map(failureDomain => ({ failureDomain, region: reader.text('regions', failureDomain) }));
+    .map(failureDomain => ({ failureDomain, region: reader.name('regions', failureDomain) }));
 }
 
 function readPeers(reader: SettingsReader): PeerSettings {
@@ -154,6 +155,15 @@
     return value ?? '';
   }
 
+  /** A text that is one name: a key without a value reads as `true`, a repeated one as several. */
+  name(section: string, key: string): string {
+    const value = this.text(section, key);
+    if (value === 'true' || /[\s,]/.test(value)) {
+      this.#find(section, key, `must be one name, is '${value}'`);
+    }
+    return value;
+  }
+
   number(section: string, key: string, whenAbsent: number): number {
     const value = this.#value(section, key);
     if (value === undefined) {
@@ -187,7 +197,12 @@
 
   /** The keys that a section has. */
   keysOf(section: string): readonly string[] {
-    return Object.keys((this.#sections[section] ?? {}) as Readonly<Record<string, unknown>>);
+    const values = this.#sections[section] ?? {};
+    if (typeof values !== 'object') {
+      this.#find(section, '*', `must be a section, is '${String(values as string)}'`);
+      return [];
+    }
+    return Object.keys(values);
   }
 
   address(section: string, key: string): SocketAddress {
--- a/packages/entry/src/testing/relay.ts
+++ b/packages/entry/src/testing/relay.ts
@@ -83,7 +83,12 @@
   });
   return {
     headers: TEST_HEADERS,
-    chooser: { choose, hasSound: () => false, expectedFirstMs: () => undefined },
+    chooser: {
+      choose,
+      hasSound: () => false,
+      expectedFirstMs: () => undefined,
+      outlook: () => ({ verdicts: new Set(), allTried: false, formingMs: undefined }),
+    },
     activities: new HostActivities(),
     stalls: new StallMonitor(),
     budgetOf: (service: string) => limits.budgetOf(service),
@@ -135,7 +140,7 @@
     body: undefined,
     route,
     service: { name: 's', maxConnections: 100, slowStart: undefined, engine: undefined },
-    homeRegions: [],
+    homes: { inForce: () => [] },
     priority: 1,
     arrivedAt: monotonicMs(),
     deadline: monotonicMs() + route.timeoutMs,
