Requests that an evacuation leaves without a host are refused at once, with the verdict

Cause: a request whose hosts were all evacuated was held for a fifth of its objective in vain, and the log did not say what kept it from each host; a renewed evacuation, and one that ended before it was seen to begin, were not noticed. Ruled out: refusing at once whenever nothing serves (groups that form are waited for). Change: routing/target-standings.ts, pure, tells how each target of a request stands and whether waiting can change it; requests/await-target.ts is the one loop of both relays; "request given up" has verdict and counts, `requests_without_target_total{verdict}` counts; Gauges beside Counters, evacuations with their age.

--- a/packages/entry/src/entry-host.ts
+++ b/packages/entry/src/entry-host.ts
@@ -30,7 +30,7 @@
 import { CallerServer } from './server/caller-server.js';
 import type { EntrySettings } from './server/entry-settings.js';
 import type { Log } from './server/log.js';
-import { Counters, Latencies } from './server/metrics.js';
+import { newMetrics } from './server/metrics.js';
 import { changedSettings } from './server/settings-change.js';
 import { serveMetrics, serveReadiness } from './server/side-servers.js';
 import { monotonicMs, sleep } from './server/time.js';
@@ -68,8 +68,8 @@
   readonly #options: EntryHostOptions;
   readonly #instance: string;
   #settings: EntrySettings;
-  readonly #counters = new Counters();
-  readonly #latencies = new Latencies();
+  readonly #metrics = newMetrics();
+  readonly #counters = this.#metrics.counters;
   readonly #holder: ConfigurationHolder;
   readonly #registry: HostRegistry;
   readonly #activities = new HostActivities();
@@ -108,6 +108,7 @@
       isFollowed: settings.bounds.evacuationMs !== undefined,
       changed: () => undefined,
       ended: () => undefined,
+      gauges: this.#metrics.gauges,
       log,
     });
     const regionOf = (domain: string): string | undefined =>
@@ -162,8 +163,7 @@
     await this.#callers.listen(callers.ip, callers.port);
     this.#sideServers.push(await serveReadiness(readiness.ip, readiness.port, () => this.ready));
     if (metrics !== undefined) {
-      const server = serveMetrics(metrics.ip, metrics.port, this.#counters, this.#latencies);
-      this.#sideServers.push(await server);
+      this.#sideServers.push(await serveMetrics(metrics.ip, metrics.port, this.#metrics));
     }
     log.info('entry host started', {
       instance: this.#instance,
@@ -389,7 +389,7 @@
       },
       log,
       counters: this.#counters,
-      latencies: this.#latencies,
+      latencies: this.#metrics.latencies,
     };
   }
 }
--- a/packages/entry/src/evacuation/evacuated-domains.ts
+++ b/packages/entry/src/evacuation/evacuated-domains.ts
@@ -7,6 +7,7 @@
  */
 import type { EvacuationFacts } from '../routing/eligibility.js';
 import type { Log } from '../server/log.js';
+import type { Gauges } from '../server/metrics.js';
 import { monotonicMs } from '../server/time.js';
 import type { ObjectChange, ObjectList } from '../store/object-store.js';
 import type { KindObserver } from '../store/watched-kind.js';
@@ -28,9 +29,12 @@
   readonly changed: () => void;
   /** A failure domain is used again from now on; its hosts may be cold. */
   readonly ended: (failureDomain: string) => void;
+  readonly gauges: Gauges;
   readonly log: Log;
 };
 
+const MS_PER_S = 1_000;
+
 /** Keeps the evacuations. */
 export class EvacuatedDomains implements EvacuationFacts {
   readonly #options: EvacuatedDomainsOptions;
@@ -40,6 +44,15 @@
   constructor(options: EvacuatedDomainsOptions) {
     this.#options = options;
     this.#isKnown = !options.isFollowed;
+    options.gauges.follow('evacuation_age_seconds', () =>
+      this.all.map(({ failureDomain, since }) => ({
+        labels: { failure_domain: failureDomain },
+        value: Math.round((monotonicMs() - since) / MS_PER_S),
+      })),
+    );
+    options.gauges.follow('evacuations_known', () => [
+      { labels: {}, value: this.#isKnown ? 1 : 0 },
+    ]);
   }
 
   /** True once a whole list has come, if any is to come. */
@@ -93,22 +106,24 @@
     this.#options.changed();
   }
 
+  // An object that is newer than the known one was ordered again, or has taken the place of one that was
+  // removed: peers only pass the newest change on. Nothing was sent in between, so nothing has ended here.
   #begin(failureDomain: string, revision: number): void {
     const known = this.#evacuations.get(failureDomain);
-    if (known !== undefined) {
+    if (known !== undefined && known.revision >= revision) {
       return;
     }
     this.#evacuations.set(failureDomain, { failureDomain, revision, since: monotonicMs() });
-    this.#options.log.info('failure domain evacuated', { failureDomain, revision });
+    const message =
+      known === undefined ? 'failure domain evacuated' : 'failure domain evacuated anew';
+    this.#options.log.info(message, { failureDomain, revision });
   }
 
+  // What ended before this host heard that it had begun: the hosts may be cold all the same.
   #end(failureDomain: string): void {
     const known = this.#evacuations.get(failureDomain);
-    if (known === undefined) {
-      return;
-    }
     this.#evacuations.delete(failureDomain);
-    const lastedMs = Math.round(monotonicMs() - known.since);
+    const lastedMs = known === undefined ? undefined : Math.round(monotonicMs() - known.since);
     this.#options.log.info('evacuation ended', { failureDomain, lastedMs });
     this.#options.ended(failureDomain);
   }
--- /dev/null
+++ b/packages/entry/src/requests/no-target.test.ts
@@ -0,0 +1,76 @@
+/** Requests for which no host is left. */
+import { expect } from 'chai';
+
+import type { HostEntry } from '../hosts/host-entry.js';
+import type { TargetStandings } from '../routing/target-standings.js';
+import type { Log } from '../server/log.js';
+import { monotonicMs } from '../server/time.js';
+import { relayServices, requestContext } from '../testing/relay.js';
+import { awaitTarget } from './await-target.js';
+import { PlainRelay } from './plain-relay.js';
+import type { RelayServices } from './relay-services.js';
+import { StreamRelay } from './stream-relay.js';
+
+/** A part of it is what requests are held for, far beyond what any of these tests may take. */
+const OBJECTIVE_MS = 20_000;
+const AT_ONCE_MS = 1_000;
+const EVACUATED: TargetStandings = {
+  standings: ['evacuated', 'draining', 'evacuated'],
+  forming: 0,
+};
+const ALL_EVACUATED: TargetStandings = { standings: ['evacuated', 'evacuated'], forming: 0 };
+
+type LoggedLine = Readonly<Record<string, unknown>>;
+
+function servicesWith(standings: TargetStandings, lines: LoggedLine[] = []): RelayServices {
+  const services = relayServices(() => undefined);
+  const warn: Log['warn'] = (message, fields) => lines.push({ message, ...fields });
+  return {
+    ...services,
+    chooser: { ...services.chooser, standings: () => standings },
+    log: { ...services.log, warn },
+  } as unknown as RelayServices;
+}
+
+describe('a request without a target', () => {
+  for (const Relay of [PlainRelay, StreamRelay]) {
+    it(`of a ${Relay.name} is refused at once when every host is evacuated`, async () => {
+      const lines: LoggedLine[] = [];
+      const services = servicesWith(ALL_EVACUATED, lines);
+      const { context, answer } = requestContext('r', { objectiveMs: OBJECTIVE_MS });
+      const startedAt = monotonicMs();
+      await new Relay(context, services).run();
+      expect(monotonicMs() - startedAt).to.be.lessThan(AT_ONCE_MS);
+      expect(answer.status).to.equal(503);
+      expect(lines[0]).to.include({ verdict: 'evacuated', targets: 'evacuated:2' });
+      const counted = services.counters.value('requests_without_target_total', {
+        verdict: 'evacuated',
+      });
+      expect(counted).to.equal(1);
+    });
+
+    it(`of a ${Relay.name} waits while something may change, and tells why it got none`, async () => {
+      const lines: LoggedLine[] = [];
+      const { context } = requestContext('r', { objectiveMs: 500 });
+      const startedAt = monotonicMs();
+      await new Relay(context, servicesWith(EVACUATED, lines)).run();
+      expect(monotonicMs() - startedAt).to.be.at.least(95);
+      expect(lines[0]).to.include({ verdict: 'evacuated', targets: 'evacuated:2,draining:1' });
+    });
+  }
+
+  it('gets the group that forms meanwhile, although all others are evacuated', async () => {
+    const target = { host: { id: 'h' } as HostEntry, group: undefined };
+    let asked = 0;
+    const services = servicesWith({ ...ALL_EVACUATED, forming: 1 });
+    const chooser = { ...services.chooser, choose: () => (++asked > 2 ? target : undefined) };
+    const { context } = requestContext('r');
+    const { service, homeRegions, gone } = context;
+    const got = await awaitTarget(
+      { ...services, chooser } as unknown as RelayServices,
+      { service, model: undefined, homeRegions, exclude: new Set() },
+      { until: monotonicMs() + OBJECTIVE_MS, endsWhenBarred: true, gone },
+    );
+    expect(got).to.equal(target);
+  });
+});
--- a/packages/entry/src/requests/plain-relay.ts
+++ b/packages/entry/src/requests/plain-relay.ts
@@ -2,14 +2,16 @@
 import type { IncomingMessage } from 'node:http';
 
 import { kindOf } from '../routing/host-activity.js';
-import type { Target } from '../routing/target-chooser.js';
-import { monotonicMs, sleep } from '../server/time.js';
+import type { Target, TargetQuery } from '../routing/target-chooser.js';
+import { monotonicMs } from '../server/time.js';
 import { AttemptLog } from './attempt-log.js';
-import { claimTarget } from './claim-target.js';
+import { awaitTarget } from './await-target.js';
 import type { ExchangeEnd } from './exchange.js';
 import { startExchange } from './exchange.js';
 import type { FinalAnswer } from './final-answer.js';
 import { giveFinalAnswer } from './final-answer.js';
+import type { NoTargetCause } from './no-target-cause.js';
+import { noTargetCause, RETRY_AFTER_BARRED_MS, RETRY_AFTER_MS } from './no-target-cause.js';
 import { endToEndHeaders } from './relay-headers.js';
 import type { RelayServices } from './relay-services.js';
 import type { RequestContext } from './request-context.js';
@@ -18,9 +20,7 @@
 
 /** Longest time a request waits for a first target, as a part of its objective. */
 const HOLD_PART = 0.2;
-const HOLD_STEP_MS = 15;
 const CONNECT_TIMEOUT_MS = 300;
-const RETRY_AFTER_MS = 250;
 const MAX_ANSWER_BYTES = 16 * 1024 * 1024;
 /** Margin in which the final answer goes out before it is due, in milliseconds. */
 const DEADLINE_MARGIN_MS = 15;
@@ -83,17 +83,15 @@
     }
   }
 
-  async #target(): Promise<Target | undefined> {
-    const { service, route, arrivedAt, gone, homeRegions } = this.#context;
-    const query = { service, model: undefined, homeRegions, exclude: this.#log.tried };
-    const holdUntil = arrivedAt + route.objectiveMs * HOLD_PART;
-    for (;;) {
-      const target = claimTarget(this.#services, query);
-      if (target !== undefined || monotonicMs() >= holdUntil || gone.aborted) {
-        return target;
-      }
-      await sleep(HOLD_STEP_MS, gone);
-    }
+  #target(): Promise<Target | undefined> {
+    const { route, arrivedAt, gone } = this.#context;
+    const until = arrivedAt + route.objectiveMs * HOLD_PART;
+    return awaitTarget(this.#services, this.#query(), { until, endsWhenBarred: true, gone });
+  }
+
+  #query(): TargetQuery {
+    const { service, homeRegions } = this.#context;
+    return { service, model: undefined, homeRegions, exclude: this.#log.tried };
   }
 
   // An own failure of a host, or an answer of which nobody can tell whether it is whole, is worth
@@ -239,7 +237,8 @@
       this.#passOn(this.#lastFailure);
       return;
     }
-    const answer = this.#finalAnswer(reason);
+    const cause = reason === 'no-target' ? noTargetCause(this.#services, this.#query()) : undefined;
+    const answer = this.#finalAnswer(reason, cause);
     const { response, route, id, arrivedAt } = this.#context;
     const { counters, log } = this.#services;
     counters.count('answers_total', { kind: route.kind, status: String(answer.status) });
@@ -248,15 +247,18 @@
       route: route.name,
       status: answer.status,
       reason: answer.reason,
+      verdict: cause?.verdict,
+      targets: cause?.targets,
       sentTo: [...this.#log.tried].join(','),
       heldMs: Math.round(monotonicMs() - arrivedAt),
     });
     giveFinalAnswer(response, answer);
   }
 
-  #finalAnswer(reason: 'no-target' | 'not-run'): FinalAnswer {
+  #finalAnswer(reason: 'no-target' | 'not-run', cause: NoTargetCause | undefined): FinalAnswer {
     if (!this.#log.mayHaveRun) {
-      return { status: 503, reason, retryAfterMs: RETRY_AFTER_MS };
+      const retryAfterMs = cause?.lasts === true ? RETRY_AFTER_BARRED_MS : RETRY_AFTER_MS;
+      return { status: 503, reason, retryAfterMs };
     }
     const late = this.#context.deadline - monotonicMs() < 2 * DEADLINE_MARGIN_MS;
     return late
--- a/packages/entry/src/requests/stream-relay.ts
+++ b/packages/entry/src/requests/stream-relay.ts
@@ -6,12 +6,14 @@
 
 import { isRefused } from '../routing/overload-guard.js';
 import type { Target, TargetQuery } from '../routing/target-chooser.js';
-import { monotonicMs, sleep } from '../server/time.js';
+import { monotonicMs } from '../server/time.js';
 import { AttemptLog } from './attempt-log.js';
+import { awaitTarget } from './await-target.js';
 import { claimTarget } from './claim-target.js';
 import { EventForwarder } from './event-forwarder.js';
 import type { FinalAnswer } from './final-answer.js';
 import { giveFinalAnswer } from './final-answer.js';
+import { noTargetCause, RETRY_AFTER_BARRED_MS, RETRY_AFTER_MS } from './no-target-cause.js';
 import { endToEndHeaders } from './relay-headers.js';
 import type { RelayServices } from './relay-services.js';
 import type { RequestContext } from './request-context.js';
@@ -20,9 +22,6 @@
 
 /** Longest time a request waits for a first target, as a part of its objective. */
 const HOLD_PART = 0.2;
-const HOLD_STEP_MS = 15;
-const RETRY_AFTER_MS = 250;
-const RETRY_AFTER_NO_GROUP_MS = 800;
 const DEADLINE_MARGIN_MS = 15;
 const DROPPED_HEADERS: ReadonlySet<string> = new Set(['content-length']);
 
@@ -106,19 +105,13 @@
     }
   }
 
-  async #target(): Promise<Target | undefined> {
+  #target(): Promise<Target | undefined> {
     const { route, arrivedAt, gone, deadline } = this.#context;
-    const query = this.#query();
     const held = arrivedAt + route.objectiveMs * HOLD_PART;
     // Once a stream has begun, waiting is better than breaking it.
-    const holdUntil = this.#log.mayHaveRun ? deadline - 2 * DEADLINE_MARGIN_MS : held;
-    for (;;) {
-      const target = claimTarget(this.#services, query);
-      if (target !== undefined || monotonicMs() >= holdUntil || gone.aborted) {
-        return target;
-      }
-      await sleep(HOLD_STEP_MS, gone);
-    }
+    const hasBegun = this.#log.mayHaveRun;
+    const until = hasBegun ? deadline - 2 * DEADLINE_MARGIN_MS : held;
+    return awaitTarget(this.#services, this.#query(), { until, endsWhenBarred: !hasBegun, gone });
   }
 
   #query(): TargetQuery {
@@ -254,6 +247,7 @@
     const { response, route, id, arrivedAt } = this.#context;
     const { counters, log } = this.#services;
     const answer = this.#finalAnswer(reason);
+    const cause = reason === 'no-target' ? noTargetCause(this.#services, this.#query()) : undefined;
     counters.count('answers_total', {
       kind: route.kind,
       status: response.headersSent ? 'cut' : String(this.#failure?.statusCode ?? answer.status),
@@ -263,6 +257,8 @@
       route: route.name,
       status: this.#failure?.statusCode ?? answer.status,
       reason: answer.reason,
+      verdict: cause?.verdict,
+      targets: cause?.targets,
       events: this.#events.batches,
       sentTo: [...this.#log.tried].join(','),
       heldMs: Math.round(monotonicMs() - arrivedAt),
@@ -281,7 +277,7 @@
   #finalAnswer(reason: GiveUpReason): FinalAnswer {
     if (!this.#log.mayHaveRun) {
       const any = this.#services.chooser.hasSound({ ...this.#query(), exclude: new Set() });
-      const retryAfterMs = any ? RETRY_AFTER_MS : RETRY_AFTER_NO_GROUP_MS;
+      const retryAfterMs = any ? RETRY_AFTER_MS : RETRY_AFTER_BARRED_MS;
       return { status: 503, reason, retryAfterMs };
     }
     const late = this.#context.deadline - monotonicMs() < 3 * DEADLINE_MARGIN_MS;
--- a/packages/entry/src/routing/target-chooser.ts
+++ b/packages/entry/src/routing/target-chooser.ts
@@ -9,6 +9,7 @@
 import type { HostActivities } from './host-activity.js';
 import { kindOf } from './host-activity.js';
 import type { OutlierVerdict } from './outlier-reports.js';
+import type { TargetStanding, TargetStandings } from './target-standings.js';
 
 /** A host that may take a request. */
 export type Target = {
@@ -127,6 +128,35 @@
     return least;
   }
 
+  /** How all targets stand that serve what the request asks for: why it has none. */
+  standings(query: TargetQuery): TargetStandings {
+    const now = monotonicMs();
+    const standingOf = ({ host }: Target): TargetStanding =>
+      query.exclude.has(host.id)
+        ? 'tried'
+        : this.#options.eligibility(host, query.homeRegions, now);
+    const standings = this.#candidates(query).map(standingOf);
+    return { standings, forming: this.#formingAt(query, now) };
+  }
+
+  // A group that forms may not tell of its model yet.
+  #formingAt({ service, model, homeRegions }: TargetQuery, now: number): number {
+    if (service.engine === undefined) {
+      return 0;
+    }
+    return this.groupsOf(service.name).filter(({ head, model: formed }) => {
+      const state = head?.membership?.state;
+      const forms = state === 'joining' || state === 'ready';
+      const fits = model === undefined || formed === undefined || formed === model;
+      return (
+        head !== undefined &&
+        forms &&
+        fits &&
+        this.#options.eligibility(head, homeRegions, now) === 'eligible'
+      );
+    }).length;
+  }
+
   /** Groups of a service, as their members tell. */
   groupsOf(service: string): readonly ReplicaGroup[] {
     this.#forgetOlderVersion();
--- a/packages/entry/src/server/metrics.ts
+++ b/packages/entry/src/server/metrics.ts
@@ -1,4 +1,4 @@
-/** Counters and latency histograms, served in the Prometheus text format. */
+/** Counters, gauges and latency histograms, served in the Prometheus text format. */
 import type { Histogram } from 'hdr-histogram-js';
 
 /** Labels of a counter. */
@@ -25,6 +25,43 @@
   }
 }
 
+/** Value of a gauge for one set of labels. */
+export type GaugeReading = { readonly labels: Labels; readonly value: number };
+
+/** States that are read at the moment somebody asks for them. */
+export class Gauges {
+  readonly #readers = new Map<string, () => readonly GaugeReading[]>();
+
+  /** Serves what `read` gives under a name; `hingescale_` is put before it when it is served. */
+  follow(name: string, read: () => readonly GaugeReading[]): void {
+    this.#readers.set(name, read);
+  }
+
+  /** All gauges as text. */
+  text(): string {
+    return [...this.#readers]
+      .flatMap(([name, read]) => read().map(reading => formatGauge(name, reading)))
+      .join('');
+  }
+}
+
+/** All that an entry host measures of itself. */
+export type Metrics = {
+  readonly counters: Counters;
+  readonly gauges: Gauges;
+  readonly latencies: Latencies;
+};
+
+/** Metrics of a host that has just started. */
+export function newMetrics(): Metrics {
+  return { counters: new Counters(), gauges: new Gauges(), latencies: new Latencies() };
+}
+
+/** All metrics as text. */
+export async function metricsText({ counters, gauges, latencies }: Metrics): Promise<string> {
+  return counters.text() + gauges.text() + (await latencies.text());
+}
+
 const SCALE = 1_000;
 const HIGHEST_MS = 600_000;
 const QUANTILES = [0.5, 0.95, 0.99];
@@ -67,6 +104,10 @@
 /** Values that are kept between two questions; more are dropped. */
 const MAX_PENDING = 20_000;
 
+function formatGauge(name: string, { labels, value }: GaugeReading): string {
+  return `hingescale_${name}${formatLabels(labels)} ${value}\n`;
+}
+
 function formatLabels(labels: Labels): string {
   const parts = Object.entries(labels).map(([name, value]) => `${name}="${value}"`);
   return parts.length === 0 ? '' : `{${parts.join(',')}}`;
--- a/packages/entry/src/server/side-servers.ts
+++ b/packages/entry/src/server/side-servers.ts
@@ -3,7 +3,8 @@
 import { createServer } from 'node:http';
 
 import { listenAt } from './caller-server.js';
-import type { Counters, Latencies } from './metrics.js';
+import type { Metrics } from './metrics.js';
+import { metricsText } from './metrics.js';
 
 /** Answers 200 to any question while `ready` holds, else 503. */
 export async function serveReadiness(
@@ -22,16 +23,11 @@
 }
 
 /** Serves all metrics as text. */
-export async function serveMetrics(
-  ip: string,
-  port: number,
-  counters: Counters,
-  latencies: Latencies,
-): Promise<Server> {
+export async function serveMetrics(ip: string, port: number, metrics: Metrics): Promise<Server> {
   const server = createServer((request, response) => {
     request.resume();
-    latencies.text().then(
-      text => response.end(counters.text() + text),
+    metricsText(metrics).then(
+      text => response.end(text),
       () => response.destroy(),
     );
   });
--- a/packages/entry/src/testing/relay.ts
+++ b/packages/entry/src/testing/relay.ts
@@ -75,6 +75,8 @@
   }
 }
 
+const NO_STANDINGS: TargetChooser['standings'] = () => ({ standings: [], forming: 0 });
+
 /** Services of which `choose` decides where requests go. */
 export function relayServices(choose: TargetChooser['choose']): RelayServices {
   const limits = new ServiceLimits({
@@ -83,7 +85,12 @@
   });
   return {
     headers: TEST_HEADERS,
-    chooser: { choose, hasSound: () => false, expectedFirstMs: () => undefined },
+    chooser: {
+      choose,
+      hasSound: () => false,
+      expectedFirstMs: () => undefined,
+      standings: NO_STANDINGS,
+    },
     activities: new HostActivities(),
     stalls: new StallMonitor(),
     budgetOf: (service: string) => limits.budgetOf(service),
