--- a/packages/entry/src/requests/await-target.ts
+++ b/packages/entry/src/requests/await-target.ts
@@ -1,5 +1,6 @@
 /** Finds a request the target it is sent to next, and holds it as long as there is reason to. */
 import type { Target, TargetQuery } from '../routing/target-chooser.js';
+import { describeStandings } from '../routing/target-standings.js';
 import { monotonicMs, sleep } from '../server/time.js';
 import { claimTarget } from './claim-target.js';
 import type { RelayServices } from './relay-services.js';
@@ -8,7 +9,11 @@
 import { noTargetReason, waitsForTarget } from './wait-for-target.js';
 
 /** No target came, or none will. */
-export type NoTarget = { readonly reason: NoTargetReason };
+export type NoTarget = {
+  readonly reason: NoTargetReason;
+  /** How many targets stand in each way, for the log. */
+  readonly targets: string;
+};
 
 /** Period in which a request that waits looks again at first, in milliseconds. */
 const FIRST_LOOK_MS = 15;
@@ -36,10 +41,8 @@
     const waiter = { lackingMs, leftMs: deadline - now, begun: response.headersSent };
     if (gone.aborted || !waitsForTarget(outlook, waiter)) {
       const reason = noTargetReason(outlook);
-      if (reason !== 'no-target') {
-        services.counters.count('sends_withheld_total', { verdict: reason });
-      }
-      return { reason };
+      services.counters.count('requests_without_target_total', { reason });
+      return { reason, targets: describeStandings(outlook.standings) };
     }
     const lookMs = Math.min(LATER_LOOK_MS, Math.max(FIRST_LOOK_MS, lackingMs * LOOK_PART));
     await sleep(lookMs, gone);
--- a/packages/entry/src/requests/plain-relay.ts
+++ b/packages/entry/src/requests/plain-relay.ts
@@ -14,11 +14,11 @@
 import type { RelayServices } from './relay-services.js';
 import type { RequestContext } from './request-context.js';
 import { mayRepeat } from './request-context.js';
+import { isForbidding, RETRY_AFTER_FORBIDDEN_MS, RETRY_AFTER_MS } from './retry-after.js';
 import { upstreamHeaders } from './upstream-request.js';
 import type { NoTargetReason } from './wait-for-target.js';
 
 const CONNECT_TIMEOUT_MS = 300;
-const RETRY_AFTER_MS = 250;
 const MAX_ANSWER_BYTES = 16 * 1024 * 1024;
 /** Margin in which the final answer goes out before it is due, in milliseconds. */
 const DEADLINE_MARGIN_MS = 15;
@@ -62,7 +62,7 @@
         return;
       }
       if (!isTarget(target)) {
-        this.#giveUp(target.reason);
+        this.#giveUp(target.reason, target.targets);
         return;
       }
       const end = await this.#attempt(target);
@@ -228,7 +228,7 @@
     latencies.record('answer', { kind: route.kind }, monotonicMs() - arrivedAt);
   }
 
-  #giveUp(reason: GiveUpReason): void {
+  #giveUp(reason: GiveUpReason, targets?: string): void {
     if (this.#lastFailure !== undefined) {
       this.#passOn(this.#lastFailure);
       return;
@@ -242,6 +242,7 @@
       route: route.name,
       status: answer.status,
       reason: answer.reason,
+      targets,
       sentTo: [...this.#log.tried].join(','),
       heldMs: Math.round(monotonicMs() - arrivedAt),
     });
@@ -250,7 +251,8 @@
 
   #finalAnswer(reason: GiveUpReason): FinalAnswer {
     if (!this.#log.mayHaveRun) {
-      return { status: 503, reason, retryAfterMs: RETRY_AFTER_MS };
+      const retryAfterMs = isForbidding(reason) ? RETRY_AFTER_FORBIDDEN_MS : RETRY_AFTER_MS;
+      return { status: 503, reason, retryAfterMs };
     }
     const late = this.#context.deadline - monotonicMs() < 2 * DEADLINE_MARGIN_MS;
     return late
--- a/packages/entry/src/requests/stream-relay.ts
+++ b/packages/entry/src/requests/stream-relay.ts
@@ -16,12 +16,11 @@
 import { endToEndHeaders } from './relay-headers.js';
 import type { RelayServices } from './relay-services.js';
 import type { RequestContext } from './request-context.js';
+import { RETRY_AFTER_FORBIDDEN_MS, RETRY_AFTER_MS } from './retry-after.js';
 import type { StreamAttemptEnd } from './stream-attempt.js';
 import { StreamAttempt } from './stream-attempt.js';
 import type { NoTargetReason } from './wait-for-target.js';
 
-const RETRY_AFTER_MS = 250;
-const RETRY_AFTER_NO_GROUP_MS = 800;
 const DEADLINE_MARGIN_MS = 15;
 const DROPPED_HEADERS: ReadonlySet<string> = new Set(['content-length']);
 
@@ -86,7 +85,7 @@
         return;
       }
       if (!isTarget(target)) {
-        this.#giveUp(target.reason);
+        this.#giveUp(target.reason, target.targets);
         return;
       }
       const end = await this.#send(target);
@@ -234,7 +233,7 @@
     latencies.record('answer', { kind: route.kind }, monotonicMs() - arrivedAt);
   }
 
-  #giveUp(reason: GiveUpReason): void {
+  #giveUp(reason: GiveUpReason, targets?: string): void {
     const { response, route, id, arrivedAt } = this.#context;
     const { counters, log } = this.#services;
     const answer = this.#finalAnswer(reason);
@@ -247,6 +246,7 @@
       route: route.name,
       status: this.#failure?.statusCode ?? answer.status,
       reason: answer.reason,
+      targets,
       events: this.#events.batches,
       sentTo: [...this.#log.tried].join(','),
       heldMs: Math.round(monotonicMs() - arrivedAt),
@@ -265,7 +265,7 @@
   #finalAnswer(reason: GiveUpReason): FinalAnswer {
     if (!this.#log.mayHaveRun) {
       const any = this.#services.chooser.hasSound({ ...this.#query(), exclude: new Set() });
-      const retryAfterMs = any ? RETRY_AFTER_MS : RETRY_AFTER_NO_GROUP_MS;
+      const retryAfterMs = any ? RETRY_AFTER_MS : RETRY_AFTER_FORBIDDEN_MS;
       return { status: 503, reason, retryAfterMs };
     }
     const late = this.#context.deadline - monotonicMs() < 3 * DEADLINE_MARGIN_MS;
--- a/packages/entry/src/requests/wait-for-target.test.ts
+++ b/packages/entry/src/requests/wait-for-target.test.ts
@@ -1,11 +1,11 @@
 import { expect } from 'chai';
 
-import type { Eligibility } from '../routing/eligibility.js';
 import type { TargetOutlook } from '../routing/target-outlook.js';
+import type { TargetStanding } from '../routing/target-standings.js';
 import { noTargetReason, waitsForTarget } from './wait-for-target.js';
 
-function outlook(verdicts: readonly Eligibility[], formingMs?: number): TargetOutlook {
-  return { verdicts: new Set(verdicts), allTried: false, formingMs };
+function outlook(standings: readonly TargetStanding[], formingMs?: number): TargetOutlook {
+  return { standings, formingMs };
 }
 
 const fresh = { lackingMs: 0, leftMs: 6_000, begun: false };
@@ -34,7 +34,7 @@
   });
 
   it('is refused at once when all hosts that there are have rejected it', () => {
-    const rejected = { ...outlook([]), allTried: true };
+    const rejected = outlook(['tried', 'tried']);
     expect(waitsForTarget(rejected, fresh)).to.equal(false);
     expect(waitsForTarget({ ...rejected, formingMs: 500 }, fresh)).to.equal(true);
   });
--- a/packages/entry/src/requests/wait-for-target.ts
+++ b/packages/entry/src/requests/wait-for-target.ts
@@ -9,6 +9,7 @@
  */
 import type { Eligibility } from '../routing/eligibility.js';
 import type { TargetOutlook } from '../routing/target-outlook.js';
+import type { TargetStanding } from '../routing/target-standings.js';
 
 /** Why a request has no target, as its refusal says. */
 export type NoTargetReason = Exclude<Eligibility, 'eligible' | 'draining'> | 'no-target';
@@ -48,32 +49,33 @@
   if (runnableMs <= 0) {
     return false;
   }
-  const { verdicts, allTried, formingMs } = outlook;
+  const { standings, formingMs } = outlook;
   const isForming = formingMs !== undefined && formingMs - lackingMs <= runnableMs;
-  if (verdicts.has('eligible') || isForming) {
+  if (standings.includes('eligible') || isForming) {
     return true;
   }
-  if (verdicts.has('cold-limit')) {
+  if (standings.includes('cold-limit')) {
     return lackingMs < COLD_TURN_MS;
   }
   // Hosts that have rejected it are there: its caller is told when to come back to them.
-  return !allTried && !isForbidden(verdicts) && lackingMs < NEWS_LAG_MS;
+  const allTried = standings.length > 0 && standings.every(standing => standing === 'tried');
+  return !allTried && !isForbidden(standings) && lackingMs < NEWS_LAG_MS;
 }
 
 /** What the refusal says; of several reasons the one that ends soonest. */
-export function noTargetReason({ verdicts }: TargetOutlook): NoTargetReason {
-  const reasons: readonly NoTargetReason[] = [
+export function noTargetReason({ standings }: TargetOutlook): NoTargetReason {
+  const reasons: readonly Exclude<NoTargetReason, 'no-target'>[] = [
     'cold-limit',
     'evacuations-unknown',
     'evacuated',
     'outside-home-regions',
   ];
-  const told = reasons.find(reason => (verdicts as ReadonlySet<string>).has(reason));
+  const told = reasons.find(reason => standings.includes(reason));
   return told ?? 'no-target';
 }
 
 // Hosts are there, and an operator wants none of them to have the request: no news will change that.
-function isForbidden(verdicts: ReadonlySet<Eligibility>): boolean {
-  const isDeclared = verdicts.has('evacuated') || verdicts.has('outside-home-regions');
-  return isDeclared && !verdicts.has('evacuations-unknown');
+function isForbidden(standings: readonly TargetStanding[]): boolean {
+  const isDeclared = standings.includes('evacuated') || standings.includes('outside-home-regions');
+  return isDeclared && !standings.includes('evacuations-unknown');
 }
--- a/packages/entry/src/routing/target-chooser.ts
+++ b/packages/entry/src/routing/target-chooser.ts
@@ -11,6 +11,7 @@
 import type { OutlierVerdict } from './outlier-reports.js';
 import type { TargetOutlook } from './target-outlook.js';
 import { formingMs } from './target-outlook.js';
+import type { TargetStanding } from './target-standings.js';
 
 /** A host that may take a request. */
 export type Target = {
@@ -135,16 +136,15 @@
     const { service, model, homeRegions, exclude } = query;
     const verdictOf = (host: HostEntry): Eligibility =>
       this.#options.eligibility(host, homeRegions, now);
-    const candidates = this.#candidates(query);
-    const untried = candidates.filter(({ host }) => !exclude.has(host.id));
-    const verdicts = new Set(untried.map(({ host }) => verdictOf(host)));
+    const standings = this.#candidates(query).map(({ host }): TargetStanding =>
+      exclude.has(host.id) ? 'tried' : verdictOf(host),
+    );
     const isOpenTo = (head: HostEntry): boolean =>
       ['eligible', 'cold-limit'].includes(verdictOf(head));
     const { engine } = service;
     const groups = engine === undefined ? [] : this.groupsOf(service.name);
     return {
-      verdicts,
-      allTried: candidates.length > 0 && untried.length === 0,
+      standings,
       formingMs: engine === undefined ? undefined : formingMs(groups, engine, model, isOpenTo),
     };
   }
--- a/packages/entry/src/routing/target-outlook.ts
+++ b/packages/entry/src/routing/target-outlook.ts
@@ -3,14 +3,12 @@
 import type { ReplicaGroup } from '../groups/replica-groups.js';
 import { headState } from '../groups/replica-groups.js';
 import type { HostEntry } from '../hosts/host-entry.js';
-import type { Eligibility } from './eligibility.js';
+import type { TargetStanding } from './target-standings.js';
 
 /** The outlook of one request. */
 export type TargetOutlook = {
-  /** What is said of the hosts that serve what it names and that it was not sent to. */
-  readonly verdicts: ReadonlySet<Eligibility>;
-  /** There are such hosts, and it was sent to all of them. */
-  readonly allTried: boolean;
+  /** Of each target that serves what it names. */
+  readonly standings: readonly TargetStanding[];
   /**
    * Longest time until a group of its model that is forming now can serve it, in milliseconds; of
    * several the shortest. Undefined while none is forming where it may go.
--- a/packages/entry/src/testing/relay.ts
+++ b/packages/entry/src/testing/relay.ts
@@ -87,7 +87,7 @@
       choose,
       hasSound: () => false,
       expectedFirstMs: () => undefined,
-      outlook: () => ({ verdicts: new Set(), allTried: false, formingMs: undefined }),
+      outlook: () => ({ standings: [], formingMs: undefined }),
     },
     activities: new HostActivities(),
     stalls: new StallMonitor(),
