--- a/packages/entry/src/entry-host.ts
+++ b/packages/entry/src/entry-host.ts
@@ -131,6 +131,8 @@
       retries: liveRetryBounds(() => this.#settings.bounds),
       // A host without peers is one of few.
       hosts: () => this.#peers?.membership.count ?? HOSTS_WITHOUT_PEERS,
+      log,
+      counters: this.#counters,
     });
     this.#chooser = new TargetChooser(this.#registry, this.#activities, {
       failureDomain: settings.failureDomain,
--- a/packages/entry/src/requests/service-limits.ts
+++ b/packages/entry/src/requests/service-limits.ts
@@ -2,6 +2,9 @@
 import type { Service } from '../configuration/serving-configuration.js';
 import type { RetryBounds } from '../routing/retry-budget.js';
 import { RetryBudget } from '../routing/retry-budget.js';
+import type { Log } from '../server/log.js';
+import type { Counters } from '../server/metrics.js';
+import type { ConnectionObserver } from './upstream-connections.js';
 import { UpstreamConnections } from './upstream-connections.js';
 
 /** Options of the limits. */
@@ -10,6 +13,8 @@
   readonly retries: RetryBounds;
   /** Number of entry hosts; 0 while it is not known. */
   readonly hosts: () => number;
+  readonly log: Log;
+  readonly counters: Counters;
 };
 
 /** Entry hosts among which a host's connections are divided at least. */
@@ -41,12 +46,25 @@
     let connections = this.#connections.get(service.name);
     if (connections === undefined) {
       const share = Math.floor(service.maxConnections / MIN_CONNECTION_PARTS);
-      connections = new UpstreamConnections(Math.max(MIN_CONNECTIONS, share));
+      const observer = this.#observerOf(service.name);
+      connections = new UpstreamConnections(Math.max(MIN_CONNECTIONS, share), observer);
       this.#connections.set(service.name, connections);
     }
     return connections;
   }
 
+  #observerOf(service: string): ConnectionObserver {
+    const { log, counters } = this.#options;
+    return {
+      opened: cause => {
+        counters.count('upstream_connections_total', { cause });
+      },
+      announced: idleMs => {
+        log.info('upstream announces idle time', { service, idleMs });
+      },
+    };
+  }
+
   /** Closes all connections. */
   close(): void {
     this.#connections.forEach(connections => {
--- a/packages/entry/src/requests/upstream-connections.ts
+++ b/packages/entry/src/requests/upstream-connections.ts
@@ -2,28 +2,75 @@
  * Connections to upstream hosts, kept for later requests.
  *
  * A kept connection on which bytes arrive while no request is waiting is closed: those bytes belong
- * to no request.
+ * to no request. One is kept for as long as its upstream announces, less a margin.
  */
-import type { ClientRequest } from 'node:http';
+import type { ClientRequest, IncomingMessage } from 'node:http';
 import { Agent } from 'node:http';
+import type { Socket, TcpNetConnectOpts } from 'node:net';
 import type { Duplex } from 'node:stream';
 
+import { announcedIdleMs, keptIdleMs, USUAL_IDLE_MS } from './connection-reuse.js';
+
+/** Why a connection was opened although connections are kept. */
+export type ConnectionCause =
+  /** The first one to this host, as far as this process remembers. */
+  | 'first'
+  /** All others to the host have requests in progress. */
+  | 'busy'
+  /** The one before was idle for as long as it may be. */
+  | 'idle-closed'
+  /** The one before was closed by the upstream, or reset, while idle. */
+  | 'peer-closed'
+  /** The one before ended with its answer: the upstream said so, or the request was given up. */
+  | 'not-kept';
+
+/** What is told of the connections. */
+export type ConnectionObserver = {
+  /** One was opened. */
+  readonly opened: (cause: ConnectionCause) => void;
+  /** The upstream announces another idle time than before, in milliseconds. */
+  readonly announced: (idleMs: number) => void;
+};
+
 /** Idle connections that are kept to one host. */
 const MAX_IDLE_PER_HOST = 8;
-const IDLE_MS = 4_000;
+/** Hosts of which the last close is remembered; beyond, all are forgotten and count as `first`. */
+const MOST_REMEMBERED = 4_000;
 
-const closeOnData = new WeakMap<Duplex, () => void>();
+/** What watches an idle connection. */
+type IdleWatch = {
+  readonly data: () => void;
+  readonly timeout: () => void;
+  readonly close: () => void;
+};
 
 /** An agent that watches its idle connections. */
 export class UpstreamConnections extends Agent {
-  constructor(maxPerHost: number) {
+  readonly #observer: ConnectionObserver | undefined;
+  readonly #watches = new WeakMap<Duplex, IdleWatch>();
+  readonly #names = new WeakMap<Duplex, string>();
+  readonly #lastEnds = new Map<string, ConnectionCause>();
+  #announcedMs: number | undefined;
+
+  constructor(maxPerHost: number, observer?: ConnectionObserver) {
     super({
       keepAlive: true,
       maxFreeSockets: MAX_IDLE_PER_HOST,
       maxSockets: maxPerHost,
-      timeout: IDLE_MS,
+      timeout: USUAL_IDLE_MS,
       scheduling: 'lifo',
     });
+    this.#observer = observer;
+  }
+
+  /** Time for which idle connections are kept now, in milliseconds. */
+  get idleMs(): number {
+    return keptIdleMs(this.#announcedMs);
+  }
+
+  /** True while an idle connection to the host is kept. */
+  hasIdleTo(ip: string, port: number): boolean {
+    return (this.freeSockets[this.getName({ host: ip, port })]?.length ?? 0) > 0;
   }
 
   /** Closes the idle connections to one host: they may have gone silent like the one just given up. */
@@ -34,25 +81,86 @@
     });
   }
 
+  // The agent calls this for each connection that it opens.
+  override createConnection(
+    options: TcpNetConnectOpts,
+    callback?: (error: Error | null, stream: Duplex) => void,
+  ): Duplex | null | undefined {
+    const name = this.getName(options as { host: string; port: number });
+    const isBusy = (this.sockets[name]?.length ?? 0) > 0;
+    this.#observer?.opened(isBusy ? 'busy' : (this.#lastEnds.get(name) ?? 'first'));
+    if (this.#lastEnds.size >= MOST_REMEMBERED) {
+      this.#lastEnds.clear();
+    }
+    this.#lastEnds.set(name, 'not-kept');
+    const socket = super.createConnection(options as never, callback as never);
+    if (socket != null) {
+      this.#names.set(socket, name);
+    }
+    return socket;
+  }
+
   override keepSocketAlive(socket: Duplex): boolean {
-    // The types call the result void; it tells whether the connection may be kept.
-    const keep = (super.keepSocketAlive as (socket: Duplex) => boolean).call(this, socket);
-    if (keep) {
-      const close = (): void => {
-        socket.destroy();
-      };
-      closeOnData.set(socket, close);
-      socket.on('data', close);
+    // The types call the result void; it tells whether the connection may be kept. The agent itself
+    // says no to an announced second, and knows no idle time above its own.
+    (super.keepSocketAlive as (socket: Duplex) => boolean).call(this, socket);
+    const announcedMs = announcedIdleMs(keepAliveOf(socket));
+    this.#noteAnnounced(announcedMs);
+    const idleMs = keptIdleMs(announcedMs);
+    if (idleMs === 0) {
+      return false;
     }
-    return keep;
+    (socket as Socket).setTimeout(idleMs);
+    this.#watch(socket);
+    return true;
   }
 
   override reuseSocket(socket: Duplex, request: ClientRequest): void {
-    const close = closeOnData.get(socket);
-    if (close !== undefined) {
-      socket.removeListener('data', close);
-      closeOnData.delete(socket);
+    const watch = this.#watches.get(socket);
+    if (watch !== undefined) {
+      socket.removeListener('data', watch.data);
+      socket.removeListener('timeout', watch.timeout);
+      socket.removeListener('close', watch.close);
+      this.#watches.delete(socket);
     }
     super.reuseSocket(socket, request);
   }
+
+  #noteAnnounced(announcedMs: number | undefined): void {
+    if (announcedMs !== undefined && announcedMs !== this.#announcedMs) {
+      this.#announcedMs = announcedMs;
+      this.#observer?.announced(announcedMs);
+    }
+  }
+
+  #watch(socket: Duplex): void {
+    let end: ConnectionCause = 'peer-closed';
+    const watch: IdleWatch = {
+      data: () => {
+        end = 'not-kept';
+        socket.destroy();
+      },
+      // The agent closes it.
+      timeout: () => {
+        end = 'idle-closed';
+      },
+      close: () => {
+        const name = this.#names.get(socket);
+        if (name !== undefined) {
+          this.#lastEnds.set(name, end);
+        }
+      },
+    };
+    this.#watches.set(socket, watch);
+    socket.on('data', watch.data);
+    socket.on('timeout', watch.timeout);
+    socket.on('close', watch.close);
+  }
+}
+
+// The agent keeps the request on its connection until it is idle.
+function keepAliveOf(socket: Duplex): string | undefined {
+  const { _httpMessage: request } = socket as { _httpMessage?: { res?: IncomingMessage } };
+  const value = request?.res?.headers['keep-alive'];
+  return typeof value === 'string' ? value : undefined;
 }
--- a/packages/entry/src/testing/relay.ts
+++ b/packages/entry/src/testing/relay.ts
@@ -77,9 +77,13 @@
 
 /** Services of which `choose` decides where requests go. */
 export function relayServices(choose: TargetChooser['choose']): RelayServices {
+  const log = silentLog();
+  const counters = new Counters();
   const limits = new ServiceLimits({
     retries: { ratio: 1, slack: 100, windowMs: 10_000 },
     hosts: () => 1,
+    log,
+    counters,
   });
   return {
     headers: TEST_HEADERS,
@@ -92,8 +96,8 @@
     isUnreachable: () => false,
     eligibility: { take: () => 'eligible' },
     keysHold: () => true,
-    log: silentLog(),
-    counters: new Counters(),
+    log,
+    counters,
     latencies: new Latencies(),
   } as unknown as RelayServices;
 }
