--- a/packages/entry/src/requests/upstream-connections.ts
+++ b/packages/entry/src/requests/upstream-connections.ts
@@ -94,7 +94,7 @@
     }
     this.#lastEnds.set(name, 'not-kept');
     const socket = super.createConnection(options as never, callback as never);
-    if (socket != null) {
+    if (socket !== null && socket !== undefined) {
       this.#names.set(socket, name);
     }
     return socket;
