--- a/packages/entry/src/entry-host.ts
+++ b/packages/entry/src/entry-host.ts
@@ -25,6 +25,7 @@
 import type { OutlierVerdict } from './routing/outlier-reports.js';
 import { liveRetryBounds } from './routing/retry-budget.js';
 import { SendEligibility } from './routing/send-eligibility.js';
+import { SubsetChoice } from './routing/subset-choice.js';
 import type { Target } from './routing/target-chooser.js';
 import { TargetChooser } from './routing/target-chooser.js';
 import { CallerServer } from './server/caller-server.js';
@@ -56,8 +57,6 @@
 
 /** Part of the revocation bound that is left for what is under way. */
 const KEY_MARGIN_MS = 500;
-/** Entry hosts that share the bounds where they do not know each other. */
-const HOSTS_WITHOUT_PEERS = 10;
 /** Time that callers' balancers need to notice that this host is leaving. */
 const NOTICE_MS = 2_600;
 const GRACE_MARGIN_MS = 700;
@@ -129,8 +128,7 @@
     this.#coordinator = this.#makeCoordinator();
     this.#limits = new ServiceLimits({
       retries: liveRetryBounds(() => this.#settings.bounds),
-      // A host without peers is one of few.
-      hosts: () => this.#peers?.membership.count ?? HOSTS_WITHOUT_PEERS,
+      hosts: () => this.#peers?.membership.count,
       log,
       counters: this.#counters,
     });
@@ -140,6 +138,12 @@
       othersAt: hostId => this.#peers?.tally.loads.ofOthers(hostId) ?? 0,
       lacksMember: group => this.#lacksMember(group),
       outlier: (target, now) => this.#outlier(target, now),
+      subsets: new SubsetChoice({
+        self: settings.name,
+        membership: this.#peers?.membership,
+        connections: this.#limits,
+        counters: this.#counters,
+      }),
     });
     this.#intake = new RequestIntake(this.#holder, this.#relayServices());
     this.#callers = new CallerServer((request, response) => {
@@ -159,7 +163,9 @@
     await this.#peers?.start();
     this.#kinds.start();
     this.#coordinator.start();
-    this.#runInBackground('lease', this.#competeForLease());
+    this.#competeForLease().catch((error: unknown) => {
+      log.error('task ended', { task: 'lease', cause: String((error as Error).stack) });
+    });
     const { callers, readiness, metrics } = settings;
     await this.#callers.listen(callers.ip, callers.port);
     this.#sideServers.push(await serveReadiness(readiness.ip, readiness.port, () => this.ready));
@@ -318,12 +324,6 @@
     await this.#lease.run();
   }
 
-  #runInBackground(name: string, running: Promise<void>): void {
-    running.catch((error: unknown) => {
-      this.#options.log.error('task ended', { task: name, cause: String((error as Error).stack) });
-    });
-  }
-
   #applyConfiguration(): void {
     const table = this.#holder.table;
     if (table === undefined) {
--- a/packages/entry/src/peers/membership.ts
+++ b/packages/entry/src/peers/membership.ts
@@ -30,6 +30,7 @@
   readonly #members = new Map<string, Member>();
   readonly #abort = new AbortController();
   #candidates: Candidates | undefined;
+  #names: readonly string[] | undefined;
   #noteKnown: () => void = () => undefined;
   readonly #known = new Promise<void>(resolve => {
     this.#noteKnown = resolve;
@@ -44,6 +45,7 @@
     return {
       listed: (list: ObjectList): void => {
         this.#members.clear();
+        this.#names = undefined;
         list.objects.forEach(object => {
           this.#put(object);
         });
@@ -68,6 +70,12 @@
     return this.#members.get(name);
   }
 
+  /** Names of the registered hosts, in one order; the same array until one comes or goes. */
+  get names(): readonly string[] {
+    this.#names ??= [...this.#members.keys()].sort();
+    return this.#names;
+  }
+
   /** Whom this host may follow. */
   get candidates(): Candidates {
     this.#candidates ??= this.#candidatesNow();
@@ -130,6 +138,7 @@
   #take({ object, deleted }: ObjectChange): void {
     if (deleted) {
       this.#members.delete(object.name);
+      this.#names = undefined;
       this.#candidates = undefined;
     } else {
       this.#put(object);
@@ -139,6 +148,7 @@
   #put(object: StoredObject): void {
     const member = readMember(object);
     if (member !== undefined) {
+      this.#names = this.#members.has(object.name) ? this.#names : undefined;
       this.#members.set(object.name, member);
       this.#candidates = undefined;
     }
--- a/packages/entry/src/requests/service-limits.ts
+++ b/packages/entry/src/requests/service-limits.ts
@@ -1,9 +1,11 @@
 /** Retry budgets and upstream connections by service, made on first use. */
 import type { Service } from '../configuration/serving-configuration.js';
+import type { HostEntry } from '../hosts/host-entry.js';
 import type { RetryBounds } from '../routing/retry-budget.js';
 import { RetryBudget } from '../routing/retry-budget.js';
 import type { Log } from '../server/log.js';
 import type { Counters } from '../server/metrics.js';
+import { USUAL_IDLE_MS } from './connection-reuse.js';
 import type { ConnectionObserver } from './upstream-connections.js';
 import { UpstreamConnections } from './upstream-connections.js';
 
@@ -11,12 +13,14 @@
 export type ServiceLimitsOptions = {
   /** Bounds over all entry hosts. */
   readonly retries: RetryBounds;
-  /** Number of entry hosts; 0 while it is not known. */
-  readonly hosts: () => number;
+  /** Number of entry hosts; 0 while it is not known, undefined where they do not know each other. */
+  readonly hosts: () => number | undefined;
   readonly log: Log;
   readonly counters: Counters;
 };
 
+/** Entry hosts that share the bounds where they do not know each other: one of few. */
+const HOSTS_WITHOUT_PEERS = 10;
 /** Entry hosts among which a host's connections are divided at least. */
 const MIN_CONNECTION_PARTS = 12;
 const MIN_CONNECTIONS = 4;
@@ -35,7 +39,7 @@
   budgetOf(service: string): RetryBudget {
     let budget = this.#budgets.get(service);
     if (budget === undefined) {
-      budget = new RetryBudget(this.#options.retries, this.#options.hosts);
+      budget = new RetryBudget(this.#options.retries, () => this.#hosts);
       this.#budgets.set(service, budget);
     }
     return budget;
@@ -53,6 +57,10 @@
     return connections;
   }
 
+  get #hosts(): number {
+    return this.#options.hosts() ?? HOSTS_WITHOUT_PEERS;
+  }
+
   #observerOf(service: string): ConnectionObserver {
     const { log, counters } = this.#options;
     return {
@@ -65,6 +73,16 @@
     };
   }
 
+  /** Time for which idle connections to hosts of the service are kept, in milliseconds. */
+  idleMs(service: string): number {
+    return this.#connections.get(service)?.idleMs ?? USUAL_IDLE_MS;
+  }
+
+  /** True while an idle connection to the host is kept. */
+  isConnected({ service, ip, port }: HostEntry): boolean {
+    return this.#connections.get(service)?.hasIdleTo(ip, port) ?? false;
+  }
+
   /** Closes all connections. */
   close(): void {
     this.#connections.forEach(connections => {
--- a/packages/entry/src/routing/target-chooser.ts
+++ b/packages/entry/src/routing/target-chooser.ts
@@ -9,6 +9,7 @@
 import type { HostActivities } from './host-activity.js';
 import { kindOf } from './host-activity.js';
 import type { OutlierVerdict } from './outlier-reports.js';
+import type { SubsetChoice } from './subset-choice.js';
 
 /** A host that may take a request. */
 export type Target = {
@@ -39,6 +40,8 @@
   readonly lacksMember?: (group: ReplicaGroup) => boolean;
   /** What entry hosts report of the target; `now` in monotonic milliseconds. */
   readonly outlier?: (target: Target, now: number) => OutlierVerdict | undefined;
+  /** Which targets this entry host uses first; all alike where it is left out. */
+  readonly subsets?: SubsetChoice;
 };
 
 /** Time to the first event that is assumed while nothing is known of any host, in milliseconds. */
@@ -50,6 +53,13 @@
 /** Advantage of hosts in the own failure domain. */
 const REMOTE_FACTOR = 1.05;
 const SPREAD = 0.1;
+/** Advantage of hosts to which a connection is open: a new one costs a round trip and a place there. */
+const UNCONNECTED_FACTOR = 1.1;
+/**
+ * Cost of the best target of the subset, as a multiple of that of one outside, from which the other is
+ * taken: above what loads that are some hundred milliseconds old differ by chance.
+ */
+const MOST_OVER_OUTSIDE = 1.5;
 /**
  * Greatest part of the targets that is left alone for being slow, 0 to 1, those with most reports first.
  * With a half, a burst of 1.7 times the traffic and the loss of two groups made all others slow in turn:
@@ -86,16 +96,16 @@
     const from = this.#withoutOutliers(sound.length > 0 ? sound : usable, now);
     const { service, model } = query;
     const typicalMs = this.#activities.typicalFirstMs(kindOf(service.name, model));
-    let best: Target | undefined;
-    let bestCost = Infinity;
-    for (const target of sampleOf(from, SAMPLE)) {
-      const cost = this.#cost(target.host, typicalMs, now);
-      if (cost < bestCost) {
-        best = target;
-        bestCost = cost;
-      }
+    const near = this.#subsetOf(query, from, now);
+    const best = this.#cheapest(sampleOf(near, SAMPLE), typicalMs, now);
+    if (near.length === from.length || best === undefined) {
+      return best?.target;
     }
-    return best;
+    const outside = sampleOf(without(from, near), 1);
+    const other = this.#cheapest(outside, typicalMs, now);
+    const isBusy = other !== undefined && best.cost > MOST_OVER_OUTSIDE * other.cost;
+    this.#options.subsets?.noteChoice(isBusy ? 'outside' : 'subset', near.length);
+    return isBusy ? other.target : best.target;
   }
 
   /** True when a target other than the excluded ones exists that is not avoided. */
@@ -178,6 +188,44 @@
     });
   }
 
+  // The first of this host's order that are left: each that is not gives its place to the next one.
+  #subsetOf(query: TargetQuery, from: readonly Target[], now: number): readonly Target[] {
+    const { subsets } = this.#options;
+    if (subsets === undefined) {
+      return from;
+    }
+    const key = { service: query.service.name, model: query.model };
+    if (query.exclude.size === 0) {
+      subsets.noteRequest(key, now);
+    }
+    const all = this.#candidates(query);
+    const size = subsets.sizeOf(key, all.length, now);
+    if (size >= from.length) {
+      return from;
+    }
+    const ranks = subsets.ranksOf(
+      key,
+      all.map(({ host }) => host.id),
+    );
+    const rankOf = ({ host }: Target): number => ranks.get(host.id) ?? ranks.size;
+    return [...from].sort((a, b) => rankOf(a) - rankOf(b)).slice(0, size);
+  }
+
+  #cheapest(
+    targets: readonly Target[],
+    typicalMs: number | undefined,
+    now: number,
+  ): { readonly target: Target; readonly cost: number } | undefined {
+    const priced = targets.map(target => ({
+      target,
+      cost: this.#cost(target.host, typicalMs, now),
+    }));
+    return priced.reduce<(typeof priced)[number] | undefined>(
+      (best, next) => (best === undefined || next.cost < best.cost ? next : best),
+      undefined,
+    );
+  }
+
   // When many groups are slow at once all have too much to do; without them the rest would be crushed.
   #withoutOutliers(targets: readonly Target[], now: number): readonly Target[] {
     const verdicts = new Map<Target, OutlierVerdict>();
@@ -219,10 +267,16 @@
     const first = this.#activities.expectedFirstMs(host.id, usualMs, now);
     const queue = 1 + QUEUE_WEIGHT * (activity.inFlight + this.#options.othersAt(host.id));
     const remote = host.failureDomain === this.#options.failureDomain ? 1 : REMOTE_FACTOR;
-    return first * queue * remote * (1 + SPREAD * Math.random());
+    const unconnected = this.#options.subsets?.isConnected(host) === false;
+    const connection = unconnected ? UNCONNECTED_FACTOR : 1;
+    return first * queue * remote * connection * (1 + SPREAD * Math.random());
   }
 }
 
+function without(targets: readonly Target[], others: readonly Target[]): readonly Target[] {
+  return targets.filter(target => !others.includes(target));
+}
+
 // Some of the targets, each with the same chance.
 function sampleOf(targets: readonly Target[], count: number): readonly Target[] {
   if (targets.length <= count) {
