Rendezvous hashing of members and keys

Cause: host subsets and the owners of cold hosts need one rule that every entry host evaluates alike, without messages. FNV-1a with the finalizer of MurmurHash3, written by hand. FNV-1a alone was ruled out: names that differ in the last digit get neighbouring weights.

--- /dev/null
+++ b/packages/entry/src/routing/rendezvous.ts
@@ -0,0 +1,52 @@
+/**
+ * Rendezvous hashing: who of some members takes a key, the same on every entry host, without any
+ * messages. When a member comes or goes, only keys that it takes change hands. Pure.
+ */
+
+const FNV_OFFSET = 0x811c9dc5;
+const FNV_PRIME = 0x01000193;
+/** Stands between member and key; neither contains it. */
+const SEPARATOR = 0;
+
+/**
+ * Weight of a member for a key, 0 to 2^32 - 1: FNV-1a over the UTF-16 units of both, mixed at the end.
+ * Names that differ in their last digit alone would otherwise get neighbouring weights, and one of
+ * them would win too often.
+ */
+export function rendezvousWeight(member: string, key: string): number {
+  const ofMember = step(hashOf(FNV_OFFSET, member), SEPARATOR);
+  return mixed(hashOf(ofMember, key));
+}
+
+/** The members with the greatest weights for a key, greatest first; all of them where there are fewer. */
+export function topMembers(
+  members: readonly string[],
+  key: string,
+  count: number,
+): readonly string[] {
+  return members
+    .map(member => ({ member, weight: rendezvousWeight(member, key) }))
+    .sort((a, b) => b.weight - a.weight || (a.member < b.member ? -1 : 1))
+    .slice(0, count)
+    .map(({ member }) => member);
+}
+
+function hashOf(start: number, text: string): number {
+  let hash = start;
+  for (let at = 0; at < text.length; at += 1) {
+    hash = step(hash, text.charCodeAt(at));
+  }
+  return hash;
+}
+
+function step(hash: number, unit: number): number {
+  return Math.imul(hash ^ unit, FNV_PRIME);
+}
+
+// The finalizer of MurmurHash3 (32 bits): each bit of the hash reaches each bit of the weight.
+function mixed(hash: number): number {
+  let bits = hash ^ (hash >>> 16);
+  bits = Math.imul(bits, 0x85ebca6b);
+  bits = Math.imul(bits ^ (bits >>> 13), 0xc2b2ae35);
+  return (bits ^ (bits >>> 16)) >>> 0;
+}
