--- a/packages/entry/src/configuration/configuration-holder.ts
+++ b/packages/entry/src/configuration/configuration-holder.ts
@@ -16,6 +16,16 @@
   readonly log: Log;
 };
 
+/** How long keys may be honoured without a word of the store. */
+export type KeyBounds = {
+  /** A key that was taken away is not honoured later than this, in milliseconds. */
+  readonly keyRevocationMs: number;
+  readonly keysFailClosed: boolean;
+};
+
+/** Part of the revocation bound that is left for what is under way, in milliseconds. */
+const KEY_MARGIN_MS = 500;
+
 /** Keeps the newest version that was ever seen; nothing older is applied after it. */
 export class ConfigurationHolder {
   readonly #options: ConfigurationHolderOptions;
@@ -37,6 +47,11 @@
     return monotonicMs() - this.#confirmedAt;
   }
 
+  /** True while keys may be honoured. */
+  keysHold({ keyRevocationMs, keysFailClosed }: KeyBounds): boolean {
+    return !keysFailClosed || this.confirmationAgeMs < keyRevocationMs - KEY_MARGIN_MS;
+  }
+
   /** Takes the whole list. */
   takeList(list: ObjectList): void {
     const object = list.objects.find(candidate => candidate.name === this.#options.objectName);
--- a/packages/entry/src/entry-host.ts
+++ b/packages/entry/src/entry-host.ts
@@ -34,7 +34,7 @@
 import { changedSettings } from './server/settings-change.js';
 import { serveMetrics, serveReadiness } from './server/side-servers.js';
 import { monotonicMs, sleep } from './server/time.js';
-import { NO_COLD_HOSTS } from './slow-start/cold-sends.js';
+import { SlowStartLimits } from './slow-start/slow-start-limits.js';
 import { FollowedKinds } from './store/followed-kinds.js';
 import { configurationObserver, hostsObserver } from './store/kind-observers.js';
 import { storeReader } from './store/kind-reader.js';
@@ -54,8 +54,6 @@
   readonly log: Log;
 };
 
-/** Part of the revocation bound that is left for what is under way. */
-const KEY_MARGIN_MS = 500;
 /** Entry hosts that share the bounds where they do not know each other. */
 const HOSTS_WITHOUT_PEERS = 10;
 /** Time that callers' balancers need to notice that this host is leaving. */
@@ -80,6 +78,7 @@
   });
   readonly #demand = new DemandMeter(key => this.#peers?.tally.work.ofOthers(key) ?? 0);
   readonly #evacuated: EvacuatedDomains;
+  readonly #slowStart: SlowStartLimits;
   readonly #eligibility: SendEligibility;
   readonly #chooser: TargetChooser;
   readonly #lease: LeaseTask;
@@ -103,17 +102,25 @@
       objectName: options.configurationName,
       log,
     });
-    this.#registry = new HostRegistry(options.readHost, log);
+    this.#slowStart = new SlowStartLimits({
+      self: settings.name,
+      members: settings.peers && (() => this.#peers?.membership.view),
+      slowStartOf: service => this.#holder.table?.service(service)?.slowStart,
+      bounds: () => this.#settings.bounds,
+      log,
+      counters: this.#counters,
+    });
+    this.#registry = new HostRegistry(options.readHost, log, this.#slowStart.batchTaken);
     this.#evacuated = new EvacuatedDomains({
       isFollowed: settings.bounds.evacuationMs !== undefined,
       changed: () => undefined,
-      ended: () => undefined,
+      ended: this.#slowStart.evacuationEnded,
       log,
     });
     const regionOf = (domain: string): string | undefined =>
       settings.regions.find(({ failureDomain }) => failureDomain === domain)?.region;
     this.#eligibility = new SendEligibility(
-      { evacuations: this.#evacuated, coldSends: NO_COLD_HOSTS, regionOf },
+      { evacuations: this.#evacuated, coldSends: this.#slowStart.sends, regionOf },
       this.#counters,
     );
     this.#lease = new LeaseTask({
@@ -382,11 +389,7 @@
         this.#suspect(service, target, isUnreachable);
       },
       isUnreachable: target => this.#outlier(target, monotonicMs())?.isUnreachable ?? false,
-      keysHold: () => {
-        const { bounds } = this.#settings;
-        const limit = bounds.keyRevocationMs - KEY_MARGIN_MS;
-        return !bounds.keysFailClosed || this.#holder.confirmationAgeMs < limit;
-      },
+      keysHold: () => this.#holder.keysHold(this.#settings.bounds),
       log,
       counters: this.#counters,
       latencies: this.#latencies,
--- a/packages/entry/src/evacuation/evacuated-domains.ts
+++ b/packages/entry/src/evacuation/evacuated-domains.ts
@@ -26,8 +26,8 @@
   readonly isFollowed: boolean;
   /** The set of evacuated failure domains has changed. */
   readonly changed: () => void;
-  /** A failure domain is used again from now on; its hosts may be cold. */
-  readonly ended: (failureDomain: string) => void;
+  /** A failure domain is used again, as of a revision of the store; its hosts may be cold. */
+  readonly ended: (failureDomain: string, revision: number) => void;
   readonly log: Log;
 };
 
@@ -68,16 +68,16 @@
     };
   }
 
-  #takeList({ objects }: ObjectList): void {
+  #takeList({ objects, revision }: ObjectList): void {
     this.#isKnown = true;
     const listed = new Set(objects.map(object => object.name));
     for (const failureDomain of [...this.#evacuations.keys()]) {
       if (!listed.has(failureDomain)) {
-        this.#end(failureDomain);
+        this.#end(failureDomain, revision);
       }
     }
-    objects.forEach(({ name, revision }) => {
-      this.#begin(name, revision);
+    objects.forEach(object => {
+      this.#begin(object.name, object.revision);
     });
     this.#options.changed();
   }
@@ -85,7 +85,7 @@
   #takeChanges(changes: readonly ObjectChange[]): void {
     for (const { object, deleted } of changes) {
       if (deleted) {
-        this.#end(object.name);
+        this.#end(object.name, object.revision);
       } else {
         this.#begin(object.name, object.revision);
       }
@@ -102,7 +102,7 @@
     this.#options.log.info('failure domain evacuated', { failureDomain, revision });
   }
 
-  #end(failureDomain: string): void {
+  #end(failureDomain: string, revision: number): void {
     const known = this.#evacuations.get(failureDomain);
     if (known === undefined) {
       return;
@@ -110,6 +110,6 @@
     this.#evacuations.delete(failureDomain);
     const lastedMs = Math.round(monotonicMs() - known.since);
     this.#options.log.info('evacuation ended', { failureDomain, lastedMs });
-    this.#options.ended(failureDomain);
+    this.#options.ended(failureDomain, revision);
   }
 }
--- a/packages/entry/src/hosts/host-registry.ts
+++ b/packages/entry/src/hosts/host-registry.ts
@@ -16,6 +16,24 @@
 /** Reads a host from the value of its object. */
 export type HostReader = (id: string, value: unknown) => HostEntry;
 
+/** An entry that has come. */
+export type TakenEntry = {
+  readonly entry: HostEntry;
+  /** Revision of the store at which it was written. */
+  readonly revision: number;
+  /**
+   * `first`: it stood in this process's first list; `new`: it has come since; `back`: it had gone less
+   * than a minute ago; `known`: a newer entry of a host that is there.
+   */
+  readonly standing: 'first' | 'new' | 'back' | 'known';
+};
+
+/** What one answer of the store or a peer has brought. */
+export type HostBatch = {
+  readonly taken: readonly TakenEntry[];
+  readonly departed: readonly HostEntry[];
+};
+
 const FORGET_DEPARTED_MS = 60_000;
 /** Hosts of one answer up to which each has a line: a rack or a scale-out, not a whole list. */
 const MOST_LINES = 20;
@@ -25,15 +43,23 @@
   readonly messages = new Emittery<HostMessages>();
   readonly #read: HostReader;
   readonly #log: Log;
+  readonly #batchTaken: (batch: HostBatch) => void;
   readonly #hosts = new Map<string, HostEntry>();
   readonly #revisions = new Map<string, number>();
   readonly #departed = new Map<string, DepartedHost>();
   #byService: Map<string, HostEntry[]> | undefined;
   #version = 0;
-
-  constructor(read: HostReader, log: Log) {
+  #isListed = false;
+
+  /** `batchTaken` is told at once what each answer has brought, before anything is sent by it. */
+  constructor(
+    read: HostReader,
+    log: Log,
+    batchTaken: (batch: HostBatch) => void = (): void => undefined,
+  ) {
     this.#read = read;
     this.#log = log;
+    this.#batchTaken = batchTaken;
   }
 
   /** Rises with each change, so that derived views know when to be made anew. */
@@ -61,16 +87,11 @@
   takeList(list: ObjectList): void {
     const present = new Set(list.objects.map(object => object.name));
     const gone = [...this.#hosts.keys()].filter(id => !present.has(id));
-    gone.forEach(id => {
-      this.#remove(id);
-    });
+    const departed = gone.flatMap(id => this.#remove(id));
     this.#logDepartures(gone);
-    const arrived: HostEntry[] = [];
-    for (const object of list.objects) {
-      this.#put(object, arrived);
-    }
-    this.#logArrivals(arrived);
-    this.#noteChange();
+    const taken = list.objects.flatMap(object => this.#put(object));
+    this.#isListed = true;
+    this.#finish({ taken, departed });
   }
 
   /**
@@ -78,35 +99,43 @@
    * are derived from it are made anew once for all of them.
    */
   takeChanges(changes: readonly ObjectChange[]): void {
-    const arrived: HostEntry[] = [];
-    const gone: string[] = [];
+    const taken: TakenEntry[] = [];
+    const departed: HostEntry[] = [];
     for (const { object, deleted } of changes) {
-      if (deleted && this.#hosts.has(object.name)) {
-        this.#remove(object.name);
-        gone.push(object.name);
-      } else if (!deleted) {
-        this.#put(object, arrived);
+      if (deleted) {
+        departed.push(...this.#remove(object.name));
+      } else {
+        taken.push(...this.#put(object));
       }
     }
-    this.#logDepartures(gone);
-    this.#logArrivals(arrived);
+    this.#logDepartures(departed.map(entry => entry.id));
+    this.#finish({ taken, departed });
+  }
+
+  #finish(batch: HostBatch): void {
+    const arrived = batch.taken.filter(({ standing }) => standing !== 'known');
+    this.#logArrivals(arrived.map(({ entry }) => entry));
+    this.#batchTaken(batch);
     this.#noteChange();
   }
 
-  #put(object: StoredObject, arrived: HostEntry[]): void {
+  // The entry that has come; nothing where a newer one is known.
+  #put(object: StoredObject): readonly TakenEntry[] {
     const known = this.#revisions.get(object.name);
     if (known !== undefined && known >= object.revision) {
-      return;
+      return [];
     }
     this.#revisions.set(object.name, object.revision);
     const entry = this.#read(object.name, object.value);
-    if (known === undefined) {
-      arrived.push(entry);
-    }
-    const before = this.#hosts.get(object.name) ?? this.#departed.get(object.name)?.entry;
+    const present = this.#hosts.get(object.name);
+    const before = present ?? this.#departed.get(object.name)?.entry;
     const lastModel = entry.loadedModel ?? before?.lastModel;
     this.#hosts.set(object.name, { ...entry, lastModel });
     this.#departed.delete(object.name);
+    const arrival = before === undefined ? 'new' : 'back';
+    const ofArrival = this.#isListed ? arrival : 'first';
+    const standing = present === undefined ? ofArrival : 'known';
+    return [{ entry, revision: object.revision, standing }];
   }
 
   // The first list would otherwise fill the log's bound of lines and hide what follows it.
@@ -131,15 +160,17 @@
     }
   }
 
-  #remove(id: string): void {
+  // The entry that has gone, if there was one.
+  #remove(id: string): readonly HostEntry[] {
     const entry = this.#hosts.get(id);
     if (entry === undefined) {
-      return;
+      return [];
     }
     this.#hosts.delete(id);
     this.#revisions.delete(id);
     this.#departed.set(id, { entry, since: monotonicMs() });
     void this.messages.emit('departed', entry);
+    return [entry];
   }
 
   #noteChange(): void {
--- a/packages/entry/src/peers/membership.ts
+++ b/packages/entry/src/peers/membership.ts
@@ -1,7 +1,7 @@
 /** Registers this entry host in the store, and knows the others that did. */
 import { FailureSeries } from '../server/failure-series.js';
 import type { Log } from '../server/log.js';
-import { sleep } from '../server/time.js';
+import { monotonicMs, sleep } from '../server/time.js';
 import type { ObjectChange, ObjectList, ObjectStore, StoredObject } from '../store/object-store.js';
 import { OBJECT_KINDS } from '../store/object-store.js';
 import type { KindObserver } from '../store/watched-kind.js';
@@ -17,6 +17,13 @@
   readonly log: Log;
 };
 
+/** The registered hosts as this one knows them; the same object as long as they are the same hosts. */
+export type MemberView = {
+  readonly names: readonly string[];
+  /** Monotonic milliseconds since when it stands. */
+  readonly since: number;
+};
+
 const RETRY_MS = 1_000;
 /**
  * Longest wait for the first list of members before this host registers, in milliseconds. The store
@@ -30,6 +37,7 @@
   readonly #members = new Map<string, Member>();
   readonly #abort = new AbortController();
   #candidates: Candidates | undefined;
+  #view: MemberView | undefined;
   #noteKnown: () => void = () => undefined;
   readonly #known = new Promise<void>(resolve => {
     this.#noteKnown = resolve;
@@ -47,12 +55,14 @@
         list.objects.forEach(object => {
           this.#put(object);
         });
+        this.#noteView();
         this.#noteKnown();
       },
       changed: (changes: readonly ObjectChange[]): void => {
         changes.forEach(change => {
           this.#take(change);
         });
+        this.#noteView();
       },
       confirmed: (): void => undefined,
     };
@@ -63,6 +73,11 @@
     return this.#members.size;
   }
 
+  /** The names of the registered hosts; undefined while nothing was read. */
+  get view(): MemberView | undefined {
+    return this.#view;
+  }
+
   /** A registered host by its name. */
   get(name: string): Member | undefined {
     return this.#members.get(name);
@@ -144,6 +159,13 @@
     }
   }
 
+  #noteView(): void {
+    const names = this.#view?.names ?? [];
+    if (names.length !== this.#members.size || names.some(name => !this.#members.has(name))) {
+      this.#view = { names: [...this.#members.keys()], since: monotonicMs() };
+    }
+  }
+
   #candidatesNow(): Candidates {
     const { self, seeds } = this.#options;
     if (this.#members.size > 0) {
--- a/packages/entry/src/routing/rendezvous.test.ts
+++ b/packages/entry/src/routing/rendezvous.test.ts
@@ -1,6 +1,6 @@
 import { expect } from 'chai';
 
-import { rendezvousWeight, topMembers } from './rendezvous.js';
+import { isAmongTop, rendezvousWeight, topMembers } from './rendezvous.js';
 
 const names = (prefix: string, count: number): readonly string[] =>
   Array.from({ length: count }, (_, at) => `${prefix}${at}`);
@@ -47,6 +47,16 @@
     }
   });
 
+  it('tells of one member what the order of all tells', () => {
+    const members = names('entry-', 30);
+    for (const key of names('host-', 50)) {
+      const top = members.filter(member => isAmongTop(member, members, key, 5));
+      expect(top).to.have.members([...topMembers(members, key, 5)]);
+    }
+    expect(isAmongTop('entry-1', [], 'key', 1)).to.equal(true);
+    expect(isAmongTop('entry-1', [], 'key', 0)).to.equal(false);
+  });
+
   it('gives all members where there are fewer than asked for', () => {
     expect(topMembers(['b', 'a'], 'key', 3)).to.have.members(['a', 'b']);
     expect(topMembers([], 'key', 3)).to.deep.equal([]);
--- a/packages/entry/src/routing/rendezvous.ts
+++ b/packages/entry/src/routing/rendezvous.ts
@@ -31,6 +31,29 @@
     .map(({ member }) => member);
 }
 
+/**
+ * True when fewer than `count` of the other members have a greater weight for the key: the same as being
+ * among {@link topMembers}, for a member that need not be in the list, and without sorting it.
+ */
+export function isAmongTop(
+  member: string,
+  members: readonly string[],
+  key: string,
+  count: number,
+): boolean {
+  const own = rendezvousWeight(member, key);
+  let before = 0;
+  for (const other of members) {
+    const weight = rendezvousWeight(other, key);
+    const isBefore = weight > own || (weight === own && other < member);
+    before += Number(isBefore);
+    if (before >= count) {
+      return false;
+    }
+  }
+  return count > 0;
+}
+
 function hashOf(start: number, text: string): number {
   let hash = start;
   for (let at = 0; at < text.length; at += 1) {
--- /dev/null
+++ b/packages/entry/src/slow-start/cold-share.test.ts
@@ -0,0 +1,82 @@
+import { expect } from 'chai';
+import fc from 'fast-check';
+
+import type { ColdLimit } from './cold-share.js';
+import { coldShare, sendIntervalMs, TOLERATED_LAG, wholeShare } from './cold-share.js';
+
+/** Most sends in one second, whatever each of `members` hosts has not heard of, up to `lag` members. */
+function worstSecond(limit: ColdLimit, members: number, lag: number): number {
+  let sum = 0;
+  for (let place = 0; place < members; place += 1) {
+    let most = 0;
+    for (let missing = 0; missing <= Math.min(lag, members - 1); missing += 1) {
+      const share = coldShare(limit, members - missing);
+      // With `missing` hosts unknown, so many of those that stand before this one are.
+      if (place < share.owners + missing) {
+        most = Math.max(most, Math.ceil(1_000 / sendIntervalMs(share)));
+      }
+    }
+    sum += most;
+  }
+  return sum;
+}
+
+const limitOf = (requestsPerSecond: number, overshoot: number, slack: number): ColdLimit => ({
+  requestsPerSecond,
+  mostPerSecond: requestsPerSecond * overshoot + slack,
+});
+
+describe('share of a cold host', () => {
+  const typical = limitOf(14, 1.5, 5);
+
+  it('divides the rate among as many owners as there may be', () => {
+    expect(coldShare(typical, 300)).to.deep.equal({ owners: 14, perSecond: 1 });
+    expect(coldShare(typical, 12)).to.deep.equal({ owners: 12, perSecond: 1 });
+    expect(coldShare(typical, 9)).to.deep.equal({ owners: 7, perSecond: 2 });
+    expect(coldShare(typical, 5)).to.deep.equal({ owners: 4, perSecond: 3 });
+  });
+
+  it('keeps the bound in any second while views lack a few members, for any figures', () => {
+    const figures = fc.record({
+      rate: fc.double({ min: 0.2, max: 60, noNaN: true }),
+      overshoot: fc.double({ min: 1, max: 2, noNaN: true }),
+      slack: fc.integer({ min: 0, max: 10 }),
+      members: fc.integer({ min: 1, max: 60 }),
+    });
+    fc.assert(
+      fc.property(figures, ({ rate, overshoot, slack, members }) => {
+        const limit = limitOf(rate, overshoot, slack);
+        // One owner alone needs room for those that a view may lack.
+        const lag = Math.min(TOLERATED_LAG, Math.max(0, Math.floor(limit.mostPerSecond) - 1));
+        const most = Math.max(limit.mostPerSecond, 1);
+        return worstSecond(limit, members, lag) <= most;
+      }),
+      { numRuns: 2_000 },
+    );
+  });
+
+  it('uses most of the rate from five members on, where the bound leaves room', () => {
+    for (let members = 5; members <= 300; members += 1) {
+      const share = coldShare(typical, members);
+      expect(share.owners * (1_000 / sendIntervalMs(share)), String(members)).to.be.at.least(11.2);
+    }
+  });
+
+  it('bears a dozen of unknown members where there are many', () => {
+    for (let members = 26; members <= 300; members += 1) {
+      expect(worstSecond(typical, members, 12)).to.be.at.most(26);
+    }
+  });
+
+  it('leaves one owner where the bound has no room', () => {
+    expect(coldShare(limitOf(3, 1, 0), 90)).to.deep.equal({ owners: 1, perSecond: 1 });
+    expect(coldShare(limitOf(0.5, 1, 1), 90)).to.deep.equal({ owners: 1, perSecond: 0.5 });
+    expect(coldShare(limitOf(0.5, 1, 0), 90).owners).to.equal(0);
+  });
+
+  it('gives the whole rate to an entry host that is alone', () => {
+    expect(wholeShare(typical)).to.deep.equal({ owners: 1, perSecond: 14 });
+    expect(wholeShare(limitOf(0.5, 1, 0)).perSecond).to.equal(0);
+    expect(sendIntervalMs(wholeShare(limitOf(0.5, 1, 0)))).to.equal(Infinity);
+  });
+});
