Slow start: a minute of many entry hosts as a property, ways compared

Never over the bound in any second with lag, restarts, cut-off groups (5 to 300 entry hosts); at least 0.8 of the rate from 5 hosts on. An allowance that starts full breaks it, and so does 1/n each (90 in one second).

--- /dev/null
+++ b/packages/entry/src/slow-start/cold-days.test.ts
@@ -0,0 +1,98 @@
+import { expect } from 'chai';
+import fc from 'fast-check';
+
+import type { ColdDay, ColdWay } from '../testing/cold-days.js';
+import { DAY_MS, EQUAL_PARTS, fixedOwners, ownersWay, playColdDay } from '../testing/cold-days.js';
+import type { ColdLimit } from './cold-share.js';
+import { TOLERATED_LAG } from './cold-share.js';
+
+const TYPICAL: ColdLimit = { requestsPerSecond: 14, mostPerSecond: 26 };
+const CALM: ColdDay = {
+  members: 90,
+  coldHosts: 3,
+  joins: [],
+  lagMs: 0,
+  cutOff: 0,
+  restarts: [],
+  demand: 'pressing',
+};
+
+const time = fc.integer({ min: 0, max: DAY_MS });
+const restart = fc.record({ atMs: time, part: fc.double({ min: 0.01, max: 1, noNaN: true }) });
+// A power failure, and processes that end again right after their start.
+const restarts = fc.oneof(
+  fc.array(restart, { maxLength: 6 }),
+  fc
+    .array(fc.integer({ min: 20_000, max: 22_500 }), { minLength: 2, maxLength: 6 })
+    .map(times => times.map(atMs => ({ atMs, part: 1 }))),
+);
+
+function days(lag: number): fc.Arbitrary<ColdDay> {
+  return fc.record({
+    members: fc.oneof(fc.integer({ min: 5, max: 30 }), fc.integer({ min: 5, max: 300 })),
+    coldHosts: fc.integer({ min: 1, max: 4 }),
+    joins: fc.array(time, { maxLength: lag }),
+    lagMs: fc.integer({ min: 0, max: 20_000 }),
+    cutOff: fc.constantFrom(0, 0.1, 0.5, 0.9),
+    restarts,
+    demand: fc.constantFrom('pressing', 'bursts'),
+  });
+}
+
+function isWithin(limit: ColdLimit, way: ColdWay): (day: ColdDay) => boolean {
+  return day => playColdDay(day, limit, way).mostInSecond <= limit.mostPerSecond;
+}
+
+/** Whether the way breaks the bound on some day, among as many as it has to hold on. */
+function breaks(way: ColdWay): boolean {
+  return fc.check(fc.property(days(TOLERATED_LAG), isWithin(TYPICAL, way)), { numRuns: 60 }).failed;
+}
+
+describe('cold hosts over a minute', () => {
+  it('never get more than their bound in any second, whoever lags, restarts or is cut off', () => {
+    fc.assert(fc.property(days(TOLERATED_LAG), isWithin(TYPICAL, ownersWay())), { numRuns: 60 });
+  });
+
+  it('never do for other figures either', () => {
+    const limits = fc.constantFrom(
+      { requestsPerSecond: 3, mostPerSecond: 3 },
+      { requestsPerSecond: 2, mostPerSecond: 3 },
+      { requestsPerSecond: 40, mostPerSecond: 65 },
+      { requestsPerSecond: 14, mostPerSecond: 14 },
+      { requestsPerSecond: 0.5, mostPerSecond: 5 },
+    );
+    const anything = fc.tuple(limits, days(2));
+    fc.assert(
+      fc.property(anything, ([limit, day]) => isWithin(limit, ownersWay())(day)),
+      { numRuns: 60 },
+    );
+  });
+
+  for (const members of [5, 6, 9, 13, 30, 90, 300]) {
+    it(`get most of their rate from ${members} entry hosts that agree and have enough to send`, () => {
+      const { leastRate } = playColdDay({ ...CALM, members }, TYPICAL, ownersWay());
+      // The first interval and the time in which the members settle count.
+      expect(leastRate).to.be.at.least(0.8 * 14 * ((DAY_MS - 3_000) / DAY_MS));
+    });
+  }
+
+  it('would get too much if an allowance were full at a start', () => {
+    expect(breaks(ownersWay(true))).to.equal(true);
+  });
+
+  it('would get too much if each entry host had an equal part: all may send at the same moment', () => {
+    expect(breaks(EQUAL_PARTS)).to.equal(true);
+    const { mostInSecond } = playColdDay({ ...CALM, demand: 'bursts' }, TYPICAL, EQUAL_PARTS);
+    expect(mostInSecond).to.equal(90);
+  });
+
+  it('get no more than the bound from three owners, while at most three members are not known', () => {
+    const way = fixedOwners(3, 4);
+    const joins = Array.from({ length: 3 }, (_, at) => at);
+    fc.assert(
+      fc.property(days(3), day => isWithin(TYPICAL, way)({ ...day, restarts: [] })),
+      { numRuns: 60 },
+    );
+    expect(playColdDay({ ...CALM, joins }, TYPICAL, way).leastRate).to.be.within(10, 12);
+  });
+});
