--- /dev/null
+++ b/packages/entry/src/slow-start/cold-hosts.test.ts
@@ -0,0 +1,135 @@
+import { expect } from 'chai';
+
+import type { HostEntry } from '../hosts/host-entry.js';
+import type { TakenEntry } from '../hosts/host-registry.js';
+import type { Log } from '../server/log.js';
+import { silentLog } from '../server/log.js';
+import { testHost } from '../testing/groups.js';
+import { ColdHosts } from './cold-hosts.js';
+
+const COLD_MS = 3_000;
+const HEARTBEAT_MS = 1_200;
+const ASSUMED_MS = COLD_MS + HEARTBEAT_MS;
+
+describe('cold hosts', () => {
+  let revision = 0;
+
+  function coldHosts(log: Log = silentLog()): ColdHosts {
+    return new ColdHosts({
+      slowStartOf: service =>
+        service === 'lm' ? { requestsPerSecond: 14, coldMs: COLD_MS } : undefined,
+      heartbeatMs: () => HEARTBEAT_MS,
+      log,
+    });
+  }
+
+  function taken(entry: HostEntry, standing: TakenEntry['standing']): TakenEntry {
+    revision += 1;
+    return { entry, revision, standing };
+  }
+
+  function linesOf(lines: string[]): Log {
+    const info = (message: string, fields?: object): void => {
+      lines.push(`${message} ${JSON.stringify(fields)}`);
+    };
+    return { ...silentLog(), info };
+  }
+
+  it('are cold for as long as their entry says, from when it came', () => {
+    const hosts = coldHosts();
+    const host = testHost('x', { coldLeftMs: 2_000 });
+    hosts.take({ taken: [taken(host, 'new')], departed: [] }, 100);
+    expect(hosts.spellOf(host, 2_099)).to.deep.equal({ since: 100, until: 2_100 });
+    expect(hosts.spellOf(host, 2_100)).to.equal(undefined);
+    expect(hosts.count(200)).to.equal(1);
+    expect(hosts.count(2_100)).to.equal(0);
+  });
+
+  it('follow each later entry, also one by which a warm host is cold again', () => {
+    const hosts = coldHosts();
+    const host = testHost('x', { coldLeftMs: 3_000 });
+    hosts.take({ taken: [taken(host, 'new')], departed: [] }, 0);
+    const later = testHost('x', { coldLeftMs: 2_500 });
+    hosts.take({ taken: [taken(later, 'known')], departed: [] }, 1_000);
+    expect(hosts.spellOf(later, 1_500)).to.deep.equal({ since: 0, until: 3_500 });
+    const warm = testHost('x');
+    hosts.take({ taken: [taken(warm, 'known')], departed: [] }, 2_000);
+    expect(hosts.spellOf(warm, 2_001)).to.equal(undefined);
+    const again = testHost('x', { coldLeftMs: 1_000 });
+    hosts.take({ taken: [taken(again, 'known')], departed: [] }, 9_000);
+    expect(hosts.spellOf(again, 9_500)).to.deep.equal({ since: 9_000, until: 10_000 });
+  });
+
+  it('are none in a fleet that stands at the start, nor where hosts come and go one by one', () => {
+    const hosts = coldHosts();
+    const fleet = ['a', 'b', 'c'].map(id => testHost(id));
+    hosts.take({ taken: fleet.map(entry => taken(entry, 'first')), departed: [] }, 0);
+    const next = testHost('d');
+    hosts.take({ taken: [taken(next, 'new')], departed: fleet.slice(0, 1) }, 50);
+    expect(hosts.count(60)).to.equal(0);
+  });
+
+  it('are none in a service that bears its full rate from the start', () => {
+    const hosts = coldHosts();
+    const host = testHost('x', { service: 'plain', coldLeftMs: 5_000 });
+    hosts.take({ taken: [taken(host, 'new')], departed: [] }, 0);
+    hosts.evacuationEnded('a', 99, 0);
+    expect(hosts.spellOf(host, 1)).to.equal(undefined);
+  });
+
+  it('are those of a failure domain that came back whole, until they write again', () => {
+    const hosts = coldHosts();
+    const old = testHost('old');
+    hosts.take({ taken: [taken(old, 'first')], departed: [] }, 0);
+    hosts.take({ taken: [], departed: [old] }, 1_000);
+    const [one, two] = [testHost('one'), testHost('two')];
+    hosts.take({ taken: [taken(one, 'new')], departed: [] }, 20_000);
+    hosts.take({ taken: [taken(two, 'new')], departed: [] }, 21_000);
+    expect(hosts.spellOf(one, 20_001)).to.deep.equal({ since: 20_000, until: 20_000 + ASSUMED_MS });
+    expect(hosts.spellOf(two, 21_001)?.until).to.equal(21_000 + ASSUMED_MS);
+    hosts.take({ taken: [taken(testHost('one'), 'known')], departed: [] }, 22_000);
+    expect(hosts.spellOf(one, 22_001)).to.equal(undefined);
+    const late = testHost('late');
+    hosts.take({ taken: [taken(late, 'new')], departed: [] }, 20_001 + ASSUMED_MS);
+    expect(hosts.spellOf(late, 20_002 + ASSUMED_MS)).to.equal(undefined);
+  });
+
+  it('are none where entries lapsed while the store was out and the same hosts are listed again', () => {
+    const hosts = coldHosts();
+    const host = testHost('x');
+    hosts.take({ taken: [taken(host, 'first')], departed: [] }, 0);
+    hosts.take({ taken: [], departed: [host] }, 1_000);
+    hosts.take({ taken: [taken(host, 'back')], departed: [] }, 5_000);
+    expect(hosts.spellOf(host, 5_001)).to.equal(undefined);
+  });
+
+  it('are those whose evacuation has ended, unless their entry is newer', () => {
+    const hosts = coldHosts();
+    const host = testHost('x');
+    hosts.take({ taken: [taken(host, 'first')], departed: [] }, 0);
+    revision += 1;
+    const endRevision = revision;
+    hosts.evacuationEnded('a', endRevision, 10_000);
+    expect(hosts.spellOf(host, 10_001)?.until).to.equal(10_000 + ASSUMED_MS);
+    expect(hosts.spellOf(testHost('b', { failureDomain: 'b' }), 10_001)).to.equal(undefined);
+    expect(hosts.spellOf(testHost('not-listed-yet'), 10_001)?.since).to.equal(10_000);
+    // Written before the end, though it comes after it.
+    const older = { entry: host, revision: endRevision - 1, standing: 'known' } as const;
+    hosts.take({ taken: [older], departed: [] }, 10_100);
+    expect(hosts.spellOf(host, 10_101)).to.not.equal(undefined);
+    hosts.take({ taken: [taken(host, 'known')], departed: [] }, 10_200);
+    expect(hosts.spellOf(host, 10_201)).to.equal(undefined);
+  });
+
+  it('have one line for a whole failure domain', () => {
+    const lines: string[] = [];
+    const hosts = coldHosts(linesOf(lines));
+    const domain = Array.from({ length: 57 }, (_, at) => testHost(`x${at}`, { coldLeftMs: 3_000 }));
+    for (const [at, entry] of domain.entries()) {
+      hosts.take({ taken: [taken(entry, 'new')], departed: [] }, 10 * at);
+      hosts.take({ taken: [taken(entry, 'known')], departed: [] }, 1_000 + 10 * at);
+    }
+    expect(lines).to.have.length(1);
+    expect(lines[0]).to.contain('cold hosts arrived').and.to.contain('"failureDomain":"a"');
+  });
+});
--- a/packages/entry/src/slow-start/cold-sends.ts
+++ b/packages/entry/src/slow-start/cold-sends.ts
@@ -133,6 +133,9 @@
   intervalMs: number,
   before: Allowance | undefined,
 ): number {
+  if (intervalMs === Infinity) {
+    return Infinity;
+  }
   const wasOwner = before !== undefined && before.nextAt !== Infinity;
   const settled = wasOwner ? view.since : view.since + MEMBERS_SETTLE_MS;
   const from = Math.max(since, settled);
