Requests wait for a cold host only as far as this entry host gets through them in time

Cause: where cold hosts were all there is, a request was held for a part of its objective and refused, though this entry host could have sent it a moment later; with more waiting than sends, all would have been held to their deadline. The wait is taken only where the turn comes one objective before the deadline.

--- a/packages/entry/src/entry-host.ts
+++ b/packages/entry/src/entry-host.ts
@@ -15,6 +15,7 @@
 import { HostRegistry } from './hosts/host-registry.js';
 import { DEFAULT_LEASE_TIMING, LeaseTask } from './lease/lease-task.js';
 import { Peers } from './peers/peers.js';
+import { ColdWaits } from './requests/cold-wait.js';
 import type { RelayHeaders } from './requests/relay-headers.js';
 import type { RelayServices } from './requests/relay-services.js';
 import { RequestIntake } from './requests/request-intake.js';
@@ -142,6 +143,7 @@
     this.#chooser = new TargetChooser(this.#registry, this.#activities, {
       failureDomain: settings.failureDomain,
       eligibility: (host, homes, now) => this.#eligibility.of(host, homes, now),
+      coldPace: this.#slowStart.sends.paceOf,
       othersAt: hostId => this.#peers?.tally.loads.ofOthers(hostId) ?? 0,
       lacksMember: group => this.#lacksMember(group),
       outlier: (target, now) => this.#outlier(target, now),
@@ -226,10 +228,6 @@
     this.#options.store.close();
   }
 
-  get #followsStore(): boolean {
-    return this.#peers?.followsStore ?? true;
-  }
-
   #makePeers(): Peers | undefined {
     const { settings, store, log } = this.#options;
     const { peers, name, failureDomain } = settings;
@@ -309,7 +307,7 @@
           ? {}
           : { [OBJECT_KINDS.evacuations]: this.#evacuated.observer }),
       },
-      followsStore: () => this.#followsStore,
+      followsStore: () => this.#peers?.followsStore ?? true,
       hostsView: () => this.#peers?.hostsView ?? 'full',
       firstReader: () => this.#peers?.firstReader,
       peersKnown: () => this.#peers?.membership.known() ?? Promise.resolve(),
@@ -380,6 +378,7 @@
       registry: this.#registry,
       chooser: this.#chooser,
       eligibility: this.#eligibility,
+      coldWaits: new ColdWaits(),
       activities: this.#activities,
       demand: this.#demand,
       stalls: this.#stalls,
--- a/packages/entry/src/requests/plain-relay.ts
+++ b/packages/entry/src/requests/plain-relay.ts
@@ -6,6 +6,7 @@
 import { monotonicMs, sleep } from '../server/time.js';
 import { AttemptLog } from './attempt-log.js';
 import { claimTarget } from './claim-target.js';
+import { awaitColdTarget } from './cold-wait.js';
 import type { ExchangeEnd } from './exchange.js';
 import { startExchange } from './exchange.js';
 import type { FinalAnswer } from './final-answer.js';
@@ -84,14 +85,18 @@
   }
 
   async #target(): Promise<Target | undefined> {
-    const { service, route, arrivedAt, gone, homeRegions } = this.#context;
+    const { service, route, arrivedAt, gone, homeRegions, deadline } = this.#context;
     const query = { service, model: undefined, homeRegions, exclude: this.#log.tried };
     const holdUntil = arrivedAt + route.objectiveMs * HOLD_PART;
     for (;;) {
       const target = claimTarget(this.#services, query);
-      if (target !== undefined || monotonicMs() >= holdUntil || gone.aborted) {
+      if (target !== undefined || gone.aborted) {
         return target;
       }
+      if (monotonicMs() >= holdUntil) {
+        const until = deadline - route.objectiveMs;
+        return awaitColdTarget(this.#services, query, { until, gone });
+      }
       await sleep(HOLD_STEP_MS, gone);
     }
   }
--- a/packages/entry/src/requests/relay-services.ts
+++ b/packages/entry/src/requests/relay-services.ts
@@ -8,6 +8,7 @@
 import type { Target, TargetChooser } from '../routing/target-chooser.js';
 import type { Log } from '../server/log.js';
 import type { Counters, Latencies } from '../server/metrics.js';
+import type { ColdWaits } from './cold-wait.js';
 import type { RelayHeaders } from './relay-headers.js';
 import type { StallMonitor } from './stall-monitor.js';
 import type { UpstreamConnections } from './upstream-connections.js';
@@ -26,6 +27,7 @@
   readonly suspect: (service: string, target: Target, isUnreachable: boolean) => void;
   /** True while entry hosts report that they can not connect to the target. */
   readonly isUnreachable: (target: Target) => boolean;
+  readonly coldWaits: ColdWaits;
   /** Asked at the moment of each send. */
   readonly eligibility: SendEligibility;
   /** True while keys may be honoured. */
--- a/packages/entry/src/requests/stream-relay.ts
+++ b/packages/entry/src/requests/stream-relay.ts
@@ -9,6 +9,7 @@
 import { monotonicMs, sleep } from '../server/time.js';
 import { AttemptLog } from './attempt-log.js';
 import { claimTarget } from './claim-target.js';
+import { awaitColdTarget } from './cold-wait.js';
 import { EventForwarder } from './event-forwarder.js';
 import type { FinalAnswer } from './final-answer.js';
 import { giveFinalAnswer } from './final-answer.js';
@@ -114,9 +115,13 @@
     const holdUntil = this.#log.mayHaveRun ? deadline - 2 * DEADLINE_MARGIN_MS : held;
     for (;;) {
       const target = claimTarget(this.#services, query);
-      if (target !== undefined || monotonicMs() >= holdUntil || gone.aborted) {
+      if (target !== undefined || gone.aborted) {
         return target;
       }
+      if (monotonicMs() >= holdUntil) {
+        const until = deadline - route.objectiveMs;
+        return awaitColdTarget(this.#services, query, { until, gone });
+      }
       await sleep(HOLD_STEP_MS, gone);
     }
   }
--- a/packages/entry/src/routing/target-chooser.ts
+++ b/packages/entry/src/routing/target-chooser.ts
@@ -5,6 +5,7 @@
 import type { HostEntry } from '../hosts/host-entry.js';
 import type { HostRegistry } from '../hosts/host-registry.js';
 import { monotonicMs } from '../server/time.js';
+import type { ColdPace } from '../slow-start/cold-sends.js';
 import type { Eligibility, HomeRegions } from './eligibility.js';
 import type { HostActivities } from './host-activity.js';
 import { kindOf } from './host-activity.js';
@@ -35,6 +36,8 @@
   readonly othersAt: (hostId: string) => number;
   /** Whether the host may receive such a request; `now` in monotonic milliseconds. */
   readonly eligibility: (host: HostEntry, homeRegions: HomeRegions, now: number) => Eligibility;
+  /** When requests may be sent to a cold host; undefined where none may. */
+  readonly coldPace?: (host: HostEntry, now: number) => ColdPace | undefined;
   /** True when a member has left the group (see `lacking-groups.ts`). */
   readonly lacksMember?: (group: ReplicaGroup) => boolean;
   /** What entry hosts report of the target; `now` in monotonic milliseconds. */
@@ -127,6 +130,22 @@
     return least;
   }
 
+  /** When cold hosts can take such requests, all together; undefined where none ever can. */
+  coldPace(query: TargetQuery): ColdPace | undefined {
+    const now = monotonicMs();
+    const { coldPace, eligibility } = this.#options;
+    const paces = this.#candidates(query).flatMap(({ host }) => {
+      const isLimited = eligibility(host, query.homeRegions, now) === 'cold-limit';
+      const pace = isLimited && !query.exclude.has(host.id) && coldPace?.(host, now);
+      return pace ? [pace] : [];
+    });
+    if (paces.length === 0) {
+      return undefined;
+    }
+    const perMs = paces.reduce((sum, pace) => sum + 1 / pace.intervalMs, 0);
+    return { nextInMs: Math.min(...paces.map(pace => pace.nextInMs)), intervalMs: 1 / perMs };
+  }
+
   /** Groups of a service, as their members tell. */
   groupsOf(service: string): readonly ReplicaGroup[] {
     this.#forgetOlderVersion();
--- a/packages/entry/src/slow-start/cold-sends.ts
+++ b/packages/entry/src/slow-start/cold-sends.ts
@@ -31,6 +31,14 @@
   readonly counters: Counters;
 };
 
+/** When this entry host may send to cold hosts. */
+export type ColdPace = {
+  /** Milliseconds until the next send. */
+  readonly nextInMs: number;
+  /** Milliseconds between two sends after that. */
+  readonly intervalMs: number;
+};
+
 /** What this entry host may send to one cold host. */
 type Allowance = {
   /** The spell that it is for. */
@@ -84,6 +92,16 @@
     return allowance === undefined ? 0 : Math.max(0, allowance.nextAt - now);
   }
 
+  /** When requests may be sent to a cold host; undefined where none may, and for a warm one. */
+  readonly paceOf = (host: HostEntry, now: number): ColdPace | undefined => {
+    const allowance = this.#allowanceOf(host, now);
+    if (allowance === undefined || allowance.nextAt === Infinity) {
+      return undefined;
+    }
+    const { nextAt, intervalMs } = allowance;
+    return { nextInMs: Math.max(0, nextAt - now), intervalMs };
+  };
+
   #allowanceOf(host: HostEntry, now: number): Allowance | undefined {
     const slowStart = this.#options.slowStartOf(host.service);
     const spell = slowStart && this.#options.spellOf(host, now);
--- a/packages/entry/src/testing/relay.ts
+++ b/packages/entry/src/testing/relay.ts
@@ -5,6 +5,7 @@
 
 import type { Route, Service } from '../configuration/serving-configuration.js';
 import type { HostEntry } from '../hosts/host-entry.js';
+import { ColdWaits } from '../requests/cold-wait.js';
 import type { RelayServices } from '../requests/relay-services.js';
 import type { RequestContext } from '../requests/request-context.js';
 import { ServiceLimits } from '../requests/service-limits.js';
@@ -83,7 +84,13 @@
   });
   return {
     headers: TEST_HEADERS,
-    chooser: { choose, hasSound: () => false, expectedFirstMs: () => undefined },
+    chooser: {
+      choose,
+      hasSound: () => false,
+      expectedFirstMs: () => undefined,
+      coldPace: () => undefined,
+    },
+    coldWaits: new ColdWaits(),
     activities: new HostActivities(),
     stalls: new StallMonitor(),
     budgetOf: (service: string) => limits.budgetOf(service),
