Groups are formed with the host at the head that is warm soonest

Cause: only heads receive requests, so a cold host limits its group to its cold rate just as head; hosts were ordered by what they have loaded alone. The test fails without the order (checked on the built file: head with 3,000 ms left before one with 0).

--- a/packages/entry/src/groups/formation-plan.ts
+++ b/packages/entry/src/groups/formation-plan.ts
@@ -163,12 +163,17 @@
     model,
     fabricDomain,
     failureDomain,
-    hosts: ranked.map(candidate => candidate.host),
+    hosts: warmestFirst(ranked.map(candidate => candidate.host)),
     readyMs: Math.max(...ranked.map(candidate => candidate.warmMs ?? model.loadMs)),
     loads: ranked.filter(candidate => candidate.warmMs === undefined).length,
   };
 }
 
+// Only the head receives requests, so that a cold host limits its group as its head alone.
+function warmestFirst(hosts: readonly HostEntry[]): readonly HostEntry[] {
+  return [...hosts].sort((a, b) => a.coldLeftMs - b.coldLeftMs);
+}
+
 // Hosts that can do nothing else are taken first: hosts that are ready for several models are the
 // ones that can help after the next loss. Among hosts that have to load, empty ones come first.
 function costOf(host: HostEntry, model: GroupModel, view: FleetView): number {
--- a/packages/entry/src/groups/plans.test.ts
+++ b/packages/entry/src/groups/plans.test.ts
@@ -114,6 +114,24 @@
     expect(modelsOf(planned)).to.include.members(['large', 'small']);
   });
 
+  it('puts the host that is warm soonest at the head, whatever else makes it dearer', () => {
+    const cold = (left: number, change: HostEntry): HostEntry => ({ ...change, coldLeftMs: left });
+    const chosen = [
+      cold(2_000, host('small')),
+      cold(900, host('small')),
+      cold(3_000, host('large')),
+      cold(0, host('large', 'small')),
+    ];
+    const free = [...chosen, ...hosts(1, 'large').map(one => cold(0, one))];
+    for (const planned of planFormations(fleet(domain('d0', free)), FREE_LOADS)) {
+      const left = planned.hosts.map(member => member.coldLeftMs);
+      expect(left[0]).to.equal(Math.min(...left));
+    }
+    const warm = hosts(4, 'large');
+    const [formation] = planFormations(fleet(domain('d0', warm)), NO_LOADS);
+    expect(formation?.hosts).to.deep.equal(warm);
+  });
+
   it('never takes a host twice, nor a group across domains', () => {
     const staged = fc.constantFrom(undefined, 'large', 'small');
     const anyDomain = fc.array(staged, { maxLength: 9 });
