--- a/packages/entry/src/entry-host.ts
+++ b/packages/entry/src/entry-host.ts
@@ -5,7 +5,6 @@
 import type { ConfigurationReader } from './configuration/configuration-holder.js';
 import { ConfigurationHolder } from './configuration/configuration-holder.js';
 import type { EngineProfile } from './configuration/serving-configuration.js';
-import { EvacuatedDomains } from './evacuation/evacuated-domains.js';
 import { Coordinator } from './groups/coordinator.js';
 import type { HostOrders } from './groups/host-orders.js';
 import { LackingGroups } from './groups/lacking-groups.js';
@@ -15,6 +14,7 @@
 import { HostRegistry } from './hosts/host-registry.js';
 import { DEFAULT_LEASE_TIMING, LeaseTask } from './lease/lease-task.js';
 import { Peers } from './peers/peers.js';
+import { ColdWaits } from './requests/cold-wait.js';
 import type { RelayHeaders } from './requests/relay-headers.js';
 import type { RelayServices } from './requests/relay-services.js';
 import { RequestIntake } from './requests/request-intake.js';
@@ -24,7 +24,7 @@
 import { HostActivities } from './routing/host-activity.js';
 import type { OutlierVerdict } from './routing/outlier-reports.js';
 import { liveRetryBounds } from './routing/retry-budget.js';
-import { SendEligibility } from './routing/send-eligibility.js';
+import { SendRules } from './routing/send-rules.js';
 import { SubsetChoice } from './routing/subset-choice.js';
 import type { Target } from './routing/target-chooser.js';
 import { TargetChooser } from './routing/target-chooser.js';
@@ -35,7 +35,6 @@
 import { changedSettings } from './server/settings-change.js';
 import { serveMetrics, serveReadiness } from './server/side-servers.js';
 import { monotonicMs, sleep } from './server/time.js';
-import { NO_COLD_HOSTS } from './slow-start/cold-sends.js';
 import { FollowedKinds } from './store/followed-kinds.js';
 import { configurationObserver, hostsObserver } from './store/kind-observers.js';
 import { storeReader } from './store/kind-reader.js';
@@ -55,8 +54,6 @@
   readonly log: Log;
 };
 
-/** Part of the revocation bound that is left for what is under way. */
-const KEY_MARGIN_MS = 500;
 /** Time that callers' balancers need to notice that this host is leaving. */
 const NOTICE_MS = 2_600;
 const GRACE_MARGIN_MS = 700;
@@ -78,8 +75,7 @@
     entryOf: id => this.#registry.get(id),
   });
   readonly #demand = new DemandMeter(key => this.#peers?.tally.work.ofOthers(key) ?? 0);
-  readonly #evacuated: EvacuatedDomains;
-  readonly #eligibility: SendEligibility;
+  readonly #rules: SendRules;
   readonly #chooser: TargetChooser;
   readonly #lease: LeaseTask;
   readonly #coordinator: Coordinator;
@@ -102,20 +98,15 @@
       objectName: options.configurationName,
       log,
     });
-    this.#registry = new HostRegistry(options.readHost, log);
-    this.#evacuated = new EvacuatedDomains({
-      isFollowed: settings.bounds.evacuationMs !== undefined,
-      changed: () => undefined,
-      ended: () => undefined,
-      gauges: this.#metrics.gauges,
+    this.#rules = new SendRules({
+      settings: () => this.#settings,
+      members: settings.peers && (() => this.#peers?.membership.view),
+      slowStartOf: service => this.#holder.table?.service(service)?.slowStart,
+      evacuationsChanged: () => undefined,
       log,
+      metrics: this.#metrics,
     });
-    const regionOf = (domain: string): string | undefined =>
-      settings.regions.find(({ failureDomain }) => failureDomain === domain)?.region;
-    this.#eligibility = new SendEligibility(
-      { evacuations: this.#evacuated, coldSends: NO_COLD_HOSTS, regionOf },
-      this.#counters,
-    );
+    this.#registry = new HostRegistry(options.readHost, log, this.#rules.slowStart.batchTaken);
     this.#lease = new LeaseTask({
       store,
       host: settings.name,
@@ -135,7 +126,8 @@
     });
     this.#chooser = new TargetChooser(this.#registry, this.#activities, {
       failureDomain: settings.failureDomain,
-      eligibility: (host, homes, now) => this.#eligibility.of(host, homes, now),
+      eligibility: (host, homes, now) => this.#rules.eligibility.of(host, homes, now),
+      coldPace: this.#rules.slowStart.sends.paceOf,
       othersAt: hostId => this.#peers?.tally.loads.ofOthers(hostId) ?? 0,
       lacksMember: group => this.#lacksMember(group),
       outlier: (target, now) => this.#outlier(target, now),
@@ -154,7 +146,7 @@
 
   /** True while new callers are welcome. */
   get ready(): boolean {
-    const isInformed = this.#hostsKnown && this.#evacuated.isKnown;
+    const isInformed = this.#hostsKnown && this.#rules.evacuated.isKnown;
     return !this.#stopping && this.#holder.table !== undefined && isInformed;
   }
 
@@ -227,10 +219,6 @@
     this.#options.store.close();
   }
 
-  get #followsStore(): boolean {
-    return this.#peers?.followsStore ?? true;
-  }
-
   #makePeers(): Peers | undefined {
     const { settings, store, log } = this.#options;
     const { peers, name, failureDomain } = settings;
@@ -308,9 +296,9 @@
         ...(members === undefined ? {} : { [OBJECT_KINDS.members]: members }),
         ...(bounds.evacuationMs === undefined
           ? {}
-          : { [OBJECT_KINDS.evacuations]: this.#evacuated.observer }),
+          : { [OBJECT_KINDS.evacuations]: this.#rules.evacuated.observer }),
       },
-      followsStore: () => this.#followsStore,
+      followsStore: () => this.#peers?.followsStore ?? true,
       hostsView: () => this.#peers?.hostsView ?? 'full',
       firstReader: () => this.#peers?.firstReader,
       peersKnown: () => this.#peers?.membership.known() ?? Promise.resolve(),
@@ -374,7 +362,8 @@
       headers,
       registry: this.#registry,
       chooser: this.#chooser,
-      eligibility: this.#eligibility,
+      eligibility: this.#rules.eligibility,
+      coldWaits: new ColdWaits(),
       activities: this.#activities,
       demand: this.#demand,
       stalls: this.#stalls,
@@ -384,11 +373,7 @@
         this.#suspect(service, target, isUnreachable);
       },
       isUnreachable: target => this.#outlier(target, monotonicMs())?.isUnreachable ?? false,
-      keysHold: () => {
-        const { bounds } = this.#settings;
-        const limit = bounds.keyRevocationMs - KEY_MARGIN_MS;
-        return !bounds.keysFailClosed || this.#holder.confirmationAgeMs < limit;
-      },
+      keysHold: () => this.#holder.keysHold(this.#settings.bounds),
       log,
       counters: this.#counters,
       latencies: this.#metrics.latencies,
--- a/packages/entry/src/evacuation/evacuated-domains.ts
+++ b/packages/entry/src/evacuation/evacuated-domains.ts
@@ -27,8 +27,8 @@
   readonly isFollowed: boolean;
   /** The set of evacuated failure domains has changed. */
   readonly changed: () => void;
-  /** A failure domain is used again from now on; its hosts may be cold. */
-  readonly ended: (failureDomain: string) => void;
+  /** A failure domain is used again, as of a revision of the store; its hosts may be cold. */
+  readonly ended: (failureDomain: string, revision: number) => void;
   readonly gauges: Gauges;
   readonly log: Log;
 };
@@ -81,16 +81,16 @@
     };
   }
 
-  #takeList({ objects }: ObjectList): void {
+  #takeList({ objects, revision }: ObjectList): void {
     this.#isKnown = true;
     const listed = new Set(objects.map(object => object.name));
     for (const failureDomain of [...this.#evacuations.keys()]) {
       if (!listed.has(failureDomain)) {
-        this.#end(failureDomain);
+        this.#end(failureDomain, revision);
       }
     }
-    objects.forEach(({ name, revision }) => {
-      this.#begin(name, revision);
+    objects.forEach(object => {
+      this.#begin(object.name, object.revision);
     });
     this.#options.changed();
   }
@@ -98,7 +98,7 @@
   #takeChanges(changes: readonly ObjectChange[]): void {
     for (const { object, deleted } of changes) {
       if (deleted) {
-        this.#end(object.name);
+        this.#end(object.name, object.revision);
       } else {
         this.#begin(object.name, object.revision);
       }
@@ -120,11 +120,11 @@
   }
 
   // What ended before this host heard that it had begun: the hosts may be cold all the same.
-  #end(failureDomain: string): void {
+  #end(failureDomain: string, revision: number): void {
     const known = this.#evacuations.get(failureDomain);
     this.#evacuations.delete(failureDomain);
     const lastedMs = known === undefined ? undefined : Math.round(monotonicMs() - known.since);
     this.#options.log.info('evacuation ended', { failureDomain, lastedMs });
-    this.#options.ended(failureDomain);
+    this.#options.ended(failureDomain, revision);
   }
 }
--- a/packages/entry/src/peers/membership.ts
+++ b/packages/entry/src/peers/membership.ts
@@ -1,7 +1,7 @@
 /** Registers this entry host in the store, and knows the others that did. */
 import { FailureSeries } from '../server/failure-series.js';
 import type { Log } from '../server/log.js';
-import { sleep } from '../server/time.js';
+import { monotonicMs, sleep } from '../server/time.js';
 import type { ObjectChange, ObjectList, ObjectStore, StoredObject } from '../store/object-store.js';
 import { OBJECT_KINDS } from '../store/object-store.js';
 import type { KindObserver } from '../store/watched-kind.js';
@@ -17,6 +17,14 @@
   readonly log: Log;
 };
 
+/** The registered hosts as this one knows them; the same object as long as they are the same hosts. */
+export type MemberView = {
+  readonly names: readonly string[];
+  /** Monotonic milliseconds since when it stands. */
+  readonly since: number;
+};
+
+const NOBODY: readonly string[] = [];
 const RETRY_MS = 1_000;
 /**
  * Longest wait for the first list of members before this host registers, in milliseconds. The store
@@ -30,7 +38,7 @@
   readonly #members = new Map<string, Member>();
   readonly #abort = new AbortController();
   #candidates: Candidates | undefined;
-  #names: readonly string[] | undefined;
+  #view: MemberView | undefined;
   #noteKnown: () => void = () => undefined;
   readonly #known = new Promise<void>(resolve => {
     this.#noteKnown = resolve;
@@ -45,16 +53,17 @@
     return {
       listed: (list: ObjectList): void => {
         this.#members.clear();
-        this.#names = undefined;
         list.objects.forEach(object => {
           this.#put(object);
         });
+        this.#noteView();
         this.#noteKnown();
       },
       changed: (changes: readonly ObjectChange[]): void => {
         changes.forEach(change => {
           this.#take(change);
         });
+        this.#noteView();
       },
       confirmed: (): void => undefined,
     };
@@ -65,6 +74,11 @@
     return this.#members.size;
   }
 
+  /** The names of the registered hosts; undefined while nothing was read. */
+  get view(): MemberView | undefined {
+    return this.#view;
+  }
+
   /** A registered host by its name. */
   get(name: string): Member | undefined {
     return this.#members.get(name);
@@ -72,8 +86,7 @@
 
   /** Names of the registered hosts, in one order; the same array until one comes or goes. */
   get names(): readonly string[] {
-    this.#names ??= [...this.#members.keys()].sort();
-    return this.#names;
+    return this.#view?.names ?? NOBODY;
   }
 
   /** Whom this host may follow. */
@@ -138,7 +151,6 @@
   #take({ object, deleted }: ObjectChange): void {
     if (deleted) {
       this.#members.delete(object.name);
-      this.#names = undefined;
       this.#candidates = undefined;
     } else {
       this.#put(object);
@@ -148,12 +160,18 @@
   #put(object: StoredObject): void {
     const member = readMember(object);
     if (member !== undefined) {
-      this.#names = this.#members.has(object.name) ? this.#names : undefined;
       this.#members.set(object.name, member);
       this.#candidates = undefined;
     }
   }
 
+  #noteView(): void {
+    const names = this.#view?.names ?? [];
+    if (names.length !== this.#members.size || names.some(name => !this.#members.has(name))) {
+      this.#view = { names: [...this.#members.keys()], since: monotonicMs() };
+    }
+  }
+
   #candidatesNow(): Candidates {
     const { self, seeds } = this.#options;
     if (this.#members.size > 0) {
--- a/packages/entry/src/requests/await-target.ts
+++ b/packages/entry/src/requests/await-target.ts
@@ -3,6 +3,7 @@
 import { describeStandings } from '../routing/target-standings.js';
 import { monotonicMs, sleep } from '../server/time.js';
 import { claimTarget } from './claim-target.js';
+import { awaitColdTarget } from './cold-wait.js';
 import type { RelayServices } from './relay-services.js';
 import type { RequestContext } from './request-context.js';
 import type { NoTargetReason } from './wait-for-target.js';
@@ -28,7 +29,7 @@
   context: RequestContext,
   query: () => TargetQuery,
 ): Promise<Target | NoTarget> {
-  const { gone, deadline, response } = context;
+  const { gone, deadline, response, route } = context;
   const lackingSince = monotonicMs();
   for (;;) {
     const target = claimTarget(services, query());
@@ -40,6 +41,11 @@
     const outlook = services.chooser.outlook(query());
     const waiter = { lackingMs, leftMs: deadline - now, begun: response.headersSent };
     if (gone.aborted || !waitsForTarget(outlook, waiter)) {
+      const until = deadline - route.objectiveMs;
+      const cold = await awaitColdTarget(services, query, { until, gone });
+      if (cold !== undefined) {
+        return cold;
+      }
       const reason = noTargetReason(outlook);
       services.counters.count('requests_without_target_total', { reason });
       return { reason, targets: describeStandings(outlook.standings) };
--- a/packages/entry/src/requests/wait-for-target.ts
+++ b/packages/entry/src/requests/wait-for-target.ts
@@ -33,11 +33,6 @@
  * milliseconds: a host that was replaced, a group that was opened, a list that was never seen.
  */
 const NEWS_LAG_MS = 100;
-/**
- * Time within which the allowance of a cold host comes round to an entry host, in milliseconds: its rate
- * is counted by the second. Whoever has none by then is one of too many.
- */
-const COLD_TURN_MS = 1_000;
 
 /** True when the request waits on. */
 export function waitsForTarget(outlook: TargetOutlook, waiter: Waiter): boolean {
@@ -54,9 +49,6 @@
   if (standings.includes('eligible') || isForming) {
     return true;
   }
-  if (standings.includes('cold-limit')) {
-    return lackingMs < COLD_TURN_MS;
-  }
   // Hosts that have rejected it are there: its caller is told when to come back to them.
   const allTried = standings.length > 0 && standings.every(standing => standing === 'tried');
   return !allTried && !isForbidden(standings) && lackingMs < NEWS_LAG_MS;
