Plans leave evacuated failure domains out, and keep what stands there

Cause: groups of an evacuated domain counted in capacity and need, so that a model whose only group stands there was not served, and groups of the other domains were given up for it. Change: the fleet view tells domains in use from evacuated ones; formations, dissolutions and stagings see the first only. Free hosts of the second form groups for the whole layout, with half of the loads that are left over. While a domain returns, others give up groups only for a model that nobody serves. All evacuated: as if none were. 'capacity changed' counts groups in use only.

--- a/packages/entry/src/entry-host.ts
+++ b/packages/entry/src/entry-host.ts
@@ -268,6 +268,8 @@
       inTouchSince: () => this.#kinds.of(OBJECT_KINDS.hosts)?.inTouchSince ?? Infinity,
       loadWindowMs: settings.bounds.loadWindowMs,
       mayLoadFreely: service => this.#intake.total === 0 && !this.#demand.hasRequests(service),
+      isEvacuated: this.#evacuated.isEvacuated,
+      coldMsOf: service => this.#holder.table?.service(service)?.slowStart?.coldMs ?? 0,
       log,
       counters: this.#counters,
     });
--- a/packages/entry/src/groups/capacity-log.ts
+++ b/packages/entry/src/groups/capacity-log.ts
@@ -1,18 +1,15 @@
 /** One line whenever the number of serving groups changes, with what it was decided from. */
-import type { EngineProfile } from '../configuration/serving-configuration.js';
 import type { Log } from '../server/log.js';
-import type { FleetDomain } from './fleet-view.js';
+import type { FleetDomain, FleetView } from './fleet-view.js';
 import type { ReplicaGroup } from './replica-groups.js';
 import { headState } from './replica-groups.js';
 
-/** Hosts that do not serve. */
-export type IdleHosts = {
+/** What is under way. */
+export type CapacityComing = {
   /** Groups that are being formed. */
   readonly forming: number;
-  readonly free: number;
+  /** Hosts that stage a model. */
   readonly staging: number;
-  /** Free hosts by fabric domain. */
-  readonly domains: readonly FleetDomain[];
 };
 
 /** Writes the lines. */
@@ -24,29 +21,28 @@
     this.#log = log;
   }
 
-  /** Looks whether the serving groups have changed. */
-  note(groups: readonly ReplicaGroup[], profile: EngineProfile, idle: IdleHosts): void {
-    const open = profile.models.map(model => {
-      const serving = groups.filter(
-        group => group.model === model.name && headState(group) === 'open',
-      );
-      return `${model.name}:${serving.length}`;
-    });
-    const text = open.join(',');
+  /** Looks whether the open groups have changed that may be used. */
+  note(groups: readonly ReplicaGroup[], fleet: FleetView, coming: CapacityComing): void {
+    const { profile, domains, evacuated } = fleet;
+    const left = new Set(evacuated.map(domain => domain.failureDomain));
+    const open = groups.filter(group => headState(group) === 'open');
+    const usable = open.filter(({ head }) => head !== undefined && !left.has(head.failureDomain));
+    const text = profile.models
+      .map(({ name }) => `${name}:${usable.filter(({ model }) => model === name).length}`)
+      .join(',');
     if (text === this.#last) {
       return;
     }
     this.#last = text;
     const shares = profile.models.map(model => `${model.name}:${model.workShare.toFixed(2)}`);
-    const { forming, free, staging, domains } = idle;
     const withFree = domains.filter(domain => domain.free.length > 0);
     const spares = withFree.map(domain => `${domain.fabricDomain}(${sparesOf(domain)})`);
     this.#log.info('capacity changed', {
       open: text,
+      evacuated: open.length - usable.length,
       demand: shares.join(','),
-      forming,
-      free,
-      staging,
+      ...coming,
+      free: domains.reduce((sum, domain) => sum + domain.free.length, 0),
       spares: spares.join(' '),
     });
   }
--- a/packages/entry/src/groups/coordinator.ts
+++ b/packages/entry/src/groups/coordinator.ts
@@ -23,6 +23,10 @@
   readonly loadWindowMs: number;
   /** True before the first request for a service: then loads are quick and do not count. */
   readonly mayLoadFreely: (service: string) => boolean;
+  /** True while nothing may be sent to hosts of the failure domain. */
+  readonly isEvacuated: (failureDomain: string) => boolean;
+  /** How long hosts of a service usually stay cold, in milliseconds; 0 where they never are. */
+  readonly coldMsOf: (service: string) => number;
   readonly log: Log;
   readonly counters: Counters;
 };
@@ -97,7 +101,7 @@
   }
 
   #makeGroupTask(service: string): GroupTask {
-    const { registry, inTouchSince, loadWindowMs, log, counters } = this.#options;
+    const { registry, inTouchSince, loadWindowMs, isEvacuated, log, counters } = this.#options;
     return new GroupTask({
       service,
       profile: () => this.#options.profileOf(service),
@@ -107,6 +111,8 @@
       inTouchSince,
       loadWindowMs,
       mayLoadFreely: () => this.#options.mayLoadFreely(service),
+      isEvacuated,
+      coldMs: () => this.#options.coldMsOf(service),
       log,
       counters,
     });
--- /dev/null
+++ b/packages/entry/src/groups/domain-use.ts
@@ -0,0 +1,85 @@
+/**
+ * Follows which failure domains plans may count on. Pure but for what it remembers.
+ *
+ * An evacuated domain is left out at once. When it is taken back its groups count again at once, but its
+ * hosts may be cold, so that for as long the others give up nothing. A leader that has just begun knows
+ * the evacuations but not what ended before; the entries of cold hosts tell it the same.
+ */
+import type { HostEntry } from '../hosts/host-entry.js';
+import type { Log } from '../server/log.js';
+
+/** Part of a failure domain's hosts that has to be cold, 0 to 1: single hosts start every day. */
+const RETURNING_PART = 0.5;
+
+/** What plans have to know of failure domains. */
+export type DomainUse = {
+  readonly evacuatedDomains: ReadonlySet<string>;
+  /** A failure domain has come back into use, and its hosts may still be cold. */
+  readonly isReturning: boolean;
+};
+
+/** Options of the domain uses. */
+export type DomainUsesOptions = {
+  readonly service: string;
+  /** True while nothing may be sent to hosts of the failure domain. */
+  readonly isEvacuated: (failureDomain: string) => boolean;
+  /** How long hosts of the service usually stay cold, in milliseconds; 0 where they never are. */
+  readonly coldMs: () => number;
+  readonly log: Log;
+};
+
+/** Remembers the evacuated domains of the last look, and when one of them came back. */
+export class DomainUses {
+  readonly #options: DomainUsesOptions;
+  /** Failure domains that have had hosts: one that is cut off may still be evacuated. */
+  readonly #seen = new Set<string>();
+  #evacuated: ReadonlySet<string> = new Set();
+  #returnedAt = -Infinity;
+
+  constructor(options: DomainUsesOptions) {
+    this.#options = options;
+  }
+
+  /** Looks at the failure domains of these hosts; `now` in monotonic milliseconds. */
+  observe(hosts: readonly HostEntry[], now: number): DomainUse {
+    const { isEvacuated, coldMs } = this.#options;
+    hosts.forEach(host => this.#seen.add(host.failureDomain));
+    const evacuatedDomains = new Set([...this.#seen].filter(isEvacuated));
+    const returned = [...this.#evacuated].some(domain => !isEvacuated(domain));
+    this.#returnedAt = returned ? now : this.#returnedAt;
+    this.#note(evacuatedDomains);
+    const mayBeCold = now - this.#returnedAt < coldMs();
+    return { evacuatedDomains, isReturning: mayBeCold || isAnyCold(hosts, evacuatedDomains) };
+  }
+
+  /** Forgets what was seen: another term has begun, and much may have happened since the last one. */
+  clear(): void {
+    this.#evacuated = new Set();
+    this.#returnedAt = -Infinity;
+  }
+
+  #note(evacuated: ReadonlySet<string>): void {
+    const { service, log } = this.#options;
+    const before = [...this.#evacuated].sort().join(',');
+    const failureDomains = [...evacuated].sort().join(',');
+    this.#evacuated = evacuated;
+    if (failureDomains !== before) {
+      const all = evacuated.size === this.#seen.size;
+      log.info('failure domains evacuated in plans', { service, failureDomains, all });
+    }
+  }
+}
+
+// True when most hosts of a domain in use say that they are cold.
+function isAnyCold(hosts: readonly HostEntry[], evacuated: ReadonlySet<string>): boolean {
+  const counts = new Map<string, { all: number; cold: number }>();
+  for (const { failureDomain, coldLeftMs } of hosts) {
+    const count = counts.get(failureDomain) ?? { all: 0, cold: 0 };
+    counts.set(failureDomain, count);
+    count.all += 1;
+    count.cold += coldLeftMs > 0 ? 1 : 0;
+  }
+  return [...counts].some(
+    ([domain, { all, cold }]) => !evacuated.has(domain) && cold > all * RETURNING_PART,
+  );
+}
--- a/packages/entry/src/groups/fleet-days.test.ts
+++ b/packages/entry/src/groups/fleet-days.test.ts
@@ -3,7 +3,7 @@
 import fc from 'fast-check';
 
 import type { EngineProfile, GroupModel } from '../configuration/serving-configuration.js';
-import { FleetModel } from '../testing/fleet-model.js';
+import { dayProfile, FleetModel, wideFleet } from '../testing/fleet-model.js';
 import { FREE_LOADS } from './formation-plan.js';
 
 const LOAD_MS = 12_000;
@@ -84,22 +84,15 @@
   fleet.run(15_000);
 }
 
-const DAY_FLEET = { domainSizes: [8, 8, 8, 8, 8, 8], domainsPerFailureDomain: 2 };
+/** Wide fleets: whole fabric domains are of use with the first, three of 19 hosts wait with the second. */
+const WIDE_FLEETS = [
+  { domainSize: 18, largeSize: 8, smallSize: 2, largeShare: 0.4 },
+  { domainSize: 18, largeSize: 8, smallSize: 2, largeShare: 0.15 },
+  { domainSize: 19, largeSize: 8, smallSize: 4, largeShare: 0.4 },
+  { domainSize: 19, largeSize: 8, smallSize: 4, largeShare: 0.15 },
+];
 
-function dayProfile(largeSize: number, smallSize: number): EngineProfile {
-  const large = { name: 'large', size: largeSize, pace: 1, workShare: 0.4 };
-  const small = { name: 'small', size: smallSize, pace: 0.6, workShare: 0.6 };
-  return {
-    models: [
-      { ...large, loadMs: 16_000, warmMs: 1_600 },
-      { ...small, loadMs: 12_000, warmMs: 1_100 },
-    ],
-    slots: 18,
-    loadsPerSecond: 4,
-    loadsAtOnce: 6,
-    stagedModelsKept: 1,
-  };
-}
+const DAY_FLEET = { domainSizes: [8, 8, 8, 8, 8, 8], domainsPerFailureDomain: 2 };
 
 describe('plans over days of a model fleet', () => {
   it('serve every model that has a fabric domain to itself, whatever the sizes and loads', () => {
@@ -165,6 +158,20 @@
     }
   });
 
+  it('strand few hosts where models of 8 and 2, or 8 and 4, share fabric domains of 18 or 19', () => {
+    for (const kind of WIDE_FLEETS) {
+      for (const seed of [1, 2, 3]) {
+        const fleet = wideFleet(kind);
+        playDay(fleet, seed);
+        const name = `${kind.domainSize} hosts, seed ${seed}`;
+        expect(fleet.strandedHostMs / fleet.hostMs, name).to.be.at.most(0.05);
+        expect(fleet.servingHostMs / fleet.possibleHostMs, name).to.be.at.least(0.85);
+        expect(fleet.loads, `loads of ${name}`).to.be.at.most(25);
+        expect(fleet.orders, `orders of ${name}`).to.be.at.most(320);
+      }
+    }
+  });
+
   it('do not give up a large model for many groups of a small one', () => {
     for (const seed of [1, 2, 3, 4, 5]) {
       const fleet = new FleetModel({ ...DAY_FLEET, profile: dayProfile(5, 3) });
--- a/packages/entry/src/groups/fleet-picture.test.ts
+++ b/packages/entry/src/groups/fleet-picture.test.ts
@@ -4,7 +4,7 @@
 import type { HostEntry, MembershipState } from '../hosts/host-entry.js';
 import { testBeliefs, testHost } from '../testing/groups.js';
 import { fleetViewOf } from './fleet-picture.js';
-import type { FleetDomain } from './fleet-view.js';
+import type { FleetDomain, FleetView } from './fleet-view.js';
 import type { GroupBeliefs } from './group-beliefs.js';
 import { replicaGroups } from './replica-groups.js';
 
@@ -57,6 +57,21 @@
     expect(domain.groups).to.deep.equal([]);
   });
 
+  it('leaves out evacuated failure domains, with their groups and free hosts', () => {
+    const other = testHost('other', { failureDomain: 'b', fabricDomain: 'd1' });
+    const hosts = [...open, other];
+    const pictureOf = (...evacuated: string[]): FleetView => {
+      const beliefs = testBeliefs({ evacuatedDomains: new Set(evacuated) });
+      return fleetViewOf(hosts, replicaGroups(hosts), PROFILE, beliefs);
+    };
+    const view = pictureOf('a');
+    expect(view.domains.flatMap(namesOf)).to.deep.equal(['other']);
+    expect(view.evacuated.flatMap(namesOf)).to.deep.equal(['spare']);
+    expect(view.evacuated[0]?.groups.map(group => group.name)).to.deep.equal(['g']);
+    expect(pictureOf('a', 'b').domains, 'all evacuated: as if none were').to.have.length(2);
+    expect(pictureOf('c').evacuated).to.deep.equal([]);
+  });
+
   it('takes hosts of a formation as its own, whatever their entries still name', () => {
     const heads = new Map([['g', { host: open[0] as HostEntry, missingSince: 0, left: true }]]);
     const left = [member('x', 1, 'ready'), testHost('spare')];
--- a/packages/entry/src/groups/fleet-picture.ts
+++ b/packages/entry/src/groups/fleet-picture.ts
@@ -2,7 +2,8 @@
 import type { EngineProfile } from '../configuration/serving-configuration.js';
 import type { HostEntry } from '../hosts/host-entry.js';
 import { fabricDomainOf } from './fabric-domain.js';
-import type { FleetDomain, FleetView, PlacedGroup } from './fleet-view.js';
+import type { FleetView, PlacedGroup } from './fleet-view.js';
+import { dividedByUse } from './fleet-view.js';
 import { isFree, isReleased } from './free-hosts.js';
 import type { Formation, GroupBeliefs } from './group-beliefs.js';
 import type { ReplicaGroup } from './replica-groups.js';
@@ -47,9 +48,14 @@
       draft.free.push(host);
     }
   }
-  const domains: readonly FleetDomain[] = [...drafts.values()];
   const stagingNow = (id: string): string | undefined => beliefs.stagings.get(id)?.model;
-  return { profile, domains, stagingNow, slow: beliefs.slow };
+  return {
+    profile,
+    ...dividedByUse([...drafts.values()], beliefs.evacuatedDomains),
+    isReturning: beliefs.isReturning,
+    stagingNow,
+    slow: beliefs.slow,
+  };
 }
 
 function draftOf(drafts: Map<string, Draft>, host: HostEntry): Draft {
--- a/packages/entry/src/groups/fleet-view.ts
+++ b/packages/entry/src/groups/fleet-view.ts
@@ -24,7 +24,15 @@
 /** What plans start from. */
 export type FleetView = {
   readonly profile: EngineProfile;
+  /** Fabric domains that may be used. */
   readonly domains: readonly FleetDomain[];
+  /** Fabric domains of evacuated failure domains: what stands there counts for nothing meanwhile. */
+  readonly evacuated: readonly FleetDomain[];
+  /**
+   * A failure domain has just come back into use and its hosts may be cold: its groups count, but no
+   * others are given up because of them.
+   */
+  readonly isReturning: boolean;
   /** Model that a host is staging. */
   readonly stagingNow: (hostId: string) => string | undefined;
   /** Hosts that are slow: a group runs at the pace of its slowest member. */
@@ -58,7 +66,29 @@
   return [...new Set(domains.map(domain => domain.failureDomain))];
 }
 
-/** The value of the groups that are there. */
+/** The fleet as it will be once no failure domain is evacuated any more. */
+export function wholeFleetOf(view: FleetView): FleetView {
+  return { ...view, domains: [...view.domains, ...view.evacuated], evacuated: [] };
+}
+
+/**
+ * Tells fabric domains that may be used from those that are evacuated. Where all are, plans go on as if
+ * none were: there is nowhere else to go, and the groups are needed when the first one is back.
+ */
+export function dividedByUse(
+  domains: readonly FleetDomain[],
+  evacuatedDomains: ReadonlySet<string>,
+): Pick<FleetView, 'domains' | 'evacuated'> {
+  const isEvacuated = (domain: FleetDomain): boolean => evacuatedDomains.has(domain.failureDomain);
+  return domains.every(isEvacuated)
+    ? { domains, evacuated: [] }
+    : {
+        domains: domains.filter(domain => !isEvacuated(domain)),
+        evacuated: domains.filter(isEvacuated),
+      };
+}
+
+/** The value of the groups that are there and may be used. */
 export function valueOf(view: FleetView): CapacityValue {
   const { profile, domains } = view;
   const value = new CapacityValue(profile.models, failureDomainsOf(domains).length);
--- a/packages/entry/src/groups/group-beliefs.ts
+++ b/packages/entry/src/groups/group-beliefs.ts
@@ -55,6 +55,10 @@
   readonly entriesMayReturn: boolean;
   /** Fabric domains that lack most of their entries, or did a moment ago. */
   readonly lapsedDomains: ReadonlySet<string>;
+  /** Failure domains to which nothing may be sent. */
+  readonly evacuatedDomains: ReadonlySet<string>;
+  /** A failure domain has come back into use a moment ago, and its hosts may be cold. */
+  readonly isReturning: boolean;
   /** Hosts with an order under way. */
   readonly busy: ReadonlySet<string>;
   /** Loads from the weight store that may begin now. */
--- a/packages/entry/src/groups/group-task.ts
+++ b/packages/entry/src/groups/group-task.ts
@@ -11,6 +11,8 @@
 import type { Counters } from '../server/metrics.js';
 import { monotonicMs } from '../server/time.js';
 import { CapacityLog } from './capacity-log.js';
+import { DomainUses } from './domain-use.js';
+import { planIdleFormations, planIdleStagings } from './evacuated-plan.js';
 import { fleetViewOf } from './fleet-picture.js';
 import type { FleetView } from './fleet-view.js';
 import type { PlannedFormation } from './formation-plan.js';
@@ -43,6 +45,10 @@
   readonly loadWindowMs: number;
   /** True before the first request: then loads are quick and do not count. */
   readonly mayLoadFreely: () => boolean;
+  /** True while nothing may be sent to hosts of the failure domain. */
+  readonly isEvacuated: (failureDomain: string) => boolean;
+  /** How long hosts usually stay cold, in milliseconds; 0 where they never are. */
+  readonly coldMs: () => number;
   readonly log: Log;
   readonly counters: Counters;
 };
@@ -80,6 +86,7 @@
   readonly #loads: LoadBudget;
   readonly #settling = new Settling();
   readonly #lapsed = new LapsedDomains();
+  readonly #domainUses: DomainUses;
   readonly #capacityLog: CapacityLog;
   #term = 0;
   #formed = 0;
@@ -90,6 +97,7 @@
     this.#options = options;
     this.#observer = new GroupObserver(id => options.registry.get(id));
     this.#loads = new LoadBudget(options.loadWindowMs);
+    this.#domainUses = new DomainUses(options);
     this.#capacityLog = new CapacityLog(options.log);
     this.#rearrangement = new Rearrangement(options.log);
   }
@@ -131,6 +139,7 @@
     this.#formations.clear();
     this.#rearrangement.clear();
     this.#stagings.clear();
+    this.#domainUses.clear();
   }
 
   #observe(
@@ -188,6 +197,7 @@
       beingAsked: this.#beingAsked(now),
       entriesMayReturn: now - this.#options.inTouchSince() < ENTRIES_RETURN_MS,
       lapsedDomains: this.#lapsed.observe(hosts, this.#departed(), now),
+      ...this.#domainUses.observe(hosts, now),
       busy: sender.busy,
       loadsLeft: this.#loads.left(now, byRate, profile.loadsAtOnce + EXTRA_LOADS, running),
     };
@@ -248,9 +258,11 @@
     now: number,
   ): void {
     const fleet = fleetViewOf(hosts, groups, profile, view.beliefs);
-    this.#noteCapacity(groups, profile, fleet);
+    const { size: forming } = this.#formations;
+    this.#capacityLog.note(groups, fleet, { forming, staging: this.#stagings.size });
     const free = this.#loadsAreFree();
-    const planned = planFormations(fleet, free ? FREE_LOADS : NO_LOADS);
+    const loads = free ? FREE_LOADS : NO_LOADS;
+    const planned = [...planFormations(fleet, loads), ...planIdleFormations(fleet, loads)];
     for (const formation of planned) {
       this.#begin(formation, view, now);
     }
@@ -263,19 +275,6 @@
     this.#stage(fleet, free ? Infinity : view.beliefs.loadsLeft, view, now);
   }
 
-  #noteCapacity(
-    groups: readonly ReplicaGroup[],
-    profile: EngineProfile,
-    { domains }: FleetView,
-  ): void {
-    this.#capacityLog.note(groups, profile, {
-      forming: this.#formations.size,
-      free: domains.reduce((sum, domain) => sum + domain.free.length, 0),
-      staging: this.#stagings.size,
-      domains,
-    });
-  }
-
   // Before the first request loads are quick and do not slow each other: groups come first, then
   // every host stages what it may need later. Hosts that had something loaded or staged when this
   // process first saw them have served before, even if this process has not had a request yet.
@@ -309,7 +308,9 @@
   }
 
   #stage(fleet: FleetView, loadsLeft: number, view: GuardView, now: number): void {
-    for (const { host, model } of planStagings(fleet, loadsLeft)) {
+    const planned = planStagings(fleet, loadsLeft);
+    const idle = planIdleStagings(fleet, loadsLeft - planned.length);
+    for (const { host, model } of [...planned, ...idle]) {
       const deadline = now + model.loadMs * LOAD_SLACK_FACTOR + STAGING_SLACK_MS;
       this.#stagings.set(host.id, { model: model.name, deadline });
       this.#loads.note(now);
--- a/packages/entry/src/groups/plans.test.ts
+++ b/packages/entry/src/groups/plans.test.ts
@@ -6,6 +6,7 @@
 import type { HostEntry } from '../hosts/host-entry.js';
 import { testHost } from '../testing/groups.js';
 import { CapacityValue } from './capacity-value.js';
+import { planIdleFormations, planIdleStagings } from './evacuated-plan.js';
 import type { FleetDomain, FleetView, PlacedGroup } from './fleet-view.js';
 import { mostUsable } from './fleet-view.js';
 import { FREE_LOADS, NO_LOADS, planFormations } from './formation-plan.js';
@@ -60,7 +61,14 @@
 }
 
 function fleet(...domains: FleetDomain[]): FleetView {
-  return { profile: PROFILE, domains, stagingNow: () => undefined, slow: new Set() };
+  return {
+    profile: PROFILE,
+    domains,
+    evacuated: [],
+    isReturning: false,
+    stagingNow: () => undefined,
+    slow: new Set(),
+  };
 }
 
 function modelsOf(planned: readonly { readonly model: GroupModel }[]): readonly string[] {
@@ -175,6 +183,83 @@
   });
 });
 
+describe('plans with an evacuated failure domain', () => {
+  const elsewhere = (free: HostEntry[], groups: PlacedGroup[] = []): FleetDomain => ({
+    ...domain('d9', free, groups),
+    failureDomain: 'z',
+  });
+
+  it('do not count its groups', () => {
+    const manyLarge = Array.from({ length: 8 }, () => group(LARGE));
+    const view = fleet(domain('d0', hosts(3, 'small', 'large'), [group(LARGE), group(SMALL)]));
+    const withIdle = { ...view, evacuated: [elsewhere([], manyLarge)] };
+    expect(planFormations(withIdle, FREE_LOADS)).to.deep.equal(planFormations(view, FREE_LOADS));
+    expect(planStagings(withIdle, 6)).to.deep.equal(planStagings(view, 6));
+  });
+
+  it('dissolve none of its groups, whatever they would be worth elsewhere', () => {
+    const ready = group(SMALL, 'large');
+    const others = [group(SMALL), group(SMALL), group(SMALL)];
+    const idle = elsewhere(hosts(3, 'large', 'large'), [ready]);
+    const view = { ...fleet(domain('d1', [], others)), evacuated: [idle] };
+    expect(planDissolution(view)).to.equal(undefined);
+  });
+
+  it('form its free hosts into groups without touching the others', () => {
+    const idle = elsewhere(hosts(4, 'large', 'large'));
+    const view = { ...fleet(domain('d0', hosts(3), [group(SMALL)])), evacuated: [idle] };
+    const planned = planIdleFormations(view, NO_LOADS);
+    expect(modelsOf(planned)).to.deep.equal(['large']);
+    expect(planned[0]?.hosts.every(member => idle.free.includes(member))).to.equal(true);
+  });
+
+  it('leave half of the remaining loads to the domains in use, and the last one', () => {
+    const view = { ...fleet(domain('d0', [])), evacuated: [elsewhere(hosts(16))] };
+    expect(planIdleStagings(view, 1)).to.deep.equal([]);
+    expect(planIdleStagings(view, 6)).to.have.length(3);
+  });
+
+  it('stage there only what completes a group', () => {
+    const idle = elsewhere(hosts(1), [group(LARGE), group(SMALL)]);
+    expect(planIdleStagings({ ...fleet(domain('d0', [])), evacuated: [idle] }, 6)).to.deep.equal(
+      [],
+    );
+  });
+
+  it('give up nothing while a domain returns, but for a model that nobody serves', () => {
+    const ready = group(SMALL, 'large');
+    const others = [group(SMALL), group(SMALL), group(SMALL)];
+    const lacking = domain('d0', hosts(3, 'large', 'large'), [ready]);
+    const unserved = { ...fleet(lacking, domain('d1', [], others)), isReturning: true };
+    expect(planDissolution(unserved)?.groups).to.deep.equal([ready]);
+    const served = fleet(lacking, domain('d1', [], [...others, group(SMALL), group(LARGE)]));
+    expect(planDissolution(served)?.groups).to.deep.equal([ready]);
+    expect(planDissolution({ ...served, isReturning: true })).to.equal(undefined);
+  });
+
+  it('never mix hosts of both', () => {
+    const staged = fc.array(fc.constantFrom(undefined, 'large', 'small'), { maxLength: 12 });
+    fc.assert(
+      fc.property(staged, staged, (inUse, idle) => {
+        const used = domain(
+          'd0',
+          inUse.map(model => host(model)),
+        );
+        const left = elsewhere(idle.map(model => host(model)));
+        const view = { ...fleet(used), evacuated: [left] };
+        const formed = planFormations(view, FREE_LOADS).flatMap(formation => formation.hosts);
+        const staging = planStagings(view, 6).map(planned => planned.host);
+        expect([...formed, ...staging].every(one => used.free.includes(one))).to.equal(true);
+        const idleFormed = planIdleFormations(view, FREE_LOADS).flatMap(({ hosts: of }) => of);
+        const idleStaging = planIdleStagings(view, 6).map(planned => planned.host);
+        expect([...idleFormed, ...idleStaging].every(one => left.free.includes(one))).to.equal(
+          true,
+        );
+      }),
+    );
+  });
+});
+
 describe('staging plan', () => {
   it('completes a group with one load before it prepares another with two', () => {
     const groups = [group(LARGE), group(SMALL), group(SMALL)];
--- a/packages/entry/src/groups/rearrangement-plan.ts
+++ b/packages/entry/src/groups/rearrangement-plan.ts
@@ -45,7 +45,7 @@
     for (const groups of choicesIn(domain, view)) {
       const given = [...formedHere.map(one => one.model.name), ...groups.map(one => one.model)];
       const after = costWithout(view, domain, groups, given, value);
-      if (after < least && isWorthIt(before, after, groups.length)) {
+      if (after < least && isWorthIt(before, after, groups.length, view)) {
         least = after;
         best = { groups, gain: 1 - after / before };
       }
@@ -55,10 +55,12 @@
 }
 
 // Each dissolved group has to pay for itself. A model that nobody serves is brought back at any
-// price: its requests all fail, while the others only get slower.
-function isWorthIt(before: number, after: number, dissolved: number): boolean {
+// price: its requests all fail, while the others only get slower. That is all while a failure domain
+// comes back: its cold groups can't yet take over what others would give up.
+function isWorthIt(before: number, after: number, dissolved: number, view: FleetView): boolean {
   const servesOneMore = before - after > UNSERVED_COST / 2;
-  return servesOneMore || after < before * Math.pow(1 - LEAST_GAIN, dissolved);
+  const lowersCost = after < before * Math.pow(1 - LEAST_GAIN, dissolved);
+  return servesOneMore || (lowersCost && !view.isReturning);
 }
 
 // Cost of all models once the domain's free hosts and those of the dissolved groups have formed all
--- a/packages/entry/src/groups/slow-members.test.ts
+++ b/packages/entry/src/groups/slow-members.test.ts
@@ -37,6 +37,8 @@
   return {
     profile: PROFILE,
     domains: [domain],
+    evacuated: [],
+    isReturning: false,
     stagingNow: () => undefined,
     slow: new Set(slow),
   };
--- a/packages/entry/src/groups/staging-plan.ts
+++ b/packages/entry/src/groups/staging-plan.ts
@@ -37,18 +37,37 @@
 
 /** Stagings in the order of their worth, at most `loadsLeft`. */
 export function planStagings(view: FleetView, loadsLeft: number): readonly PlannedStaging[] {
+  return planBest(view, loadsLeft, bestCandidate);
+}
+
+/** Stagings that complete groups of the free hosts of these domains, at most `loadsLeft`. */
+export function planCompletions(
+  view: FleetView,
+  domains: readonly FleetDomain[],
+  loadsLeft: number,
+): readonly PlannedStaging[] {
+  return planBest(view, loadsLeft, (planning, value) =>
+    bestOf(domains, planning, (domain, model) => completion(planning, domain, model, value)),
+  );
+}
+
+function planBest(
+  view: FleetView,
+  loadsLeft: number,
+  best: (view: FleetView, value: CapacityValue) => Candidate | undefined,
+): readonly PlannedStaging[] {
   const planned: PlannedStaging[] = [];
   const value = valueOf(view);
   const begun = new Map<string, string>();
   const stagingNow = (id: string): string | undefined => begun.get(id) ?? view.stagingNow(id);
   const planning: FleetView = { ...view, stagingNow };
   while (planned.length < loadsLeft) {
-    const best = bestCandidate(planning, value);
-    if (best === undefined) {
+    const next = best(planning, value);
+    if (next === undefined) {
       return planned;
     }
-    begun.set(best.host.id, best.model.name);
-    planned.push({ host: best.host, model: best.model });
+    begun.set(next.host.id, next.model.name);
+    planned.push({ host: next.host, model: next.model });
   }
   return planned;
 }
@@ -59,16 +78,23 @@
 };
 
 function bestCandidate(view: FleetView, value: CapacityValue): Candidate | undefined {
+  return bestOf(view.domains, view, (domain, model) => [
+    ...completion(view, domain, model, value),
+    ...conversion(view, domain, model, value),
+    ...replacement(view, domain, model, value),
+    ...fallback(view, domain, model, value),
+  ]);
+}
+
+function bestOf(
+  domains: readonly FleetDomain[],
+  view: FleetView,
+  candidatesOf: (domain: FleetDomain, model: GroupModel) => readonly Candidate[],
+): Candidate | undefined {
   let best: Candidate | undefined;
-  for (const domain of view.domains) {
+  for (const domain of domains) {
     for (const model of view.profile.models) {
-      const candidates = [
-        ...completion(view, domain, model, value),
-        ...conversion(view, domain, model, value),
-        ...replacement(view, domain, model, value),
-        ...fallback(view, domain, model, value),
-      ];
-      for (const candidate of candidates) {
+      for (const candidate of candidatesOf(domain, model)) {
         if (best === undefined || candidate.score > best.score) {
           best = candidate;
         }
--- a/packages/entry/src/testing/fleet-model.ts
+++ b/packages/entry/src/testing/fleet-model.ts
@@ -1,9 +1,12 @@
 /**
  * A small model of model hosts for tests of the plans: joins, stagings that share the weight
- * store's bandwidth, losses and arrivals. Time only moves in `run`; orders are taken at once.
+ * store's bandwidth, losses, arrivals and evacuated failure domains. Time only moves in `run`; orders
+ * are taken at once.
  */
 import type { EngineProfile, GroupModel } from '../configuration/serving-configuration.js';
+import { planIdleFormations, planIdleStagings } from '../groups/evacuated-plan.js';
 import type { FleetDomain, FleetView, PlacedGroup } from '../groups/fleet-view.js';
+import { dividedByUse, wholeFleetOf } from '../groups/fleet-view.js';
 import type { FormationLoads } from '../groups/formation-plan.js';
 import { FREE_LOADS, NO_LOADS, planFormations } from '../groups/formation-plan.js';
 import { LoadBudget } from '../groups/load-budget.js';
@@ -21,6 +24,8 @@
   readonly domainsPerFailureDomain: number;
   /** Model that a host has staged at the start. */
   readonly stagedAtStart?: (index: number) => string | undefined;
+  /** Time for which hosts stay cold after an evacuation, in milliseconds; 0 if not given. */
+  readonly coldMs?: number;
 };
 
 type ModelHost = {
@@ -52,20 +57,34 @@
   readonly #budget = new LoadBudget(LOAD_WINDOW_MS);
   readonly #hosts: ModelHost[] = [];
   readonly #perFailureDomain: number;
+  readonly #evacuated = new Set<string>();
+  readonly #coldMs: number;
   #groups: ModelGroup[] = [];
   #now = 0;
+  #returnedAt = -Infinity;
   #dissolvedAt = -Infinity;
   #made = 0;
   /** Time that hosts spent in serving groups, in host milliseconds. */
   servingHostMs = 0;
   /** Time that hosts could have spent there if loads took no time, in host milliseconds. */
   possibleHostMs = 0;
+  /** Time that hosts in use were there, in host milliseconds. */
+  hostMs = 0;
+  /** Time that hosts in use spent in no group and ready for none of their domain's, in host milliseconds. */
+  strandedHostMs = 0;
+  /** Loads from the weight store that have begun, but for the free ones. */
+  loads = 0;
+  /** Orders to hosts. */
+  orders = 0;
+  /** Names of groups that were dissolved for others. */
+  readonly dissolved: string[] = [];
   /** Time without a serving group by model, in milliseconds. */
   readonly unservedMs = new Map<string, number>();
 
   constructor(options: FleetModelOptions) {
     this.#profile = options.profile;
     this.#perFailureDomain = options.domainsPerFailureDomain;
+    this.#coldMs = options.coldMs ?? 0;
     options.domainSizes.forEach((size, domain) => {
       for (let index = 0; index < size; index++) {
         const staged = options.stagedAtStart?.(this.#hosts.length);
@@ -79,9 +98,33 @@
     return this.#hosts.length;
   }
 
-  /** Serving groups of a model. */
+  /** Serving groups of a model; those of evacuated failure domains serve nobody. */
   serving(model: string): number {
-    return this.#groups.filter(group => group.model.name === model && group.openInMs === 0).length;
+    return this.#serving.filter(group => group.model.name === model).length;
+  }
+
+  /** Loses a host of a failure domain for good, and its group with it; hosts in groups first. */
+  loseIn(failureDomain: string): void {
+    const inside = this.#groups.filter(
+      ({ members }) => members[0]?.failureDomain === failureDomain,
+    );
+    this.#remove(inside[0]?.members[0]);
+  }
+
+  /** Names of the groups that stand in a failure domain, serving or not. */
+  groupsIn(failureDomain: string): readonly string[] {
+    const inside = this.#groups.filter(
+      ({ members }) => members[0]?.failureDomain === failureDomain,
+    );
+    return inside.map(group => group.name);
+  }
+
+  get #serving(): readonly ModelGroup[] {
+    return this.#groups.filter(group => group.openInMs === 0 && !this.#isEvacuated(group));
+  }
+
+  #isEvacuated({ members }: ModelGroup): boolean {
+    return this.#evacuated.has(members[0]?.failureDomain ?? '');
   }
 
   /** True when no join and no staging is under way. */
@@ -90,9 +133,10 @@
     return !joining && this.#hosts.every(host => host.staging === undefined);
   }
 
-  /** Most free hosts that any fabric domain has. */
+  /** Most free hosts that any fabric domain has, evacuated or not. */
   get mostFree(): number {
-    return Math.max(0, ...this.#view().domains.map(domain => domain.free.length));
+    const { domains } = wholeFleetOf(this.#view());
+    return Math.max(0, ...domains.map(domain => domain.free.length));
   }
 
   /** A host comes. */
@@ -112,12 +156,26 @@
   lose(pick: number): void {
     const grouped = this.#groups.flatMap(group => group.members);
     const from = grouped.length > 0 ? grouped : this.#hosts;
-    const lost = from[pick % from.length];
+    this.#remove(from[pick % from.length]);
+  }
+
+  #remove(lost: ModelHost | undefined): void {
     this.#groups = this.#groups.filter(group => !group.members.some(member => member === lost));
     const index = this.#hosts.findIndex(host => host === lost);
     this.#hosts.splice(index, 1);
   }
 
+  /** Nothing may be sent to a failure domain from now on. */
+  evacuate(failureDomain: string): void {
+    this.#evacuated.add(failureDomain);
+  }
+
+  /** It may be used again. */
+  takeBack(failureDomain: string): void {
+    this.#evacuated.delete(failureDomain);
+    this.#returnedAt = this.#now;
+  }
+
   /** Lets time pass; `loads` tells whether loads are free meanwhile. */
   run(ms: number, loads: FormationLoads = NO_LOADS): void {
     const end = this.#now + ms;
@@ -131,8 +189,9 @@
 
   #plan(loads: FormationLoads): boolean {
     const view = this.#view();
-    const formations = planFormations(view, loads);
+    const formations = [...planFormations(view, loads), ...planIdleFormations(view, loads)];
     for (const { hosts, model, readyMs } of formations) {
+      this.orders += hosts.length + 1;
       const members = hosts.map(host => this.#find(host));
       const part = loads === FREE_LOADS ? FREE_LOAD_PART : 1;
       this.#made += 1;
@@ -163,6 +222,8 @@
     const dissolved = planDissolution(view)?.groups.map(group => group.name) ?? [];
     if (dissolved.length > 0) {
       this.#dissolvedAt = this.#now;
+      this.orders += dissolved.length * 2;
+      this.dissolved.push(...dissolved);
       this.#groups = this.#groups.filter(group => !dissolved.includes(group.name));
     }
     return dissolved.length > 0;
@@ -170,7 +231,7 @@
 
   #stage(view: FleetView, loads: FormationLoads): boolean {
     if (loads === FREE_LOADS) {
-      const prepared = planStagings(view, Infinity);
+      const prepared = [...planStagings(view, Infinity), ...planIdleStagings(view, Infinity)];
       for (const { host, model } of prepared) {
         this.#putStaged(this.#find(host), model);
       }
@@ -179,7 +240,10 @@
     const { loadsPerSecond, loadsAtOnce } = this.#profile;
     const running = this.#hosts.filter(host => host.staging !== undefined).length;
     const left = this.#budget.left(this.#now, loadsPerSecond, loadsAtOnce + 1, running);
-    const planned = planStagings(view, left);
+    const inUse = planStagings(view, left);
+    const planned = [...inUse, ...planIdleStagings(view, left - inUse.length)];
+    this.loads += planned.length;
+    this.orders += planned.length;
     this.#budget.note(this.#now, planned.length);
     for (const { host, model } of planned) {
       this.#find(host).staging = { model, leftMs: model.loadMs };
@@ -218,8 +282,8 @@
       const unserved = this.serving(model.name) === 0 ? ms : 0;
       this.unservedMs.set(model.name, (this.unservedMs.get(model.name) ?? 0) + unserved);
     }
-    const serving = this.#groups.filter(group => group.openInMs === 0);
-    this.servingHostMs += ms * serving.reduce((sum, group) => sum + group.members.length, 0);
+    this.servingHostMs += ms * this.#serving.reduce((sum, { members }) => sum + members.length, 0);
+    this.#measureStranded(view, ms);
     const allFree = view.domains.map(domain => ({
       ...domain,
       free: this.#hosts.filter(host => host.fabricDomain === domain.fabricDomain).map(entryOf),
@@ -229,6 +293,19 @@
     this.possibleHostMs += ms * ideal.reduce((sum, formation) => sum + formation.hosts.length, 0);
   }
 
+  #measureStranded(view: FleetView, ms: number): void {
+    for (const domain of view.domains) {
+      const served = new Set(domain.groups.map(group => group.model));
+      const free = domain.free.filter(({ lastModel, stagedModels }) =>
+        [lastModel, ...stagedModels].every(model => model === undefined || !served.has(model)),
+      );
+      const stranded = free.filter(host => view.stagingNow(host.id) === undefined);
+      const inGroups = domain.groups.reduce((sum, { members }) => sum + members.length, 0);
+      this.hostMs += ms * (domain.free.length + inGroups);
+      this.strandedHostMs += ms * stranded.length;
+    }
+  }
+
   // Each load takes proportionally longer once more than the declared number run at a time.
   #slowness(): number {
     const running = this.#hosts.filter(host => host.staging !== undefined).length;
@@ -246,6 +323,7 @@
   #view(): FleetView {
     const grouped = new Set(this.#groups.flatMap(group => group.members));
     const names = [...new Set(this.#hosts.map(host => host.fabricDomain))];
+    const isReturning = this.#now - this.#returnedAt < this.#coldMs;
     const domains: FleetDomain[] = names.map(fabricDomain => {
       const hosts = this.#hosts.filter(host => host.fabricDomain === fabricDomain);
       return {
@@ -259,10 +337,48 @@
     });
     const stagingNow = (id: string): string | undefined =>
       this.#hosts.find(host => host.id === id)?.staging?.model.name;
-    return { profile: this.#profile, domains, stagingNow, slow: new Set() };
+    const divided = dividedByUse(domains, this.#evacuated);
+    return { profile: this.#profile, ...divided, isReturning, stagingNow, slow: new Set() };
   }
 }
 
+/** A large and a small model; the large one has this part of the work, 0 to 1. */
+export function dayProfile(largeSize: number, smallSize: number, largeShare = 0.4): EngineProfile {
+  const large = { name: 'large', size: largeSize, pace: 1, workShare: largeShare };
+  const small = { name: 'small', size: smallSize, pace: 0.6, workShare: 1 - largeShare };
+  return {
+    models: [
+      { ...large, loadMs: 16_000, warmMs: 1_600 },
+      { ...small, loadMs: 12_000, warmMs: 1_100 },
+    ],
+    slots: 18,
+    loadsPerSecond: 4,
+    loadsAtOnce: 6,
+    stagedModelsKept: 1,
+  };
+}
+
+/** A fleet of three failure domains with three fabric domains each. */
+export type WideFleet = {
+  readonly domainSize: number;
+  readonly largeSize: number;
+  readonly smallSize: number;
+  readonly largeShare: number;
+};
+
+const WIDE_DOMAINS = 9;
+
+/** Such a fleet; its hosts stay cold for 3 s after an evacuation. */
+export function wideFleet(kind: WideFleet): FleetModel {
+  const { domainSize, largeSize, smallSize, largeShare } = kind;
+  return new FleetModel({
+    domainSizes: Array.from({ length: WIDE_DOMAINS }, () => domainSize),
+    domainsPerFailureDomain: 3,
+    coldMs: 3_000,
+    profile: dayProfile(largeSize, smallSize, largeShare),
+  });
+}
+
 function placedOf(group: ModelGroup): PlacedGroup {
   const members = group.members.map(entryOf);
   const { name, model, openInMs } = group;
--- a/packages/entry/src/testing/groups.ts
+++ b/packages/entry/src/testing/groups.ts
@@ -36,6 +36,8 @@
     beingAsked: [],
     entriesMayReturn: false,
     lapsedDomains: new Set(),
+    evacuatedDomains: new Set(),
+    isReturning: false,
     busy: new Set(),
     loadsLeft: 10,
     ...change,
