--- a/packages/entry/src/groups/slow-members.test.ts
+++ b/packages/entry/src/groups/slow-members.test.ts
@@ -37,6 +37,9 @@
   return {
     profile: PROFILE,
     domains: [domain],
+    evacuated: [],
+    isReturning: false,
+    lapsed: new Set(),
     stagingNow: () => undefined,
     slow: new Set(slow),
   };
--- a/packages/entry/src/groups/staging-plan.ts
+++ b/packages/entry/src/groups/staging-plan.ts
@@ -13,6 +13,7 @@
 import type { GroupModel } from '../configuration/serving-configuration.js';
 import type { HostEntry } from '../hosts/host-entry.js';
 import type { CapacityValue } from './capacity-value.js';
+import { fabricDomainOf } from './fabric-domain.js';
 import type { FleetDomain, FleetView } from './fleet-view.js';
 import { valueOf, willHave } from './fleet-view.js';
 
@@ -37,18 +38,37 @@
 
 /** Stagings in the order of their worth, at most `loadsLeft`. */
 export function planStagings(view: FleetView, loadsLeft: number): readonly PlannedStaging[] {
+  return planBest(view, loadsLeft, bestCandidate);
+}
+
+/** Stagings that complete groups of the free hosts of these domains, at most `loadsLeft`. */
+export function planCompletions(
+  view: FleetView,
+  domains: readonly FleetDomain[],
+  loadsLeft: number,
+): readonly PlannedStaging[] {
+  return planBest(view, loadsLeft, (planning, value) =>
+    bestOf(domains, planning, (domain, model) => completion(planning, domain, model, value)),
+  );
+}
+
+function planBest(
+  view: FleetView,
+  loadsLeft: number,
+  best: (view: FleetView, value: CapacityValue) => Candidate | undefined,
+): readonly PlannedStaging[] {
   const planned: PlannedStaging[] = [];
   const value = valueOf(view);
   const begun = new Map<string, string>();
   const stagingNow = (id: string): string | undefined => begun.get(id) ?? view.stagingNow(id);
   const planning: FleetView = { ...view, stagingNow };
   while (planned.length < loadsLeft) {
-    const best = bestCandidate(planning, value);
-    if (best === undefined) {
+    const next = best(planning, value);
+    if (next === undefined) {
       return planned;
     }
-    begun.set(best.host.id, best.model.name);
-    planned.push({ host: best.host, model: best.model });
+    begun.set(next.host.id, next.model.name);
+    planned.push({ host: next.host, model: next.model });
   }
   return planned;
 }
@@ -59,16 +79,23 @@
 };
 
 function bestCandidate(view: FleetView, value: CapacityValue): Candidate | undefined {
+  return bestOf(view.domains, view, (domain, model) => [
+    ...completion(view, domain, model, value),
+    ...conversion(view, domain, model, value),
+    ...replacement(view, domain, model, value),
+    ...fallback(view, domain, model, value),
+  ]);
+}
+
+function bestOf(
+  domains: readonly FleetDomain[],
+  view: FleetView,
+  candidatesOf: (domain: FleetDomain, model: GroupModel) => readonly Candidate[],
+): Candidate | undefined {
   let best: Candidate | undefined;
-  for (const domain of view.domains) {
+  for (const domain of domains) {
     for (const model of view.profile.models) {
-      const candidates = [
-        ...completion(view, domain, model, value),
-        ...conversion(view, domain, model, value),
-        ...replacement(view, domain, model, value),
-        ...fallback(view, domain, model, value),
-      ];
-      for (const candidate of candidates) {
+      for (const candidate of candidatesOf(domain, model)) {
         if (best === undefined || candidate.score > best.score) {
           best = candidate;
         }
@@ -196,7 +223,15 @@
 }
 
 function canStage(host: HostEntry, model: GroupModel, view: FleetView): boolean {
-  return view.stagingNow(host.id) === undefined && !willHave(host, model, view);
+  const isIdle = view.stagingNow(host.id) === undefined;
+  return isIdle && !willHave(host, model, view) && !isAwaited(host, view);
+}
+
+// Hosts of a domain that goes dark come back one after the other with what they had loaded. A load on
+// the first of them, for want of the others, takes 12 to 16 s and the copy that its group needs.
+function isAwaited(host: HostEntry, view: FleetView): boolean {
+  const hasCopy = host.lastModel !== undefined || host.stagedModels.length > 0;
+  return hasCopy && view.lapsed.has(fabricDomainOf(host));
 }
 
 // True when the host replaces no copy that may be of use. Copies are only replaced to complete a group
