--- a/packages/entry/src/entry-host.ts
+++ b/packages/entry/src/entry-host.ts
@@ -264,7 +264,7 @@
       inTouchSince: () => this.#kinds.of(OBJECT_KINDS.hosts)?.inTouchSince ?? Infinity,
       loadWindowMs: settings.bounds.loadWindowMs,
       mayLoadFreely: service => this.#intake.total === 0 && !this.#demand.hasRequests(service),
-      isEvacuated: this.#evacuated.isEvacuated,
+      isEvacuated: this.#rules.evacuated.isEvacuated,
       coldMsOf: service => this.#holder.table?.service(service)?.slowStart?.coldMs ?? 0,
       log,
       counters: this.#counters,
