--- a/packages/entry/src/requests/exchange.test.ts
+++ b/packages/entry/src/requests/exchange.test.ts
@@ -31,6 +31,36 @@
 }
 
 describe('an exchange', () => {
+  it('that waits for a connection longer than it may connect never reaches the host', async () => {
+    const upstream = new UpstreamStandIn(response => {
+      setTimeout(() => response.end('ok'), 200);
+    });
+    const { host } = await upstream.listen('h');
+    const connections = new UpstreamConnections(1);
+    const start = (id: string, connectTimeoutMs: number): Promise<ExchangeEnd> =>
+      new Promise(resolve => {
+        startExchange(
+          {
+            host,
+            method: 'GET',
+            url: '/',
+            headers: ['host', 'models.example', 'x-request-id', id],
+            body: undefined,
+            connections,
+            connectTimeoutMs,
+          },
+          { head: () => undefined, data: () => undefined, ended: resolve },
+        );
+      });
+    const first = start('first', 300);
+    expect(await start('queued', 50)).to.equal('never-sent');
+    expect(await first).to.equal('whole');
+    expect(await start('later', 50)).to.equal('whole');
+    expect(upstream.seen).to.deep.equal(['first', 'later']);
+    connections.destroy();
+    upstream.close();
+  });
+
   it('that is given up on a kept connection closes the other idle ones of the host', async () => {
     const upstream = new UpstreamStandIn(response => {
       setTimeout(() => response.end('ok'), 20);
