Evacuations are read from the store once two followed hosts in a row are silent

Cause: a host tries up to six followed hosts before the store, each for up to half a second, and those that failed first are usable again after 2 s, before the store's turn has come; an evacuation ordered as all six went silent was heard of after 6.1 s, beyond the 5 s that it has. Ruled out: shorter waits for all kinds (calls and bytes); the store for every kind (each follower would list all hosts); at the first silent host (all followers of a lost one would go to the store at once). Change: a kind may be urgent (`WatchOptions.isUrgent`, evacuations); after two silent peers in a row it is read from the store, unless that has just failed; whom the other kinds follow is not changed.

--- a/packages/entry/src/peers/reader-choice.test.ts
+++ b/packages/entry/src/peers/reader-choice.test.ts
@@ -137,6 +137,28 @@
     expect(storeCalls).to.be.within(4, 6);
   });
 
+  it('reads an urgent kind from the store after two silent peers, and others from the next peer', () => {
+    const above = ['p1', 'p2', 'p3'].map(name => member(name, 2));
+    const choice = choiceOf({ above, below: [], isAmongFirst: false });
+    choice.note(choice.choose(true), 'failed');
+    expect(choice.choose(true).name).to.equal('p2:1');
+    choice.note(choice.choose(true), 'failed');
+    expect(choice.choose(true)).to.equal(STORE);
+    expect(choice.choose().name).to.equal('p3:1');
+    expect(choice.followsStore).to.equal(false);
+    choice.note(STORE, 'fresh');
+    expect(choice.choose(true).name).to.equal('p3:1');
+  });
+
+  it('does not read an urgent kind from a store that has just failed', () => {
+    const above = ['p1', 'p2', 'p3'].map(name => member(name, 2));
+    const choice = choiceOf({ above, below: [], isAmongFirst: false });
+    choice.note(choice.choose(), 'failed');
+    choice.note(choice.choose(), 'failed');
+    choice.note(STORE, 'failed');
+    expect(choice.choose(true).name).to.equal('p3:1');
+  });
+
   it('tells when the next reader is worth asking', () => {
     let now = 0;
     const choice = choiceOf({ above: [member('up', 2)], below: [], isAmongFirst: true }, () => now);
--- a/packages/entry/src/peers/reader-choice.ts
+++ b/packages/entry/src/peers/reader-choice.ts
@@ -41,6 +41,13 @@
   most: 60_000,
 } as const;
 
+/**
+ * Peers in a row that have gone silent before an urgent kind is read from the store. Each costs up to
+ * half a second; six of them cost more than the 5 s that an evacuation has. Not one, so that the loss of
+ * the followed host does not bring all its followers to the store at once.
+ */
+const MOST_SILENT_PEERS = 2;
+
 /** The choice, with what is known of each reader. */
 export class PeerReaderChoice implements ReaderChoice {
   readonly #options: PeerReaderChoiceOptions;
@@ -48,6 +55,7 @@
   readonly #failures = new Map<string, number>();
   #current: KindReader;
   #followsBelow = false;
+  #silentPeers = 0;
 
   constructor(options: PeerReaderChoiceOptions) {
     this.#options = options;
@@ -67,9 +75,13 @@
     return !this.#followsBelow;
   }
 
-  /** The reader of the next step. */
-  choose(): KindReader {
+  /** The reader of the next step; for an urgent kind the store, once peers in a row were silent. */
+  choose(isUrgent = false): KindReader {
     const { store, candidates } = this.#options;
+    const skipsPeers = isUrgent && this.#silentPeers >= MOST_SILENT_PEERS;
+    if (skipsPeers && !this.isAvoided(store.name)) {
+      return store;
+    }
     const { above, below } = candidates();
     const fromAbove = this.#firstUsable(above);
     const fromBelow = this.isAvoided(store.name) ? this.#firstUsable(below) : undefined;
@@ -104,11 +116,13 @@
     if (outcome === 'fresh') {
       this.#avoidUntil.delete(reader.name);
       this.#failures.delete(reader.name);
+      this.#silentPeers = 0;
       return;
     }
     // Several kinds are read at once; what they all lose at one time is one failure.
     if (outcome === 'failed' && !this.isAvoided(reader.name)) {
       this.#failures.set(reader.name, (this.#failures.get(reader.name) ?? 0) + 1);
+      this.#silentPeers += Number(reader !== this.#options.store);
     }
     this.#avoidUntil.set(reader.name, this.#now() + this.#avoidMs(reader, outcome));
   }
--- /dev/null
+++ b/packages/entry/src/peers/silent-readers.test.ts
@@ -0,0 +1,98 @@
+/** How long an evacuation takes to a host whose peers go silent as it is ordered. */
+import { expect } from 'chai';
+
+import { silentLog } from '../server/log.js';
+import { monotonicMs } from '../server/time.js';
+import { KIND_TIMINGS } from '../store/followed-kinds.js';
+import type { KindReader, KindReading } from '../store/kind-reader.js';
+import { OBJECT_KINDS } from '../store/object-store.js';
+import { WatchedKind } from '../store/watched-kind.js';
+import type { Member } from './member.js';
+import { PeerReaderChoice } from './reader-choice.js';
+
+/** The bound of an evacuation on the users' sheets. */
+const BOUND_MS = 5_000;
+/** Time to connect to a peer that does not answer, and beyond the wait of a question. */
+const UNANSWERED_MS = 500;
+/** As many as are tried before the store at most. */
+const MOST_ABOVE = 6;
+
+const timing = KIND_TIMINGS[OBJECT_KINDS.evacuations];
+const pause = (ms: number): Promise<void> => new Promise(resolve => setTimeout(resolve, ms));
+
+/** Time from the order until a host has heard of it, of whose peers `count` go silent with it. */
+async function heardAfterMs(count: number): Promise<number> {
+  if (timing === undefined) {
+    throw new Error('evacuations are not followed');
+  }
+  let ordered = false;
+  let heardAt: number | undefined;
+  const answer = (): KindReading => ({
+    answer: {
+      kind: 'list',
+      list: ordered
+        ? { objects: [{ name: 'a', revision: 9, value: {} }], revision: 9 }
+        : { objects: [], revision: 8 },
+    },
+    confirmedAt: monotonicMs(),
+    inTouch: true,
+  });
+  const store: KindReader = { name: 'store', hasViews: false, read: async () => answer() };
+  const peers = Array.from({ length: MOST_ABOVE }, (_, index) => ({
+    name: `p${index}`,
+    address: `p${index}`,
+    failureDomain: 'a',
+    power: 1,
+  }));
+  const readerOf = ({ name }: Member): KindReader => ({
+    name,
+    hasViews: true,
+    read: async (_kind, _revision, waitMs) => {
+      await pause(waitMs);
+      if (ordered && Number(name.slice(1)) < count) {
+        await pause(UNANSWERED_MS);
+        throw new Error('no answer');
+      }
+      return answer();
+    },
+  });
+  const readers = new Map(peers.map(peer => [peer.name, readerOf(peer)]));
+  const choice = new PeerReaderChoice({
+    store,
+    candidates: () => ({ above: peers, below: [], isAmongFirst: false }),
+    readerOf: ({ name }) => readers.get(name) ?? store,
+  });
+  const watch = new WatchedKind({
+    readers: choice,
+    kind: OBJECT_KINDS.evacuations,
+    isUrgent: true,
+    waitMs: () => timing.peerWaitMs,
+    pauseMs: () => timing.pauseMs,
+    staleMs: timing.staleMs,
+    observer: {
+      listed: ({ objects }) => {
+        heardAt ??= objects.length > 0 ? monotonicMs() : undefined;
+      },
+      changed: () => undefined,
+      confirmed: () => undefined,
+    },
+    log: silentLog(),
+  });
+  void watch.run();
+  await pause(timing.peerWaitMs * 1.2);
+  ordered = true;
+  const orderedAt = monotonicMs();
+  while (heardAt === undefined && monotonicMs() - orderedAt < 2 * BOUND_MS) {
+    await pause(10);
+  }
+  watch.stop();
+  return (heardAt ?? Infinity) - orderedAt;
+}
+
+describe('an evacuation ordered as followed hosts go silent', () => {
+  for (const count of [1, 2, MOST_ABOVE]) {
+    it(`is heard of within half of the bound when ${count} of them do`, async () => {
+      expect(await heardAfterMs(count)).to.be.lessThan(BOUND_MS / 2 + UNANSWERED_MS);
+    }).timeout(4 * BOUND_MS);
+  }
+});
--- a/packages/entry/src/store/followed-kinds.ts
+++ b/packages/entry/src/store/followed-kinds.ts
@@ -132,6 +132,7 @@
     readers,
     kind,
     ...(kind === OBJECT_KINDS.hosts ? { view: hostsView, firstReader } : {}),
+    isUrgent: kind === OBJECT_KINDS.evacuations,
     waitMs: () => (followsStore() ? timing.storeWaitMs : timing.peerWaitMs),
     pauseMs: () => (givesOrders() ? timing.giverPauseMs : timing.pauseMs),
     staleMs: timing.staleMs,
--- a/packages/entry/src/store/watched-kind.ts
+++ b/packages/entry/src/store/watched-kind.ts
@@ -25,8 +25,11 @@
 
 /** Chooses the reader of each step, and learns how it went. */
 export type ReaderChoice = {
-  /** A reader other than one that has just failed, as long as any other is usable. */
-  readonly choose: () => KindReader;
+  /**
+   * A reader other than one that has just failed, as long as any other is usable. For an urgent kind,
+   * whose news have a bound, it is the store itself soon after peers have gone silent.
+   */
+  readonly choose: (isUrgent?: boolean) => KindReader;
   readonly note: (reader: KindReader, outcome: ReadingOutcome) => void;
   /** Milliseconds until some reader is worth asking; 0 when one is. */
   readonly usableInMs: () => number;
@@ -40,6 +43,8 @@
   readonly firstReader?: () => KindReader | undefined;
   /** How much of the kind this host needs; all of it where nothing is said. */
   readonly view?: () => KindView;
+  /** True where news have a bound that several silent readers in a row would exceed. */
+  readonly isUrgent?: boolean;
   /** Longest wait of one call, in milliseconds. */
   readonly waitMs: () => number;
   /** Age of a confirmation from which a reader counts as stale, in milliseconds. */
@@ -98,7 +103,7 @@
     const { readers, firstReader } = this.#options;
     const isFirst = this.cache.revision === undefined && this.#failures === 0;
     const first = isFirst ? firstReader?.() : undefined;
-    return first ?? readers.choose();
+    return first ?? readers.choose(this.#options.isUrgent);
   }
 
   /** False from a failed reading until one that was fresh. */
@@ -207,7 +212,7 @@
     // here made changes take up to 2.4 s through two hosts that try each other in turn, 0.3 s without
     // (24 changes each).
     const usableInMs = readers.usableInMs();
-    if (usableInMs <= 0 && readers.choose() !== reader) {
+    if (usableInMs <= 0 && readers.choose(this.#options.isUrgent) !== reader) {
       return;
     }
     const backoff = Math.min(RETRY_MS * this.#failures, MAX_RETRY_MS);
