--- a/packages/cli/src/trace.test.ts
+++ b/packages/cli/src/trace.test.ts
@@ -36,6 +36,17 @@
     ]);
   });
 
+  it('shows evacuations from long before that its own entry host has heard of', () => {
+    const given = line(58, 'entry-1', 'request given up', { request: 'r4', verdict: 'evacuated' });
+    const ordered = (process: string): string =>
+      line(1, process, 'failure domain evacuated', { failureDomain: 'a' });
+    const story = traceRequest('r4', [[ordered('entry-1'), ordered('entry-2'), given].join('\n')]);
+    expect(story.map(text => text.split(' ').slice(2, 6).join(' '))).to.deep.equal([
+      '2026-01-09T02:54:01.000Z entry-1 failure domain',
+      'entry-1 request given up',
+    ]);
+  });
+
   it('tells nothing of a request that no file names', () => {
     expect(traceRequest('r3', [first, second])).to.deep.equal([]);
   });
--- a/packages/cli/src/trace.ts
+++ b/packages/cli/src/trace.ts
@@ -24,8 +24,19 @@
   'lease taken',
   'order sent',
 ]);
+/** Messages about evacuations: few, and one from long before says why no host might take the request. */
+const EVACUATIONS = new Set([
+  'failure domain evacuated',
+  'failure domain evacuated anew',
+  'evacuation ended',
+]);
 /** Messages that matter only from the processes that had the request. */
-const OF_ONE_PROCESS = new Set(['configuration applied', 'dependency lost', 'dependency regained']);
+const OF_ONE_PROCESS = new Set([
+  'configuration applied',
+  'dependency lost',
+  'dependency regained',
+  ...EVACUATIONS,
+]);
 /** Fields that stand at the beginning of each printed line. */
 const LEADING_FIELDS = new Set(['time', 'process', 'message', 'level', 'steadyMs']);
 /** Beliefs this long before and after the request are shown, in milliseconds. */
@@ -95,6 +106,9 @@
 
 function isBelief(line: LogLine, places: ReadonlySet<string>, from: number, to: number): boolean {
   const at = Date.parse(line.time);
+  if (EVACUATIONS.has(line.message)) {
+    return at <= to;
+  }
   if (!BELIEFS.has(line.message) || at < from || at > to) {
     return false;
   }
