--- a/packages/entry/src/hosts/host-registry.test.ts
+++ b/packages/entry/src/hosts/host-registry.test.ts
@@ -36,6 +36,33 @@
     expect(registry.get('h')?.lastModel).to.equal('small');
   });
 
+  it('tells of each entry whether its incarnation is there, back or new, and of what has gone', () => {
+    const batches: string[] = [];
+    const read = (id: string): HostEntry => testHost(id);
+    const registry = new HostRegistry(read, silentLog(), ({ taken, departed }) => {
+      const came = taken.map(
+        ({ entry, revision, standing }) => `${entry.id}@${revision} ${standing}`,
+      );
+      batches.push([...came, ...departed.map(({ id }) => `${id} gone`)].join(', '));
+    });
+    const object = (name: string, revision: number) => ({ name, revision, value: null });
+    registry.takeList({ revision: 2, objects: [object('x', 1), object('y', 2)] });
+    registry.takeChanges([
+      { object: object('x', 3), deleted: false },
+      { object: object('y', 4), deleted: true },
+      { object: object('never-known', 5), deleted: true },
+      { object: object('z', 6), deleted: false },
+    ]);
+    registry.takeChanges([{ object: object('y', 7), deleted: false }]);
+    registry.takeChanges([{ object: object('y', 2), deleted: false }]);
+    expect(batches).to.deep.equal([
+      'x@1 first, y@2 first',
+      'x@3 known, z@6 new, y gone',
+      'y@7 back',
+      '',
+    ]);
+  });
+
   it('takes the changes of one answer as one change of its own', async () => {
     const registry = registryWith();
     let told = 0;
--- a/packages/entry/src/peers/membership.test.ts
+++ b/packages/entry/src/peers/membership.test.ts
@@ -54,3 +54,31 @@
     expect(performance.now() - startedAt).to.be.below(600);
   });
 });
+
+describe('view of the members', () => {
+  const other = (name: string): Member => ({ ...SELF, name });
+  const objectOf = (member: Member, revision: number) => ({
+    name: member.name,
+    revision,
+    value: member,
+  });
+
+  it('is not known before a registration was read', () => {
+    expect(membershipWith(undefined).membership.view).to.equal(undefined);
+    expect(membershipWith([]).membership.view).to.equal(undefined);
+  });
+
+  it('stays the same while the same hosts are registered, and is a new one with each host', () => {
+    const { membership } = membershipWith([SELF, other('b')]);
+    const { view } = membership;
+    expect(view?.names).to.have.members(['self', 'b']);
+    const moved = { ...other('b'), address: '10.0.0.7:7340' };
+    membership.observer.changed([{ object: objectOf(moved, 2), deleted: false }]);
+    const objects = [objectOf(moved, 2), objectOf(SELF, 1)];
+    membership.observer.listed({ objects, revision: 3 });
+    expect(membership.view).to.equal(view);
+    membership.observer.changed([{ object: objectOf(other('c'), 4), deleted: false }]);
+    expect(membership.view?.names).to.have.members(['self', 'b', 'c']);
+    expect(membership.view?.since).to.be.at.least(view?.since ?? Infinity);
+  });
+});
--- a/packages/entry/src/slow-start/cold-hosts.ts
+++ b/packages/entry/src/slow-start/cold-hosts.ts
@@ -82,10 +82,16 @@
       return undefined;
     }
     const known = this.#hosts.get(host.id);
+    const endedAt = this.#endedFor(host, known);
+    const returnedAt = known?.returnedAt;
+    // Asked for each target of each request, and true of nearly all.
+    if (known?.told === undefined && returnedAt === undefined && endedAt === undefined) {
+      return undefined;
+    }
     const spells = [
       known?.told,
-      this.#assumed(known?.returnedAt, slowStart),
-      this.#assumed(this.#endedFor(host, known), slowStart),
+      this.#assumed(returnedAt, slowStart),
+      this.#assumed(endedAt, slowStart),
     ];
     return spells.reduce((longest, spell) => longer(longest, spell, now), undefined);
   }
