A kept connection that was closed is no evidence against its host; tests of subsets and connections

A call that was sent on a kept connection which turned out closed counted as a failure of the host, which was then left alone for a second and a half. It may have arrived, so its repeat goes on using the budget. New connections are counted by cause.

--- /dev/null
+++ b/packages/entry/src/requests/connection-reuse.test.ts
@@ -0,0 +1,32 @@
+/** Idle times of kept connections. */
+import { expect } from 'chai';
+import fc from 'fast-check';
+
+import { announcedIdleMs, keptIdleMs, USUAL_IDLE_MS } from './connection-reuse.js';
+
+describe('the idle time of a kept connection', () => {
+  it('is read from what the upstream announces', () => {
+    expect(announcedIdleMs('timeout=5')).to.equal(5_000);
+    expect(announcedIdleMs('max=100, timeout=12')).to.equal(12_000);
+    expect(announcedIdleMs('Timeout=1')).to.equal(1_000);
+    expect(announcedIdleMs('max=100')).to.equal(undefined);
+    expect(announcedIdleMs('xtimeout=7')).to.equal(undefined);
+    expect(announcedIdleMs(undefined)).to.equal(undefined);
+  });
+
+  it('is the usual one where nothing is announced', () => {
+    expect(keptIdleMs(undefined)).to.equal(USUAL_IDLE_MS);
+  });
+
+  it('ends before the announced one, by a margin that bears a late processor', () => {
+    fc.assert(
+      fc.property(fc.integer({ min: 1, max: 1_000_000 }), seconds => {
+        const announcedMs = seconds * 1_000;
+        expect(announcedMs - keptIdleMs(announcedMs)).to.be.at.least(250);
+        expect(keptIdleMs(announcedMs)).to.be.greaterThan(0);
+      }),
+    );
+    expect(keptIdleMs(0)).to.equal(0);
+    expect(keptIdleMs(10_000)).to.equal(9_000);
+  });
+});
--- a/packages/entry/src/requests/exchange.test.ts
+++ b/packages/entry/src/requests/exchange.test.ts
@@ -3,6 +3,7 @@
 import { expect } from 'chai';
 
 import type { HostEntry } from '../hosts/host-entry.js';
+import { sleep } from '../server/time.js';
 import { UpstreamStandIn } from '../testing/relay.js';
 import type { ExchangeEnd } from './exchange.js';
 import { startExchange } from './exchange.js';
@@ -49,4 +50,55 @@
     await proxy.stop();
     upstream.close();
   });
+
+  describe('on a kept connection', () => {
+    const connections = new UpstreamConnections(10);
+    let upstream: UpstreamStandIn;
+
+    afterEach(() => {
+      upstream.close();
+    });
+
+    after(() => {
+      connections.destroy();
+    });
+
+    // The second request of a connection is answered by its reset.
+    async function resetAfter(ms: number): Promise<HostEntry> {
+      let asked = 0;
+      upstream = new UpstreamStandIn((response, request) => {
+        asked += 1;
+        if (asked === 2) {
+          setTimeout(() => request.socket.resetAndDestroy(), ms);
+        } else {
+          response.end('ok');
+        }
+      });
+      return (await upstream.listen('h')).host;
+    }
+
+    it('that is reset at once is stale, which says nothing of the host', async () => {
+      const host = await resetAfter(0);
+      expect(await exchange(host, connections)).to.equal('whole');
+      await sleep(20);
+      expect(await exchange(host, connections)).to.equal('stale');
+      expect(await exchange(host, connections)).to.equal('whole');
+    });
+
+    it('that is reset while the host is at work is lost', async () => {
+      const host = await resetAfter(120);
+      expect(await exchange(host, connections)).to.equal('whole');
+      await sleep(20);
+      expect(await exchange(host, connections)).to.equal('lost');
+    });
+  });
+
+  it('that is reset on a new connection is lost', async () => {
+    const upstream = new UpstreamStandIn((_, request) => request.socket.resetAndDestroy());
+    const { host } = await upstream.listen('h');
+    const connections = new UpstreamConnections(10);
+    expect(await exchange(host, connections)).to.equal('lost');
+    connections.destroy();
+    upstream.close();
+  });
 });
--- a/packages/entry/src/requests/exchange.ts
+++ b/packages/entry/src/requests/exchange.ts
@@ -4,6 +4,7 @@
 import type { Socket } from 'node:net';
 
 import type { HostEntry } from '../hosts/host-entry.js';
+import { monotonicMs } from '../server/time.js';
 import type { RawHeaders } from './relay-headers.js';
 import type { UpstreamConnections } from './upstream-connections.js';
 
@@ -19,12 +20,23 @@
   readonly connectTimeoutMs: number;
 };
 
+/**
+ * Time after the send within which a kept connection that was closed before makes itself known, in
+ * milliseconds: a round trip, and a processor that is late. A later end is one of the host or its work.
+ */
+const STALE_KNOWN_MS = 100;
+
 /** How an exchange ended. */
 export type ExchangeEnd =
   /** The whole answer has come. */
   | 'whole'
   /** Nothing has left this process. */
   | 'never-sent'
+  /**
+   * Sent on a kept connection that was closed or reset before any answer: it may have run, but says
+   * nothing of the host, which may have closed it for being idle.
+   */
+  | 'stale'
   /** Sent, and no head of an answer has come. */
   | 'lost'
   /** The answer broke off. */
@@ -54,6 +66,7 @@
   let ended = false;
   let answer: IncomingMessage | undefined;
   let connected = false;
+  const sentAt = monotonicMs();
   const sent = httpRequest({
     host: host.ip,
     port: host.port,
@@ -70,8 +83,9 @@
     ended = true;
     clearTimeout(connectTimer);
     if (how !== 'whole') {
-      // A kept connection can go silent for good without a reset, and so may others to the host.
-      if (how === 'cancelled' && answer === undefined && sent.reusedSocket) {
+      // A kept connection can go silent for good, or be reset, and so may others to the host.
+      const isDoubtful = how === 'stale' || (how === 'cancelled' && answer === undefined);
+      if (isDoubtful && sent.reusedSocket) {
         connections?.closeIdleTo(host.ip, host.port);
       }
       sent.destroy();
@@ -79,7 +93,14 @@
     observer.ended(how);
   };
   const lost = (): void => {
-    end(answer !== undefined ? 'broken' : connected ? 'lost' : 'never-sent');
+    if (answer !== undefined) {
+      end('broken');
+    } else if (connected) {
+      const isEarly = monotonicMs() - sentAt < STALE_KNOWN_MS;
+      end(sent.reusedSocket && isEarly ? 'stale' : 'lost');
+    } else {
+      end('never-sent');
+    }
   };
   const connectTimer = setTimeout(() => {
     if (!connected) {
--- a/packages/entry/src/requests/plain-relay.test.ts
+++ b/packages/entry/src/requests/plain-relay.test.ts
@@ -1,14 +1,17 @@
 /** Calls that are held, rejected or failed by their hosts. */
-import type { ServerResponse } from 'node:http';
+import type { IncomingMessage, ServerResponse } from 'node:http';
 
 import { expect } from 'chai';
 
 import type { Target } from '../routing/target-chooser.js';
+import { monotonicMs, sleep } from '../server/time.js';
 import { relayServices, requestContext, UpstreamStandIn } from '../testing/relay.js';
 import { PlainRelay } from './plain-relay.js';
 
 const HEAD = { 'x-request-id': 'r', 'x-stamp': 's' };
 
+type Answer = (response: ServerResponse, request: IncomingMessage) => void;
+
 function fails(response: ServerResponse): void {
   response.writeHead(500, { ...HEAD, 'content-length': 5 }).end('sorry');
 }
@@ -24,7 +27,7 @@
 describe('a call of a caller', () => {
   const hosts: UpstreamStandIn[] = [];
 
-  async function targets(answer: ((response: ServerResponse) => void)[]): Promise<Target[]> {
+  async function targets(answer: Answer[]): Promise<Target[]> {
     hosts.push(...answer.map(one => new UpstreamStandIn(one)));
     return Promise.all(hosts.map((host, index) => host.listen(`h${index}`)));
   }
@@ -69,4 +72,40 @@
     await new PlainRelay(context, services).run();
     expect(answer).to.deep.equal({ status: 200, body: 'done' });
   });
+
+  it('goes on elsewhere when its kept connection was closed, and its host is not avoided', async () => {
+    let asked = 0;
+    const closes = (response: ServerResponse, request: IncomingMessage): void => {
+      asked += 1;
+      if (asked === 2) {
+        request.socket.resetAndDestroy();
+      } else {
+        answers(response);
+      }
+    };
+    const [closing, other] = await targets([closes, answers]);
+    const queue = [closing, closing, other];
+    const services = relayServices(() => queue.shift());
+    const first = requestContext('r');
+    await new PlainRelay(first.context, services).run();
+    await sleep(20);
+    const second = requestContext('r');
+    await new PlainRelay(second.context, services).run();
+    expect(second.answer).to.deep.equal({ status: 200, body: 'done' });
+    expect(services.activities.isAvoided('h0', monotonicMs())).to.equal(false);
+    const { counters } = services;
+    expect(counters.value('retries_total', { service: 'plain', after: 'stale' })).to.equal(1);
+  });
+
+  it('that may run once only has a connection of its own', async () => {
+    const [target] = await targets([answers]);
+    const services = relayServices(() => target);
+    for (let count = 0; count < 2; count += 1) {
+      const { context } = requestContext('r', { kind: 'non-idempotent', maxAttempts: 1 });
+      await new PlainRelay(context, services).run();
+      await sleep(20);
+    }
+    expect(services.counters.value('upstream_connections_total', { cause: 'own' })).to.equal(2);
+    expect(services.counters.value('upstream_connections_total', { cause: 'first' })).to.equal(0);
+  });
 });
--- a/packages/entry/src/requests/plain-relay.ts
+++ b/packages/entry/src/requests/plain-relay.ts
@@ -6,6 +6,7 @@
 import { monotonicMs, sleep } from '../server/time.js';
 import { AttemptLog } from './attempt-log.js';
 import { claimTarget } from './claim-target.js';
+import { connectionsFor } from './connection-choice.js';
 import type { ExchangeEnd } from './exchange.js';
 import { startExchange } from './exchange.js';
 import type { FinalAnswer } from './final-answer.js';
@@ -35,6 +36,8 @@
   | { readonly kind: 'never-sent' }
   /** It may have run; there is no answer that can be passed on. */
   | { readonly kind: 'lost'; readonly detail: string }
+  /** The kept connection that it went on was closed or reset; it may have run. */
+  | { readonly kind: 'stale' }
   | { readonly kind: 'gone' };
 
 /** One call of a caller. */
@@ -104,8 +107,8 @@
   }
 
   #attempt(target: Target): Promise<AttemptEnd> {
-    const { route, gone, deadline, request, body, service } = this.#context;
-    const { activities, headers: names, connectionsOf } = this.#services;
+    const { gone, deadline, request, body } = this.#context;
+    const { activities, headers: names } = this.#services;
     const sentAt = monotonicMs();
     const chunks: Buffer[] = [];
     let bytes = 0;
@@ -127,7 +130,7 @@
           url: request.url ?? '/',
           headers: upstreamHeaders(this.#context, names, target, undefined),
           body,
-          connections: mayRepeat(route) ? connectionsOf(service) : undefined,
+          connections: connectionsFor(this.#services, this.#context),
           connectTimeoutMs: CONNECT_TIMEOUT_MS,
         },
         {
@@ -174,6 +177,9 @@
       return { kind: 'not-run' };
     }
     this.#log.noteMayRun();
+    if (end === 'stale') {
+      return { kind: 'stale' };
+    }
     if (end !== 'whole' || head === undefined) {
       return { kind: 'lost', detail: end };
     }
@@ -203,7 +209,7 @@
     } else if (end.kind !== 'gone') {
       if (end.kind === 'never-sent') {
         activities.noteUnreachable(target.host);
-      } else {
+      } else if (end.kind !== 'stale') {
         activities.noteFailure(target.host.id);
       }
       log.warn('attempt failed', {
--- a/packages/entry/src/requests/stream-attempt.ts
+++ b/packages/entry/src/requests/stream-attempt.ts
@@ -4,12 +4,12 @@
 import { kindOf } from '../routing/host-activity.js';
 import type { Target } from '../routing/target-chooser.js';
 import { monotonicMs } from '../server/time.js';
+import { connectionsFor } from './connection-choice.js';
 import type { Exchange, ExchangeEnd } from './exchange.js';
 import { startExchange } from './exchange.js';
 import { isFramed, saysNotRun } from './plain-relay.js';
 import type { RelayServices } from './relay-services.js';
 import type { RequestContext } from './request-context.js';
-import { mayRepeat } from './request-context.js';
 import type { StallLimits } from './stall-limits.js';
 import { stallLimits } from './stall-limits.js';
 import { upstreamHeaders } from './upstream-request.js';
@@ -23,6 +23,8 @@
   | { readonly kind: 'failed'; readonly head: IncomingMessage; readonly body: Buffer }
   /** Another attempt went on instead. */
   | { readonly kind: 'superseded' }
+  /** The kept connection that it went on was closed or reset; it may have run. */
+  | { readonly kind: 'stale' }
   | { readonly kind: 'lost'; readonly detail: string };
 
 /** What a run is given by its relay. */
@@ -77,8 +79,8 @@
 
   /** Sends the request and reads its answer. */
   run(): Promise<StreamAttemptEnd> {
-    const { activities, stalls, headers: names, connectionsOf } = this.#services;
-    const { request, body, route, service } = this.#context;
+    const { activities, stalls, headers: names } = this.#services;
+    const { request, body } = this.#context;
     const hostId = this.#target.host.id;
     activities.enter(hostId);
     stalls.add(this);
@@ -90,7 +92,7 @@
           url: request.url ?? '/',
           headers: upstreamHeaders(this.#context, names, this.#target, this.#options.lastEventId),
           body,
-          connections: mayRepeat(route) ? connectionsOf(service) : undefined,
+          connections: connectionsFor(this.#services, this.#context),
           connectTimeoutMs: CONNECT_TIMEOUT_MS,
         },
         {
@@ -253,6 +255,9 @@
     if (this.#superseded) {
       return { kind: 'superseded' };
     }
+    if (how === 'stale') {
+      return { kind: 'stale' };
+    }
     if (this.#invalid !== undefined || head === undefined) {
       return { kind: 'lost', detail: this.#invalid ?? how };
     }
@@ -276,7 +281,7 @@
     if (end.kind === 'never-sent') {
       activities.noteUnreachable(this.#target.host);
       this.#suspect(true);
-    } else if (end.kind !== 'superseded') {
+    } else if (end.kind !== 'superseded' && end.kind !== 'stale') {
       activities.noteFailure(this.#target.host.id);
     }
     log.warn('attempt failed', {
--- /dev/null
+++ b/packages/entry/src/requests/upstream-connections.test.ts
@@ -0,0 +1,110 @@
+/** Kept connections, and why new ones are opened. */
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import { get } from 'node:http';
+import type { Socket } from 'node:net';
+
+import { expect } from 'chai';
+
+import { monotonicMs, sleep } from '../server/time.js';
+import { UpstreamStandIn } from '../testing/relay.js';
+import { UpstreamConnections } from './upstream-connections.js';
+
+type Upstream = {
+  readonly connections: UpstreamConnections;
+  /** One call after the other; gives when it is answered. */
+  readonly call: () => Promise<void>;
+  /** Why connections were opened, in turn. */
+  readonly causes: string[];
+  /** Idle times that were announced. */
+  readonly announced: number[];
+  /** Connections as the upstream sees them. */
+  readonly sockets: Set<Socket>;
+  readonly close: () => void;
+};
+
+async function upstreamOf(headers: Record<string, string>, workMs = 0): Promise<Upstream> {
+  const sockets = new Set<Socket>();
+  const answer = (response: ServerResponse, request: IncomingMessage): void => {
+    sockets.add(request.socket);
+    setTimeout(() => response.writeHead(200, headers).end('ok'), workMs);
+  };
+  const standIn = new UpstreamStandIn(answer);
+  const { host } = await standIn.listen('h');
+  const causes: string[] = [];
+  const announced: number[] = [];
+  const connections = new UpstreamConnections(10, {
+    opened: cause => causes.push(cause),
+    announced: idleMs => announced.push(idleMs),
+  });
+  const call = (): Promise<void> =>
+    new Promise((resolve, reject) => {
+      const options = { host: host.ip, port: host.port, agent: connections };
+      get(options, response => response.resume().on('close', resolve)).on('error', reject);
+    });
+  const close = (): void => {
+    connections.destroy();
+    standIn.close();
+  };
+  return { connections, call, causes, announced, sockets, close };
+}
+
+// The agent takes a connection back a moment after the answer has ended.
+const TAKE_BACK_MS = 20;
+
+describe('connections to upstream hosts', () => {
+  let upstream: Upstream;
+
+  afterEach(() => {
+    upstream.close();
+  });
+
+  it('are used again where the upstream announces no more than a second', async () => {
+    upstream = await upstreamOf({ connection: 'keep-alive', 'keep-alive': 'timeout=1' });
+    for (let count = 0; count < 3; count += 1) {
+      await upstream.call();
+      await sleep(TAKE_BACK_MS);
+    }
+    expect(upstream.causes).to.deep.equal(['first']);
+    expect(upstream.announced).to.deep.equal([1_000]);
+  });
+
+  it('are closed from this side before the upstream does', async () => {
+    upstream = await upstreamOf({ connection: 'keep-alive', 'keep-alive': 'timeout=1' });
+    await upstream.call();
+    const idleSince = monotonicMs();
+    const [socket] = upstream.sockets;
+    await new Promise(resolve => socket?.once('close', resolve));
+    expect(monotonicMs() - idleSince).to.be.within(650, 950);
+    await sleep(TAKE_BACK_MS);
+    await upstream.call();
+    expect(upstream.causes).to.deep.equal(['first', 'idle-closed']);
+  });
+
+  it('are kept for longer than usual where the upstream announces more', async () => {
+    upstream = await upstreamOf({ connection: 'keep-alive', 'keep-alive': 'timeout=10' });
+    expect(upstream.connections.idleMs).to.equal(4_000);
+    await upstream.call();
+    await sleep(4_300);
+    await upstream.call();
+    expect(upstream.connections.idleMs).to.equal(9_000);
+    expect(upstream.causes).to.deep.equal(['first']);
+  });
+
+  it('are not used again once the upstream has closed them while idle', async () => {
+    upstream = await upstreamOf({ connection: 'keep-alive', 'keep-alive': 'timeout=10' });
+    await upstream.call();
+    await sleep(TAKE_BACK_MS);
+    upstream.sockets.forEach(socket => socket.resetAndDestroy());
+    await sleep(TAKE_BACK_MS);
+    await upstream.call();
+    expect(upstream.causes).to.deep.equal(['first', 'peer-closed']);
+  });
+
+  it('are opened beside those that are busy, and anew after an answer that ends its own', async () => {
+    upstream = await upstreamOf({ connection: 'close' }, 30);
+    await Promise.all([upstream.call(), upstream.call()]);
+    await sleep(TAKE_BACK_MS);
+    await upstream.call();
+    expect(upstream.causes).to.deep.equal(['first', 'busy', 'not-kept']);
+  });
+});
--- a/packages/entry/src/routing/subset-choice.ts
+++ b/packages/entry/src/routing/subset-choice.ts
@@ -46,8 +46,8 @@
  * that has no requests, must leave no target unused.
  */
 const LEAST_SUBSETS = 3;
-/** Requests that an idle time at one target should bring, so that a pause seldom outlasts it. */
-const REQUESTS_PER_IDLE_TIME = 2;
+/** Requests that an idle time at one target should bring: one pause in fifty then outlasts it. */
+const REQUESTS_PER_IDLE_TIME = 4;
 /** Time in which the weight of a request in the rate falls to a third, in milliseconds. */
 const RATE_DECAY_MS = 8_000;
 
--- a/packages/entry/src/routing/target-chooser.test.ts
+++ b/packages/entry/src/routing/target-chooser.test.ts
@@ -4,9 +4,11 @@
 import type { HostEntry } from '../hosts/host-entry.js';
 import { HostRegistry } from '../hosts/host-registry.js';
 import { silentLog } from '../server/log.js';
+import { Counters } from '../server/metrics.js';
 import { testHost } from '../testing/groups.js';
 import { HostActivities } from './host-activity.js';
 import type { OutlierVerdict } from './outlier-reports.js';
+import { SubsetChoice } from './subset-choice.js';
 import { TargetChooser } from './target-chooser.js';
 
 const SERVICE: Service = {
@@ -238,3 +240,111 @@
     expect(lists).to.equal(1);
   });
 });
+
+describe('choice among the targets of a subset', () => {
+  const names = Array.from({ length: 20 }, (_, index) => `h${index}`);
+  const members = Array.from({ length: 60 }, (_, index) => `e${index}`);
+  const query = { service: SERVICE, model: undefined, homeRegions: [] };
+
+  type Fleet = {
+    readonly lost: Set<string>;
+    readonly draining: Set<string>;
+    readonly loads: Map<string, number>;
+    readonly connected: Set<string>;
+    readonly activities: HostActivities;
+  };
+
+  function fleet(): Fleet {
+    return {
+      lost: new Set(),
+      draining: new Set(),
+      loads: new Map(),
+      connected: new Set(),
+      activities: new HostActivities(),
+    };
+  }
+
+  function chooserOf(
+    { lost, draining, loads, connected, activities }: Fleet,
+    counters = new Counters(),
+  ): TargetChooser {
+    const connections = {
+      // So short that the rate of these choices does not widen the subset.
+      idleMs: () => 1,
+      isConnected: ({ id }: HostEntry) => connected.size === 0 || connected.has(id),
+    };
+    return new TargetChooser(registryOf(names), activities, {
+      failureDomain: 'a',
+      eligibility: ({ id }) => (draining.has(id) ? 'draining' : 'eligible'),
+      othersAt: id => loads.get(id) ?? 0,
+      outlier: ({ host }) =>
+        lost.has(host.id) ? { reporters: 3, isUnreachable: true } : undefined,
+      subsets: new SubsetChoice({
+        self: 'e7',
+        membership: { names: members },
+        connections,
+        counters,
+      }),
+    });
+  }
+
+  function taken(chooser: TargetChooser, exclude = NOBODY): ReadonlySet<string> {
+    const ids = Array.from({ length: 60 }, () => chooser.choose({ ...query, exclude })?.host.id);
+    return new Set(ids.map(id => id ?? 'none'));
+  }
+
+  it('keeps to a few hosts while all are alike', () => {
+    const counters = new Counters();
+    expect(taken(chooserOf(fleet(), counters)).size).to.be.within(2, 8);
+    expect(counters.value('subset_choices_total', { place: 'subset' })).to.equal(60);
+    expect(counters.value('subset_targets_total')).to.be.at.least(180);
+  });
+
+  it('takes others at once when all of the subset are lost, leave or were tried', () => {
+    const failures: readonly ((all: Fleet, first: ReadonlySet<string>) => ReadonlySet<string>)[] = [
+      ({ lost }, first) => (first.forEach(id => lost.add(id)), NOBODY),
+      ({ draining }, first) => (first.forEach(id => draining.add(id)), NOBODY),
+      ({ activities }, first) => (first.forEach(id => activities.noteFailure(id)), NOBODY),
+      (_, first) => first,
+    ];
+    for (const fail of failures) {
+      const all = fleet();
+      const chooser = chooserOf(all);
+      const first = taken(chooser);
+      const exclude = fail(all, first);
+      const next = taken(chooser, exclude);
+      expect([...next].filter(id => first.has(id) || id === 'none')).to.deep.equal([]);
+    }
+  });
+
+  it('goes on with whatever is left, down to the last host', () => {
+    const all = fleet();
+    const chooser = chooserOf(all);
+    names.slice(1).forEach(id => all.draining.add(id));
+    expect([...taken(chooser)]).to.deep.equal(['h0']);
+  });
+
+  it('goes outside when the hosts of the subset have clearly more to do than others', () => {
+    const all = fleet();
+    const counters = new Counters();
+    const chooser = chooserOf(all, counters);
+    const first = taken(chooser);
+    first.forEach(id => all.loads.set(id, 20));
+    names.filter(id => !first.has(id)).forEach(id => all.loads.set(id, 2));
+    const next = taken(chooser);
+    expect([...next].filter(id => first.has(id))).to.deep.equal([]);
+    expect(counters.value('subset_choices_total', { place: 'outside' })).to.be.at.least(1);
+  });
+
+  it('takes a host to which a connection is open before one that is as busy', () => {
+    const all = fleet();
+    const chooser = chooserOf(all);
+    const [open = ''] = taken(chooser);
+    names.forEach(id => all.loads.set(id, 4));
+    all.connected.add(open);
+    const chosen = Array.from({ length: 100 }, () => {
+      return chooser.choose({ ...query, exclude: NOBODY })?.host.id;
+    });
+    expect(chosen.filter(id => id === open).length).to.be.greaterThan(50);
+  });
+});
