Idle connections to an upstream host stay within a share of what it bears

They are kept for longer than before where the upstream announces more, so all entry hosts together could have filled a host that bears few.

--- a/packages/entry/src/requests/service-limits.ts
+++ b/packages/entry/src/requests/service-limits.ts
@@ -24,6 +24,10 @@
 /** Entry hosts among which a host's connections are divided at least. */
 const MIN_CONNECTION_PARTS = 12;
 const MIN_CONNECTIONS = 4;
+/** Part of an upstream host's connections that all entry hosts together keep idle at most, 0 to 1. */
+const IDLE_PART = 0.5;
+/** Entry hosts among which that part is divided while their number is not known. */
+const UNKNOWN_HOSTS = 64;
 
 /** Limits of all services at this entry host. */
 export class ServiceLimits {
@@ -54,6 +58,8 @@
       connections = new UpstreamConnections(Math.max(MIN_CONNECTIONS, share), observer);
       this.#connections.set(service.name, connections);
     }
+    const hosts = this.#hosts || UNKNOWN_HOSTS;
+    connections.keepIdle((service.maxConnections * IDLE_PART) / hosts);
     return connections;
   }
 
--- a/packages/entry/src/requests/upstream-connections.test.ts
+++ b/packages/entry/src/requests/upstream-connections.test.ts
@@ -107,4 +107,13 @@
     await upstream.call();
     expect(upstream.causes).to.deep.equal(['first', 'busy', 'not-kept']);
   });
+
+  it('are kept idle up to a share of what the upstream bears', async () => {
+    upstream = await upstreamOf({ connection: 'keep-alive', 'keep-alive': 'timeout=10' }, 30);
+    upstream.connections.keepIdle(2.5);
+    await Promise.all(Array.from({ length: 4 }, () => upstream.call()));
+    await sleep(TAKE_BACK_MS);
+    await Promise.all(Array.from({ length: 4 }, () => upstream.call()));
+    expect(upstream.sockets.size).to.equal(6);
+  });
 });
--- a/packages/entry/src/requests/upstream-connections.ts
+++ b/packages/entry/src/requests/upstream-connections.ts
@@ -68,6 +68,11 @@
     return keptIdleMs(this.#announcedMs);
   }
 
+  /** Bounds the idle connections that are kept to one host. */
+  keepIdle(mostPerHost: number): void {
+    this.maxFreeSockets = Math.max(1, Math.min(MAX_IDLE_PER_HOST, Math.floor(mostPerHost)));
+  }
+
   /** True while an idle connection to the host is kept. */
   hasIdleTo(ip: string, port: number): boolean {
     return (this.freeSockets[this.getName({ host: ip, port })]?.length ?? 0) > 0;
