--- a/packages/entry/src/routing/target-chooser.ts
+++ b/packages/entry/src/routing/target-chooser.ts
@@ -195,7 +195,8 @@
       return from;
     }
     const key = { service: query.service.name, model: query.model };
-    if (query.exclude.size === 0) {
+    // A request that is held asks again and again until there is some target.
+    if (query.exclude.size === 0 && from.length > 0) {
       subsets.noteRequest(key, now);
     }
     const all = this.#candidates(query);
