A connection that does not come up is given up after ten usual times, not after 300 ms

The timer also ended connections that had come up while this process was held up, and the host was then reported as unreachable. Ruled out: a fixed shorter limit (round trips between regions take more); a part of the objective (says nothing of the network). Change: routing/connect-times.ts keeps the usual time by failure domain; the limit is ten of it, at least 100 ms, 300 ms while not known, and rises when all connections there are slower. Waiting for a place among kept connections still has 300 ms. The timer's verdict comes one turn of the event loop later. Tests: connect-times.test.ts; exchange.test.ts, a dark host and a process that is held up for 250 ms: the latter ended never-sent with the timer as it was. A call that may run once goes on where nothing was sent (plain-relay.test.ts, passed before).

--- a/packages/entry/src/requests/exchange.test.ts
+++ b/packages/entry/src/requests/exchange.test.ts
@@ -1,8 +1,12 @@
 /** Exchanges over kept connections that go silent without a reset. */
+import { Socket } from 'node:net';
+
 import { CutProxy } from '@hingescale/runtime/testing';
 import { expect } from 'chai';
 
 import type { HostEntry } from '../hosts/host-entry.js';
+import { ConnectTimes } from '../routing/connect-times.js';
+import { monotonicMs } from '../server/time.js';
 import { UpstreamStandIn } from '../testing/relay.js';
 import type { ExchangeEnd } from './exchange.js';
 import { startExchange } from './exchange.js';
@@ -10,7 +14,25 @@
 
 const PATIENCE_MS = 150;
 
-function exchange(host: HostEntry, connections: UpstreamConnections): Promise<ExchangeEnd> {
+/** Connections that never complete, as to a host that has lost its power. */
+class DarkConnections extends UpstreamConnections {
+  override createConnection(): Socket {
+    return Object.defineProperty(new Socket(), 'connecting', { value: true });
+  }
+}
+
+function usualTimes(ms: number): ConnectTimes {
+  const times = new ConnectTimes();
+  times.note('a', ms);
+  return times;
+}
+
+function exchange(
+  host: HostEntry,
+  connections: UpstreamConnections,
+  connects = new ConnectTimes(),
+  patienceMs = PATIENCE_MS,
+): Promise<ExchangeEnd> {
   return new Promise(resolve => {
     const started = startExchange(
       {
@@ -20,13 +42,13 @@
         headers: ['host', 'models.example'],
         body: undefined,
         connections,
-        connectTimeoutMs: 300,
+        connects,
       },
       { head: () => undefined, data: () => undefined, ended: resolve },
     );
     setTimeout(() => {
       started.cancel();
-    }, PATIENCE_MS);
+    }, patienceMs);
   });
 }
 
@@ -49,4 +71,28 @@
     await proxy.stop();
     upstream.close();
   });
+
+  it('whose connection does not come up has sent nothing, soon after the usual time', async () => {
+    const connections = new DarkConnections(10);
+    const host = { ip: '127.0.0.1', port: 9, failureDomain: 'a' } as HostEntry;
+    const startedAt = monotonicMs();
+    expect(await exchange(host, connections, usualTimes(1), 1_000)).to.equal('never-sent');
+    expect(monotonicMs() - startedAt).to.be.within(90, 200);
+    connections.destroy();
+  });
+
+  it('waits for no connection that came up while this process was held up', async () => {
+    const upstream = new UpstreamStandIn(response => response.end('ok'));
+    const { host } = await upstream.listen('h');
+    const connections = new UpstreamConnections(10);
+    const ended = exchange(host, connections, usualTimes(1), 2_000);
+    await new Promise(resolve => process.nextTick(resolve));
+    const busyUntil = monotonicMs() + 250;
+    while (monotonicMs() < busyUntil) {
+      // Holds the process up for longer than the limit of a connection.
+    }
+    expect(await ended).to.equal('whole');
+    connections.destroy();
+    upstream.close();
+  });
 });
--- a/packages/entry/src/requests/exchange.ts
+++ b/packages/entry/src/requests/exchange.ts
@@ -4,6 +4,9 @@
 import type { Socket } from 'node:net';
 
 import type { HostEntry } from '../hosts/host-entry.js';
+import type { ConnectTimes } from '../routing/connect-times.js';
+import { MOST_CONNECT_MS } from '../routing/connect-times.js';
+import { monotonicMs } from '../server/time.js';
 import type { RawHeaders } from './relay-headers.js';
 import type { UpstreamConnections } from './upstream-connections.js';
 
@@ -16,7 +19,7 @@
   readonly body: Buffer | undefined;
   /** Undefined for a connection of its own. */
   readonly connections: UpstreamConnections | undefined;
-  readonly connectTimeoutMs: number;
+  readonly connects: ConnectTimes;
 };
 
 /** How an exchange ended. */
@@ -50,7 +53,7 @@
 
 /** Starts an exchange. */
 export function startExchange(call: ExchangeRequest, observer: ExchangeObserver): Exchange {
-  const { host, method, url, headers, body, connections } = call;
+  const { host, method, url, headers, body, connections, connects } = call;
   let ended = false;
   let answer: IncomingMessage | undefined;
   let connected = false;
@@ -81,21 +84,34 @@
   const lost = (): void => {
     end(answer !== undefined ? 'broken' : connected ? 'lost' : 'never-sent');
   };
-  const connectTimer = setTimeout(() => {
+  const giveUpConnecting = (): void => {
     if (!connected) {
       end('never-sent');
     }
-  }, call.connectTimeoutMs);
+  };
+  // First for a place among the connections to the host, then for the connection itself.
+  let connectTimer = afterTurn(giveUpConnecting, MOST_CONNECT_MS);
   sent.on('socket', (socket: Socket) => {
-    const onConnect = (): void => {
+    clearTimeout(connectTimer);
+    if (!socket.connecting) {
       connected = true;
-      clearTimeout(connectTimer);
-    };
-    if (socket.connecting) {
-      socket.once('connect', onConnect);
-    } else {
-      onConnect();
+      return;
     }
+    const connectingSince = monotonicMs();
+    const noteTime = (): void => {
+      connects.note(host.failureDomain, monotonicMs() - connectingSince);
+    };
+    connectTimer = afterTurn(() => {
+      if (!connected && !ended) {
+        noteTime();
+      }
+      giveUpConnecting();
+    }, connects.limitMs(host.failureDomain));
+    socket.once('connect', () => {
+      connected = true;
+      clearTimeout(connectTimer);
+      noteTime();
+    });
   });
   sent.on('error', lost);
   sent.on('close', lost);
@@ -124,3 +140,10 @@
     resume: () => answer?.resume(),
   };
 }
+
+// When this process was held up, the connection may be there already: it is heard of before the call.
+function afterTurn(call: () => void, ms: number): NodeJS.Timeout {
+  return setTimeout(() => {
+    setImmediate(call);
+  }, ms);
+}
--- a/packages/entry/src/requests/plain-relay.test.ts
+++ b/packages/entry/src/requests/plain-relay.test.ts
@@ -69,4 +69,16 @@
     await new PlainRelay(context, services).run();
     expect(answer).to.deep.equal({ status: 200, body: 'done' });
   });
+
+  it('that may run once goes on at once where the connection did not come up', async () => {
+    const queue = await targets([answers, answers]);
+    hosts[0]?.close();
+    const services = relayServices(() => queue.shift());
+    const { context, answer } = requestContext('r', { kind: 'non-idempotent', maxAttempts: 1 });
+    const startedAt = Date.now();
+    await new PlainRelay(context, services).run();
+    expect(answer).to.deep.equal({ status: 200, body: 'done' });
+    expect(hosts.map(host => host.seen.length)).to.deep.equal([0, 1]);
+    expect(Date.now() - startedAt).to.be.below(100);
+  });
 });
--- a/packages/entry/src/requests/plain-relay.ts
+++ b/packages/entry/src/requests/plain-relay.ts
@@ -17,7 +17,6 @@
 import { upstreamHeaders } from './upstream-request.js';
 import type { NoTargetReason } from './wait-for-target.js';
 
-const CONNECT_TIMEOUT_MS = 300;
 const RETRY_AFTER_MS = 250;
 const MAX_ANSWER_BYTES = 16 * 1024 * 1024;
 /** Margin in which the final answer goes out before it is due, in milliseconds. */
@@ -122,7 +121,7 @@
           headers: upstreamHeaders(this.#context, names, target, undefined),
           body,
           connections: mayRepeat(route) ? connectionsOf(service) : undefined,
-          connectTimeoutMs: CONNECT_TIMEOUT_MS,
+          connects: activities.connects,
         },
         {
           head: answer => {
--- a/packages/entry/src/requests/stream-attempt.ts
+++ b/packages/entry/src/requests/stream-attempt.ts
@@ -40,7 +40,6 @@
 /** Times without progress in milliseconds, and the limit that was passed. */
 type Stall = { readonly silence: number; readonly hostSilence: number; readonly limit: number };
 
-const CONNECT_TIMEOUT_MS = 300;
 const MAX_FAILURE_BYTES = 256 * 1024;
 
 /** One run. */
@@ -94,7 +93,7 @@
           headers: upstreamHeaders(this.#context, names, this.#target, this.#options.lastEventId),
           body,
           connections: mayRepeat(route) ? connectionsOf(service) : undefined,
-          connectTimeoutMs: CONNECT_TIMEOUT_MS,
+          connects: activities.connects,
         },
         {
           head: answer => {
--- a/packages/entry/src/routing/host-activity.ts
+++ b/packages/entry/src/routing/host-activity.ts
@@ -1,6 +1,7 @@
 /** What this entry host has seen of each upstream host through its own requests. */
 import type { HostEntry } from '../hosts/host-entry.js';
 import { monotonicMs } from '../server/time.js';
+import { ConnectTimes } from './connect-times.js';
 import { DomainReach } from './domain-reach.js';
 
 /** Weight of the newest value in the moving averages. */
@@ -49,6 +50,8 @@
 export class HostActivities {
   /** Failure domains as seen by this entry host. */
   readonly reach = new DomainReach();
+  /** How long connections to hosts take. */
+  readonly connects = new ConnectTimes();
   readonly #hosts = new Map<string, HostActivity>();
   readonly #typical = new Map<string, Typical>();
 
