--- a/packages/entry/src/requests/stall-limits.test.ts
+++ b/packages/entry/src/requests/stall-limits.test.ts
@@ -8,7 +8,7 @@
   begun: true,
   resumed: false,
   hostServesOthers: false,
-  isUnreachable: false,
+  isGone: false,
   objectiveMs: 300,
   gapTargetMs: 200,
   typicalFirstMs: 160,
@@ -21,10 +21,8 @@
   });
 
   it('start a second attempt soon where other entry hosts can not connect any more', () => {
-    expect(stallLimits({ ...RUN, isUnreachable: true }).secondAttemptMs).to.be.below(
-      RUN.gapTargetMs,
-    );
-    const first = stallLimits({ ...RUN, begun: false, isUnreachable: true });
+    expect(stallLimits({ ...RUN, isGone: true }).secondAttemptMs).to.be.below(RUN.gapTargetMs);
+    const first = stallLimits({ ...RUN, begun: false, isGone: true });
     expect(first.secondAttemptMs).to.be.below(RUN.objectiveMs);
   });
 
@@ -39,7 +37,7 @@
     const { lostMs, secondAttemptMs } = stallLimits(RUN);
     expect(lostMs).to.be.within(secondAttemptMs, patienceMs / 2);
     expect(stallLimits({ ...RUN, hostServesOthers: true }).lostMs).to.equal(Infinity);
-    const unreachable = stallLimits({ ...RUN, isUnreachable: true });
+    const unreachable = stallLimits({ ...RUN, isGone: true });
     expect(unreachable.lostMs).to.equal(unreachable.secondAttemptMs);
   });
 
--- a/packages/entry/src/requests/stall-limits.ts
+++ b/packages/entry/src/requests/stall-limits.ts
@@ -15,8 +15,8 @@
   readonly resumed: boolean;
   /** Others' streams at the host go on meanwhile: it is busy, not lost. */
   readonly hostServesOthers: boolean;
-  /** Entry hosts report that they can not connect to the host any more. */
-  readonly isUnreachable: boolean;
+  /** Entry hosts can not connect to the host any more, its entry has gone, or its group stands still. */
+  readonly isGone: boolean;
   readonly objectiveMs: number;
   readonly gapTargetMs: number;
   /** Usual time to the first event of the model, in milliseconds; undefined while not known. */
@@ -49,8 +49,8 @@
 const GAP_SECOND_LATE_PART = 1;
 /** The same at a host that serves others meanwhile: most such pauses end by themselves. */
 const GAP_BUSY_PART = 2.5;
-/** Part of the objective or gap target that is waited for where others have found the host lost. */
-const UNREACHABLE_PART = 0.6;
+/** Part of the objective or gap target that is waited for where the host is known to be lost. */
+const GONE_PART = 0.6;
 /** Times to the first event this much over the usual one are outliers; long prompts stay below. */
 const FIRST_OUTLIER_FACTOR = 2.5;
 /** The usual time has to have passed by half before a second attempt can be the quicker one. */
@@ -73,10 +73,10 @@
 /** The limits of a run as things stand. */
 export function stallLimits(run: SilentRun): StallLimits {
   const limits = run.begun ? gapLimits(run) : firstLimits(run);
-  if (!run.isUnreachable) {
+  if (!run.isGone) {
     return limits;
   }
-  const soonMs = (run.begun ? run.gapTargetMs : run.objectiveMs) * UNREACHABLE_PART;
+  const soonMs = (run.begun ? run.gapTargetMs : run.objectiveMs) * GONE_PART;
   const secondAttemptMs = Math.min(limits.secondAttemptMs, soonMs);
   return { ...limits, secondAttemptMs, lostMs: secondAttemptMs };
 }
--- a/packages/entry/src/requests/stream-attempt.ts
+++ b/packages/entry/src/requests/stream-attempt.ts
@@ -190,12 +190,12 @@
 
   #limits(hostServesOthers: boolean): StallLimits {
     const { route, service, model } = this.#context;
-    const { activities, isUnreachable } = this.#services;
+    const { activities, chooser, isUnreachable } = this.#services;
     return stallLimits({
       begun: this.#begun,
       resumed: this.#options.lastEventId !== this.#context.lastEventId,
       hostServesOthers,
-      isUnreachable: isUnreachable(this.#target),
+      isGone: isUnreachable(this.#target) || chooser.isLost(this.#target),
       objectiveMs: route.objectiveMs,
       gapTargetMs: route.gapTargetMs,
       typicalFirstMs: activities.typicalFirstMs(kindOf(service.name, model)),
--- a/packages/entry/src/requests/stream-relay.test.ts
+++ b/packages/entry/src/requests/stream-relay.test.ts
@@ -52,6 +52,23 @@
     expect(answer.status).to.equal(200);
   });
 
+  it('moves soon when the entry of its silent host has gone', async () => {
+    const queue = await targets(
+      () => undefined,
+      response => {
+        response.writeHead(200, HEAD);
+        response.end(events(1, 2));
+      },
+    );
+    const services = relayServices(() => queue.shift());
+    Object.assign(services.chooser, { hasSound: () => true, isLost: () => true });
+    const { context, answer } = requestContext('r', { ...STREAM, maxAttempts: 2 });
+    const startedAt = Date.now();
+    await new StreamRelay(context, services).run();
+    expect(answer.body).to.equal(events(1, 2));
+    expect(Date.now() - startedAt).to.be.below(STREAM.objectiveMs);
+  });
+
   it('that has begun waits for the allowance of a repeat instead of breaking', async () => {
     const queue = await targets(
       response => {
--- a/packages/entry/src/routing/target-chooser.test.ts
+++ b/packages/entry/src/routing/target-chooser.test.ts
@@ -153,10 +153,31 @@
     });
     const query = { service, model: 'm', homeRegions: [], exclude: NOBODY };
     expect(chooser.choose(query)?.host.id).to.equal('whole');
+    const lost = (): string[] =>
+      chooser
+        .groupsOf('s')
+        .filter(group => chooser.isLost({ host: group.head as HostEntry, group }))
+        .map(group => group.name);
+    expect(lost()).to.deep.equal(['g2']);
     told = new Set();
+    expect(lost()).to.deep.equal([]);
     expect(chooser.choose(query)?.host.id).to.equal('lacking');
   });
 
+  it('takes a host whose entry has gone for lost', () => {
+    const registry = registryOf(['h0', 'h1']);
+    const chooser = new TargetChooser(registry, new HostActivities(), {
+      failureDomain: 'a',
+      eligibility: () => 'eligible',
+      othersAt: () => 0,
+    });
+    const target = { host: registry.get('h0') as HostEntry, group: undefined };
+    expect(chooser.isLost(target)).to.equal(false);
+    const object = { name: 'h0', revision: 2, value: null };
+    registry.takeChanges([{ object, deleted: true }]);
+    expect(chooser.isLost(target)).to.equal(true);
+  });
+
   it('follows each change of the hosts', () => {
     const registry = registryOf(['h0']);
     const chooser = new TargetChooser(registry, new HostActivities(), {
--- a/packages/entry/src/routing/target-chooser.ts
+++ b/packages/entry/src/routing/target-chooser.ts
@@ -129,6 +129,15 @@
     return least;
   }
 
+  /**
+   * True when a silent run there will hardly go on: its host's entry has gone, or its group lacks a
+   * member and stands still. A host that is only cut off from the store serves on, and is not silent.
+   */
+  isLost({ host, group }: Target): boolean {
+    const lacks = group !== undefined && this.#options.lacksMember?.(group) === true;
+    return lacks || this.#registry.get(host.id) === undefined;
+  }
+
   /** When a request that has no target could have one. */
   outlook(query: TargetQuery): TargetOutlook {
     const now = monotonicMs();
--- a/packages/entry/src/testing/relay.ts
+++ b/packages/entry/src/testing/relay.ts
@@ -86,6 +86,7 @@
     chooser: {
       choose,
       hasSound: () => false,
+      isLost: () => false,
       expectedFirstMs: () => undefined,
       outlook: () => ({ verdicts: new Set(), allTried: false, formingMs: undefined }),
     },
