A request waits for a forming group no longer than its model ever takes

Cause: found on reading the own change: a group that never gets beyond joining would have held every caller of its model to the deadline, to be refused there. Change: the wait is counted from when that was first said of the groups that form; a group that has loaded and is to be opened is news. await-target.ts in smaller functions.

--- a/packages/entry/src/requests/await-target.ts
+++ b/packages/entry/src/requests/await-target.ts
@@ -1,10 +1,11 @@
 /** Finds a request the target it is sent to next, and holds it as long as there is reason to. */
 import type { Target, TargetQuery } from '../routing/target-chooser.js';
+import type { TargetOutlook } from '../routing/target-outlook.js';
 import { monotonicMs, sleep } from '../server/time.js';
 import { claimTarget } from './claim-target.js';
 import type { RelayServices } from './relay-services.js';
 import type { RequestContext } from './request-context.js';
-import type { NoTargetReason } from './wait-for-target.js';
+import type { NoTargetReason, Waiter } from './wait-for-target.js';
 import { noTargetReason, waitsForTarget } from './wait-for-target.js';
 
 /** No target came, or none will. */
@@ -23,26 +24,56 @@
   context: RequestContext,
   query: () => TargetQuery,
 ): Promise<Target | NoTarget> {
-  const { gone, deadline, response } = context;
-  const lackingSince = monotonicMs();
+  const wait = new TargetWait(context);
   for (;;) {
     const target = claimTarget(services, query());
     if (target !== undefined) {
       return target;
     }
-    const now = monotonicMs();
-    const lackingMs = now - lackingSince;
     const outlook = services.chooser.outlook(query());
-    const waiter = { lackingMs, leftMs: deadline - now, begun: response.headersSent };
-    if (gone.aborted || !waitsForTarget(outlook, waiter)) {
-      const reason = noTargetReason(outlook);
-      if (reason !== 'no-target') {
-        services.counters.count('sends_withheld_total', { verdict: reason });
-      }
-      return { reason };
+    const waiter = wait.asOf(outlook, monotonicMs());
+    if (context.gone.aborted || !waitsForTarget(outlook, waiter)) {
+      return withheld(services, outlook);
     }
-    const lookMs = Math.min(LATER_LOOK_MS, Math.max(FIRST_LOOK_MS, lackingMs * LOOK_PART));
-    await sleep(lookMs, gone);
+    await sleep(lookAfterMs(waiter), context.gone);
+  }
+}
+
+function withheld({ counters }: RelayServices, outlook: TargetOutlook): NoTarget {
+  const reason = noTargetReason(outlook);
+  if (reason !== 'no-target') {
+    counters.count('sends_withheld_total', { verdict: reason });
+  }
+  return { reason };
+}
+
+function lookAfterMs({ lackingMs }: Waiter): number {
+  return Math.min(LATER_LOOK_MS, Math.max(FIRST_LOOK_MS, lackingMs * LOOK_PART));
+}
+
+/** The wait of one request, timed. */
+class TargetWait {
+  readonly #context: RequestContext;
+  readonly #lackingSince = monotonicMs();
+  #formingMs: number | undefined;
+  #formingSince = this.#lackingSince;
+
+  constructor(context: RequestContext) {
+    this.#context = context;
+  }
+
+  asOf({ formingMs }: TargetOutlook, now: number): Waiter {
+    if (formingMs !== this.#formingMs) {
+      this.#formingMs = formingMs;
+      this.#formingSince = now;
+    }
+    const { deadline, response } = this.#context;
+    return {
+      lackingMs: now - this.#lackingSince,
+      formingForMs: now - this.#formingSince,
+      leftMs: deadline - now,
+      begun: response.headersSent,
+    };
   }
 }
 
--- a/packages/entry/src/requests/wait-for-target.test.ts
+++ b/packages/entry/src/requests/wait-for-target.test.ts
@@ -8,17 +8,24 @@
   return { verdicts: new Set(verdicts), allTried: false, formingMs };
 }
 
-const fresh = { lackingMs: 0, leftMs: 6_000, begun: false };
+const fresh = { lackingMs: 0, formingForMs: 0, leftMs: 6_000, begun: false };
 
 describe('a request without a target', () => {
   it('waits for a group that can serve it before its deadline, and for no other', () => {
     expect(waitsForTarget(outlook([], 1_600), { ...fresh, lackingMs: 1_000 })).to.equal(true);
     expect(waitsForTarget(outlook([], 12_000), { ...fresh, lackingMs: 1_000 })).to.equal(false);
     // Of a load that it has seen for a while, less is left.
-    const later = { ...fresh, lackingMs: 1_500, leftMs: 1_000 };
+    const later = { ...fresh, lackingMs: 1_500, formingForMs: 1_500, leftMs: 1_000 };
     expect(waitsForTarget(outlook([], 1_600), later)).to.equal(true);
   });
 
+  it('waits no longer for a group that takes longer than its model ever does', () => {
+    const stuck = { ...fresh, lackingMs: 1_700, formingForMs: 1_700 };
+    expect(waitsForTarget(outlook([], 1_600), stuck)).to.equal(false);
+    // It has loaded and is to be opened: that is news.
+    expect(waitsForTarget(outlook([], 500), { ...stuck, formingForMs: 0 })).to.equal(true);
+  });
+
   it('waits for news for a moment only', () => {
     expect(waitsForTarget(outlook([]), fresh)).to.equal(true);
     expect(waitsForTarget(outlook([]), { ...fresh, lackingMs: 150 })).to.equal(false);
@@ -52,7 +59,7 @@
   });
 
   it('waits to its deadline once its caller has a part of the answer', () => {
-    const begun = { lackingMs: 3_000, leftMs: 200, begun: true };
+    const begun = { lackingMs: 3_000, formingForMs: 0, leftMs: 200, begun: true };
     expect(waitsForTarget(outlook([]), begun)).to.equal(true);
     expect(waitsForTarget(outlook([]), { ...begun, leftMs: 20 })).to.equal(false);
   });
--- a/packages/entry/src/requests/wait-for-target.ts
+++ b/packages/entry/src/requests/wait-for-target.ts
@@ -17,6 +17,8 @@
 export type Waiter = {
   /** For how long it has had none, in milliseconds. */
   readonly lackingMs: number;
+  /** For how long the same has been said of the groups that form, in milliseconds. */
+  readonly formingForMs: number;
   /** Time until its final answer is due, in milliseconds. */
   readonly leftMs: number;
   /** Its caller has a part of the answer already. */
@@ -40,7 +42,7 @@
 
 /** True when the request waits on. */
 export function waitsForTarget(outlook: TargetOutlook, waiter: Waiter): boolean {
-  const { lackingMs, leftMs, begun } = waiter;
+  const { lackingMs, formingForMs, leftMs, begun } = waiter;
   if (begun) {
     return leftMs > ANSWER_MARGIN_MS;
   }
@@ -49,8 +51,12 @@
     return false;
   }
   const { verdicts, allTried, formingMs } = outlook;
-  const isForming = formingMs !== undefined && formingMs - lackingMs <= runnableMs;
-  if (verdicts.has('eligible') || isForming) {
+  if (verdicts.has('eligible')) {
+    return true;
+  }
+  // A group that takes longer than its model ever does may never serve.
+  const formsInMs = formingMs === undefined ? Infinity : formingMs - formingForMs;
+  if (formsInMs >= 0 && formsInMs <= runnableMs) {
     return true;
   }
   if (verdicts.has('cold-limit')) {
