--- a/packages/entry/src/requests/plain-relay.ts
+++ b/packages/entry/src/requests/plain-relay.ts
@@ -19,7 +19,6 @@
 import { upstreamHeaders } from './upstream-request.js';
 import type { NoTargetReason } from './wait-for-target.js';
 
-const CONNECT_TIMEOUT_MS = 300;
 const MAX_ANSWER_BYTES = 16 * 1024 * 1024;
 /** Margin in which the final answer goes out before it is due, in milliseconds. */
 const DEADLINE_MARGIN_MS = 15;
@@ -125,7 +124,7 @@
           headers: upstreamHeaders(this.#context, names, target, undefined),
           body,
           connections: connectionsFor(this.#services, this.#context),
-          connectTimeoutMs: CONNECT_TIMEOUT_MS,
+          connects: activities.connects,
         },
         {
           head: answer => {
--- a/packages/entry/src/requests/stream-attempt.ts
+++ b/packages/entry/src/requests/stream-attempt.ts
@@ -32,14 +32,16 @@
   readonly lastEventId: string | undefined;
   /** Bytes of an answer that is the own one. */
   readonly events: (chunk: Buffer) => void;
-  /** The run stands still; called at each look while it does. */
-  readonly stalled: () => void;
+  /**
+   * The run stands still; called at each look while it does. `isLost`: for so long that what is sent
+   * elsewhere takes its place.
+   */
+  readonly stalled: (isLost: boolean) => void;
 };
 
 /** Times without progress in milliseconds, and the limit that was passed. */
 type Stall = { readonly silence: number; readonly hostSilence: number; readonly limit: number };
 
-const CONNECT_TIMEOUT_MS = 300;
 const MAX_FAILURE_BYTES = 256 * 1024;
 
 /** One run. */
@@ -93,7 +95,7 @@
           headers: upstreamHeaders(this.#context, names, this.#target, this.#options.lastEventId),
           body,
           connections: connectionsFor(this.#services, this.#context),
-          connectTimeoutMs: CONNECT_TIMEOUT_MS,
+          connects: activities.connects,
         },
         {
           head: answer => {
@@ -157,7 +159,7 @@
       this.#suspectOnce({ silence, hostSilence, limit: limits.reportMs });
     }
     if (silence >= limits.secondAttemptMs) {
-      this.#options.stalled();
+      this.#options.stalled(silence >= limits.lostMs);
     }
     const nextMs = Math.max(limits.reportMs, limits.secondAttemptMs) - silence;
     return Math.max(0, nextMs);
@@ -190,12 +192,12 @@
 
   #limits(hostServesOthers: boolean): StallLimits {
     const { route, service, model } = this.#context;
-    const { activities, isUnreachable } = this.#services;
+    const { activities, chooser, isUnreachable } = this.#services;
     return stallLimits({
       begun: this.#begun,
       resumed: this.#options.lastEventId !== this.#context.lastEventId,
       hostServesOthers,
-      isUnreachable: isUnreachable(this.#target),
+      isGone: isUnreachable(this.#target) || chooser.isLost(this.#target),
       objectiveMs: route.objectiveMs,
       gapTargetMs: route.gapTargetMs,
       typicalFirstMs: activities.typicalFirstMs(kindOf(service.name, model)),
--- a/packages/entry/src/testing/relay.ts
+++ b/packages/entry/src/testing/relay.ts
@@ -91,6 +91,7 @@
     chooser: {
       choose,
       hasSound: () => false,
+      isLost: () => false,
       expectedFirstMs: () => undefined,
       outlook: () => ({ standings: [], formingMs: undefined }),
       coldPace: () => undefined,
