Fleet model: what hosts could serve is planned once for each set of hosts

Change: the ideal layout is kept by the hosts in use, and counts them as empty, as its comment said.

--- a/packages/entry/src/groups/evacuation-days.test.ts
+++ b/packages/entry/src/groups/evacuation-days.test.ts
@@ -5,7 +5,8 @@
 import { expect } from 'chai';
 import fc from 'fast-check';
 
-import { dayProfile, FleetModel, wideFleet } from '../testing/fleet-model.js';
+import { dayProfile, wideFleet } from '../testing/day-fleets.js';
+import { FleetModel } from '../testing/fleet-model.js';
 import { FREE_LOADS } from './formation-plan.js';
 
 const KINDS = [
--- a/packages/entry/src/groups/fleet-days.test.ts
+++ b/packages/entry/src/groups/fleet-days.test.ts
@@ -3,7 +3,8 @@
 import fc from 'fast-check';
 
 import type { EngineProfile, GroupModel } from '../configuration/serving-configuration.js';
-import { dayProfile, FleetModel, wideFleet } from '../testing/fleet-model.js';
+import { dayProfile, wideFleet } from '../testing/day-fleets.js';
+import { FleetModel } from '../testing/fleet-model.js';
 import { FREE_LOADS } from './formation-plan.js';
 
 const LOAD_MS = 12_000;
--- a/packages/entry/src/testing/fleet-model.ts
+++ b/packages/entry/src/testing/fleet-model.ts
@@ -58,6 +58,7 @@
   readonly #hosts: ModelHost[] = [];
   readonly #perFailureDomain: number;
   readonly #evacuated = new Set<string>();
+  readonly #possible = new Map<string, number>();
   readonly #coldMs: number;
   #groups: ModelGroup[] = [];
   #now = 0;
@@ -284,13 +285,24 @@
     }
     this.servingHostMs += ms * this.#serving.reduce((sum, { members }) => sum + members.length, 0);
     this.#measureStranded(view, ms);
-    const allFree = view.domains.map(domain => ({
-      ...domain,
-      free: this.#hosts.filter(host => host.fabricDomain === domain.fabricDomain).map(entryOf),
-      groups: [],
-    }));
-    const ideal = planFormations({ ...view, domains: allFree }, FREE_LOADS);
-    this.possibleHostMs += ms * ideal.reduce((sum, formation) => sum + formation.hosts.length, 0);
+    this.possibleHostMs += ms * this.#possibleHosts(view);
+  }
+
+  // Hosts in groups if any host could serve any model: it changes only with the hosts in use.
+  #possibleHosts(view: FleetView): number {
+    const sizes = view.domains.map(({ fabricDomain, free, groups }) => {
+      const grouped = groups.reduce((sum, { members }) => sum + members.length, 0);
+      return `${fabricDomain}:${free.length + grouped}`;
+    });
+    const key = sizes.join();
+    let possible = this.#possible.get(key);
+    if (possible === undefined) {
+      const domains = view.domains.map(domain => ({ ...domain, free: allOf(domain), groups: [] }));
+      const ideal = planFormations({ ...view, domains }, FREE_LOADS);
+      possible = ideal.reduce((sum, { hosts }) => sum + hosts.length, 0);
+      this.#possible.set(key, possible);
+    }
+    return possible;
   }
 
   #measureStranded(view: FleetView, ms: number): void {
@@ -349,41 +361,10 @@
   }
 }
 
-/** A large and a small model; the large one has this part of the work, 0 to 1. */
-export function dayProfile(largeSize: number, smallSize: number, largeShare = 0.4): EngineProfile {
-  const large = { name: 'large', size: largeSize, pace: 1, workShare: largeShare };
-  const small = { name: 'small', size: smallSize, pace: 0.6, workShare: 1 - largeShare };
-  return {
-    models: [
-      { ...large, loadMs: 16_000, warmMs: 1_600 },
-      { ...small, loadMs: 12_000, warmMs: 1_100 },
-    ],
-    slots: 18,
-    loadsPerSecond: 4,
-    loadsAtOnce: 6,
-    stagedModelsKept: 1,
-  };
-}
-
-/** A fleet of three failure domains with three fabric domains each. */
-export type WideFleet = {
-  readonly domainSize: number;
-  readonly largeSize: number;
-  readonly smallSize: number;
-  readonly largeShare: number;
-};
-
-const WIDE_DOMAINS = 9;
-
-/** Such a fleet; its hosts stay cold for 3 s after an evacuation. */
-export function wideFleet(kind: WideFleet): FleetModel {
-  const { domainSize, largeSize, smallSize, largeShare } = kind;
-  return new FleetModel({
-    domainSizes: Array.from({ length: WIDE_DOMAINS }, () => domainSize),
-    domainsPerFailureDomain: 3,
-    coldMs: 3_000,
-    profile: dayProfile(largeSize, smallSize, largeShare),
-  });
+// The hosts of a domain, with nothing on them.
+function allOf({ free, groups }: FleetDomain): readonly HostEntry[] {
+  const hosts = [...free, ...groups.flatMap(({ members }) => members)];
+  return hosts.map(host => ({ ...host, lastModel: undefined, stagedModels: [] }));
 }
 
 function placedOf(group: ModelGroup): PlacedGroup {
