A load takes no copy from a group that running loads complete

Here only whole groups count, none to spare, so they form next. Change: completion leaves those copies alone.

--- a/packages/entry/src/groups/plans.test.ts
+++ b/packages/entry/src/groups/plans.test.ts
@@ -310,6 +310,20 @@
     expect(loads.filter(one => back.includes(one))).to.deep.equal([]);
   });
 
+  it('takes no copy from a group that a running load completes', () => {
+    const staging = host();
+    const copiesTaken = (copies: number): number => {
+      const staged = hosts(copies, 'large');
+      const view = fleet(domain('d0', [...staged, staging]), domain('d1', [], [group(SMALL)]));
+      const stagingNow = (id: string): string | undefined =>
+        id === staging.id ? 'large' : undefined;
+      const planned = planStagings({ ...view, stagingNow }, 6);
+      return planned.filter(({ host: one }) => staged.includes(one)).length;
+    };
+    expect(copiesTaken(LARGE.size - 1)).to.equal(0);
+    expect(copiesTaken(LARGE.size - 2), 'no group comes of them').to.be.at.least(1);
+  });
+
   it('leaves a staged copy alone that a host has nothing loaded beside', () => {
     const view = fleet(domain('d0', hosts(1, 'small'), [group(LARGE), group(SMALL)]));
     expect(planStagings(view, 6).map(staging => staging.host)).to.not.include(
--- a/packages/entry/src/groups/staging-plan.ts
+++ b/packages/entry/src/groups/staging-plan.ts
@@ -114,7 +114,10 @@
 ): readonly Candidate[] {
   const have = domain.free.filter(host => willHave(host, model, view)).length;
   const missing = model.size - (have % model.size);
-  const hosts = domain.free.filter(host => canStage(host, model, view));
+  const kept = preparedIn(view, domain, model);
+  const hosts = domain.free.filter(
+    host => canStage(host, model, view) && !losesCopyOf(kept, host, view),
+  );
   if (hosts.length < missing) {
     return [];
   }
@@ -124,6 +127,27 @@
   return candidateOf(view, hosts, model, gain, missing);
 }
 
+// Other models of which the free hosts make up whole groups, none to spare, once running loads have
+// ended. These form then; a load in place of one of their copies would put that off, and again by the
+// next one, for ever.
+function preparedIn(
+  view: FleetView,
+  domain: FleetDomain,
+  model: GroupModel,
+): readonly GroupModel[] {
+  return view.profile.models.filter(other => {
+    const have = domain.free.filter(host => willHave(host, other, view)).length;
+    return other !== model && have > 0 && have % other.size === 0;
+  });
+}
+
+// True when a load would evict a copy of one of these models that the host has nowhere else.
+function losesCopyOf(models: readonly GroupModel[], host: HostEntry, view: FleetView): boolean {
+  const isOnlyCopy = ({ name }: GroupModel): boolean =>
+    name !== host.lastModel && host.stagedModels.includes(name);
+  return lossOfCopy(view, host) > 0 && models.some(isOnlyCopy);
+}
+
 // One of the loads after which groups that are worth less, together with free hosts, could be
 // dissolved for a group of this model.
 function conversion(
