The cost of a model rises with the fourth power of the work per group

By the declared times that is 12 requests at 14 slots of a large group, 6 at a small one; the square spreads work in proportion to size^(1/3), so a group of eight carries 1.6 times the work of one of two, and more after losses. Ruled out: that its first event is slow by itself.

--- a/packages/entry/src/groups/capacity-value.ts
+++ b/packages/entry/src/groups/capacity-value.ts
@@ -7,8 +7,12 @@
  */
 import type { GroupModel } from '../configuration/serving-configuration.js';
 
-/** How fast the cost rises with the work per group: 2 is the square, as queueing times suggest. */
-const COST_EXPONENT = 2;
+/**
+ * How fast the cost rises with the work per group. The part of a group's time that requests wait, p^2 / (1 - p)
+ * at a load p, grows as the power 2 + p / (1 - p) of the load: 4 at two thirds, from where on answers are late.
+ * With the square, groups of eight hosts carry twice the work of groups of two.
+ */
+const COST_EXPONENT = 4;
 /** Cost of a model without any group; costs of served models stay well below 1. */
 export const UNSERVED_COST = 10;
 /** Groups added to each count, so that few groups have a finite cost. */
