--- a/packages/entry/src/requests/stall-limits.ts
+++ b/packages/entry/src/requests/stall-limits.ts
@@ -42,11 +42,11 @@
 /** A second attempt that starts here can still bring its first event within the target. */
 const GAP_SECOND_PART = 0.6;
 /**
- * Where it usually can not, the second attempt waits until the gap is late in any case. Most pauses end
- * before: of 246 attempts that were started at 0.6 and withdrawn, 172 had run for less than 100 ms, and
- * each had used up the route's last attempt, which its stream then lacked when its group was lost.
+ * Where it usually can not, the second attempt waits until the gap is late in any case and longer than
+ * the pauses that end by themselves, of which many end just behind the target. An attempt that was not
+ * needed has used up one of the route's, which its stream lacks when its group is lost later.
  */
-const GAP_SECOND_LATE_PART = 1;
+const GAP_SECOND_LATE_PART = 1.25;
 /** The same at a host that serves others meanwhile: most such pauses end by themselves. */
 const GAP_BUSY_PART = 2.5;
 /** Part of the objective or gap target that is waited for where the host is known to be lost. */
