A caller that leaves while its stream waits for an allowance is given no answer

Cause: found on reading the own change; the stream was counted and logged as cut by us. Tests: stream-relay.test.ts, one new; it fails with the check taken out.

--- a/packages/entry/src/requests/stream-relay.test.ts
+++ b/packages/entry/src/requests/stream-relay.test.ts
@@ -89,6 +89,25 @@
     expect(answer.body).to.equal(events(1, 4));
   });
 
+  it('that waits for the allowance ends without a word when its caller leaves', async () => {
+    const queue = await targets(response => {
+      response.writeHead(200, HEAD);
+      response.write(events(1, 2));
+      setTimeout(() => response.destroy(), 30);
+    });
+    const budget = new RetryBudget({ ratio: 0, slack: 2, windowMs: 10_000 }, () => 1);
+    budget.take('lost');
+    const services = { ...relayServices(() => queue.shift()), budgetOf: () => budget };
+    const caller = new AbortController();
+    const { context } = requestContext('r', { ...STREAM, maxAttempts: 2 }, caller.signal);
+    setTimeout(() => {
+      caller.abort('left');
+    }, 150);
+    await new StreamRelay(context, services).run();
+    const cut = services.counters.value('answers_total', { kind: 'stream', status: 'cut' });
+    expect(cut).to.equal(0);
+  });
+
   it('that no host ran is refused at once when there is no allowance', async () => {
     const queue = await targets(response => {
       response.writeHead(503, { ...HEAD, 'x-not-executed': '1' }).end();
--- a/packages/entry/src/requests/stream-relay.ts
+++ b/packages/entry/src/requests/stream-relay.ts
@@ -101,10 +101,11 @@
         this.#finish();
         return;
       }
+      const mayGoOn = await this.#mayGoOn();
       if (gone.aborted) {
         return;
       }
-      if (!(await this.#mayGoOn())) {
+      if (!mayGoOn) {
         this.#giveUp('not-run');
         return;
       }
