`hingescale evacuate DOMAIN`, `--end` and `evacuate list`; gateways obey

Cause: evacuations were obeyed by entry hosts only; operators of the product's own controllers had no such order. Ruled out: a part of the configuration (it would need a revision and its check); a watch of the platform by each gateway (calls; they hear it from the controller that they poll anyway). Change: orders are objects of kind `evacuation` in the platform (core/hosts/evacuation.ts, object-store/ evacuation-store.ts); the administration API has /v1/evacuations; controllers watch them and pass them on with each poll, the fallback without controllers watches itself; gateway/domain/evacuated-domains.ts keeps the newest, fails closed before it has heard of any, and is asked when a group or runner is chosen and before the first byte. Not part of it: controllers do not form groups elsewhere because of an evacuation.

--- a/packages/cli/src/admin-client.ts
+++ b/packages/cli/src/admin-client.ts
@@ -4,6 +4,7 @@
   ConfigurationFile,
   ConfigurationHead,
   ConfigurationRevision,
+  Evacuation,
   Finding,
 } from '@hingescale/core';
 import { request } from 'undici';
@@ -26,6 +27,8 @@
 
 const TIMEOUT_MS = 5_000;
 
+type Method = 'GET' | 'POST' | 'PUT' | 'DELETE';
+
 type Answer = { readonly status: number; readonly body: unknown };
 
 /** Calls controllers; reads go to any that answers, changes of hosts to the active one. */
@@ -118,7 +121,21 @@
     checked(await this.#send(owner.lease?.adminAddress ?? '', method, path));
   }
 
-  async #any(method: 'GET' | 'POST', path: string, body?: object): Promise<unknown> {
+  /** Orders that a failure domain be evacuated, or taken back; gives the order in force. */
+  async evacuate(failureDomain: string, evacuated: boolean): Promise<Evacuation> {
+    const path = `/v1/evacuations/${encodeURIComponent(failureDomain)}`;
+    return (await this.#any(evacuated ? 'PUT' : 'DELETE', path)) as Evacuation;
+  }
+
+  /** Failure domains that are evacuated now. */
+  async evacuations(): Promise<readonly Evacuation[]> {
+    const { evacuations } = (await this.#any('GET', '/v1/evacuations')) as {
+      evacuations: readonly Evacuation[];
+    };
+    return evacuations;
+  }
+
+  async #any(method: Method, path: string, body?: object): Promise<unknown> {
     for (const url of this.#options.urls) {
       try {
         return checked(await this.#send(url, method, path, body));
@@ -135,12 +152,7 @@
     );
   }
 
-  async #send(
-    url: string,
-    method: 'GET' | 'POST' | 'PUT' | 'DELETE',
-    path: string,
-    body?: object,
-  ): Promise<Answer> {
+  async #send(url: string, method: Method, path: string, body?: object): Promise<Answer> {
     try {
       const response = await request(url + path, {
         method,
--- a/packages/cli/src/bin-hingescale.ts
+++ b/packages/cli/src/bin-hingescale.ts
@@ -8,12 +8,22 @@
 import { AdminClient, AdminError } from './admin-client.js';
 import { burnHtml, burnText } from './burn-output.js';
 import { readFiles } from './files.js';
-import { diffText, explanationText, historyText, print, printJson, statusText } from './output.js';
+import {
+  diffText,
+  evacuationsText,
+  explanationText,
+  historyText,
+  print,
+  printJson,
+  statusText,
+} from './output.js';
 import { traceFiles } from './trace.js';
 import { waitInForce } from './wait-in-force.js';
 
 const WATCH_MS = 1_000;
 const DEFAULT_WAIT_S = 19;
+/** In place of a failure domain: asks for the list. */
+const LIST_WORD = 'list';
 
 const FAILURE_CODES: Readonly<Record<AdminError['reason'], number>> = {
   findings: EXIT_CODES.findings,
@@ -134,6 +144,23 @@
       print(`${argv.host}: ${argv.undo ? 'in use again' : 'draining'}`);
     },
   )
+  .command(
+    'evacuate <domain>',
+    'send nothing new to the hosts of a failure domain',
+    builder =>
+      builder
+        .positional('domain', {
+          type: 'string',
+          demandOption: true,
+          describe: `failure domain, or '${LIST_WORD}' for those that are evacuated`,
+        })
+        .option('end', { type: 'boolean', default: false, describe: 'use it again' })
+        .example('$0 evacuate hall-b', 'requests in progress there end by themselves')
+        .example('$0 evacuate list', 'evacuated failure domains'),
+    async argv => {
+      await evacuate(argv, argv.domain, argv.end);
+    },
+  )
   .command(
     'report <kind>',
     'burn of service levels per workspace and model',
@@ -232,6 +259,25 @@
   } while (watch);
 }
 
+async function evacuate(argv: Common, domain: string, end: boolean): Promise<void> {
+  const client = clientOf(argv);
+  if (domain === LIST_WORD) {
+    const evacuations = await client.evacuations();
+    if (argv.json) {
+      printJson(evacuations);
+    } else {
+      print(evacuationsText(evacuations));
+    }
+    return;
+  }
+  const order = await client.evacuate(domain, !end);
+  if (argv.json) {
+    printJson(order);
+  } else {
+    print(`${order.failureDomain}: ${order.evacuated ? 'evacuated' : 'in use again'}`);
+  }
+}
+
 // A user's error is one line, never a stack trace.
 function end(message: string | undefined, error: Error | undefined): never {
   if (error instanceof AdminError) {
--- a/packages/cli/src/output.ts
+++ b/packages/cli/src/output.ts
@@ -1,6 +1,6 @@
 /** Output of the command line: text for people, JSON for programs. */
 import type { ControllerStatus, ExplainedOrder } from '@hingescale/controller';
-import type { ConfigurationFile, ConfigurationHead } from '@hingescale/core';
+import type { ConfigurationFile, ConfigurationHead, Evacuation } from '@hingescale/core';
 
 /** Writes a line. */
 export function print(text: string): void {
@@ -27,6 +27,15 @@
     .join('\n');
 }
 
+/** Evacuated failure domains, one a line. */
+export function evacuationsText(evacuations: readonly Evacuation[]): string {
+  return evacuations.length === 0
+    ? 'no failure domain is evacuated'
+    : evacuations
+        .map(({ failureDomain, at, operator }) => `${failureDomain}  since ${at}  by ${operator}`)
+        .join('\n');
+}
+
 /** Orders with their reasons and the scores of the alternatives. */
 export function explanationText(orders: readonly ExplainedOrder[]): string {
   return orders
--- a/packages/controller/src/admin/app.ts
+++ b/packages/controller/src/admin/app.ts
@@ -1,4 +1,4 @@
-/** Administration API of a controller: configuration, status, explanations, drains. */
+/** Administration API of a controller: configuration, status, explanations, drains, evacuations. */
 import type { ConfigurationFile, ConfigurationHead, ConfigurationRevision } from '@hingescale/core';
 import { ProblemError } from '@hingescale/core';
 import type { ChangeError, PlatformClient } from '@hingescale/object-store';
@@ -11,6 +11,8 @@
 
 import type { ExplainedOrder } from '../groups/order-history.js';
 import type { BurnReport } from './burn-report.js';
+import type { EvacuationOptions } from './evacuations.js';
+import { listEvacuations, orderEvacuation } from './evacuations.js';
 import { authenticateOperator } from './operator-auth.js';
 import type { ControllerStatus } from './status.js';
 
@@ -25,6 +27,7 @@
   readonly explain: (name: string) => ExplainedOrder[] | undefined;
   readonly burn: () => Promise<BurnReport>;
   readonly setCordon: (host: string, cordoned: boolean) => Promise<void>;
+  readonly evacuations: EvacuationOptions;
   readonly offer: (revision: ConfigurationRevision) => void;
 };
 
@@ -66,6 +69,15 @@
   app.delete('/v1/hosts/:id/drain', async (request, response) => {
     await cordon(options, request.params.id, false, response);
   });
+  app.get('/v1/evacuations', (_request, response) => {
+    response.json({ evacuations: listEvacuations(options.evacuations) });
+  });
+  app.put('/v1/evacuations/:domain', async (request, response) => {
+    await evacuate(options, request.params.domain, true, response);
+  });
+  app.delete('/v1/evacuations/:domain', async (request, response) => {
+    await evacuate(options, request.params.domain, false, response);
+  });
   app.all('/v1/configuration', methodNotAllowed('GET, POST'));
   finishApp(app, error => {
     options.log.error('administration request failed', {
@@ -177,6 +189,20 @@
   response.json({ host, draining: cordoned });
 }
 
+async function evacuate(
+  options: AdminOptions,
+  failureDomain: string,
+  evacuated: boolean,
+  response: Response,
+): Promise<void> {
+  const operator = String(response.locals.operator);
+  const order = await orderEvacuation(options.evacuations, failureDomain, evacuated, operator);
+  const action = evacuated ? 'evacuate failure domain' : 'end evacuation of failure domain';
+  options.log.info(action, { failureDomain, operator });
+  await audit(options, operator, `${action} ${failureDomain}`);
+  response.json(order);
+}
+
 // The change itself is done by now; an audit record that can not be written is counted and logged.
 async function audit(
   options: AdminOptions,
--- a/packages/controller/src/controller.ts
+++ b/packages/controller/src/controller.ts
@@ -1,5 +1,5 @@
 /** A controller: its tasks, wired together. */
-import type { FailureDomainId, Ledger } from '@hingescale/core';
+import type { Evacuation, FailureDomainId, Ledger } from '@hingescale/core';
 import { ProblemError } from '@hingescale/core';
 import type { PollReply, PollRequest } from '@hingescale/link';
 import { LINK_REQUESTS, LinkPool, LinkServer } from '@hingescale/link';
@@ -10,6 +10,7 @@
   HostWatcher,
   ObjectWatcher,
   readRevision,
+  versioned,
   watchConfiguration,
 } from '@hingescale/object-store';
 import type { HttpServer, Log, RunningServer } from '@hingescale/runtime';
@@ -54,6 +55,7 @@
   readonly #holder: ConfigurationHolder;
   readonly #hosts: HostWatcher;
   readonly #ledgers: ObjectWatcher<Ledger>;
+  readonly #evacuations: ObjectWatcher<Evacuation>;
   readonly #prober: MemberProber;
   readonly #collector: LoadCollector;
   readonly #links: LinkPool;
@@ -83,6 +85,7 @@
     this.#holder = new ConfigurationHolder(this.#log, this.#metrics);
     this.#hosts = new HostWatcher(this.#client, platform['watch-wait-ms']);
     this.#ledgers = new ObjectWatcher(this.#client, 'ledger', platform['watch-wait-ms']);
+    this.#evacuations = new ObjectWatcher(this.#client, 'evacuation', platform['watch-wait-ms']);
     this.#prober = new MemberProber(this.#hostClient, timing['probe-ms']);
     this.#collector = new LoadCollector(this.#hostClient, timing['heartbeat-ms']);
     this.#roster = new GatewayRoster(timing['heartbeat-ms'] * MISSED_HEARTBEATS);
@@ -136,6 +139,7 @@
     this.#peers.start();
     this.#hosts.start();
     this.#ledgers.start();
+    this.#evacuations.start();
     this.#prober.start();
     this.#collector.start();
     const waitMs = this.#settings.platform['watch-wait-ms'];
@@ -162,6 +166,7 @@
       this.#configurationWatch,
       this.#hosts,
       this.#ledgers,
+      this.#evacuations,
       this.#prober,
       this.#collector,
       this.#peers,
@@ -201,6 +206,15 @@
       explain: name => this.#explain(name),
       burn: () => this.#burn(),
       setCordon: (host, cordoned) => this.#setCordon(host, cordoned),
+      evacuations: {
+        client: this.#client,
+        failureDomains: () => this.#holder.configuration?.deployment['failure-domains'] ?? [],
+        orders: () =>
+          this.#evacuations.synced
+            ? [...this.#evacuations.objects.values()].map(({ value }) => value)
+            : undefined,
+        take: order => this.#evacuations.take([order]),
+      },
       offer: revision => {
         this.#holder.offer(revision);
       },
@@ -267,6 +281,8 @@
       roster: this.#roster,
       remotes: this.#remotes,
       ownView: () => domain.view,
+      evacuations: () =>
+        this.#evacuations.synced ? versioned(this.#evacuations.objects.values()) : undefined,
       loads: () => this.#collector.reports(),
       cacheEvents: from => this.#collector.cacheEvents(from),
     });
--- a/packages/controller/src/views/poll-handler.ts
+++ b/packages/controller/src/views/poll-handler.ts
@@ -1,5 +1,5 @@
 /** Answers polls of gateways and of other controllers. */
-import type { Certificate, DomainView } from '@hingescale/core';
+import type { Certificate, DomainView, VersionedEvacuation } from '@hingescale/core';
 import { certificateExpiry } from '@hingescale/core';
 import type {
   GroupCacheEvents,
@@ -28,6 +28,8 @@
   readonly remotes: RemoteDomains;
   /** The own view, or undefined while this process does not vouch for it. */
   readonly ownView: () => DomainView | undefined;
+  /** Undefined before they were read from the platform. */
+  readonly evacuations: () => readonly VersionedEvacuation[] | undefined;
   readonly loads: () => readonly LoadReport[];
   readonly cacheEvents: (from: Readonly<Record<string, number>>) => readonly GroupCacheEvents[];
 };
@@ -59,6 +61,7 @@
       revision: holder.revision,
       configuration: poll.revision < holder.revision ? holder.current : undefined,
       wantConfiguration: poll.revision > holder.revision,
+      evacuations: fromGateway ? this.#options.evacuations() : undefined,
       usage: fromGateway ? roster.usageWithout(poll.instance) : [],
       cacheEvents: fromGateway ? this.#options.cacheEvents(poll.cacheFrom) : [],
       ...this.#domains(poll, view, fromGateway),
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -11,6 +11,7 @@
 export * from './errors/problem.js';
 export * from './groups/domain-view.js';
 export * from './groups/ledger.js';
+export * from './hosts/evacuation.js';
 export * from './hosts/host.js';
 export * from './hosts/host-protocol.js';
 export * from './policies/program.js';
--- a/packages/gateway/src/callers/services.ts
+++ b/packages/gateway/src/callers/services.ts
@@ -119,7 +119,8 @@
   for (const item of service.runners) {
     const at = item.indexOf('@');
     const url = item.slice(at + 1);
-    if (services.directory.isLeaving(url)) {
+    const { directory } = services;
+    if (directory.isLeaving(url) || !directory.mayReceive(item.slice(0, at))) {
       continue;
     }
     (item.slice(0, at) === services.failureDomain ? own : others).push(url);
--- a/packages/gateway/src/domain/controller-task.ts
+++ b/packages/gateway/src/domain/controller-task.ts
@@ -101,6 +101,9 @@
     if (reply.configuration !== undefined) {
       holder.offer(reply.configuration);
     }
+    if (reply.evacuations !== undefined) {
+      directory.takeEvacuations(reply.evacuations);
+    }
     this.#sendConfiguration = reply.wantConfiguration;
     if (!reply.vouching) {
       return this.#follow(reply.activeAddress);
--- /dev/null
+++ b/packages/gateway/src/domain/evacuated-domains.test.ts
@@ -0,0 +1,30 @@
+/** Evacuations as controllers and the platform tell of them. */
+import type { VersionedEvacuation } from '@hingescale/core';
+import { silentLog } from '@hingescale/runtime';
+import { expect } from 'chai';
+
+import { EvacuatedDomains } from './evacuated-domains.js';
+
+function order(failureDomain: string, version: number, evacuated: boolean): VersionedEvacuation {
+  return { version, evacuation: { failureDomain, evacuated, operator: 'ops', at: '' } };
+}
+
+describe('evacuated failure domains of a gateway', () => {
+  it('keep everything from being sent until orders, or none, have been heard of', () => {
+    const domains = new EvacuatedDomains(silentLog());
+    expect(domains.mayReceive('a')).to.equal(false);
+    domains.take([]);
+    expect(domains.mayReceive('a')).to.equal(true);
+  });
+
+  it('never go back to an older order, whoever tells it', () => {
+    const domains = new EvacuatedDomains(silentLog());
+    domains.take([order('a', 5, true)]);
+    domains.take([order('a', 3, false)]);
+    domains.take([]);
+    expect(domains.mayReceive('a')).to.equal(false);
+    expect(domains.mayReceive('b')).to.equal(true);
+    domains.take([order('a', 8, false)]);
+    expect(domains.mayReceive('a')).to.equal(true);
+  });
+});
--- a/packages/gateway/src/domain/fallback-task.ts
+++ b/packages/gateway/src/domain/fallback-task.ts
@@ -2,10 +2,15 @@
  * Serves the failure domain without a controller: the gateway watches the platform and asks the
  * members of the groups it knows itself. Works for known groups also while the platform is out.
  */
-import type { DomainView, Ledger } from '@hingescale/core';
+import type { DomainView, Evacuation, Ledger } from '@hingescale/core';
 import { buildView, certificateExpiry } from '@hingescale/core';
 import type { ConfigurationHolder, PlatformClient } from '@hingescale/object-store';
-import { HostWatcher, ObjectWatcher, watchConfiguration } from '@hingescale/object-store';
+import {
+  HostWatcher,
+  ObjectWatcher,
+  versioned,
+  watchConfiguration,
+} from '@hingescale/object-store';
 import type { Log, Metrics } from '@hingescale/runtime';
 import { monotonicMs, sleep, Task } from '@hingescale/runtime';
 import type { HostClient } from '@hingescale/upstream';
@@ -32,6 +37,7 @@
 type Watchers = {
   readonly hosts: HostWatcher;
   readonly ledgers: ObjectWatcher<Ledger>;
+  readonly evacuations: ObjectWatcher<Evacuation>;
   readonly configuration: { readonly stop: () => Promise<void> };
 };
 
@@ -97,11 +103,14 @@
     const { client, holder, watchWaitMs } = this.#options;
     const hosts = new HostWatcher(client, watchWaitMs);
     const ledgers = new ObjectWatcher<Ledger>(client, 'ledger', watchWaitMs);
+    const evacuations = new ObjectWatcher<Evacuation>(client, 'evacuation', watchWaitMs);
     hosts.start();
     ledgers.start();
+    evacuations.start();
     return {
       hosts,
       ledgers,
+      evacuations,
       configuration: watchConfiguration(client, holder, watchWaitMs),
     };
   }
@@ -110,6 +119,9 @@
     const { directory, failureDomain, holder } = this.#options;
     const configuration = holder.configuration;
     const watchers = this.#watchers;
+    if (watchers?.evacuations.synced === true) {
+      directory.takeEvacuations(versioned(watchers.evacuations.objects.values()));
+    }
     if (watchers === undefined || configuration === undefined || !watchers.hosts.synced) {
       return;
     }
--- a/packages/gateway/src/domain/group-directory.ts
+++ b/packages/gateway/src/domain/group-directory.ts
@@ -5,11 +5,14 @@
   FailureDomainId,
   GroupId,
   GroupView,
+  VersionedEvacuation,
 } from '@hingescale/core';
 import type { Log, Metrics } from '@hingescale/runtime';
 import { monotonicMs } from '@hingescale/runtime';
 import Emittery from 'emittery';
 
+import { EvacuatedDomains } from './evacuated-domains.js';
+
 /** What the directory tells. */
 export type DirectoryMessages = {
   /** A certificate lapsed: streams on that group must end at once. */
@@ -29,11 +32,13 @@
   readonly #groups = new Map<GroupId, GroupView>();
   readonly #certificates = new Map<GroupId, Certified>();
   readonly #leaving = new Map<string, ReadonlySet<string>>();
+  readonly #evacuated: EvacuatedDomains;
   #timer: NodeJS.Timeout | undefined;
 
   constructor(log: Log, metrics: Metrics) {
     this.#log = log;
     this.#metrics = metrics;
+    this.#evacuated = new EvacuatedDomains(log);
   }
 
   /** Versions of the views held, by failure domain. */
@@ -97,6 +102,17 @@
     void this.messages.emit('changed');
   }
 
+  /** Takes the orders to evacuate failure domains that somebody knows. */
+  takeEvacuations(orders: readonly VersionedEvacuation[]): void {
+    this.#evacuated.take(orders);
+    void this.messages.emit('changed');
+  }
+
+  /** False while nothing new may be sent to hosts of the failure domain. */
+  mayReceive(failureDomain: FailureDomainId): boolean {
+    return this.#evacuated.mayReceive(failureDomain);
+  }
+
   /** True when requests of that epoch may be on the group at this moment. */
   certified(id: GroupId, epoch: number): boolean {
     const certificate = this.#certificates.get(id);
@@ -113,7 +129,8 @@
   /** Groups of a model that may take new requests at this moment. */
   usable(model: string): GroupView[] {
     return [...this.#groups.values()].filter(
-      ({ group, members }) =>
+      ({ group, members, failureDomain }) =>
+        this.mayReceive(failureDomain) &&
         group.content.model === model &&
         group.state === 'ready' &&
         this.certified(group.id, group.epoch) &&
--- a/packages/gateway/src/requests/completion-run.test.ts
+++ b/packages/gateway/src/requests/completion-run.test.ts
@@ -35,6 +35,10 @@
     return this.isCertified;
   }
 
+  mayReceive(): boolean {
+    return true;
+  }
+
   mayServe(): boolean {
     return this.isServing;
   }
--- a/packages/gateway/src/requests/completion-run.ts
+++ b/packages/gateway/src/requests/completion-run.ts
@@ -145,7 +145,9 @@
       priority,
       deadlineMs: deadline - monotonicMs(),
       freshConnection: !repeatable,
-      mayStart: () => directory.certified(target.group.id, target.group.epoch),
+      mayStart: () =>
+        directory.certified(target.group.id, target.group.epoch) &&
+        directory.mayReceive(target.failureDomain),
     };
     const route = router.enter(target, request.prompt, workspace);
     this.#route = route;
--- a/packages/link/src/messages.ts
+++ b/packages/link/src/messages.ts
@@ -5,6 +5,7 @@
   DomainView,
   FailureDomainId,
   KeyOwnerTable,
+  VersionedEvacuation,
 } from '@hingescale/core';
 
 /** Names of the requests on links. */
@@ -87,6 +88,8 @@
   /** Views that differ from those the asker holds. */
   readonly views: readonly DomainView[];
   readonly certificates: readonly Certificate[];
+  /** All orders to evacuate failure domains; undefined before the controller has read them. */
+  readonly evacuations?: readonly VersionedEvacuation[];
   readonly loads: readonly LoadReport[];
   readonly cacheEvents: readonly GroupCacheEvents[];
   readonly keys: readonly KeyGrant[];
--- a/packages/object-store/src/index.ts
+++ b/packages/object-store/src/index.ts
@@ -2,6 +2,7 @@
 export * from './configuration-holder.js';
 export * from './configuration-store.js';
 export * from './configuration-watch.js';
+export * from './evacuation-store.js';
 export * from './platform-client.js';
 export * from './platform-error.js';
 export * from './watcher.js';
--- a/packages/object-store/src/platform-client.ts
+++ b/packages/object-store/src/platform-client.ts
@@ -7,7 +7,8 @@
 import { PlatformError } from './platform-error.js';
 
 /** Kinds of object that the system keeps in the platform. */
-export type ObjectKind = 'configuration' | 'configuration-part' | 'ledger' | 'lease' | 'audit';
+export type ObjectKind =
+  'configuration' | 'configuration-part' | 'evacuation' | 'ledger' | 'lease' | 'audit';
 
 /** An object as stored. */
 export type StoredObject<T> = {
