--- a/packages/entry/src/groups/staging-plan.ts
+++ b/packages/entry/src/groups/staging-plan.ts
@@ -114,10 +114,12 @@
 ): readonly Candidate[] {
   const have = domain.free.filter(host => willHave(host, model, view)).length;
   const missing = model.size - (have % model.size);
+  const able = domain.free.filter(host => canStage(host, model, view));
+  if (able.length < missing) {
+    return [];
+  }
   const kept = preparedIn(view, domain, model);
-  const hosts = domain.free.filter(
-    host => canStage(host, model, view) && !losesCopyOf(kept, host, view),
-  );
+  const hosts = kept.length === 0 ? able : able.filter(host => !losesCopyOf(kept, host, view));
   if (hosts.length < missing) {
     return [];
   }
