A store that is down is asked once in two seconds by each follower, for all kinds together

Cause: kinds that had waited for the same reader woke together; the first made it avoided again, and the others, with no reader left, fell through to the store although its outage was known. Ruled out: longer avoid times (they are kept to only if nobody falls through); a lock around readers. Change: WatchedKind waits until some reader is worth asking before each step.

--- a/packages/entry/src/store/watched-kind.ts
+++ b/packages/entry/src/store/watched-kind.ts
@@ -86,6 +86,7 @@
   /** Runs until it is stopped. */
   async run(): Promise<void> {
     while (!this.#abort.signal.aborted) {
+      await this.#untilUsable();
       const reader = this.#nextReader();
       try {
         const changed = await this.#step(reader);
@@ -99,6 +100,19 @@
     }
   }
 
+  // Kinds that wait for the same reader wake together, and the first finds out for all how it is; without
+  // this the others went to the store, whose outage is known, several times a second from each host.
+  async #untilUsable(): Promise<void> {
+    const { readers } = this.#options;
+    for (;;) {
+      const usableInMs = readers.usableInMs();
+      if (usableInMs <= 0 || this.#abort.signal.aborted) {
+        return;
+      }
+      await sleep(usableInMs, this.#abort.signal);
+    }
+  }
+
   #nextReader(): KindReader {
     const { readers, firstReader } = this.#options;
     const isFirst = this.cache.revision === undefined && this.#failures === 0;
