--- a/packages/entry/src/store/watched-kind.ts
+++ b/packages/entry/src/store/watched-kind.ts
@@ -66,9 +66,6 @@
 /** Short, since a host that has just started knows nothing until the store is back. */
 const MAX_RETRY_MS = 300;
 
-/** Part by which waits for a reader differ, so that the kinds do not all find it usable at once. */
-const SPREAD = 0.25;
-
 /** A running watch. */
 export class WatchedKind {
   /** What is known of the kind. */
@@ -103,17 +100,16 @@
     }
   }
 
-  // Another kind may have found the readers out while this one paused. With five kinds that each ask the
-  // store all the same, a host made 3.4 calls a second to a store that was out, and 0.5 with this wait.
+  // Kinds that wait for the same reader wake together, and the first finds out for all how it is; without
+  // this the others went to the store, whose outage is known, several times a second from each host.
   async #untilUsable(): Promise<void> {
-    const { readers, random = Math.random } = this.#options;
-    const { signal } = this.#abort;
+    const { readers } = this.#options;
     for (;;) {
       const usableInMs = readers.usableInMs();
-      if (usableInMs <= 0 || signal.aborted) {
+      if (usableInMs <= 0 || this.#abort.signal.aborted) {
         return;
       }
-      await sleep(usableInMs * (1 + SPREAD * random()), signal);
+      await sleep(usableInMs, this.#abort.signal);
     }
   }
 
