Gauge of cold hosts

Cause: an operator saw what is sent to cold hosts, not how many there are. Change: cold_hosts beside the gauges of evacuations.

--- a/packages/entry/src/routing/send-rules.ts
+++ b/packages/entry/src/routing/send-rules.ts
@@ -38,6 +38,7 @@
       log,
       counters: metrics.counters,
     });
+    metrics.gauges.follow('cold_hosts', () => [{ labels: {}, value: this.slowStart.coldHosts }]);
     this.evacuated = new EvacuatedDomains({
       isFollowed: bounds.evacuationMs !== undefined,
       changed: evacuationsChanged,
