--- a/packages/entry/src/entry-host.ts
+++ b/packages/entry/src/entry-host.ts
@@ -5,7 +5,6 @@
 import type { ConfigurationReader } from './configuration/configuration-holder.js';
 import { ConfigurationHolder } from './configuration/configuration-holder.js';
 import type { EngineProfile } from './configuration/serving-configuration.js';
-import { EvacuatedDomains } from './evacuation/evacuated-domains.js';
 import { Coordinator } from './groups/coordinator.js';
 import type { HostOrders } from './groups/host-orders.js';
 import { LackingGroups } from './groups/lacking-groups.js';
@@ -15,6 +14,7 @@
 import { HostRegistry } from './hosts/host-registry.js';
 import { DEFAULT_LEASE_TIMING, LeaseTask } from './lease/lease-task.js';
 import { Peers } from './peers/peers.js';
+import { ColdWaits } from './requests/cold-wait.js';
 import type { RelayHeaders } from './requests/relay-headers.js';
 import type { RelayServices } from './requests/relay-services.js';
 import { RequestIntake } from './requests/request-intake.js';
@@ -24,17 +24,17 @@
 import { HostActivities } from './routing/host-activity.js';
 import type { OutlierVerdict } from './routing/outlier-reports.js';
 import { liveRetryBounds } from './routing/retry-budget.js';
-import { SendEligibility } from './routing/send-eligibility.js';
+import { SendRules } from './routing/send-rules.js';
+import { SubsetChoice } from './routing/subset-choice.js';
 import type { Target } from './routing/target-chooser.js';
 import { TargetChooser } from './routing/target-chooser.js';
 import { CallerServer } from './server/caller-server.js';
 import type { EntrySettings } from './server/entry-settings.js';
 import type { Log } from './server/log.js';
-import { Counters, Latencies } from './server/metrics.js';
+import { newMetrics } from './server/metrics.js';
 import { changedSettings } from './server/settings-change.js';
 import { serveMetrics, serveReadiness } from './server/side-servers.js';
 import { monotonicMs, sleep } from './server/time.js';
-import { NO_COLD_HOSTS } from './slow-start/cold-sends.js';
 import { FollowedKinds } from './store/followed-kinds.js';
 import { configurationObserver, hostsObserver } from './store/kind-observers.js';
 import { storeReader } from './store/kind-reader.js';
@@ -54,10 +54,6 @@
   readonly log: Log;
 };
 
-/** Part of the revocation bound that is left for what is under way. */
-const KEY_MARGIN_MS = 500;
-/** Entry hosts that share the bounds where they do not know each other. */
-const HOSTS_WITHOUT_PEERS = 10;
 /** Time that callers' balancers need to notice that this host is leaving. */
 const NOTICE_MS = 2_600;
 const GRACE_MARGIN_MS = 700;
@@ -68,8 +64,8 @@
   readonly #options: EntryHostOptions;
   readonly #instance: string;
   #settings: EntrySettings;
-  readonly #counters = new Counters();
-  readonly #latencies = new Latencies();
+  readonly #metrics = newMetrics();
+  readonly #counters = this.#metrics.counters;
   readonly #holder: ConfigurationHolder;
   readonly #registry: HostRegistry;
   readonly #activities = new HostActivities();
@@ -79,8 +75,7 @@
     entryOf: id => this.#registry.get(id),
   });
   readonly #demand = new DemandMeter(key => this.#peers?.tally.work.ofOthers(key) ?? 0);
-  readonly #evacuated: EvacuatedDomains;
-  readonly #eligibility: SendEligibility;
+  readonly #rules: SendRules;
   readonly #chooser: TargetChooser;
   readonly #lease: LeaseTask;
   readonly #coordinator: Coordinator;
@@ -103,19 +98,15 @@
       objectName: options.configurationName,
       log,
     });
-    this.#registry = new HostRegistry(options.readHost, log);
-    this.#evacuated = new EvacuatedDomains({
-      isFollowed: settings.bounds.evacuationMs !== undefined,
-      changed: () => undefined,
-      ended: () => undefined,
+    this.#rules = new SendRules({
+      settings: () => this.#settings,
+      members: settings.peers && (() => this.#peers?.membership.view),
+      slowStartOf: service => this.#holder.table?.service(service)?.slowStart,
+      evacuationsChanged: () => undefined,
       log,
+      metrics: this.#metrics,
     });
-    const regionOf = (domain: string): string | undefined =>
-      settings.regions.find(({ failureDomain }) => failureDomain === domain)?.region;
-    this.#eligibility = new SendEligibility(
-      { evacuations: this.#evacuated, coldSends: NO_COLD_HOSTS, regionOf },
-      this.#counters,
-    );
+    this.#registry = new HostRegistry(options.readHost, log, this.#rules.slowStart.batchTaken);
     this.#lease = new LeaseTask({
       store,
       host: settings.name,
@@ -129,15 +120,23 @@
     this.#coordinator = this.#makeCoordinator();
     this.#limits = new ServiceLimits({
       retries: liveRetryBounds(() => this.#settings.bounds),
-      // A host without peers is one of few.
-      hosts: () => this.#peers?.membership.count ?? HOSTS_WITHOUT_PEERS,
+      hosts: () => this.#peers?.membership.count,
+      log,
+      counters: this.#counters,
     });
     this.#chooser = new TargetChooser(this.#registry, this.#activities, {
       failureDomain: settings.failureDomain,
-      eligibility: (host, homes, now) => this.#eligibility.of(host, homes, now),
+      eligibility: (host, homes, now) => this.#rules.eligibility.of(host, homes, now),
+      coldPace: this.#rules.slowStart.sends.paceOf,
       othersAt: hostId => this.#peers?.tally.loads.ofOthers(hostId) ?? 0,
       lacksMember: group => this.#lacksMember(group),
       outlier: (target, now) => this.#outlier(target, now),
+      subsets: new SubsetChoice({
+        self: settings.name,
+        membership: this.#peers?.membership,
+        connections: this.#limits,
+        counters: this.#counters,
+      }),
     });
     this.#intake = new RequestIntake(this.#holder, this.#relayServices());
     this.#callers = new CallerServer((request, response) => {
@@ -147,7 +146,7 @@
 
   /** True while new callers are welcome. */
   get ready(): boolean {
-    const isInformed = this.#hostsKnown && this.#evacuated.isKnown;
+    const isInformed = this.#hostsKnown && this.#rules.evacuated.isKnown;
     return !this.#stopping && this.#holder.table !== undefined && isInformed;
   }
 
@@ -157,13 +156,14 @@
     await this.#peers?.start();
     this.#kinds.start();
     this.#coordinator.start();
-    this.#runInBackground('lease', this.#competeForLease());
+    this.#competeForLease().catch((error: unknown) => {
+      log.error('task ended', { task: 'lease', cause: String((error as Error).stack) });
+    });
     const { callers, readiness, metrics } = settings;
     await this.#callers.listen(callers.ip, callers.port);
     this.#sideServers.push(await serveReadiness(readiness.ip, readiness.port, () => this.ready));
     if (metrics !== undefined) {
-      const server = serveMetrics(metrics.ip, metrics.port, this.#counters, this.#latencies);
-      this.#sideServers.push(await server);
+      this.#sideServers.push(await serveMetrics(metrics.ip, metrics.port, this.#metrics));
     }
     log.info('entry host started', {
       instance: this.#instance,
@@ -219,10 +219,6 @@
     this.#options.store.close();
   }
 
-  get #followsStore(): boolean {
-    return this.#peers?.followsStore ?? true;
-  }
-
   #makePeers(): Peers | undefined {
     const { settings, store, log } = this.#options;
     const { peers, name, failureDomain } = settings;
@@ -268,6 +264,8 @@
       inTouchSince: () => this.#kinds.of(OBJECT_KINDS.hosts)?.inTouchSince ?? Infinity,
       loadWindowMs: settings.bounds.loadWindowMs,
       mayLoadFreely: service => this.#intake.total === 0 && !this.#demand.hasRequests(service),
+      isEvacuated: this.#rules.evacuated.isEvacuated,
+      coldMsOf: service => this.#holder.table?.service(service)?.slowStart?.coldMs ?? 0,
       log,
       counters: this.#counters,
     });
@@ -286,7 +284,12 @@
   #makeKinds(): FollowedKinds {
     const store = storeReader(this.#options.store);
     const { bounds } = this.#settings;
-    const alone = { choose: () => store, note: (): void => undefined, usableInMs: () => 0 };
+    const alone = {
+      choose: () => store,
+      peek: () => store,
+      note: (): void => undefined,
+      usableInMs: () => 0,
+    };
     const members = this.#peers?.membership.observer;
     return new FollowedKinds({
       readers: this.#peers?.readers ?? alone,
@@ -300,9 +303,9 @@
         ...(members === undefined ? {} : { [OBJECT_KINDS.members]: members }),
         ...(bounds.evacuationMs === undefined
           ? {}
-          : { [OBJECT_KINDS.evacuations]: this.#evacuated.observer }),
+          : { [OBJECT_KINDS.evacuations]: this.#rules.evacuated.observer }),
       },
-      followsStore: () => this.#followsStore,
+      followsStore: () => this.#peers?.followsStore ?? true,
       hostsView: () => this.#peers?.hostsView ?? 'full',
       firstReader: () => this.#peers?.firstReader,
       peersKnown: () => this.#peers?.membership.known() ?? Promise.resolve(),
@@ -316,12 +319,6 @@
     await this.#lease.run();
   }
 
-  #runInBackground(name: string, running: Promise<void>): void {
-    running.catch((error: unknown) => {
-      this.#options.log.error('task ended', { task: name, cause: String((error as Error).stack) });
-    });
-  }
-
   #applyConfiguration(): void {
     const table = this.#holder.table;
     if (table === undefined) {
@@ -372,7 +369,8 @@
       headers,
       registry: this.#registry,
       chooser: this.#chooser,
-      eligibility: this.#eligibility,
+      eligibility: this.#rules.eligibility,
+      coldWaits: new ColdWaits(),
       activities: this.#activities,
       demand: this.#demand,
       stalls: this.#stalls,
@@ -382,14 +380,10 @@
         this.#suspect(service, target, isUnreachable);
       },
       isUnreachable: target => this.#outlier(target, monotonicMs())?.isUnreachable ?? false,
-      keysHold: () => {
-        const { bounds } = this.#settings;
-        const limit = bounds.keyRevocationMs - KEY_MARGIN_MS;
-        return !bounds.keysFailClosed || this.#holder.confirmationAgeMs < limit;
-      },
+      keysHold: () => this.#holder.keysHold(this.#settings.bounds),
       log,
       counters: this.#counters,
-      latencies: this.#latencies,
+      latencies: this.#metrics.latencies,
     };
   }
 }
--- a/packages/entry/src/groups/plans.test.ts
+++ b/packages/entry/src/groups/plans.test.ts
@@ -6,6 +6,7 @@
 import type { HostEntry } from '../hosts/host-entry.js';
 import { testHost } from '../testing/groups.js';
 import { CapacityValue } from './capacity-value.js';
+import { planIdleFormations, planIdleStagings } from './evacuated-plan.js';
 import type { FleetDomain, FleetView, PlacedGroup } from './fleet-view.js';
 import { mostUsable } from './fleet-view.js';
 import { FREE_LOADS, NO_LOADS, planFormations } from './formation-plan.js';
@@ -60,7 +61,15 @@
 }
 
 function fleet(...domains: FleetDomain[]): FleetView {
-  return { profile: PROFILE, domains, stagingNow: () => undefined, slow: new Set() };
+  return {
+    profile: PROFILE,
+    domains,
+    evacuated: [],
+    isReturning: false,
+    lapsed: new Set(),
+    stagingNow: () => undefined,
+    slow: new Set(),
+  };
 }
 
 function modelsOf(planned: readonly { readonly model: GroupModel }[]): readonly string[] {
@@ -114,6 +123,24 @@
     expect(modelsOf(planned)).to.include.members(['large', 'small']);
   });
 
+  it('puts the host that is warm soonest at the head, whatever else makes it dearer', () => {
+    const cold = (left: number, change: HostEntry): HostEntry => ({ ...change, coldLeftMs: left });
+    const chosen = [
+      cold(2_000, host('small')),
+      cold(900, host('small')),
+      cold(3_000, host('large')),
+      cold(0, host('large', 'small')),
+    ];
+    const free = [...chosen, ...hosts(1, 'large').map(one => cold(0, one))];
+    for (const planned of planFormations(fleet(domain('d0', free)), FREE_LOADS)) {
+      const left = planned.hosts.map(member => member.coldLeftMs);
+      expect(left[0]).to.equal(Math.min(...left));
+    }
+    const warm = hosts(4, 'large');
+    const [formation] = planFormations(fleet(domain('d0', warm)), NO_LOADS);
+    expect(formation?.hosts).to.deep.equal(warm);
+  });
+
   it('never takes a host twice, nor a group across domains', () => {
     const staged = fc.constantFrom(undefined, 'large', 'small');
     const anyDomain = fc.array(staged, { maxLength: 9 });
@@ -175,6 +202,83 @@
   });
 });
 
+describe('plans with an evacuated failure domain', () => {
+  const elsewhere = (free: HostEntry[], groups: PlacedGroup[] = []): FleetDomain => ({
+    ...domain('d9', free, groups),
+    failureDomain: 'z',
+  });
+
+  it('do not count its groups', () => {
+    const manyLarge = Array.from({ length: 8 }, () => group(LARGE));
+    const view = fleet(domain('d0', hosts(3, 'small', 'large'), [group(LARGE), group(SMALL)]));
+    const withIdle = { ...view, evacuated: [elsewhere([], manyLarge)] };
+    expect(planFormations(withIdle, FREE_LOADS)).to.deep.equal(planFormations(view, FREE_LOADS));
+    expect(planStagings(withIdle, 6)).to.deep.equal(planStagings(view, 6));
+  });
+
+  it('dissolve none of its groups, whatever they would be worth elsewhere', () => {
+    const ready = group(SMALL, 'large');
+    const others = [group(SMALL), group(SMALL), group(SMALL)];
+    const idle = elsewhere(hosts(3, 'large', 'large'), [ready]);
+    const view = { ...fleet(domain('d1', [], others)), evacuated: [idle] };
+    expect(planDissolution(view)).to.equal(undefined);
+  });
+
+  it('form its free hosts into groups without touching the others', () => {
+    const idle = elsewhere(hosts(4, 'large', 'large'));
+    const view = { ...fleet(domain('d0', hosts(3), [group(SMALL)])), evacuated: [idle] };
+    const planned = planIdleFormations(view, NO_LOADS);
+    expect(modelsOf(planned)).to.deep.equal(['large']);
+    expect(planned[0]?.hosts.every(member => idle.free.includes(member))).to.equal(true);
+  });
+
+  it('leave half of the remaining loads to the domains in use, and the last one', () => {
+    const view = { ...fleet(domain('d0', [])), evacuated: [elsewhere(hosts(16))] };
+    expect(planIdleStagings(view, 1)).to.deep.equal([]);
+    expect(planIdleStagings(view, 6)).to.have.length(3);
+  });
+
+  it('stage there only what completes a group', () => {
+    const idle = elsewhere(hosts(1), [group(LARGE), group(SMALL)]);
+    expect(planIdleStagings({ ...fleet(domain('d0', [])), evacuated: [idle] }, 6)).to.deep.equal(
+      [],
+    );
+  });
+
+  it('give up nothing while a domain returns, but for a model that nobody serves', () => {
+    const ready = group(SMALL, 'large');
+    const others = [group(SMALL), group(SMALL), group(SMALL)];
+    const lacking = domain('d0', hosts(3, 'large', 'large'), [ready]);
+    const unserved = { ...fleet(lacking, domain('d1', [], others)), isReturning: true };
+    expect(planDissolution(unserved)?.groups).to.deep.equal([ready]);
+    const served = fleet(lacking, domain('d1', [], [...others, group(SMALL), group(LARGE)]));
+    expect(planDissolution(served)?.groups).to.deep.equal([ready]);
+    expect(planDissolution({ ...served, isReturning: true })).to.equal(undefined);
+  });
+
+  it('never mix hosts of both', () => {
+    const staged = fc.array(fc.constantFrom(undefined, 'large', 'small'), { maxLength: 12 });
+    fc.assert(
+      fc.property(staged, staged, (inUse, idle) => {
+        const used = domain(
+          'd0',
+          inUse.map(model => host(model)),
+        );
+        const left = elsewhere(idle.map(model => host(model)));
+        const view = { ...fleet(used), evacuated: [left] };
+        const formed = planFormations(view, FREE_LOADS).flatMap(formation => formation.hosts);
+        const staging = planStagings(view, 6).map(planned => planned.host);
+        expect([...formed, ...staging].every(one => used.free.includes(one))).to.equal(true);
+        const idleFormed = planIdleFormations(view, FREE_LOADS).flatMap(({ hosts: of }) => of);
+        const idleStaging = planIdleStagings(view, 6).map(planned => planned.host);
+        expect([...idleFormed, ...idleStaging].every(one => left.free.includes(one))).to.equal(
+          true,
+        );
+      }),
+    );
+  });
+});
+
 describe('staging plan', () => {
   it('completes a group with one load before it prepares another with two', () => {
     const groups = [group(LARGE), group(SMALL), group(SMALL)];
@@ -213,6 +317,31 @@
     expect(modelsOf(planned)).to.deep.equal(['small', 'small']);
   });
 
+  it('leaves copies alone while the hosts of their domain come back one after the other', () => {
+    const back = hosts(2, 'large', 'large');
+    const empty = host();
+    const view = fleet(domain('d0', [...back, empty]), domain('d1', [], [group(LARGE)]));
+    const planned = planStagings(view, 6).map(({ host: one }) => one);
+    expect(planned, 'else copies make way').to.include.members(back);
+    const lapsed = new Set(['d0']);
+    const loads = planStagings({ ...view, lapsed }, 6).map(({ host: one }) => one);
+    expect(loads.filter(one => back.includes(one))).to.deep.equal([]);
+  });
+
+  it('takes no copy from a group that a running load completes', () => {
+    const staging = host();
+    const copiesTaken = (copies: number): number => {
+      const staged = hosts(copies, 'large');
+      const view = fleet(domain('d0', [...staged, staging]), domain('d1', [], [group(SMALL)]));
+      const stagingNow = (id: string): string | undefined =>
+        id === staging.id ? 'large' : undefined;
+      const planned = planStagings({ ...view, stagingNow }, 6);
+      return planned.filter(({ host: one }) => staged.includes(one)).length;
+    };
+    expect(copiesTaken(LARGE.size - 1)).to.equal(0);
+    expect(copiesTaken(LARGE.size - 2), 'no group comes of them').to.be.at.least(1);
+  });
+
   it('leaves a staged copy alone that a host has nothing loaded beside', () => {
     const view = fleet(domain('d0', hosts(1, 'small'), [group(LARGE), group(SMALL)]));
     expect(planStagings(view, 6).map(staging => staging.host)).to.not.include(
--- a/packages/entry/src/peers/reader-choice.ts
+++ b/packages/entry/src/peers/reader-choice.ts
@@ -41,6 +41,13 @@
   most: 60_000,
 } as const;
 
+/**
+ * Peers in a row that have gone silent before an urgent kind is read from the store. Each costs up to
+ * half a second; six of them cost more than the 5 s that an evacuation has. Not one, so that the loss of
+ * the followed host does not bring all its followers to the store at once.
+ */
+const MOST_SILENT_PEERS = 2;
+
 /** The choice, with what is known of each reader. */
 export class PeerReaderChoice implements ReaderChoice {
   readonly #options: PeerReaderChoiceOptions;
@@ -48,6 +55,7 @@
   readonly #failures = new Map<string, number>();
   #current: KindReader;
   #followsBelow = false;
+  #silentPeers = 0;
 
   constructor(options: PeerReaderChoiceOptions) {
     this.#options = options;
@@ -67,18 +75,40 @@
     return !this.#followsBelow;
   }
 
-  /** The reader of the next step. */
-  choose(): KindReader {
+  /** The reader of the next step; for an urgent kind the store, once peers in a row were silent. */
+  choose(isUrgent = false): KindReader {
+    const { store } = this.#options;
+    if (this.#skipsPeers(isUrgent)) {
+      return store;
+    }
+    const { reader, isBelow } = this.#best();
+    this.#followsBelow = isBelow;
+    this.#current = reader;
+    if (reader === store) {
+      this.#noteProbe();
+    }
+    return reader;
+  }
+
+  /** The reader that would be chosen; nothing is noted. */
+  peek(isUrgent = false): KindReader {
+    return this.#skipsPeers(isUrgent) ? this.#options.store : this.#best().reader;
+  }
+
+  #skipsPeers(isUrgent: boolean): boolean {
+    const skips = isUrgent && this.#silentPeers >= MOST_SILENT_PEERS;
+    return skips && !this.isAvoided(this.#options.store.name);
+  }
+
+  #best(): { readonly reader: KindReader; readonly isBelow: boolean } {
     const { store, candidates } = this.#options;
     const { above, below } = candidates();
     const fromAbove = this.#firstUsable(above);
     const fromBelow = this.isAvoided(store.name) ? this.#firstUsable(below) : undefined;
-    this.#followsBelow = fromAbove === undefined && fromBelow !== undefined;
-    this.#current = fromAbove ?? fromBelow ?? store;
-    if (this.#current === store) {
-      this.#noteProbe();
-    }
-    return this.#current;
+    return {
+      reader: fromAbove ?? fromBelow ?? store,
+      isBelow: fromAbove === undefined && fromBelow !== undefined,
+    };
   }
 
   /** Milliseconds until some reader is worth asking; 0 when one is. */
@@ -104,11 +134,13 @@
     if (outcome === 'fresh') {
       this.#avoidUntil.delete(reader.name);
       this.#failures.delete(reader.name);
+      this.#silentPeers = 0;
       return;
     }
     // Several kinds are read at once; what they all lose at one time is one failure.
     if (outcome === 'failed' && !this.isAvoided(reader.name)) {
       this.#failures.set(reader.name, (this.#failures.get(reader.name) ?? 0) + 1);
+      this.#silentPeers += Number(reader !== this.#options.store);
     }
     this.#avoidUntil.set(reader.name, this.#now() + this.#avoidMs(reader, outcome));
   }
--- a/packages/entry/src/requests/exchange.ts
+++ b/packages/entry/src/requests/exchange.ts
@@ -4,6 +4,9 @@
 import type { Socket } from 'node:net';
 
 import type { HostEntry } from '../hosts/host-entry.js';
+import type { ConnectTimes } from '../routing/connect-times.js';
+import { MOST_CONNECT_MS } from '../routing/connect-times.js';
+import { monotonicMs } from '../server/time.js';
 import type { RawHeaders } from './relay-headers.js';
 import type { UpstreamConnections } from './upstream-connections.js';
 
@@ -16,15 +19,26 @@
   readonly body: Buffer | undefined;
   /** Undefined for a connection of its own. */
   readonly connections: UpstreamConnections | undefined;
-  readonly connectTimeoutMs: number;
+  readonly connects: ConnectTimes;
 };
 
+/**
+ * Time after the send within which a kept connection that was closed before makes itself known, in
+ * milliseconds: a round trip, and a processor that is late. A later end is one of the host or its work.
+ */
+const STALE_KNOWN_MS = 100;
+
 /** How an exchange ended. */
 export type ExchangeEnd =
   /** The whole answer has come. */
   | 'whole'
   /** Nothing has left this process. */
   | 'never-sent'
+  /**
+   * Sent on a kept connection that was closed or reset before any answer: it may have run, but says
+   * nothing of the host, which may have closed it for being idle.
+   */
+  | 'stale'
   /** Sent, and no head of an answer has come. */
   | 'lost'
   /** The answer broke off. */
@@ -50,10 +64,11 @@
 
 /** Starts an exchange. */
 export function startExchange(call: ExchangeRequest, observer: ExchangeObserver): Exchange {
-  const { host, method, url, headers, body, connections } = call;
+  const { host, method, url, headers, body, connections, connects } = call;
   let ended = false;
   let answer: IncomingMessage | undefined;
   let connected = false;
+  const sentAt = monotonicMs();
   const sent = httpRequest({
     host: host.ip,
     port: host.port,
@@ -70,8 +85,9 @@
     ended = true;
     clearTimeout(connectTimer);
     if (how !== 'whole') {
-      // A kept connection can go silent for good without a reset, and so may others to the host.
-      if (how === 'cancelled' && answer === undefined && sent.reusedSocket) {
+      // A kept connection can go silent for good, or be reset, and so may others to the host.
+      const isDoubtful = how === 'stale' || (how === 'cancelled' && answer === undefined);
+      if (isDoubtful && sent.reusedSocket) {
         connections?.closeIdleTo(host.ip, host.port);
       }
       sent.destroy();
@@ -79,23 +95,43 @@
     observer.ended(how);
   };
   const lost = (): void => {
-    end(answer !== undefined ? 'broken' : connected ? 'lost' : 'never-sent');
+    if (answer !== undefined) {
+      end('broken');
+    } else if (connected) {
+      const isEarly = monotonicMs() - sentAt < STALE_KNOWN_MS;
+      end(sent.reusedSocket && isEarly ? 'stale' : 'lost');
+    } else {
+      end('never-sent');
+    }
   };
-  const connectTimer = setTimeout(() => {
+  const giveUpConnecting = (): void => {
     if (!connected) {
       end('never-sent');
     }
-  }, call.connectTimeoutMs);
+  };
+  // First for a place among the connections to the host, then for the connection itself.
+  let connectTimer = afterTurn(giveUpConnecting, MOST_CONNECT_MS);
   sent.on('socket', (socket: Socket) => {
-    const onConnect = (): void => {
+    clearTimeout(connectTimer);
+    if (!socket.connecting) {
       connected = true;
-      clearTimeout(connectTimer);
-    };
-    if (socket.connecting) {
-      socket.once('connect', onConnect);
-    } else {
-      onConnect();
+      return;
     }
+    const connectingSince = monotonicMs();
+    const noteTime = (): void => {
+      connects.note(host.failureDomain, monotonicMs() - connectingSince);
+    };
+    connectTimer = afterTurn(() => {
+      if (!connected && !ended) {
+        noteTime();
+      }
+      giveUpConnecting();
+    }, connects.limitMs(host.failureDomain));
+    socket.once('connect', () => {
+      connected = true;
+      clearTimeout(connectTimer);
+      noteTime();
+    });
   });
   sent.on('error', lost);
   sent.on('close', lost);
@@ -124,3 +160,10 @@
     resume: () => answer?.resume(),
   };
 }
+
+// When this process was held up, the connection may be there already: it is heard of before the call.
+function afterTurn(call: () => void, ms: number): NodeJS.Timeout {
+  return setTimeout(() => {
+    setImmediate(call);
+  }, ms);
+}
--- a/packages/entry/src/requests/plain-relay.ts
+++ b/packages/entry/src/requests/plain-relay.ts
@@ -2,10 +2,11 @@
 import type { IncomingMessage } from 'node:http';
 
 import { kindOf } from '../routing/host-activity.js';
-import type { Target } from '../routing/target-chooser.js';
-import { monotonicMs, sleep } from '../server/time.js';
+import type { Target, TargetQuery } from '../routing/target-chooser.js';
+import { monotonicMs } from '../server/time.js';
 import { AttemptLog } from './attempt-log.js';
-import { claimTarget } from './claim-target.js';
+import { awaitTarget, isTarget } from './await-target.js';
+import { connectionsFor } from './connection-choice.js';
 import type { ExchangeEnd } from './exchange.js';
 import { startExchange } from './exchange.js';
 import type { FinalAnswer } from './final-answer.js';
@@ -14,18 +15,17 @@
 import type { RelayServices } from './relay-services.js';
 import type { RequestContext } from './request-context.js';
 import { mayRepeat } from './request-context.js';
+import { isForbidding, RETRY_AFTER_FORBIDDEN_MS, RETRY_AFTER_MS } from './retry-after.js';
 import { upstreamHeaders } from './upstream-request.js';
+import type { NoTargetReason } from './wait-for-target.js';
 
-/** Longest time a request waits for a first target, as a part of its objective. */
-const HOLD_PART = 0.2;
-const HOLD_STEP_MS = 15;
-const CONNECT_TIMEOUT_MS = 300;
-const RETRY_AFTER_MS = 250;
 const MAX_ANSWER_BYTES = 16 * 1024 * 1024;
 /** Margin in which the final answer goes out before it is due, in milliseconds. */
 const DEADLINE_MARGIN_MS = 15;
 const NOTHING_DROPPED: ReadonlySet<string> = new Set(['content-length']);
 
+type GiveUpReason = NoTargetReason | 'not-run';
+
 type WholeAnswer = { readonly head: IncomingMessage; readonly body: Buffer };
 
 type AttemptEnd =
@@ -35,6 +35,8 @@
   | { readonly kind: 'never-sent' }
   /** It may have run; there is no answer that can be passed on. */
   | { readonly kind: 'lost'; readonly detail: string }
+  /** The kept connection that it went on was closed or reset; it may have run. */
+  | { readonly kind: 'stale' }
   | { readonly kind: 'gone' };
 
 /** One call of a caller. */
@@ -55,13 +57,14 @@
   /** Sends the call until it is answered or may not be sent again; then answers. */
   async run(): Promise<void> {
     for (;;) {
-      const target = await this.#target();
+      const query = (): TargetQuery => this.#query();
+      const target = await awaitTarget(this.#services, this.#context, query);
       // The caller may have left while the call was held: then it must not reach a host any more.
       if (this.#context.gone.aborted) {
         return;
       }
-      if (target === undefined) {
-        this.#giveUp('no-target');
+      if (!isTarget(target)) {
+        this.#giveUp(target.reason, target.targets);
         return;
       }
       const end = await this.#attempt(target);
@@ -83,17 +86,10 @@
     }
   }
 
-  async #target(): Promise<Target | undefined> {
-    const { service, route, arrivedAt, gone, homeRegions } = this.#context;
-    const query = { service, model: undefined, homeRegions, exclude: this.#log.tried };
-    const holdUntil = arrivedAt + route.objectiveMs * HOLD_PART;
-    for (;;) {
-      const target = claimTarget(this.#services, query);
-      if (target !== undefined || monotonicMs() >= holdUntil || gone.aborted) {
-        return target;
-      }
-      await sleep(HOLD_STEP_MS, gone);
-    }
+  #query(): TargetQuery {
+    const { service, homes } = this.#context;
+    const homeRegions = homes.inForce();
+    return { service, model: undefined, homeRegions, exclude: this.#log.tried };
   }
 
   // An own failure of a host, or an answer of which nobody can tell whether it is whole, is worth
@@ -104,8 +100,8 @@
   }
 
   #attempt(target: Target): Promise<AttemptEnd> {
-    const { route, gone, deadline, request, body, service } = this.#context;
-    const { activities, headers: names, connectionsOf } = this.#services;
+    const { gone, deadline, request, body } = this.#context;
+    const { activities, headers: names } = this.#services;
     const sentAt = monotonicMs();
     const chunks: Buffer[] = [];
     let bytes = 0;
@@ -127,8 +123,8 @@
           url: request.url ?? '/',
           headers: upstreamHeaders(this.#context, names, target, undefined),
           body,
-          connections: mayRepeat(route) ? connectionsOf(service) : undefined,
-          connectTimeoutMs: CONNECT_TIMEOUT_MS,
+          connections: connectionsFor(this.#services, this.#context),
+          connects: activities.connects,
         },
         {
           head: answer => {
@@ -174,6 +170,9 @@
       return { kind: 'not-run' };
     }
     this.#log.noteMayRun();
+    if (end === 'stale') {
+      return { kind: 'stale' };
+    }
     if (end !== 'whole' || head === undefined) {
       return { kind: 'lost', detail: end };
     }
@@ -203,7 +202,7 @@
     } else if (end.kind !== 'gone') {
       if (end.kind === 'never-sent') {
         activities.noteUnreachable(target.host);
-      } else {
+      } else if (end.kind !== 'stale') {
         activities.noteFailure(target.host.id);
       }
       log.warn('attempt failed', {
@@ -234,7 +233,7 @@
     latencies.record('answer', { kind: route.kind }, monotonicMs() - arrivedAt);
   }
 
-  #giveUp(reason: 'no-target' | 'not-run'): void {
+  #giveUp(reason: GiveUpReason, targets?: string): void {
     if (this.#lastFailure !== undefined) {
       this.#passOn(this.#lastFailure);
       return;
@@ -248,15 +247,17 @@
       route: route.name,
       status: answer.status,
       reason: answer.reason,
+      targets,
       sentTo: [...this.#log.tried].join(','),
       heldMs: Math.round(monotonicMs() - arrivedAt),
     });
     giveFinalAnswer(response, answer);
   }
 
-  #finalAnswer(reason: 'no-target' | 'not-run'): FinalAnswer {
+  #finalAnswer(reason: GiveUpReason): FinalAnswer {
     if (!this.#log.mayHaveRun) {
-      return { status: 503, reason, retryAfterMs: RETRY_AFTER_MS };
+      const retryAfterMs = isForbidding(reason) ? RETRY_AFTER_FORBIDDEN_MS : RETRY_AFTER_MS;
+      return { status: 503, reason, retryAfterMs };
     }
     const late = this.#context.deadline - monotonicMs() < 2 * DEADLINE_MARGIN_MS;
     return late
--- a/packages/entry/src/requests/service-limits.ts
+++ b/packages/entry/src/requests/service-limits.ts
@@ -1,20 +1,33 @@
 /** Retry budgets and upstream connections by service, made on first use. */
 import type { Service } from '../configuration/serving-configuration.js';
+import type { HostEntry } from '../hosts/host-entry.js';
 import type { RetryBounds } from '../routing/retry-budget.js';
 import { RetryBudget } from '../routing/retry-budget.js';
+import type { Log } from '../server/log.js';
+import type { Counters } from '../server/metrics.js';
+import { USUAL_IDLE_MS } from './connection-reuse.js';
+import type { ConnectionObserver } from './upstream-connections.js';
 import { UpstreamConnections } from './upstream-connections.js';
 
 /** Options of the limits. */
 export type ServiceLimitsOptions = {
   /** Bounds over all entry hosts. */
   readonly retries: RetryBounds;
-  /** Number of entry hosts; 0 while it is not known. */
-  readonly hosts: () => number;
+  /** Number of entry hosts; 0 while it is not known, undefined where they do not know each other. */
+  readonly hosts: () => number | undefined;
+  readonly log: Log;
+  readonly counters: Counters;
 };
 
+/** Entry hosts that share the bounds where they do not know each other: one of few. */
+const HOSTS_WITHOUT_PEERS = 10;
 /** Entry hosts among which a host's connections are divided at least. */
 const MIN_CONNECTION_PARTS = 12;
 const MIN_CONNECTIONS = 4;
+/** Part of an upstream host's connections that all entry hosts together keep idle at most, 0 to 1. */
+const IDLE_PART = 0.5;
+/** Entry hosts among which that part is divided while their number is not known. */
+const UNKNOWN_HOSTS = 64;
 
 /** Limits of all services at this entry host. */
 export class ServiceLimits {
@@ -30,7 +43,7 @@
   budgetOf(service: string): RetryBudget {
     let budget = this.#budgets.get(service);
     if (budget === undefined) {
-      budget = new RetryBudget(this.#options.retries, this.#options.hosts);
+      budget = new RetryBudget(this.#options.retries, () => this.#hosts);
       this.#budgets.set(service, budget);
     }
     return budget;
@@ -41,12 +54,41 @@
     let connections = this.#connections.get(service.name);
     if (connections === undefined) {
       const share = Math.floor(service.maxConnections / MIN_CONNECTION_PARTS);
-      connections = new UpstreamConnections(Math.max(MIN_CONNECTIONS, share));
+      const observer = this.#observerOf(service.name);
+      connections = new UpstreamConnections(Math.max(MIN_CONNECTIONS, share), observer);
       this.#connections.set(service.name, connections);
     }
+    const hosts = this.#hosts || UNKNOWN_HOSTS;
+    connections.keepIdle((service.maxConnections * IDLE_PART) / hosts);
     return connections;
   }
 
+  get #hosts(): number {
+    return this.#options.hosts() ?? HOSTS_WITHOUT_PEERS;
+  }
+
+  #observerOf(service: string): ConnectionObserver {
+    const { log, counters } = this.#options;
+    return {
+      opened: cause => {
+        counters.count('upstream_connections_total', { cause });
+      },
+      announced: idleMs => {
+        log.info('upstream announces idle time', { service, idleMs });
+      },
+    };
+  }
+
+  /** Time for which idle connections to hosts of the service are kept, in milliseconds. */
+  idleMs(service: string): number {
+    return this.#connections.get(service)?.idleMs ?? USUAL_IDLE_MS;
+  }
+
+  /** True while an idle connection to the host is kept. */
+  isConnected({ service, ip, port }: HostEntry): boolean {
+    return this.#connections.get(service)?.hasIdleTo(ip, port) ?? false;
+  }
+
   /** Closes all connections. */
   close(): void {
     this.#connections.forEach(connections => {
--- a/packages/entry/src/requests/stall-limits.test.ts
+++ b/packages/entry/src/requests/stall-limits.test.ts
@@ -8,7 +8,7 @@
   begun: true,
   resumed: false,
   hostServesOthers: false,
-  isUnreachable: false,
+  isGone: false,
   objectiveMs: 300,
   gapTargetMs: 200,
   typicalFirstMs: 160,
@@ -21,13 +21,26 @@
   });
 
   it('start a second attempt soon where other entry hosts can not connect any more', () => {
-    expect(stallLimits({ ...RUN, isUnreachable: true }).secondAttemptMs).to.be.below(
-      RUN.gapTargetMs,
-    );
-    const first = stallLimits({ ...RUN, begun: false, isUnreachable: true });
+    expect(stallLimits({ ...RUN, isGone: true }).secondAttemptMs).to.be.below(RUN.gapTargetMs);
+    const first = stallLimits({ ...RUN, begun: false, isGone: true });
     expect(first.secondAttemptMs).to.be.below(RUN.objectiveMs);
   });
 
+  it('start a second attempt within the gap target only where it can still be in time', () => {
+    expect(stallLimits(RUN).secondAttemptMs).to.be.at.least(RUN.gapTargetMs);
+    const quick = stallLimits({ ...RUN, typicalFirstMs: 60 });
+    expect(quick.secondAttemptMs + 60).to.be.at.most(RUN.gapTargetMs);
+  });
+
+  it('take a run for lost when its host serves nobody, long before its caller leaves', () => {
+    const patienceMs = 8 * RUN.gapTargetMs;
+    const { lostMs, secondAttemptMs } = stallLimits(RUN);
+    expect(lostMs).to.be.within(secondAttemptMs, patienceMs / 2);
+    expect(stallLimits({ ...RUN, hostServesOthers: true }).lostMs).to.equal(Infinity);
+    const unreachable = stallLimits({ ...RUN, isGone: true });
+    expect(unreachable.lostMs).to.equal(unreachable.secondAttemptMs);
+  });
+
   it('wait longest at a host that serves others meanwhile', () => {
     const busy = stallLimits({ ...RUN, hostServesOthers: true });
     expect(busy.secondAttemptMs).to.be.greaterThan(stallLimits(RUN).secondAttemptMs);
--- a/packages/entry/src/requests/stream-attempt.ts
+++ b/packages/entry/src/requests/stream-attempt.ts
@@ -4,12 +4,12 @@
 import { kindOf } from '../routing/host-activity.js';
 import type { Target } from '../routing/target-chooser.js';
 import { monotonicMs } from '../server/time.js';
+import { connectionsFor } from './connection-choice.js';
 import type { Exchange, ExchangeEnd } from './exchange.js';
 import { startExchange } from './exchange.js';
 import { isFramed, saysNotRun } from './plain-relay.js';
 import type { RelayServices } from './relay-services.js';
 import type { RequestContext } from './request-context.js';
-import { mayRepeat } from './request-context.js';
 import type { StallLimits } from './stall-limits.js';
 import { stallLimits } from './stall-limits.js';
 import { upstreamHeaders } from './upstream-request.js';
@@ -23,6 +23,8 @@
   | { readonly kind: 'failed'; readonly head: IncomingMessage; readonly body: Buffer }
   /** Another attempt went on instead. */
   | { readonly kind: 'superseded' }
+  /** The kept connection that it went on was closed or reset; it may have run. */
+  | { readonly kind: 'stale' }
   | { readonly kind: 'lost'; readonly detail: string };
 
 /** What a run is given by its relay. */
@@ -30,14 +32,16 @@
   readonly lastEventId: string | undefined;
   /** Bytes of an answer that is the own one. */
   readonly events: (chunk: Buffer) => void;
-  /** The run stands still; called at each look while it does. */
-  readonly stalled: () => void;
+  /**
+   * The run stands still; called at each look while it does. `isLost`: for so long that what is sent
+   * elsewhere takes its place.
+   */
+  readonly stalled: (isLost: boolean) => void;
 };
 
 /** Times without progress in milliseconds, and the limit that was passed. */
 type Stall = { readonly silence: number; readonly hostSilence: number; readonly limit: number };
 
-const CONNECT_TIMEOUT_MS = 300;
 const MAX_FAILURE_BYTES = 256 * 1024;
 
 /** One run. */
@@ -77,8 +81,8 @@
 
   /** Sends the request and reads its answer. */
   run(): Promise<StreamAttemptEnd> {
-    const { activities, stalls, headers: names, connectionsOf } = this.#services;
-    const { request, body, route, service } = this.#context;
+    const { activities, stalls, headers: names } = this.#services;
+    const { request, body } = this.#context;
     const hostId = this.#target.host.id;
     activities.enter(hostId);
     stalls.add(this);
@@ -90,8 +94,8 @@
           url: request.url ?? '/',
           headers: upstreamHeaders(this.#context, names, this.#target, this.#options.lastEventId),
           body,
-          connections: mayRepeat(route) ? connectionsOf(service) : undefined,
-          connectTimeoutMs: CONNECT_TIMEOUT_MS,
+          connections: connectionsFor(this.#services, this.#context),
+          connects: activities.connects,
         },
         {
           head: answer => {
@@ -155,7 +159,7 @@
       this.#suspectOnce({ silence, hostSilence, limit: limits.reportMs });
     }
     if (silence >= limits.secondAttemptMs) {
-      this.#options.stalled();
+      this.#options.stalled(silence >= limits.lostMs);
     }
     const nextMs = Math.max(limits.reportMs, limits.secondAttemptMs) - silence;
     return Math.max(0, nextMs);
@@ -188,12 +192,12 @@
 
   #limits(hostServesOthers: boolean): StallLimits {
     const { route, service, model } = this.#context;
-    const { activities, isUnreachable } = this.#services;
+    const { activities, chooser, isUnreachable } = this.#services;
     return stallLimits({
       begun: this.#begun,
       resumed: this.#options.lastEventId !== this.#context.lastEventId,
       hostServesOthers,
-      isUnreachable: isUnreachable(this.#target),
+      isGone: isUnreachable(this.#target) || chooser.isLost(this.#target),
       objectiveMs: route.objectiveMs,
       gapTargetMs: route.gapTargetMs,
       typicalFirstMs: activities.typicalFirstMs(kindOf(service.name, model)),
@@ -253,6 +257,9 @@
     if (this.#superseded) {
       return { kind: 'superseded' };
     }
+    if (how === 'stale') {
+      return { kind: 'stale' };
+    }
     if (this.#invalid !== undefined || head === undefined) {
       return { kind: 'lost', detail: this.#invalid ?? how };
     }
@@ -276,7 +283,7 @@
     if (end.kind === 'never-sent') {
       activities.noteUnreachable(this.#target.host);
       this.#suspect(true);
-    } else if (end.kind !== 'superseded') {
+    } else if (end.kind !== 'superseded' && end.kind !== 'stale') {
       activities.noteFailure(this.#target.host.id);
     }
     log.warn('attempt failed', {
--- a/packages/entry/src/requests/stream-relay.ts
+++ b/packages/entry/src/requests/stream-relay.ts
@@ -5,9 +5,11 @@
 import type { IncomingMessage } from 'node:http';
 
 import { isRefused } from '../routing/overload-guard.js';
+import type { RepeatReason } from '../routing/retry-budget.js';
 import type { Target, TargetQuery } from '../routing/target-chooser.js';
 import { monotonicMs, sleep } from '../server/time.js';
 import { AttemptLog } from './attempt-log.js';
+import { awaitTarget, isTarget } from './await-target.js';
 import { claimTarget } from './claim-target.js';
 import { EventForwarder } from './event-forwarder.js';
 import type { FinalAnswer } from './final-answer.js';
@@ -15,18 +17,19 @@
 import { endToEndHeaders } from './relay-headers.js';
 import type { RelayServices } from './relay-services.js';
 import type { RequestContext } from './request-context.js';
+import { RETRY_AFTER_FORBIDDEN_MS, RETRY_AFTER_MS } from './retry-after.js';
 import type { StreamAttemptEnd } from './stream-attempt.js';
 import { StreamAttempt } from './stream-attempt.js';
+import type { NoTargetReason } from './wait-for-target.js';
 
-/** Longest time a request waits for a first target, as a part of its objective. */
-const HOLD_PART = 0.2;
-const HOLD_STEP_MS = 15;
-const RETRY_AFTER_MS = 250;
-const RETRY_AFTER_NO_GROUP_MS = 800;
 const DEADLINE_MARGIN_MS = 15;
+/** Period in which a broken stream asks again for the allowance of a repeat, in milliseconds. */
+const ALLOWANCE_LOOK_MS = 50;
+const EVENT_END = '\n\n';
+const NOTHING = Buffer.alloc(0);
 const DROPPED_HEADERS: ReadonlySet<string> = new Set(['content-length']);
 
-type GiveUpReason = 'no-target' | 'not-run' | 'overloaded';
+type GiveUpReason = NoTargetReason | 'not-run' | 'overloaded';
 
 /** One stream of a caller. */
 export class StreamRelay {
@@ -37,6 +40,8 @@
   readonly #running = new Set<StreamAttempt>();
   /** The attempt whose events are passed on. */
   #leader: StreamAttempt | undefined;
+  /** Bytes of attempts that do not lead: the first part of an event. */
+  readonly #aside = new Map<StreamAttempt, Buffer>();
   #finishSend: ((end: StreamAttemptEnd) => void) | undefined;
   /** The last answer of a host that was a failure: better than one of our own when nothing follows. */
   #failure: IncomingMessage | undefined;
@@ -74,20 +79,20 @@
   }
 
   #isRefused(): boolean {
-    const { service, model, homeRegions, route } = this.#context;
-    const { chooser } = this.#services;
-    return isRefused(chooser, service, model, homeRegions, route.objectiveMs, Math.random());
+    const { objectiveMs } = this.#context.route;
+    return isRefused(this.#services.chooser, this.#query(), objectiveMs, Math.random());
   }
 
   async #attempts(): Promise<void> {
     const { gone } = this.#context;
     for (;;) {
-      const target = await this.#target();
+      const query = (): TargetQuery => this.#query();
+      const target = await awaitTarget(this.#services, this.#context, query);
       if (gone.aborted) {
         return;
       }
-      if (target === undefined) {
-        this.#giveUp('no-target');
+      if (!isTarget(target)) {
+        this.#giveUp(target.reason, target.targets);
         return;
       }
       const end = await this.#send(target);
@@ -95,10 +100,11 @@
         this.#finish();
         return;
       }
+      const mayGoOn = await this.#mayGoOn();
       if (gone.aborted) {
         return;
       }
-      if (!this.#log.takeRetry()) {
+      if (!mayGoOn) {
         this.#giveUp('not-run');
         return;
       }
@@ -106,24 +112,21 @@
     }
   }
 
-  async #target(): Promise<Target | undefined> {
-    const { route, arrivedAt, gone, deadline } = this.#context;
-    const query = this.#query();
-    const held = arrivedAt + route.objectiveMs * HOLD_PART;
-    // Once a stream has begun, waiting is better than breaking it.
-    const holdUntil = this.#log.mayHaveRun ? deadline - 2 * DEADLINE_MARGIN_MS : held;
-    for (;;) {
-      const target = claimTarget(this.#services, query);
-      if (target !== undefined || monotonicMs() >= holdUntil || gone.aborted) {
-        return target;
+  // A stream that has begun waits for the allowance of a repeat: its caller would lose what it has.
+  async #mayGoOn(): Promise<boolean> {
+    const { gone, response } = this.#context;
+    while (!this.#log.takeRetry()) {
+      if (!response.headersSent || !this.#log.canRetry()) {
+        return false;
       }
-      await sleep(HOLD_STEP_MS, gone);
+      await sleep(ALLOWANCE_LOOK_MS, gone);
     }
+    return true;
   }
 
   #query(): TargetQuery {
-    const { service, model, homeRegions } = this.#context;
-    return { service, model, homeRegions, exclude: this.#log.tried };
+    const { service, model, homes } = this.#context;
+    return { service, model, homeRegions: homes.inForce(), exclude: this.#log.tried };
   }
 
   // While an attempt stands still a second one may run beside it; the first that goes on wins, so
@@ -141,11 +144,10 @@
     const attempt: StreamAttempt = new StreamAttempt(this.#context, this.#services, target, {
       lastEventId: this.#events.lastEventId,
       events: chunk => {
-        this.#lead(attempt);
-        this.#forward(chunk);
+        this.#take(attempt, chunk);
       },
-      stalled: () => {
-        this.#startBackup(attempt);
+      stalled: isLost => {
+        this.#startBackup(attempt, isLost ? 'lost' : 'beside');
       },
     });
     this.#running.add(attempt);
@@ -155,25 +157,53 @@
     return attempt;
   }
 
-  #startBackup(stalled: StreamAttempt): void {
+  #startBackup(stalled: StreamAttempt, reason: RepeatReason): void {
     const query = this.#query();
     const { chooser, counters } = this.#services;
     const possible = stalled === this.#leader && this.#running.size === 1;
-    if (!possible || !this.#log.couldMove() || !chooser.hasSound(query)) {
+    if (!possible || !this.#log.couldMove(reason) || !chooser.hasSound(query)) {
       return;
     }
     const target = claimTarget(this.#services, query);
-    if (target !== undefined && this.#log.takeRetry('beside')) {
+    if (target !== undefined && this.#log.takeRetry(reason)) {
       counters.count('retries_total', { service: 'engine', after: 'stalled' });
       this.#start(target);
     }
   }
 
+  // A host that ends may still send a part of an event. Only a whole one ends the attempt beside it.
+  #take(attempt: StreamAttempt, chunk: Buffer): void {
+    if (attempt === this.#leader) {
+      if (this.#forward(chunk)) {
+        this.#lead(attempt);
+      }
+      return;
+    }
+    const bytes = Buffer.concat([this.#asideOf(attempt), chunk]);
+    this.#aside.set(attempt, bytes);
+    if (bytes.includes(EVENT_END)) {
+      this.#lead(attempt);
+    }
+  }
+
+  #asideOf(attempt: StreamAttempt): Buffer {
+    return this.#aside.get(attempt) ?? NOTHING;
+  }
+
+  #makeLeader(attempt: StreamAttempt): void {
+    this.#leader = attempt;
+    this.#events.restart();
+    const bytes = this.#asideOf(attempt);
+    this.#aside.delete(attempt);
+    if (bytes.length > 0) {
+      this.#forward(bytes);
+    }
+  }
+
   // The attempt has delivered: the other one, if any, is not needed any more.
   #lead(attempt: StreamAttempt): void {
     if (attempt !== this.#leader) {
-      this.#leader = attempt;
-      this.#events.restart();
+      this.#makeLeader(attempt);
     }
     for (const other of this.#running) {
       if (other !== attempt) {
@@ -185,7 +215,9 @@
   #ended(attempt: StreamAttempt, end: StreamAttemptEnd): void {
     this.#running.delete(attempt);
     this.#note(end);
-    const torn = end.kind === 'complete' && this.#events.pendingBytes > 0;
+    const pending =
+      attempt === this.#leader ? this.#events.pendingBytes : this.#asideOf(attempt).length;
+    const torn = end.kind === 'complete' && pending > 0;
     if (end.kind === 'complete' && !torn) {
       this.#lead(attempt);
       // A stream of which nothing was left has a head all the same.
@@ -197,8 +229,7 @@
     if (other === undefined) {
       this.#finishSend?.(torn ? { kind: 'lost', detail: 'torn' } : end);
     } else if (attempt === this.#leader) {
-      this.#leader = other;
-      this.#events.restart();
+      this.#makeLeader(other);
     }
   }
 
@@ -216,10 +247,11 @@
     }
   }
 
-  #forward(chunk: Buffer): void {
+  // True when at least one whole event has gone out.
+  #forward(chunk: Buffer): boolean {
     const events = this.#events.feed(chunk);
     if (events === undefined) {
-      return;
+      return false;
     }
     const { response, arrivedAt, route } = this.#context;
     const now = monotonicMs();
@@ -233,6 +265,7 @@
     if (!response.write(events)) {
       this.#leader?.pauseUntilDrained(response);
     }
+    return true;
   }
 
   #sendHead(head: IncomingMessage | undefined): void {
@@ -250,7 +283,7 @@
     latencies.record('answer', { kind: route.kind }, monotonicMs() - arrivedAt);
   }
 
-  #giveUp(reason: GiveUpReason): void {
+  #giveUp(reason: GiveUpReason, targets?: string): void {
     const { response, route, id, arrivedAt } = this.#context;
     const { counters, log } = this.#services;
     const answer = this.#finalAnswer(reason);
@@ -263,6 +296,7 @@
       route: route.name,
       status: this.#failure?.statusCode ?? answer.status,
       reason: answer.reason,
+      targets,
       events: this.#events.batches,
       sentTo: [...this.#log.tried].join(','),
       heldMs: Math.round(monotonicMs() - arrivedAt),
@@ -281,7 +315,7 @@
   #finalAnswer(reason: GiveUpReason): FinalAnswer {
     if (!this.#log.mayHaveRun) {
       const any = this.#services.chooser.hasSound({ ...this.#query(), exclude: new Set() });
-      const retryAfterMs = any ? RETRY_AFTER_MS : RETRY_AFTER_NO_GROUP_MS;
+      const retryAfterMs = any ? RETRY_AFTER_MS : RETRY_AFTER_FORBIDDEN_MS;
       return { status: 503, reason, retryAfterMs };
     }
     const late = this.#context.deadline - monotonicMs() < 3 * DEADLINE_MARGIN_MS;
--- /dev/null
+++ b/packages/entry/src/routing/send-rules.ts
@@ -0,0 +1,54 @@
+/** What decides where this entry host may send: evacuations, slow start and regions, wired together. */
+import type { SlowStart } from '../configuration/serving-configuration.js';
+import { EvacuatedDomains } from '../evacuation/evacuated-domains.js';
+import type { MemberView } from '../peers/membership.js';
+import type { EntrySettings } from '../server/entry-settings.js';
+import type { Log } from '../server/log.js';
+import type { Metrics } from '../server/metrics.js';
+import { SlowStartLimits } from '../slow-start/slow-start-limits.js';
+import { SendEligibility } from './send-eligibility.js';
+
+/** Options of the rules. */
+export type SendRulesOptions = {
+  /** Asked anew at each use of a bound, since settings may change. */
+  readonly settings: () => EntrySettings;
+  /** The registered entry hosts; the function is undefined where this one has no peers. */
+  readonly members: (() => MemberView | undefined) | undefined;
+  readonly slowStartOf: (service: string) => SlowStart | undefined;
+  /** The evacuated failure domains have changed. */
+  readonly evacuationsChanged: () => void;
+  readonly log: Log;
+  readonly metrics: Metrics;
+};
+
+/** The rules of one entry host. */
+export class SendRules {
+  readonly evacuated: EvacuatedDomains;
+  readonly slowStart: SlowStartLimits;
+  readonly eligibility: SendEligibility;
+
+  constructor(options: SendRulesOptions) {
+    const { settings, members, slowStartOf, evacuationsChanged, log, metrics } = options;
+    const { name, bounds, regions } = settings();
+    this.slowStart = new SlowStartLimits({
+      self: name,
+      members,
+      slowStartOf,
+      bounds: () => settings().bounds,
+      log,
+      counters: metrics.counters,
+    });
+    metrics.gauges.follow('cold_hosts', () => [{ labels: {}, value: this.slowStart.coldHosts }]);
+    this.evacuated = new EvacuatedDomains({
+      isFollowed: bounds.evacuationMs !== undefined,
+      changed: evacuationsChanged,
+      ended: this.slowStart.evacuationEnded,
+      gauges: metrics.gauges,
+      log,
+    });
+    const regionOf = (domain: string): string | undefined =>
+      regions.find(({ failureDomain }) => failureDomain === domain)?.region;
+    const facts = { evacuations: this.evacuated, coldSends: this.slowStart.sends, regionOf };
+    this.eligibility = new SendEligibility(facts, metrics.counters);
+  }
+}
--- a/packages/entry/src/store/watched-kind.ts
+++ b/packages/entry/src/store/watched-kind.ts
@@ -25,8 +25,13 @@
 
 /** Chooses the reader of each step, and learns how it went. */
 export type ReaderChoice = {
-  /** A reader other than one that has just failed, as long as any other is usable. */
-  readonly choose: () => KindReader;
+  /**
+   * A reader other than one that has just failed, as long as any other is usable. For an urgent kind,
+   * whose news have a bound, it is the store itself soon after peers have gone silent.
+   */
+  readonly choose: (isUrgent?: boolean) => KindReader;
+  /** The reader that `choose` would give, without taking the turn at it. */
+  readonly peek: (isUrgent?: boolean) => KindReader;
   readonly note: (reader: KindReader, outcome: ReadingOutcome) => void;
   /** Milliseconds until some reader is worth asking; 0 when one is. */
   readonly usableInMs: () => number;
@@ -40,6 +45,8 @@
   readonly firstReader?: () => KindReader | undefined;
   /** How much of the kind this host needs; all of it where nothing is said. */
   readonly view?: () => KindView;
+  /** True where news have a bound that several silent readers in a row would exceed. */
+  readonly isUrgent?: boolean;
   /** Longest wait of one call, in milliseconds. */
   readonly waitMs: () => number;
   /** Age of a confirmation from which a reader counts as stale, in milliseconds. */
@@ -81,6 +88,7 @@
   /** Runs until it is stopped. */
   async run(): Promise<void> {
     while (!this.#abort.signal.aborted) {
+      await this.#untilUsable();
       const reader = this.#nextReader();
       try {
         const changed = await this.#step(reader);
@@ -94,11 +102,24 @@
     }
   }
 
+  // Kinds that wait for the same reader wake together, and the first finds out for all how it is; without
+  // this the others went to the store, whose outage is known, several times a second from each host.
+  async #untilUsable(): Promise<void> {
+    const { readers } = this.#options;
+    for (;;) {
+      const usableInMs = readers.usableInMs();
+      if (usableInMs <= 0 || this.#abort.signal.aborted) {
+        return;
+      }
+      await sleep(usableInMs, this.#abort.signal);
+    }
+  }
+
   #nextReader(): KindReader {
     const { readers, firstReader } = this.#options;
     const isFirst = this.cache.revision === undefined && this.#failures === 0;
     const first = isFirst ? firstReader?.() : undefined;
-    return first ?? readers.choose();
+    return first ?? readers.choose(this.#options.isUrgent);
   }
 
   /** False from a failed reading until one that was fresh. */
@@ -207,7 +228,7 @@
     // here made changes take up to 2.4 s through two hosts that try each other in turn, 0.3 s without
     // (24 changes each).
     const usableInMs = readers.usableInMs();
-    if (usableInMs <= 0 && readers.choose() !== reader) {
+    if (usableInMs <= 0 && readers.peek(this.#options.isUrgent) !== reader) {
       return;
     }
     const backoff = Math.min(RETRY_MS * this.#failures, MAX_RETRY_MS);
--- a/packages/entry/src/testing/fleet-model.ts
+++ b/packages/entry/src/testing/fleet-model.ts
@@ -1,9 +1,12 @@
 /**
  * A small model of model hosts for tests of the plans: joins, stagings that share the weight
- * store's bandwidth, losses and arrivals. Time only moves in `run`; orders are taken at once.
+ * store's bandwidth, losses, arrivals and evacuated failure domains. Time only moves in `run`; orders
+ * are taken at once.
  */
 import type { EngineProfile, GroupModel } from '../configuration/serving-configuration.js';
+import { planIdleFormations, planIdleStagings } from '../groups/evacuated-plan.js';
 import type { FleetDomain, FleetView, PlacedGroup } from '../groups/fleet-view.js';
+import { dividedByUse, wholeFleetOf } from '../groups/fleet-view.js';
 import type { FormationLoads } from '../groups/formation-plan.js';
 import { FREE_LOADS, NO_LOADS, planFormations } from '../groups/formation-plan.js';
 import { LoadBudget } from '../groups/load-budget.js';
@@ -21,6 +24,8 @@
   readonly domainsPerFailureDomain: number;
   /** Model that a host has staged at the start. */
   readonly stagedAtStart?: (index: number) => string | undefined;
+  /** Time for which hosts stay cold after an evacuation, in milliseconds; 0 if not given. */
+  readonly coldMs?: number;
 };
 
 type ModelHost = {
@@ -52,20 +57,35 @@
   readonly #budget = new LoadBudget(LOAD_WINDOW_MS);
   readonly #hosts: ModelHost[] = [];
   readonly #perFailureDomain: number;
+  readonly #evacuated = new Set<string>();
+  readonly #possible = new Map<string, number>();
+  readonly #coldMs: number;
   #groups: ModelGroup[] = [];
   #now = 0;
+  #returnedAt = -Infinity;
   #dissolvedAt = -Infinity;
   #made = 0;
   /** Time that hosts spent in serving groups, in host milliseconds. */
   servingHostMs = 0;
   /** Time that hosts could have spent there if loads took no time, in host milliseconds. */
   possibleHostMs = 0;
+  /** Time that hosts in use were there, in host milliseconds. */
+  hostMs = 0;
+  /** Time that hosts in use spent in no group and ready for none of their domain's, in host milliseconds. */
+  strandedHostMs = 0;
+  /** Loads from the weight store that have begun, but for the free ones. */
+  loads = 0;
+  /** Orders to hosts. */
+  orders = 0;
+  /** Names of groups that were dissolved for others. */
+  readonly dissolved: string[] = [];
   /** Time without a serving group by model, in milliseconds. */
   readonly unservedMs = new Map<string, number>();
 
   constructor(options: FleetModelOptions) {
     this.#profile = options.profile;
     this.#perFailureDomain = options.domainsPerFailureDomain;
+    this.#coldMs = options.coldMs ?? 0;
     options.domainSizes.forEach((size, domain) => {
       for (let index = 0; index < size; index++) {
         const staged = options.stagedAtStart?.(this.#hosts.length);
@@ -79,9 +99,33 @@
     return this.#hosts.length;
   }
 
-  /** Serving groups of a model. */
+  /** Serving groups of a model; those of evacuated failure domains serve nobody. */
   serving(model: string): number {
-    return this.#groups.filter(group => group.model.name === model && group.openInMs === 0).length;
+    return this.#serving.filter(group => group.model.name === model).length;
+  }
+
+  /** Loses a host of a failure domain for good, and its group with it; hosts in groups first. */
+  loseIn(failureDomain: string): void {
+    const inside = this.#groups.filter(
+      ({ members }) => members[0]?.failureDomain === failureDomain,
+    );
+    this.#remove(inside[0]?.members[0]);
+  }
+
+  /** Names of the groups that stand in a failure domain, serving or not. */
+  groupsIn(failureDomain: string): readonly string[] {
+    const inside = this.#groups.filter(
+      ({ members }) => members[0]?.failureDomain === failureDomain,
+    );
+    return inside.map(group => group.name);
+  }
+
+  get #serving(): readonly ModelGroup[] {
+    return this.#groups.filter(group => group.openInMs === 0 && !this.#isEvacuated(group));
+  }
+
+  #isEvacuated({ members }: ModelGroup): boolean {
+    return this.#evacuated.has(members[0]?.failureDomain ?? '');
   }
 
   /** True when no join and no staging is under way. */
@@ -90,9 +134,10 @@
     return !joining && this.#hosts.every(host => host.staging === undefined);
   }
 
-  /** Most free hosts that any fabric domain has. */
+  /** Most free hosts that any fabric domain has, evacuated or not. */
   get mostFree(): number {
-    return Math.max(0, ...this.#view().domains.map(domain => domain.free.length));
+    const { domains } = wholeFleetOf(this.#view());
+    return Math.max(0, ...domains.map(domain => domain.free.length));
   }
 
   /** A host comes. */
@@ -112,12 +157,26 @@
   lose(pick: number): void {
     const grouped = this.#groups.flatMap(group => group.members);
     const from = grouped.length > 0 ? grouped : this.#hosts;
-    const lost = from[pick % from.length];
+    this.#remove(from[pick % from.length]);
+  }
+
+  #remove(lost: ModelHost | undefined): void {
     this.#groups = this.#groups.filter(group => !group.members.some(member => member === lost));
     const index = this.#hosts.findIndex(host => host === lost);
     this.#hosts.splice(index, 1);
   }
 
+  /** Nothing may be sent to a failure domain from now on. */
+  evacuate(failureDomain: string): void {
+    this.#evacuated.add(failureDomain);
+  }
+
+  /** It may be used again. */
+  takeBack(failureDomain: string): void {
+    this.#evacuated.delete(failureDomain);
+    this.#returnedAt = this.#now;
+  }
+
   /** Lets time pass; `loads` tells whether loads are free meanwhile. */
   run(ms: number, loads: FormationLoads = NO_LOADS): void {
     const end = this.#now + ms;
@@ -131,8 +190,9 @@
 
   #plan(loads: FormationLoads): boolean {
     const view = this.#view();
-    const formations = planFormations(view, loads);
+    const formations = [...planFormations(view, loads), ...planIdleFormations(view, loads)];
     for (const { hosts, model, readyMs } of formations) {
+      this.orders += hosts.length + 1;
       const members = hosts.map(host => this.#find(host));
       const part = loads === FREE_LOADS ? FREE_LOAD_PART : 1;
       this.#made += 1;
@@ -163,6 +223,8 @@
     const dissolved = planDissolution(view)?.groups.map(group => group.name) ?? [];
     if (dissolved.length > 0) {
       this.#dissolvedAt = this.#now;
+      this.orders += dissolved.length * 2;
+      this.dissolved.push(...dissolved);
       this.#groups = this.#groups.filter(group => !dissolved.includes(group.name));
     }
     return dissolved.length > 0;
@@ -170,7 +232,7 @@
 
   #stage(view: FleetView, loads: FormationLoads): boolean {
     if (loads === FREE_LOADS) {
-      const prepared = planStagings(view, Infinity);
+      const prepared = [...planStagings(view, Infinity), ...planIdleStagings(view, Infinity)];
       for (const { host, model } of prepared) {
         this.#putStaged(this.#find(host), model);
       }
@@ -179,7 +241,10 @@
     const { loadsPerSecond, loadsAtOnce } = this.#profile;
     const running = this.#hosts.filter(host => host.staging !== undefined).length;
     const left = this.#budget.left(this.#now, loadsPerSecond, loadsAtOnce + 1, running);
-    const planned = planStagings(view, left);
+    const inUse = planStagings(view, left);
+    const planned = [...inUse, ...planIdleStagings(view, left - inUse.length)];
+    this.loads += planned.length;
+    this.orders += planned.length;
     this.#budget.note(this.#now, planned.length);
     for (const { host, model } of planned) {
       this.#find(host).staging = { model, leftMs: model.loadMs };
@@ -218,15 +283,39 @@
       const unserved = this.serving(model.name) === 0 ? ms : 0;
       this.unservedMs.set(model.name, (this.unservedMs.get(model.name) ?? 0) + unserved);
     }
-    const serving = this.#groups.filter(group => group.openInMs === 0);
-    this.servingHostMs += ms * serving.reduce((sum, group) => sum + group.members.length, 0);
-    const allFree = view.domains.map(domain => ({
-      ...domain,
-      free: this.#hosts.filter(host => host.fabricDomain === domain.fabricDomain).map(entryOf),
-      groups: [],
-    }));
-    const ideal = planFormations({ ...view, domains: allFree }, FREE_LOADS);
-    this.possibleHostMs += ms * ideal.reduce((sum, formation) => sum + formation.hosts.length, 0);
+    this.servingHostMs += ms * this.#serving.reduce((sum, { members }) => sum + members.length, 0);
+    this.#measureStranded(view, ms);
+    this.possibleHostMs += ms * this.#possibleHosts(view);
+  }
+
+  // Hosts in groups if any host could serve any model: it changes only with the hosts in use.
+  #possibleHosts(view: FleetView): number {
+    const sizes = view.domains.map(({ fabricDomain, free, groups }) => {
+      const grouped = groups.reduce((sum, { members }) => sum + members.length, 0);
+      return `${fabricDomain}:${free.length + grouped}`;
+    });
+    const key = sizes.join();
+    let possible = this.#possible.get(key);
+    if (possible === undefined) {
+      const domains = view.domains.map(domain => ({ ...domain, free: allOf(domain), groups: [] }));
+      const ideal = planFormations({ ...view, domains }, FREE_LOADS);
+      possible = ideal.reduce((sum, { hosts }) => sum + hosts.length, 0);
+      this.#possible.set(key, possible);
+    }
+    return possible;
+  }
+
+  #measureStranded(view: FleetView, ms: number): void {
+    for (const domain of view.domains) {
+      const served = new Set(domain.groups.map(group => group.model));
+      const free = domain.free.filter(({ lastModel, stagedModels }) =>
+        [lastModel, ...stagedModels].every(model => model === undefined || !served.has(model)),
+      );
+      const stranded = free.filter(host => view.stagingNow(host.id) === undefined);
+      const inGroups = domain.groups.reduce((sum, { members }) => sum + members.length, 0);
+      this.hostMs += ms * (domain.free.length + inGroups);
+      this.strandedHostMs += ms * stranded.length;
+    }
   }
 
   // Each load takes proportionally longer once more than the declared number run at a time.
@@ -246,6 +335,7 @@
   #view(): FleetView {
     const grouped = new Set(this.#groups.flatMap(group => group.members));
     const names = [...new Set(this.#hosts.map(host => host.fabricDomain))];
+    const isReturning = this.#now - this.#returnedAt < this.#coldMs;
     const domains: FleetDomain[] = names.map(fabricDomain => {
       const hosts = this.#hosts.filter(host => host.fabricDomain === fabricDomain);
       return {
@@ -259,10 +349,24 @@
     });
     const stagingNow = (id: string): string | undefined =>
       this.#hosts.find(host => host.id === id)?.staging?.model.name;
-    return { profile: this.#profile, domains, stagingNow, slow: new Set() };
+    const divided = dividedByUse(domains, this.#evacuated);
+    return {
+      profile: this.#profile,
+      ...divided,
+      isReturning,
+      lapsed: new Set(),
+      stagingNow,
+      slow: new Set(),
+    };
   }
 }
 
+// The hosts of a domain, with nothing on them.
+function allOf({ free, groups }: FleetDomain): readonly HostEntry[] {
+  const hosts = [...free, ...groups.flatMap(({ members }) => members)];
+  return hosts.map(host => ({ ...host, lastModel: undefined, stagedModels: [] }));
+}
+
 function placedOf(group: ModelGroup): PlacedGroup {
   const members = group.members.map(entryOf);
   const { name, model, openInMs } = group;
--- a/packages/entry/src/testing/relay.ts
+++ b/packages/entry/src/testing/relay.ts
@@ -5,6 +5,7 @@
 
 import type { Route, Service } from '../configuration/serving-configuration.js';
 import type { HostEntry } from '../hosts/host-entry.js';
+import { ColdWaits } from '../requests/cold-wait.js';
 import type { RelayServices } from '../requests/relay-services.js';
 import type { RequestContext } from '../requests/request-context.js';
 import { ServiceLimits } from '../requests/service-limits.js';
@@ -77,13 +78,25 @@
 
 /** Services of which `choose` decides where requests go. */
 export function relayServices(choose: TargetChooser['choose']): RelayServices {
+  const log = silentLog();
+  const counters = new Counters();
   const limits = new ServiceLimits({
     retries: { ratio: 1, slack: 100, windowMs: 10_000 },
     hosts: () => 1,
+    log,
+    counters,
   });
   return {
     headers: TEST_HEADERS,
-    chooser: { choose, hasSound: () => false, expectedFirstMs: () => undefined },
+    chooser: {
+      choose,
+      hasSound: () => false,
+      isLost: () => false,
+      expectedFirstMs: () => undefined,
+      outlook: () => ({ standings: [], formingMs: undefined }),
+      coldPace: () => undefined,
+    },
+    coldWaits: new ColdWaits(),
     activities: new HostActivities(),
     stalls: new StallMonitor(),
     budgetOf: (service: string) => limits.budgetOf(service),
@@ -92,8 +105,8 @@
     isUnreachable: () => false,
     eligibility: { take: () => 'eligible' },
     keysHold: () => true,
-    log: silentLog(),
-    counters: new Counters(),
+    log,
+    counters,
     latencies: new Latencies(),
   } as unknown as RelayServices;
 }
@@ -135,7 +148,7 @@
     body: undefined,
     route,
     service: { name: 's', maxConnections: 100, slowStart: undefined, engine: undefined },
-    homeRegions: [],
+    homes: { inForce: () => [] },
     priority: 1,
     arrivedAt: monotonicMs(),
     deadline: monotonicMs() + route.timeoutMs,
