Waits end in time, in order, and with what holds at their end

Cause (review of the joined parts, each reproduced with a small script): a stream whose wait overslept its deadline was sent all the same and nothing ended it; waiters for a cold host raced each other and every newcomer, so that 84 of 300 were held for 1.6 s and then refused; an evacuation ended no wait for a cold host; a lack of cold turns counted as a lack of news; a head of another group, or a host that came back, marked a failure domain as returned whole; allowances of more than 200 cold hosts were made anew at each look; caches grew with model names that callers choose on plain services; a reset on a connection that another request had just freed counted as the host's failure; a begun stream that had been everywhere waited to its deadline. Ruled out: shorter polls (the race stays), a queue for all targets (warm ones are free to anybody). Change: await-target.ts claims only while a run makes sense; cold-wait.ts keeps an order, and looks each time whether a turn can still come; cold-hosts.ts asks members of groups to speak for themselves.

--- a/packages/entry/src/requests/await-target.ts
+++ b/packages/entry/src/requests/await-target.ts
@@ -8,7 +8,7 @@
 import type { RelayServices } from './relay-services.js';
 import type { RequestContext } from './request-context.js';
 import type { NoTargetReason, Waiter } from './wait-for-target.js';
-import { noTargetReason, waitsForTarget } from './wait-for-target.js';
+import { LEAST_RUN_MS, noTargetReason, waitsForTarget } from './wait-for-target.js';
 
 /** No target came, or none will. */
 export type NoTarget = {
@@ -32,17 +32,22 @@
 ): Promise<Target | NoTarget> {
   const { gone, deadline, route } = context;
   const wait = new TargetWait(context);
+  // Those that wait for a cold host have come before.
+  const asked = (): TargetQuery => ({
+    ...query(),
+    leavesCold: services.coldWaits.count(query()) > 0,
+  });
   for (;;) {
-    const target = claimTarget(services, query());
+    const target = wait.mayClaim ? claimTarget(services, asked()) : undefined;
     if (target !== undefined) {
       return target;
     }
-    const outlook = services.chooser.outlook(query());
+    const outlook = services.chooser.outlook(asked());
     const waiter = wait.asOf(outlook, monotonicMs());
     if (gone.aborted || !waitsForTarget(outlook, waiter)) {
       const until = deadline - route.objectiveMs;
       const cold = await awaitColdTarget(services, query, { until, gone });
-      return cold ?? withheld(services, outlook);
+      return cold ?? withheld(services, services.chooser.outlook(query()));
     }
     await sleep(lookAfterMs(waiter), gone);
   }
@@ -54,8 +59,9 @@
   return { reason, targets: describeStandings(outlook.standings) };
 }
 
-function lookAfterMs({ lackingMs }: Waiter): number {
-  return Math.min(LATER_LOOK_MS, Math.max(FIRST_LOOK_MS, lackingMs * LOOK_PART));
+function lookAfterMs({ lackingMs, leftMs }: Waiter): number {
+  const usualMs = Math.min(LATER_LOOK_MS, Math.max(FIRST_LOOK_MS, lackingMs * LOOK_PART));
+  return Math.min(usualMs, Math.max(1, leftMs - LEAST_RUN_MS));
 }
 
 /** The wait of one request, timed. */
@@ -64,12 +70,24 @@
   readonly #lackingSince = monotonicMs();
   #formingMs: number | undefined;
   #formingSince = this.#lackingSince;
+  #hasWaited = false;
 
   constructor(context: RequestContext) {
     this.#context = context;
   }
 
+  /**
+   * False once a run makes no sense any more. A wait may end later than was meant, and the limit on a
+   * request's time, which has passed then, would not end what is sent after it.
+   */
+  get mayClaim(): boolean {
+    const { gone, deadline } = this.#context;
+    const hasTime = !this.#hasWaited || deadline - monotonicMs() >= LEAST_RUN_MS;
+    return !gone.aborted && hasTime;
+  }
+
   asOf({ formingMs }: TargetOutlook, now: number): Waiter {
+    this.#hasWaited = true;
     if (formingMs !== this.#formingMs) {
       this.#formingMs = formingMs;
       this.#formingSince = now;
--- a/packages/entry/src/requests/cold-wait.test.ts
+++ b/packages/entry/src/requests/cold-wait.test.ts
@@ -15,8 +15,8 @@
   /** Services whose cold host can take one request in each interval, the first after `nextInMs`. */
   function services(pace: ColdPace | undefined): RelayServices {
     let nextAt = monotonicMs() + (pace?.nextInMs ?? Infinity);
-    const choose = (): Target | undefined => {
-      if (pace === undefined || monotonicMs() < nextAt) {
+    const choose = ({ leavesCold }: TargetQuery): Target | undefined => {
+      if (pace === undefined || leavesCold === true || monotonicMs() < nextAt) {
         return undefined;
       }
       nextAt += pace.intervalMs;
@@ -57,6 +57,32 @@
     expect(near.coldWaits.count(QUERY)).to.equal(0);
   });
 
+  it('serves those that wait in the order in which they came', async () => {
+    const near = services({ nextInMs: 40, intervalMs: 40 });
+    const until = monotonicMs() + 1_000;
+    const served: number[] = [];
+    const waits = Array.from({ length: 6 }, async (_, at) => {
+      await awaitColdTarget(near, () => QUERY, { until, gone });
+      served.push(at);
+    });
+    await Promise.all(waits);
+    expect(served).to.deep.equal([0, 1, 2, 3, 4, 5]);
+  });
+
+  it('ends soon after no cold host can take it any more', async () => {
+    let pace: ColdPace | undefined = { nextInMs: 500, intervalMs: 500 };
+    const made = services(undefined);
+    const chooser = { ...made.chooser, coldPace: () => pace };
+    const waits = { ...made, chooser } as unknown as RelayServices;
+    const startedAt = monotonicMs();
+    const wait = awaitColdTarget(waits, () => QUERY, { until: startedAt + 5_000, gone });
+    setTimeout(() => {
+      pace = undefined;
+    }, 50);
+    expect(await wait).to.equal(undefined);
+    expect(monotonicMs() - startedAt).to.be.within(40, 300);
+  });
+
   it('ends when the caller goes, without a send', async () => {
     const caller = new AbortController();
     const near = services({ nextInMs: 60, intervalMs: 200 });
--- a/packages/entry/src/requests/cold-wait.ts
+++ b/packages/entry/src/requests/cold-wait.ts
@@ -18,30 +18,45 @@
 /** Period in which a waiting request asks again: small beside any interval between two sends. */
 const STEP_MS = 15;
 
-/** Counts the requests that wait, by service and model. */
+/** The place of one request in the order of those that wait for the same cold hosts. */
+export type ColdPlace = {
+  /** True for the one that has waited longest. */
+  readonly isFirst: () => boolean;
+  readonly leave: () => void;
+};
+
+/** Keeps the order of the requests that wait, by service, model and home regions. */
 export class ColdWaits {
-  readonly #waiting = new Map<string, number>();
+  readonly #waiting = new Map<string, ColdPlace[]>();
 
   /** Requests that wait for the same cold hosts. */
-  count({ service, model }: TargetQuery): number {
-    return this.#waiting.get(keyOf(service.name, model)) ?? 0;
+  count(query: TargetQuery): number {
+    return this.#waiting.get(keyOf(query))?.length ?? 0;
   }
 
-  /** One more waits until `leave` is called. */
-  enter(query: TargetQuery): { readonly leave: () => void } {
-    const key = keyOf(query.service.name, query.model);
-    this.#waiting.set(key, this.count(query) + 1);
-    return {
+  /** One more waits, behind all others, until it leaves. */
+  enter(query: TargetQuery): ColdPlace {
+    const key = keyOf(query);
+    const places = this.#waiting.get(key) ?? [];
+    this.#waiting.set(key, places);
+    const place: ColdPlace = {
+      isFirst: () => places[0] === place,
       leave: () => {
-        this.#waiting.set(key, this.count(query) - 1);
+        places.splice(places.indexOf(place), 1);
+        if (places.length === 0) {
+          this.#waiting.delete(key);
+        }
       },
     };
+    places.push(place);
+    return place;
   }
 }
 
 /**
- * The target to which the request must be sent at once; `query` is asked for at each look. Undefined where no cold host can take it in
- * time. A warm host that comes meanwhile is taken as well.
+ * The target to which the request must be sent at once; `query` is asked for at each look. Undefined where
+ * no cold host can take it in time, or none will any more. A warm host that comes meanwhile is taken as
+ * well, out of turn; cold ones go to whoever has waited longest.
  */
 export async function awaitColdTarget(
   services: RelayServices,
@@ -62,10 +77,15 @@
   try {
     while (monotonicMs() < until && !gone.aborted) {
       await sleep(STEP_MS, gone);
-      const target = gone.aborted ? undefined : claimTarget(services, query());
+      const leavesCold = !place.isFirst();
+      const target = gone.aborted ? undefined : claimTarget(services, { ...query(), leavesCold });
       if (target !== undefined) {
         return target;
       }
+      // Evacuated, or the turns belong to another entry host now: its caller is told at once.
+      if (chooser.coldPace(query()) === undefined) {
+        return undefined;
+      }
     }
     return undefined;
   } finally {
@@ -73,6 +93,8 @@
   }
 }
 
-function keyOf(service: string, model: string | undefined): string {
-  return `${service}/${model ?? ''}`;
+// Callers choose the model's name freely where the service has no engine.
+function keyOf({ service, model, homeRegions }: TargetQuery): string {
+  const served = service.engine === undefined ? '' : (model ?? '');
+  return `${service.name}/${served}/${JSON.stringify(homeRegions)}`;
 }
--- a/packages/entry/src/requests/exchange.ts
+++ b/packages/entry/src/requests/exchange.ts
@@ -68,7 +68,8 @@
   let ended = false;
   let answer: IncomingMessage | undefined;
   let connected = false;
-  const sentAt = monotonicMs();
+  let sentAt = monotonicMs();
+  let isReused = false;
   const sent = httpRequest({
     host: host.ip,
     port: host.port,
@@ -87,7 +88,7 @@
     if (how !== 'whole') {
       // A kept connection can go silent for good, or be reset, and so may others to the host.
       const isDoubtful = how === 'stale' || (how === 'cancelled' && answer === undefined);
-      if (isDoubtful && sent.reusedSocket) {
+      if (isDoubtful && isReused) {
         connections?.closeIdleTo(host.ip, host.port);
       }
       sent.destroy();
@@ -99,7 +100,7 @@
       end('broken');
     } else if (connected) {
       const isEarly = monotonicMs() - sentAt < STALE_KNOWN_MS;
-      end(sent.reusedSocket && isEarly ? 'stale' : 'lost');
+      end(isReused && isEarly ? 'stale' : 'lost');
     } else {
       end('never-sent');
     }
@@ -113,7 +114,9 @@
   let connectTimer = afterTurn(giveUpConnecting, MOST_CONNECT_MS);
   sent.on('socket', (socket: Socket) => {
     clearTimeout(connectTimer);
-    if (!socket.connecting) {
+    sentAt = monotonicMs();
+    isReused = !socket.connecting;
+    if (isReused) {
       connected = true;
       return;
     }
--- a/packages/entry/src/requests/stream-relay.test.ts
+++ b/packages/entry/src/requests/stream-relay.test.ts
@@ -5,6 +5,7 @@
 
 import { RetryBudget } from '../routing/retry-budget.js';
 import type { Target } from '../routing/target-chooser.js';
+import { monotonicMs } from '../server/time.js';
 import { relayServices, requestContext, UpstreamStandIn } from '../testing/relay.js';
 import { StreamRelay } from './stream-relay.js';
 
@@ -108,6 +109,24 @@
     expect(cut).to.equal(0);
   });
 
+  it('is sent nowhere any more when its wait ends too close to the deadline', async () => {
+    const queue = await targets(
+      response => {
+        response.writeHead(200, HEAD);
+        response.write(events(1, 1));
+        setTimeout(() => response.destroy(), 30);
+      },
+      () => undefined,
+    );
+    const { context } = requestContext('r', { ...STREAM, maxAttempts: 2, timeoutMs: 600 });
+    const opensAt = context.deadline - 40;
+    const isOpen = (): boolean => queue.length > 1 || monotonicMs() >= opensAt;
+    const services = relayServices(() => (isOpen() ? queue.shift() : undefined));
+    await new StreamRelay(context, services).run();
+    expect(monotonicMs()).to.be.below(context.deadline + 100);
+    expect(hosts[1]?.seen).to.deep.equal([]);
+  });
+
   it('that no host ran is refused at once when there is no allowance', async () => {
     const queue = await targets(response => {
       response.writeHead(503, { ...HEAD, 'x-not-executed': '1' }).end();
--- a/packages/entry/src/requests/wait-for-target.test.ts
+++ b/packages/entry/src/requests/wait-for-target.test.ts
@@ -52,6 +52,20 @@
     expect(noTargetReason(cold)).to.equal('cold-limit');
   });
 
+  it('waits for no news where cold hosts are all that it has not tried', () => {
+    expect(waitsForTarget(outlook(['cold-limit', 'tried']), fresh)).to.equal(false);
+    expect(waitsForTarget(outlook(['cold-limit', 'draining']), fresh)).to.equal(true);
+  });
+
+  it('that has begun waits for a group to be formed anew, not for hosts that it has tried', () => {
+    const begun = { ...fresh, begun: true };
+    expect(waitsForTarget(outlook(['tried']), { ...begun, lackingMs: 1_000 })).to.equal(true);
+    expect(waitsForTarget(outlook(['tried']), { ...begun, lackingMs: 3_000 })).to.equal(false);
+    expect(waitsForTarget(outlook(['tried'], 9_000), { ...begun, lackingMs: 3_000 })).to.equal(
+      true,
+    );
+  });
+
   it('is not held until its deadline has passed', () => {
     const late = { ...fresh, leftMs: 40 };
     expect(waitsForTarget(outlook(['eligible'], 0), late)).to.equal(false);
--- a/packages/entry/src/requests/wait-for-target.ts
+++ b/packages/entry/src/requests/wait-for-target.ts
@@ -27,9 +27,12 @@
 };
 
 /** Least time in which a run makes sense, in milliseconds; as for another attempt. */
-const LEAST_RUN_MS = 60;
-/** Time left at which an answer of our own still reaches the caller before it leaves, in milliseconds. */
-const ANSWER_MARGIN_MS = 30;
+export const LEAST_RUN_MS = 60;
+/**
+ * Time in which a group of hosts that have the model loaded is formed anew, in milliseconds: a stream that
+ * was at all heads there are waits for so long, then its caller may resume it elsewhere by itself.
+ */
+const REFORM_MS = 2_000;
 /**
  * Time in which a change that others know of reaches this entry host with a sound store, in
  * milliseconds: a host that was replaced, a group that was opened, a list that was never seen.
@@ -39,14 +42,15 @@
 /** True when the request waits on. */
 export function waitsForTarget(outlook: TargetOutlook, waiter: Waiter): boolean {
   const { lackingMs, formingForMs, leftMs, begun } = waiter;
-  if (begun) {
-    return leftMs > ANSWER_MARGIN_MS;
-  }
   const runnableMs = leftMs - LEAST_RUN_MS;
   if (runnableMs <= 0) {
     return false;
   }
   const { standings, formingMs } = outlook;
+  const allTried = standings.length > 0 && standings.every(standing => standing === 'tried');
+  if (begun) {
+    return !allTried || formingMs !== undefined || lackingMs < REFORM_MS;
+  }
   if (standings.includes('eligible')) {
     return true;
   }
@@ -56,8 +60,8 @@
     return true;
   }
   // Hosts that have rejected it are there: its caller is told when to come back to them.
-  const allTried = standings.length > 0 && standings.every(standing => standing === 'tried');
-  return !allTried && !isForbidden(standings) && lackingMs < NEWS_LAG_MS;
+  const isNewsAwaited = !allTried && !isForbidden(standings) && !isColdOnly(standings);
+  return isNewsAwaited && lackingMs < NEWS_LAG_MS;
 }
 
 /** What the refusal says; of several reasons the one that ends soonest. */
@@ -72,6 +76,12 @@
   return told ?? 'no-target';
 }
 
+// Hosts are there, and a turn at one of them is all that it lacks: `cold-wait.ts` decides about that.
+function isColdOnly(standings: readonly TargetStanding[]): boolean {
+  const isCold = standings.includes('cold-limit');
+  return isCold && standings.every(standing => standing === 'cold-limit' || standing === 'tried');
+}
+
 // Hosts are there, and an operator wants none of them to have the request: no news will change that.
 function isForbidden(standings: readonly TargetStanding[]): boolean {
   const isDeclared = standings.includes('evacuated') || standings.includes('outside-home-regions');
--- a/packages/entry/src/routing/target-chooser.ts
+++ b/packages/entry/src/routing/target-chooser.ts
@@ -31,6 +31,8 @@
   readonly exclude: ReadonlySet<string>;
   /** Regions that its hosts have to be in. */
   readonly homeRegions: HomeRegions;
+  /** True where other requests have waited longer for the cold hosts. */
+  readonly leavesCold?: boolean;
 };
 
 /** What a chooser knows beside the hosts. */
@@ -155,9 +157,8 @@
   /** When a request that has no target could have one. */
   outlook(query: TargetQuery): TargetOutlook {
     const now = monotonicMs();
-    const { service, model, homeRegions, exclude } = query;
-    const verdictOf = (host: HostEntry): Eligibility =>
-      this.#options.eligibility(host, homeRegions, now);
+    const { service, model, exclude } = query;
+    const verdictOf = (host: HostEntry): Eligibility => this.#verdict(host, query, now);
     const standings = this.#candidates(query).map(({ host }): TargetStanding =>
       exclude.has(host.id) ? 'tried' : verdictOf(host),
     );
@@ -174,10 +175,9 @@
   /** When cold hosts can take such requests, all together; undefined where none ever can. */
   coldPace(query: TargetQuery): ColdPace | undefined {
     const now = monotonicMs();
-    const { coldPace, eligibility } = this.#options;
     const paces = this.#candidates(query).flatMap(({ host }) => {
-      const isLimited = eligibility(host, query.homeRegions, now) === 'cold-limit';
-      const pace = isLimited && !query.exclude.has(host.id) && coldPace?.(host, now);
+      const mayHave = ['eligible', 'cold-limit'].includes(this.#verdict(host, query, now));
+      const pace = mayHave && !query.exclude.has(host.id) && this.#options.coldPace?.(host, now);
       return pace ? [pace] : [];
     });
     if (paces.length === 0) {
@@ -207,17 +207,25 @@
   }
 
   #eligible(query: TargetQuery, now: number): readonly Target[] {
-    const { homeRegions } = query;
     return this.#candidates(query).filter(
-      ({ host }) => this.#options.eligibility(host, homeRegions, now) === 'eligible',
+      ({ host }) => this.#verdict(host, query, now) === 'eligible',
     );
   }
 
+  // Turns at a cold host go to those that have waited for them.
+  #verdict(host: HostEntry, { homeRegions, leavesCold }: TargetQuery, now: number): Eligibility {
+    const { eligibility, coldPace } = this.#options;
+    const verdict = eligibility(host, homeRegions, now);
+    const isLeft = leavesCold === true && verdict === 'eligible';
+    return isLeft && coldPace?.(host, now) !== undefined ? 'cold-limit' : verdict;
+  }
+
   #candidates(query: TargetQuery): readonly Target[] {
     this.#forgetOlderVersion();
     const { service, model } = query;
-    const kind = service.engine === undefined ? 'plain' : 'engine';
-    const key = `${kind}/${service.name}/${model ?? ''}`;
+    // Callers choose the model's name freely where the service has no engine.
+    const kind = service.engine === undefined ? 'plain' : `engine/${model ?? ''}`;
+    const key = `${service.name}/${kind}`;
     let targets = this.#targets.get(key);
     if (targets === undefined) {
       targets = this.#targetsOf(query);
@@ -244,7 +252,9 @@
     if (subsets === undefined) {
       return from;
     }
-    const key = { service: query.service.name, model: query.model };
+    const { service, model } = query;
+    const served = service.engine === undefined ? undefined : model;
+    const key = { service: service.name, model: served };
     // A request that is held asks again and again until there is some target.
     if (query.exclude.size === 0 && from.length > 0) {
       subsets.noteRequest(key, now);
--- a/packages/entry/src/slow-start/cold-hosts.test.ts
+++ b/packages/entry/src/slow-start/cold-hosts.test.ts
@@ -94,6 +94,26 @@
     expect(hosts.spellOf(late, 20_002 + ASSUMED_MS)).to.equal(undefined);
   });
 
+  it('are none where another group is formed, seen by who only sees heads', () => {
+    const hosts = coldHosts();
+    const membership = { group: 'g', epoch: 1, rank: 0, state: 'open' } as const;
+    const [old, next] = [testHost('old', { membership }), testHost('next', { membership })];
+    hosts.take({ taken: [taken(old, 'first')], departed: [] }, 0);
+    hosts.take({ taken: [taken(next, 'new')], departed: [old] }, 1_000);
+    expect(hosts.spellOf(next, 1_001)).to.equal(undefined);
+  });
+
+  it('are none long after the same hosts were listed again', () => {
+    const hosts = coldHosts();
+    const host = testHost('x');
+    hosts.take({ taken: [taken(host, 'first')], departed: [] }, 0);
+    hosts.take({ taken: [], departed: [host] }, 1_000);
+    hosts.take({ taken: [taken(host, 'back')], departed: [] }, 2_000);
+    const late = testHost('late');
+    hosts.take({ taken: [taken(late, 'new')], departed: [] }, 3_600_000);
+    expect(hosts.spellOf(late, 3_600_001)).to.equal(undefined);
+  });
+
   it('are none where entries lapsed while the store was out and the same hosts are listed again', () => {
     const hosts = coldHosts();
     const host = testHost('x');
--- a/packages/entry/src/slow-start/cold-hosts.ts
+++ b/packages/entry/src/slow-start/cold-hosts.ts
@@ -107,7 +107,12 @@
     const before = this.#hosts.get(entry.id);
     if (before === undefined) {
       const key = placeOf(entry);
-      this.#counts.set(key, (this.#counts.get(key) ?? 0) + 1);
+      const others = this.#counts.get(key) ?? 0;
+      this.#counts.set(key, others + 1);
+      // The same hosts are listed again: the failure domain had not ended.
+      if (others === 0 && standing !== 'new') {
+        this.#emptied.delete(key);
+      }
     }
     const returnedAt = standing === 'new' && this.#isReturning(entry, now) ? now : undefined;
     const told = spellTold(entry, before?.told, now);
@@ -120,7 +125,9 @@
   #isReturning(entry: HostEntry, now: number): boolean {
     const slowStart = this.#options.slowStartOf(entry.service);
     const key = placeOf(entry);
-    if (slowStart === undefined || !this.#emptied.has(key)) {
+    // A member of a group has been there for a while, and has told by itself whether it is cold; who only
+    // sees the heads of groups sees another one come when a group is formed anew.
+    if (slowStart === undefined || !this.#emptied.has(key) || entry.membership !== undefined) {
       return false;
     }
     const first = this.#emptied.get(key) ?? now;
--- a/packages/entry/src/slow-start/cold-sends.ts
+++ b/packages/entry/src/slow-start/cold-sends.ts
@@ -41,8 +41,9 @@
 
 /** What this entry host may send to one cold host. */
 type Allowance = {
-  /** The spell that it is for. */
+  /** The spell that it is for, and when that ends, in monotonic milliseconds. */
   readonly since: number;
+  readonly until: number;
   readonly view: MemberView;
   /** Infinity for a host that this one may send nothing. */
   readonly intervalMs: number;
@@ -116,7 +117,7 @@
     const limit = coldLimit(slowStart.requestsPerSecond, this.#options.bounds());
     const intervalMs = sendIntervalMs(this.#shareOf(host, limit, view));
     const nextAt = firstSendAt(spell, view, intervalMs, before);
-    const allowance = { since: spell.since, view, intervalMs, nextAt };
+    const allowance = { ...spell, view, intervalMs, nextAt };
     this.#forgetOld(now);
     this.#allowances.set(host.id, allowance);
     return allowance;
@@ -136,8 +137,8 @@
     if (this.#allowances.size < MANY_ALLOWANCES) {
       return;
     }
-    for (const [id, { nextAt }] of this.#allowances) {
-      if (nextAt === Infinity || nextAt + MEMBERS_SETTLE_MS < now) {
+    for (const [id, { until }] of this.#allowances) {
+      if (until < now) {
         this.#allowances.delete(id);
       }
     }
