Routing and evacuations: comments for a first reader, an option nobody used removed

Stumbled over: limits described as 'waited for', 'nowhere at home', members that 'push away'; FULL declared after its use; 'standing' as the name of a verdict; 'evacuationsChanged', which every caller gave as a function that does nothing. Changed: comments in ordinary terms (timeout, subset, rank, cache); private names (unlimitedVerdict, FULL_PENALTY, isAhead); the option 'changed' of EvacuatedDomains and 'evacuationsChanged' of SendRules removed, with the setup lines of its test (no assertion). Behaviour is unchanged.

--- a/packages/entry/src/entry-host.ts
+++ b/packages/entry/src/entry-host.ts
@@ -102,7 +102,6 @@
       settings: () => this.#settings,
       members: settings.peers && (() => this.#peers?.membership.view),
       slowStartOf: service => this.#holder.table?.service(service)?.slowStart,
-      evacuationsChanged: () => undefined,
       log,
       metrics: this.#metrics,
     });
--- a/packages/entry/src/evacuation/evacuated-domains.test.ts
+++ b/packages/entry/src/evacuation/evacuated-domains.test.ts
@@ -28,7 +28,6 @@
     gauges = new Gauges();
     domains = new EvacuatedDomains({
       isFollowed: true,
-      changed: () => undefined,
       ended: domain => ended.push(domain),
       gauges,
       log: silentLog(),
@@ -43,7 +42,6 @@
     expect(domains.isKnown).to.equal(true);
     const never = new EvacuatedDomains({
       isFollowed: false,
-      changed: () => undefined,
       ended: () => undefined,
       gauges,
       log: silentLog(),
--- a/packages/entry/src/evacuation/evacuated-domains.ts
+++ b/packages/entry/src/evacuation/evacuated-domains.ts
@@ -2,8 +2,8 @@
  * The failure domains that operators have evacuated, as this entry host knows them.
  *
  * Each is an object in the store, followed like the configuration through the same chain of entry
- * hosts. What is known holds until a newer revision of the store says otherwise: without word from
- * store and peers a host goes on keeping the evacuations that it knows.
+ * hosts. What is known holds until a newer revision of the store says otherwise: an entry host that
+ * reaches neither store nor peers goes on observing the evacuations that it knows.
  */
 import type { EvacuationFacts } from '../routing/eligibility.js';
 import type { Log } from '../server/log.js';
@@ -23,11 +23,9 @@
 
 /** Options of the evacuated domains. */
 export type EvacuatedDomainsOptions = {
-  /** False where no failure domain can be evacuated: then nothing has to be known. */
+  /** False where settings have no bound for evacuations: then nothing is followed, and none is ever in force. */
   readonly isFollowed: boolean;
-  /** The set of evacuated failure domains has changed. */
-  readonly changed: () => void;
-  /** A failure domain is used again, as of a revision of the store; its hosts may be cold. */
+  /** An evacuation has ended, as of a revision of the store; hosts of the failure domain may be cold. */
   readonly ended: (failureDomain: string, revision: number) => void;
   readonly gauges: Gauges;
   readonly log: Log;
@@ -55,7 +53,7 @@
     ]);
   }
 
-  /** True once a whole list has come, if any is to come. */
+  /** True once a whole list was read, or from the start where evacuations are not followed. */
   get isKnown(): boolean {
     return this.#isKnown;
   }
@@ -65,10 +63,10 @@
     return [...this.#evacuations.values()];
   }
 
-  /** True while nothing more may be sent to hosts of the failure domain. */
+  /** True while nothing new may be sent to hosts of the failure domain. */
   readonly isEvacuated = (failureDomain: string): boolean => this.#evacuations.has(failureDomain);
 
-  /** Feeds what the watch of the store's objects brings. */
+  /** Takes what the watch of the store's objects reads. */
   get observer(): KindObserver {
     return {
       listed: list => {
@@ -92,7 +90,6 @@
     objects.forEach(object => {
       this.#begin(object.name, object.revision);
     });
-    this.#options.changed();
   }
 
   #takeChanges(changes: readonly ObjectChange[]): void {
@@ -103,11 +100,11 @@
         this.#begin(object.name, object.revision);
       }
     }
-    this.#options.changed();
   }
 
-  // An object that is newer than the known one was ordered again, or has taken the place of one that was
-  // removed: peers only pass the newest change on. Nothing was sent in between, so nothing has ended here.
+  // An object that is newer than the known one was written again, or was removed and created anew in
+  // between: peers pass on the newest change only. This host has sent nothing there meanwhile, so for it
+  // the evacuation has not ended.
   #begin(failureDomain: string, revision: number): void {
     const known = this.#evacuations.get(failureDomain);
     if (known !== undefined && known.revision >= revision) {
@@ -119,7 +116,7 @@
     this.#options.log.info(message, { failureDomain, revision });
   }
 
-  // What ended before this host heard that it had begun: the hosts may be cold all the same.
+  // Reported also for an evacuation whose beginning this host has missed: the hosts may be cold all the same.
   #end(failureDomain: string, revision: number): void {
     const known = this.#evacuations.get(failureDomain);
     this.#evacuations.delete(failureDomain);
--- a/packages/entry/src/routing/connect-times.ts
+++ b/packages/entry/src/routing/connect-times.ts
@@ -1,32 +1,32 @@
 /**
- * How long connections to upstream hosts take, by failure domain, and from that how long one is waited
- * for. A connection that never completes has carried nothing, so that any request may go elsewhere at
- * once; what is waited for it comes out of the caller's objective.
+ * Connect times of upstream hosts by failure domain, and the connect timeout derived from them. A
+ * connection that was never established has carried nothing, so any request may be sent to another host
+ * after the timeout; until then the wait uses up the caller's objective.
  */
 
 /**
- * Least limit, in milliseconds: an accepting host that is busy, or this process when it is held up, takes
- * some tens; the first retransmission of a lost packet comes after a second, beyond any limit here.
+ * Least timeout, in milliseconds: a busy host, or this process when its event loop is blocked, needs some
+ * tens. A lost SYN is sent again after a second only, so no timeout here waits for that.
  */
 const LEAST_CONNECT_MS = 100;
-/** Limit while nothing is known, and the greatest one: a round trip across a continent and back. */
+/** Timeout in milliseconds while no connect time is known, and the greatest one: a slow round trip between continents. */
 export const MOST_CONNECT_MS = 300;
-/** Usual connect times that are waited for. */
+/** The timeout as a multiple of the usual connect time. */
 const LIMIT_FACTOR = 10;
-/** Weight of the newest connection; a failure domain of which a part is dead still has usual times. */
+/** Weight of the newest connect time: small, so that some dead hosts do not raise the average of their failure domain. */
 const SMOOTHING = 0.05;
 
-/** Connect times as seen by this entry host. */
+/** Moving averages of the connect times that this entry host has seen. */
 export class ConnectTimes {
   readonly #usualMs = new Map<string, number>();
 
-  /** A connection to a host of the failure domain has taken this long, or was given up after it. */
+  /** A connection to a host of the failure domain was established, or timed out, after this time. */
   note(failureDomain: string, ms: number): void {
     const usual = this.#usualMs.get(failureDomain) ?? ms;
     this.#usualMs.set(failureDomain, usual + SMOOTHING * (ms - usual));
   }
 
-  /** For how long a connection to a host there is waited for, in milliseconds. */
+  /** Connect timeout for a host of the failure domain, in milliseconds. */
   limitMs(failureDomain: string): number {
     const usual = this.#usualMs.get(failureDomain);
     if (usual === undefined) {
--- a/packages/entry/src/routing/eligibility.ts
+++ b/packages/entry/src/routing/eligibility.ts
@@ -2,15 +2,15 @@
  * Tells whether an upstream host may receive a request now, and why not. Pure.
  *
  * It is asked when a target is chosen and again at the moment of each send: for first and second
- * attempts, streams that resume, and plain calls. Each fact comes from the part that owns it; no part
- * knows another.
+ * attempts, resumed streams and plain calls. Each fact comes from the module that owns it, through
+ * `EligibilityFacts`, so that these modules do not depend on each other.
  */
 import type { HostEntry } from '../hosts/host-entry.js';
 
 /** Whether a host may receive a request; all but `eligible` say why not. */
 export type Eligibility =
   | 'eligible'
-  /** The host has announced its end. */
+  /** The host has announced that it is shutting down. */
   | 'draining'
   /** This entry host has not yet seen which failure domains are evacuated. */
   | 'evacuations-unknown'
@@ -44,7 +44,10 @@
   readonly regionOf: (failureDomain: string) => string | undefined;
 };
 
-/** Home regions that bind a request: those of its route and of its workspace, as far as they have some. */
+/**
+ * Home regions that restrict a request: one list for its route and one for its workspace, each only where
+ * it declares some. A host has to be in a region of every list.
+ */
 export type HomeRegions = readonly (readonly string[])[];
 
 /** Whether the host may receive a request now, without using any allowance. */
@@ -54,29 +57,32 @@
   facts: EligibilityFacts,
   now: number,
 ): Eligibility {
-  const standing = standingOf(host, homeRegions, facts);
-  if (standing !== 'eligible') {
-    return standing;
+  const verdict = unlimitedVerdict(host, homeRegions, facts);
+  if (verdict !== 'eligible') {
+    return verdict;
   }
   return facts.coldSends.hasRoom(host, now) ? 'eligible' : 'cold-limit';
 }
 
-/** The same at the moment of a send; uses the allowance of a cold host where it says `eligible`. */
+/**
+ * Whether the host may receive a request now, asked at the moment of the send: where the answer is
+ * `eligible`, it has used the allowance of a cold host.
+ */
 export function takeEligibility(
   host: HostEntry,
   homeRegions: HomeRegions,
   facts: EligibilityFacts,
   now: number,
 ): Eligibility {
-  const standing = standingOf(host, homeRegions, facts);
-  if (standing !== 'eligible') {
-    return standing;
+  const verdict = unlimitedVerdict(host, homeRegions, facts);
+  if (verdict !== 'eligible') {
+    return verdict;
   }
   return facts.coldSends.take(host, now) ? 'eligible' : 'cold-limit';
 }
 
-// All but the rate limit: what does not pass by itself within a second.
-function standingOf(
+// The verdict without the rate limit of cold hosts, which is asked last since `take` uses it up.
+function unlimitedVerdict(
   host: HostEntry,
   homeRegions: HomeRegions,
   { evacuations, regionOf }: EligibilityFacts,
@@ -93,7 +99,7 @@
   return isAtHome(regionOf(host.failureDomain), homeRegions) ? 'eligible' : 'outside-home-regions';
 }
 
-// A host whose region is not declared is at home nowhere but where any region will do.
+// A host whose region is not declared may only take requests without home regions.
 function isAtHome(region: string | undefined, homeRegions: HomeRegions): boolean {
   return homeRegions.every(homes => region !== undefined && homes.includes(region));
 }
--- a/packages/entry/src/routing/host-subset.ts
+++ b/packages/entry/src/routing/host-subset.ts
@@ -1,31 +1,34 @@
 /**
- * The order in which an entry host uses the targets of a service and model: the first ones are its
- * subset. Each entry host computes it alone, from the registered members and the targets. Pure, but
- * for weights that are kept.
+ * The order in which an entry host prefers the targets of a service and model: the first ones are its
+ * subset. Each entry host computes it alone, from the registered members (the entry hosts) and the
+ * targets. Pure, but for a cache of weights.
  *
- * Members take one target after another, each by rendezvous weight among those that are not full: so
- * each target is in about equally many subsets, and few change when a target or a member goes.
+ * In rounds, each member picks the target with its greatest rendezvous weight among those that are not
+ * yet full, that is, in as many subsets as `HEADROOM` allows. So each target is in about equally many
+ * subsets, and few subsets change when a target or a member goes.
  */
 import { rendezvousWeight } from './rendezvous.js';
 
-/** Places of the order that are balanced over all members; later ones are by weight alone. */
+/** First places of the order, which are balanced over all members; later ones follow by weight alone. */
 const BALANCED_PLACES = 8;
 /**
- * Subsets that one target may be in, as a multiple of the mean. With none to spare, a target that goes
- * would push the choices of other members about; the rest of the balance is the chooser's.
+ * Subsets that one target may be in, as a multiple of the mean. At exactly the mean, one target that goes
+ * would change the picks of many members; what imbalance is left the target chooser evens out by load.
  */
 const HEADROOM = 1.1;
 /**
- * Pairs of members and targets beyond which the order is by weight alone, so that a change of targets
- * costs a small host no more than a few milliseconds. With so many pairs chance balances well by itself.
+ * Pairs of members and targets beyond which the order is by weight alone: balancing more would block the
+ * event loop for more than a few milliseconds at each change of the targets.
  */
 const MOST_PAIRS = 40_000;
-/** Targets whose weights are kept; beyond, all are computed anew. */
+/** Targets whose weights are cached; beyond, the cache is cleared. */
 const MOST_KEPT = 1_000;
-/** Stands for the members themselves where they are put into one order; no target has this name. */
+/** Key by which the members themselves are ordered; no target has this name. */
 const MEMBERS = '';
+/** Taken off the weight of a full target: more than any weight, so that it comes after all others. */
+const FULL_PENALTY = 2 ** 33;
 
-/** Orders of one entry host among given members. */
+/** Computes the orders of one entry host, for a fixed list of members. */
 export class HostSubset {
   readonly #ordered: readonly string[];
   readonly #self: number;
@@ -75,7 +78,8 @@
   }
 }
 
-// Index of the target with the greatest weight that is not full; of all, where the others are full.
+// Index of the member's next target: the one with the greatest weight that is not full, or, where all are
+// full, the one with the greatest weight.
 function bestOf(
   columns: readonly Float64Array[],
   member: number,
@@ -87,8 +91,7 @@
   let bestWeight = -Infinity;
   columns.forEach((column, index) => {
     const isFull = (uses[index] ?? 0) >= most;
-    // A full one comes behind all others.
-    const weight = (column[member] ?? 0) - (isFull ? FULL : 0);
+    const weight = (column[member] ?? 0) - (isFull ? FULL_PENALTY : 0);
     if (weight > bestWeight && !before.includes(index)) {
       best = index;
       bestWeight = weight;
@@ -97,9 +100,6 @@
   return best;
 }
 
-/** Above the greatest weight. */
-const FULL = 2 ** 33;
-
 function byWeight(member: string, names: readonly string[]): readonly string[] {
   return names
     .map(name => ({ name, weight: rendezvousWeight(member, name) }))
@@ -107,7 +107,8 @@
     .map(({ name }) => name);
 }
 
-// All members in one order; whoever is not registered yet comes last and pushes nobody away.
+// The members in an order that is the same at every entry host. This one, where it is not registered yet,
+// picks last, so that it takes no other member's place.
 function inOneOrder(self: string, members: readonly string[]): readonly string[] {
   const ordered = byWeight(MEMBERS, members);
   return members.includes(self) ? ordered : [...ordered, self];
--- a/packages/entry/src/routing/rendezvous.ts
+++ b/packages/entry/src/routing/rendezvous.ts
@@ -1,16 +1,16 @@
 /**
- * Rendezvous hashing: who of some members takes a key, the same on every entry host, without any
- * messages. When a member comes or goes, only keys that it takes change hands. Pure.
+ * Rendezvous hashing: assigns keys to members alike on every entry host, without any messages. When a
+ * member comes or goes, only its own keys move. Pure.
  */
 
 const FNV_OFFSET = 0x811c9dc5;
 const FNV_PRIME = 0x01000193;
-/** Stands between member and key; neither contains it. */
+/** Code unit between member and key; neither contains it. */
 const SEPARATOR = 0;
 
 /**
  * Weight of a member for a key, 0 to 2^32 - 1: FNV-1a over the UTF-16 units of both, mixed at the end.
- * Names that differ in their last digit alone would otherwise get neighbouring weights, and one of
+ * Without the mixing, names that differ only in their last digit would get similar weights, and one of
  * them would win too often.
  */
 export function rendezvousWeight(member: string, key: string): number {
@@ -32,8 +32,8 @@
 }
 
 /**
- * True when fewer than `count` of the other members have a greater weight for the key: the same as being
- * among {@link topMembers}, for a member that need not be in the list, and without sorting it.
+ * True when fewer than `count` of the other members have a greater weight for the key. The same as being
+ * among {@link topMembers}, but without a sort, and also for a member that is not in the list.
  */
 export function isAmongTop(
   member: string,
@@ -42,12 +42,12 @@
   count: number,
 ): boolean {
   const own = rendezvousWeight(member, key);
-  let before = 0;
+  let ahead = 0;
   for (const other of members) {
     const weight = rendezvousWeight(other, key);
-    const isBefore = weight > own || (weight === own && other < member);
-    before += Number(isBefore);
-    if (before >= count) {
+    const isAhead = weight > own || (weight === own && other < member);
+    ahead += Number(isAhead);
+    if (ahead >= count) {
       return false;
     }
   }
--- a/packages/entry/src/routing/send-eligibility.ts
+++ b/packages/entry/src/routing/send-eligibility.ts
@@ -1,10 +1,10 @@
-/** Answers the question of eligibility for this entry host, and counts what was withheld. */
+/** `eligibility.ts` applied to what this entry host knows, with a counter of sends that were withheld. */
 import type { HostEntry } from '../hosts/host-entry.js';
 import type { Counters } from '../server/metrics.js';
 import type { Eligibility, EligibilityFacts, HomeRegions } from './eligibility.js';
 import { eligibilityOf, takeEligibility } from './eligibility.js';
 
-/** Where requests may go from this entry host. */
+/** Decides whether this entry host may send a request to a host. */
 export class SendEligibility {
   readonly #facts: EligibilityFacts;
   readonly #counters: Counters;
@@ -19,7 +19,7 @@
     return eligibilityOf(host, homeRegions, this.#facts, now);
   }
 
-  /** Asked right before a send; what it does not allow must not be sent. */
+  /** Asked right before a send, which must not happen unless the answer is `eligible`. */
   take(host: HostEntry, homeRegions: HomeRegions, now: number): Eligibility {
     const verdict = takeEligibility(host, homeRegions, this.#facts, now);
     if (verdict !== 'eligible') {
--- a/packages/entry/src/routing/send-rules.ts
+++ b/packages/entry/src/routing/send-rules.ts
@@ -1,4 +1,4 @@
-/** What decides where this entry host may send: evacuations, slow start and regions, wired together. */
+/** Wires together what decides where this entry host may send: evacuations, slow start and regions. */
 import type { SlowStart } from '../configuration/serving-configuration.js';
 import { EvacuatedDomains } from '../evacuation/evacuated-domains.js';
 import type { MemberView } from '../peers/membership.js';
@@ -10,25 +10,23 @@
 
 /** Options of the rules. */
 export type SendRulesOptions = {
-  /** Asked anew at each use of a bound, since settings may change. */
+  /** Called at each use of a bound, since settings are reloaded; name and regions are read once. */
   readonly settings: () => EntrySettings;
-  /** The registered entry hosts; the function is undefined where this one has no peers. */
+  /** The registered entry hosts as far as they are known; undefined where this one has no peers. */
   readonly members: (() => MemberView | undefined) | undefined;
   readonly slowStartOf: (service: string) => SlowStart | undefined;
-  /** The evacuated failure domains have changed. */
-  readonly evacuationsChanged: () => void;
   readonly log: Log;
   readonly metrics: Metrics;
 };
 
-/** The rules of one entry host. */
+/** Evacuations, slow start and eligibility of one entry host. */
 export class SendRules {
   readonly evacuated: EvacuatedDomains;
   readonly slowStart: SlowStartLimits;
   readonly eligibility: SendEligibility;
 
   constructor(options: SendRulesOptions) {
-    const { settings, members, slowStartOf, evacuationsChanged, log, metrics } = options;
+    const { settings, members, slowStartOf, log, metrics } = options;
     const { name, bounds, regions } = settings();
     this.slowStart = new SlowStartLimits({
       self: name,
@@ -41,7 +39,6 @@
     metrics.gauges.follow('cold_hosts', () => [{ labels: {}, value: this.slowStart.coldHosts }]);
     this.evacuated = new EvacuatedDomains({
       isFollowed: bounds.evacuationMs !== undefined,
-      changed: evacuationsChanged,
       ended: this.slowStart.evacuationEnded,
       gauges: metrics.gauges,
       log,
--- a/packages/entry/src/routing/subset-choice.ts
+++ b/packages/entry/src/routing/subset-choice.ts
@@ -1,6 +1,6 @@
 /**
- * Which of the targets an entry host uses first: as many of its order that a connection to each is
- * used again before it is closed, and a few at least.
+ * The subset of targets that an entry host prefers: the first ones of its order (`host-subset.ts`), as many
+ * as its requests can keep connections open to, and a few at least.
  */
 import type { HostEntry } from '../hosts/host-entry.js';
 import type { Counters } from '../server/metrics.js';
@@ -20,35 +20,38 @@
   readonly isConnected: (host: HostEntry) => boolean;
 };
 
-/** Options of the choice. */
+/** Options of the subsets. */
 export type SubsetOptions = {
   /** Name of this entry host. */
   readonly self: string;
-  /** Undefined where entry hosts do not know each other: then all targets are used alike. */
+  /** Undefined where entry hosts have no peers: then the subset is all targets. */
   readonly membership: SubsetMembers | undefined;
   readonly connections: KeptConnections;
   readonly counters: Counters;
 };
 
-/** Where a target was chosen from. */
+/** Whether a target was chosen from the subset or from the other targets. */
 export type ChoicePlace = 'subset' | 'outside';
 
-/** For whom a subset is: a service, and the model that a request names. */
+/** What a subset is kept for: a service, and the model that its requests name. */
 export type SubsetKey = { readonly service: string; readonly model: string | undefined };
 
 /**
- * Targets of a subset at least. Requests are spread by comparing loads, which needs some to compare,
- * and one that is lost or rejected needs others to go to.
+ * Least number of targets in a subset: the chooser compares the loads of several, and a request that was
+ * lost or rejected needs others to go to.
  */
 const LEAST_TARGETS = 3;
 /**
- * Subsets that each target is in at least, on average, where entry hosts are few: one that ends, or
- * that has no requests, must leave no target unused.
+ * Least number of subsets that each target is in, on average: where entry hosts are few, one that ends or
+ * has no requests must not leave targets unused.
  */
 const LEAST_SUBSETS = 3;
-/** Requests that an idle time at one target should bring: one pause in fifty then outlasts it. */
+/**
+ * Requests that each target of the subset should get, on average, within the time for which an idle
+ * connection is kept: then about one pause in fifty (e^-4) is so long that the connection is closed.
+ */
 const REQUESTS_PER_IDLE_TIME = 4;
-/** Time in which the weight of a request in the rate falls to a third, in milliseconds. */
+/** Time in which the weight of a request in the rate falls to 1/e, in milliseconds. */
 const RATE_DECAY_MS = 8_000;
 
 type Rate = { sum: number; at: number };
@@ -67,7 +70,7 @@
     this.#subset = new HostSubset(options.self, []);
   }
 
-  /** Counts a first attempt; `now` in monotonic milliseconds. */
+  /** Counts a request at its first attempt; `now` in monotonic milliseconds. */
   noteRequest(key: SubsetKey, now: number): void {
     const name = nameOf(key);
     const rate = this.#rates.get(name);
@@ -82,7 +85,7 @@
     counters.count('subset_targets_total', {}, size);
   }
 
-  /** Number of targets that this entry host uses of `count` while all are usable. */
+  /** Size of the subset where there are `count` targets; `now` in monotonic milliseconds. */
   sizeOf(key: SubsetKey, count: number, now: number): number {
     const { membership, connections } = this.#options;
     if (membership === undefined) {
@@ -99,7 +102,7 @@
     return Math.min(count, wanted);
   }
 
-  /** Place of each of the hosts in the order, 0 for the one used first. */
+  /** Rank of each of the hosts in the order, 0 for the one that is preferred. */
   ranksOf(key: SubsetKey, hostIds: readonly string[]): ReadonlyMap<string, number> {
     this.#followMembers();
     const name = nameOf(key);
