Choice and waiting: comments and private names in ordinary terms

Changed: comments; RETRY_AFTER_NO_HOST_MS, needsOperator, STALE_WITHIN_MS, the pauses of await-target.ts, failUnlessConnected. Behaviour is unchanged.

--- a/packages/entry/src/requests/await-target.ts
+++ b/packages/entry/src/requests/await-target.ts
@@ -1,4 +1,4 @@
-/** Finds a request the target it is sent to next, and holds it as long as there is reason to. */
+/** Waits for the target that a request is sent to next, as long as one can still come in time. */
 import type { Target, TargetQuery } from '../routing/target-chooser.js';
 import type { TargetOutlook } from '../routing/target-outlook.js';
 import { describeStandings } from '../routing/target-standings.js';
@@ -10,21 +10,24 @@
 import type { NoTargetReason, Waiter } from './wait-for-target.js';
 import { noTargetReason, waitsForTarget } from './wait-for-target.js';
 
-/** No target came, or none will. */
+/** No target came in time, or none can. */
 export type NoTarget = {
   readonly reason: NoTargetReason;
-  /** How many targets stand in each way, for the log. */
+  /** Number of targets by standing, for the log: `evacuated:2,tried:1`. */
   readonly targets: string;
 };
 
-/** Period in which a request that waits looks again at first, in milliseconds. */
-const FIRST_LOOK_MS = 15;
-/** The same for one that has waited for a while: a group forms in a second and more. */
-const LATER_LOOK_MS = 50;
-/** Part of the time waited so far after which it looks again. */
-const LOOK_PART = 0.25;
+/** Least pause between two attempts to choose a target, in milliseconds: small beside any objective. */
+const LEAST_PAUSE_MS = 15;
+/** Greatest pause, in milliseconds: small beside the second and more in which a group forms. */
+const GREATEST_PAUSE_MS = 50;
+/** Pause between the two, as a part of the time waited so far. */
+const PAUSE_PART = 0.25;
 
-/** The target, claimed; it must be sent to at once. `query` is asked for at each look. */
+/**
+ * The target, with the right to send to it claimed: the request must be sent at once. `query` is called for
+ * each attempt to choose, since home regions may change meanwhile.
+ */
 export async function awaitTarget(
   services: RelayServices,
   context: RequestContext,
@@ -42,23 +45,23 @@
     if (gone.aborted || !waitsForTarget(outlook, waiter)) {
       const until = deadline - route.objectiveMs;
       const cold = await awaitColdTarget(services, query, { until, gone });
-      return cold ?? withheld(services, outlook);
+      return cold ?? countedNoTarget(services, outlook);
     }
-    await sleep(lookAfterMs(waiter), gone);
+    await sleep(pauseMs(waiter), gone);
   }
 }
 
-function withheld({ counters }: RelayServices, outlook: TargetOutlook): NoTarget {
+function countedNoTarget({ counters }: RelayServices, outlook: TargetOutlook): NoTarget {
   const reason = noTargetReason(outlook);
   counters.count('requests_without_target_total', { reason });
   return { reason, targets: describeStandings(outlook.standings) };
 }
 
-function lookAfterMs({ lackingMs }: Waiter): number {
-  return Math.min(LATER_LOOK_MS, Math.max(FIRST_LOOK_MS, lackingMs * LOOK_PART));
+function pauseMs({ lackingMs }: Waiter): number {
+  return Math.min(GREATEST_PAUSE_MS, Math.max(LEAST_PAUSE_MS, lackingMs * PAUSE_PART));
 }
 
-/** The wait of one request, timed. */
+/** Measures how long one request has waited. */
 class TargetWait {
   readonly #context: RequestContext;
   readonly #lackingSince = monotonicMs();
@@ -84,7 +87,7 @@
   }
 }
 
-/** True when there is a target. */
+/** True when {@link awaitTarget} gave a target. */
 export function isTarget(found: Target | NoTarget): found is Target {
   return 'host' in found;
 }
--- a/packages/entry/src/requests/claim-target.ts
+++ b/packages/entry/src/requests/claim-target.ts
@@ -4,8 +4,8 @@
 import type { RelayServices } from './relay-services.js';
 
 /**
- * The target to which the request must be sent at once, without waiting in between: what makes a host
- * eligible may end at any moment, and a cold host's allowance is used. Undefined while there is none.
+ * The target to which the request must be sent at once, without an `await` in between: a host may stop
+ * being eligible at any moment, and the allowance of a cold host is used up. Undefined while there is none.
  */
 export function claimTarget(
   { chooser, eligibility }: RelayServices,
--- a/packages/entry/src/requests/cold-wait.ts
+++ b/packages/entry/src/requests/cold-wait.ts
@@ -1,6 +1,6 @@
 /**
- * Waits for the right to send to a cold host, when that is all there is: only as many requests as this
- * entry host will get through before their time is over. The others are refused at once.
+ * Requests that wait because only cold hosts are left, and their rate limit is used up. A request waits
+ * only if its turn, behind those that wait already, comes in time; the others are refused at once.
  */
 import type { Target, TargetQuery } from '../routing/target-chooser.js';
 import { monotonicMs, sleep } from '../server/time.js';
@@ -9,16 +9,16 @@
 
 /** How long a request may wait. */
 export type ColdWait = {
-  /** Monotonic milliseconds after which a send would come too late to be answered. */
+  /** Monotonic milliseconds after which a send would be too late for an answer in time. */
   readonly until: number;
-  /** Raised when the caller has gone. */
+  /** Aborted when the caller has disconnected. */
   readonly gone: AbortSignal;
 };
 
-/** Period in which a waiting request asks again: small beside any interval between two sends. */
+/** Period in which a waiting request asks again, in milliseconds: small beside the interval between two sends. */
 const STEP_MS = 15;
 
-/** Counts the requests that wait, by service and model. */
+/** Numbers of waiting requests, by service and model. */
 export class ColdWaits {
   readonly #waiting = new Map<string, number>();
 
@@ -40,8 +40,8 @@
 }
 
 /**
- * The target to which the request must be sent at once; `query` is asked for at each look. Undefined where no cold host can take it in
- * time. A warm host that comes meanwhile is taken as well.
+ * The target to which the request must be sent at once; a warm host where one becomes available meanwhile.
+ * Undefined where no cold host can take the request in time. `query` is called for each attempt to choose.
  */
 export async function awaitColdTarget(
   services: RelayServices,
--- a/packages/entry/src/requests/connection-choice.ts
+++ b/packages/entry/src/requests/connection-choice.ts
@@ -5,9 +5,9 @@
 import type { UpstreamConnections } from './upstream-connections.js';
 
 /**
- * Kept connections for what may run twice; undefined, for a connection of its own, for the rest. A kept
- * one may be closed by the upstream as the request is sent: nobody knows then whether it ran, and what
- * may run once only would be lost.
+ * The kept connections for a request that may run twice; undefined, for a new connection, for one that may
+ * not. The upstream may close a kept connection just as a request is sent: then it is not known whether the
+ * request ran, and one that may run only once would have to be failed.
  */
 export function connectionsFor(
   { connectionsOf, counters }: RelayServices,
--- a/packages/entry/src/requests/connection-reuse.ts
+++ b/packages/entry/src/requests/connection-reuse.ts
@@ -1,16 +1,17 @@
-/** For how long a kept connection to an upstream host may be used again. Pure. */
+/** For how long an idle connection to an upstream host is kept for later requests. Pure. */
 
-/** Idle time where the upstream announces none, in milliseconds: below the five seconds of usual servers. */
+/** Idle time where the upstream announces none, in milliseconds: below the keep-alive timeout
+ * of 5 s that is the default of common HTTP servers. */
 export const USUAL_IDLE_MS = 4_000;
 /**
- * Longest idle time, in milliseconds. A longer one would keep connections to hosts that a caller's
- * usual pause of a minute has long moved away from, and more of them can go silent unseen.
+ * Longest idle time, in milliseconds. The longer a connection is idle, the likelier it has broken without
+ * notice, and connections to hosts that get no requests any more only take up places there.
  */
 const MAX_IDLE_MS = 30_000;
 /**
- * Part of the announced time that is left unused, 0 to 1, and its greatest value in milliseconds. A
- * request that is sent as the upstream closes is lost: the margin bears the way there and a process
- * that is late by a busy processor.
+ * Margin by which a connection is closed before the announced time, as a part of that time, 0 to 1, and at
+ * most so many milliseconds. A request that is sent just as the upstream closes is lost: the margin covers
+ * the network delay and a timer that fires late because the processor is busy.
  */
 const MARGIN_PART = 0.25;
 const MAX_MARGIN_MS = 1_000;
--- a/packages/entry/src/requests/exchange.ts
+++ b/packages/entry/src/requests/exchange.ts
@@ -1,4 +1,4 @@
-/** One request on one connection to an upstream host, sent once and never by itself again. */
+/** One request on one connection to an upstream host, sent once: retries are up to the caller. */
 import type { IncomingMessage } from 'node:http';
 import { request as httpRequest } from 'node:http';
 import type { Socket } from 'node:net';
@@ -23,10 +23,10 @@
 };
 
 /**
- * Time after the send within which a kept connection that was closed before makes itself known, in
- * milliseconds: a round trip, and a processor that is late. A later end is one of the host or its work.
+ * Time within which a request on a kept connection that the upstream had closed before fails, in
+ * milliseconds: a round trip and some scheduling delay. A later failure is one of the host or its work.
  */
-const STALE_KNOWN_MS = 100;
+const STALE_WITHIN_MS = 100;
 
 /** How an exchange ended. */
 export type ExchangeEnd =
@@ -35,15 +35,15 @@
   /** Nothing has left this process. */
   | 'never-sent'
   /**
-   * Sent on a kept connection that was closed or reset before any answer: it may have run, but says
-   * nothing of the host, which may have closed it for being idle.
+   * Sent on a kept connection that was closed or reset before any answer. The request may have run, but
+   * the host has not failed: it may have closed the connection for being idle.
    */
   | 'stale'
-  /** Sent, and no head of an answer has come. */
+  /** Sent, and ended before the head of an answer. */
   | 'lost'
   /** The answer broke off. */
   | 'broken'
-  /** Ended from this side. */
+  /** Cancelled by the caller of {@link startExchange}. */
   | 'cancelled';
 
 /** Receives what an exchange brings; `ended` comes once, last. */
@@ -85,7 +85,7 @@
     ended = true;
     clearTimeout(connectTimer);
     if (how !== 'whole') {
-      // A kept connection can go silent for good, or be reset, and so may others to the host.
+      // Where one kept connection was reset or does not answer, the other idle ones to the host may be broken too.
       const isDoubtful = how === 'stale' || (how === 'cancelled' && answer === undefined);
       if (isDoubtful && sent.reusedSocket) {
         connections?.closeIdleTo(host.ip, host.port);
@@ -98,19 +98,19 @@
     if (answer !== undefined) {
       end('broken');
     } else if (connected) {
-      const isEarly = monotonicMs() - sentAt < STALE_KNOWN_MS;
+      const isEarly = monotonicMs() - sentAt < STALE_WITHIN_MS;
       end(sent.reusedSocket && isEarly ? 'stale' : 'lost');
     } else {
       end('never-sent');
     }
   };
-  const giveUpConnecting = (): void => {
+  const failUnlessConnected = (): void => {
     if (!connected) {
       end('never-sent');
     }
   };
-  // First for a place among the connections to the host, then for the connection itself.
-  let connectTimer = afterTurn(giveUpConnecting, MOST_CONNECT_MS);
+  // The agent may queue the request for a free connection first; the connect timeout proper starts below.
+  let connectTimer = afterTurn(failUnlessConnected, MOST_CONNECT_MS);
   sent.on('socket', (socket: Socket) => {
     clearTimeout(connectTimer);
     if (!socket.connecting) {
@@ -125,7 +125,7 @@
       if (!connected && !ended) {
         noteTime();
       }
-      giveUpConnecting();
+      failUnlessConnected();
     }, connects.limitMs(host.failureDomain));
     socket.once('connect', () => {
       connected = true;
@@ -161,7 +161,8 @@
   };
 }
 
-// When this process was held up, the connection may be there already: it is heard of before the call.
+// When the event loop was blocked, the connection may be established already: its event is handled before
+// the callback.
 function afterTurn(call: () => void, ms: number): NodeJS.Timeout {
   return setTimeout(() => {
     setImmediate(call);
--- a/packages/entry/src/requests/home-regions.ts
+++ b/packages/entry/src/requests/home-regions.ts
@@ -1,5 +1,5 @@
 /**
- * Home regions that bind a request: those of its route and of its workspace, both where both have some.
+ * Home regions that restrict a request: those of its route and those of its workspace.
  *
  * They are read from the configuration in force at each send, not from the one under which the request
  * arrived: a stream may run for many seconds, and what it still needs must not leave the regions that
@@ -9,11 +9,11 @@
 import type { Route, Workspace } from '../configuration/serving-configuration.js';
 import type { HomeRegions } from '../routing/eligibility.js';
 
-/** What a request names, by which its route and workspace are found again. */
+/** What a request says, by which its route and workspace are looked up again in a newer configuration. */
 export type NamedByRequest = {
   readonly hostHeader: string;
   readonly url: string;
-  /** Key of the caller; undefined where it has shown none. */
+  /** Key of the caller; undefined where it sent none. */
   readonly key: string | undefined;
 };
 
@@ -27,7 +27,7 @@
 export class RequestHomes {
   readonly #table: () => RouteTable | undefined;
   readonly #named: NamedByRequest;
-  /** Newest route and workspace that the request had: they bind on when a change drops one of them. */
+  /** Route and workspace as of the newest configuration that had them: they stay in force if it drops one. */
   #latest: Admission;
   #resolvedWith: RouteTable | undefined;
   #homes: HomeRegions;
--- a/packages/entry/src/requests/plain-relay.ts
+++ b/packages/entry/src/requests/plain-relay.ts
@@ -15,7 +15,7 @@
 import type { RelayServices } from './relay-services.js';
 import type { RequestContext } from './request-context.js';
 import { mayRepeat } from './request-context.js';
-import { isForbidding, RETRY_AFTER_FORBIDDEN_MS, RETRY_AFTER_MS } from './retry-after.js';
+import { needsOperator, RETRY_AFTER_MS,RETRY_AFTER_NO_HOST_MS } from './retry-after.js';
 import { upstreamHeaders } from './upstream-request.js';
 import type { NoTargetReason } from './wait-for-target.js';
 
@@ -256,7 +256,7 @@
 
   #finalAnswer(reason: GiveUpReason): FinalAnswer {
     if (!this.#log.mayHaveRun) {
-      const retryAfterMs = isForbidding(reason) ? RETRY_AFTER_FORBIDDEN_MS : RETRY_AFTER_MS;
+      const retryAfterMs = needsOperator(reason) ? RETRY_AFTER_NO_HOST_MS : RETRY_AFTER_MS;
       return { status: 503, reason, retryAfterMs };
     }
     const late = this.#context.deadline - monotonicMs() < 2 * DEADLINE_MARGIN_MS;
--- a/packages/entry/src/requests/retry-after.ts
+++ b/packages/entry/src/requests/retry-after.ts
@@ -1,16 +1,16 @@
-/** When a caller may come back whose request has not run. */
+/** `Retry-After` of requests that were refused and have not run. */
 import type { AnswerReason } from './final-answer.js';
 
-/** Where the hosts were busy for a moment, in milliseconds: some requests have ended by then. */
+/** Where hosts were busy, in milliseconds: some of their requests have ended by then. */
 export const RETRY_AFTER_MS = 250;
 /**
- * Where no host at all may take the request, in milliseconds. When that ends is not known: the soonest is
- * a group of hosts that have its model loaded, which forms in some hundred milliseconds. Callers who come
- * back before would be refused again; much later, they would miss that group.
+ * Where no host may take the request, in milliseconds. When that ends is not known; at the earliest when a
+ * group of hosts that have its model loaded has formed, which takes some hundred milliseconds. Callers that
+ * retry before then would be refused again; callers that retry much later would wait for nothing.
  */
-export const RETRY_AFTER_FORBIDDEN_MS = 800;
+export const RETRY_AFTER_NO_HOST_MS = 800;
 
-/** True for reasons that an operator has to end. */
-export function isForbidding(reason: AnswerReason): boolean {
+/** True for reasons that last until an operator changes an evacuation or the home regions. */
+export function needsOperator(reason: AnswerReason): boolean {
   return reason === 'evacuated' || reason === 'outside-home-regions';
 }
--- a/packages/entry/src/requests/stream-relay.ts
+++ b/packages/entry/src/requests/stream-relay.ts
@@ -17,7 +17,7 @@
 import { endToEndHeaders } from './relay-headers.js';
 import type { RelayServices } from './relay-services.js';
 import type { RequestContext } from './request-context.js';
-import { RETRY_AFTER_FORBIDDEN_MS, RETRY_AFTER_MS } from './retry-after.js';
+import { RETRY_AFTER_MS,RETRY_AFTER_NO_HOST_MS } from './retry-after.js';
 import type { StreamAttemptEnd } from './stream-attempt.js';
 import { StreamAttempt } from './stream-attempt.js';
 import type { NoTargetReason } from './wait-for-target.js';
@@ -315,7 +315,7 @@
   #finalAnswer(reason: GiveUpReason): FinalAnswer {
     if (!this.#log.mayHaveRun) {
       const any = this.#services.chooser.hasSound({ ...this.#query(), exclude: new Set() });
-      const retryAfterMs = any ? RETRY_AFTER_MS : RETRY_AFTER_FORBIDDEN_MS;
+      const retryAfterMs = any ? RETRY_AFTER_MS : RETRY_AFTER_NO_HOST_MS;
       return { status: 503, reason, retryAfterMs };
     }
     const late = this.#context.deadline - monotonicMs() < 3 * DEADLINE_MARGIN_MS;
--- a/packages/entry/src/routing/host-activity.ts
+++ b/packages/entry/src/routing/host-activity.ts
@@ -50,7 +50,7 @@
 export class HostActivities {
   /** Failure domains as seen by this entry host. */
   readonly reach = new DomainReach();
-  /** How long connections to hosts take. */
+  /** Connect times of hosts, by failure domain. */
   readonly connects = new ConnectTimes();
   readonly #hosts = new Map<string, HostActivity>();
   readonly #typical = new Map<string, Typical>();
@@ -167,7 +167,7 @@
     return typicalMs + part * (activity.firstMs - typicalMs);
   }
 
-  /** A request failed at the host, or stands still there: avoid it for a while. */
+  /** A request failed or stalled at the host: avoid it for a while. */
   noteFailure(id: string): void {
     const activity = this.of(id);
     activity.consecutiveFailures += 1;
--- a/packages/entry/src/routing/target-chooser.ts
+++ b/packages/entry/src/routing/target-chooser.ts
@@ -27,9 +27,9 @@
   readonly service: Service;
   /** Model that the request names. */
   readonly model: string | undefined;
-  /** Hosts that the request was sent to before. */
+  /** Ids of the hosts that the request was sent to before. */
   readonly exclude: ReadonlySet<string>;
-  /** Regions that its hosts have to be in. */
+  /** Home regions that restrict the request. */
   readonly homeRegions: HomeRegions;
 };
 
@@ -46,7 +46,7 @@
   readonly lacksMember?: (group: ReplicaGroup) => boolean;
   /** What entry hosts report of the target; `now` in monotonic milliseconds. */
   readonly outlier?: (target: Target, now: number) => OutlierVerdict | undefined;
-  /** Which targets this entry host uses first; all alike where it is left out. */
+  /** The preferred subsets of targets; left out: no target is preferred for being in one. */
   readonly subsets?: SubsetChoice;
 };
 
@@ -56,20 +56,21 @@
 const QUEUE_WEIGHT = 0.25;
 /** Targets that are compared for one request. */
 const SAMPLE = 3;
-/** Advantage of hosts in the own failure domain. */
+/** Factor on the cost of hosts in other failure domains. */
 const REMOTE_FACTOR = 1.05;
+/** Greatest part by which a cost is raised at random, so that equal targets are chosen alike. */
 const SPREAD = 0.1;
-/** Advantage of hosts to which a connection is open: a new one costs a round trip and a place there. */
+/** Factor on the cost of hosts to which no connection is open: a new one costs a round trip, and counts there. */
 const UNCONNECTED_FACTOR = 1.1;
 /**
- * Cost of the best target of the subset, as a multiple of that of one outside, from which the other is
- * taken: above what loads that are some hundred milliseconds old differ by chance.
+ * Cost of the best target of the subset, as a multiple of that of one outside, from which the one outside
+ * is taken. Differences below it may be chance, since loads of other entry hosts are some hundred
+ * milliseconds old.
  */
 const MOST_OVER_OUTSIDE = 1.5;
 /**
- * Greatest part of the targets that is left alone for being slow, 0 to 1, those with most reports first.
- * With a half, a burst of 1.7 times the traffic and the loss of two groups made all others slow in turn:
- * credit 0.57 and 0.75 in four seconds in place of 0.82 and 0.94 (a played day).
+ * Greatest part of the targets that is excluded for being slow, 0 to 1, those with most reports first.
+ * With as much as a half, a burst of traffic makes the remaining targets slow in turn.
  */
 const MOST_SLOW_PART = 0.2;
 
@@ -79,7 +80,7 @@
   readonly #activities: HostActivities;
   readonly #options: ChooserOptions;
   readonly #groups = new Map<string, readonly ReplicaGroup[]>();
-  /** Targets by service and model, as of the registry's version; a request asks three times. */
+  /** Targets by service and model as of the registry's version, cached since each request asks several times. */
   readonly #targets = new Map<string, readonly Target[]>();
   #version = -1;
 
@@ -90,10 +91,11 @@
   }
 
   /**
-   * The best target of a sample; undefined while there is none. Avoided hosts come last.
+   * The best target of a random sample; undefined while there is none. Hosts that are avoided are taken
+   * only where there are no others.
    *
-   * The loads of other entry hosts are some hundred milliseconds old. If all took the least loaded
-   * target of all, they would take the same one until they hear of it.
+   * A sample, because the loads of other entry hosts are some hundred milliseconds old: if all took the
+   * least loaded of all targets, they would overload the same one before its load is known.
    */
   choose(query: TargetQuery): Target | undefined {
     const now = monotonicMs();
@@ -144,15 +146,16 @@
   }
 
   /**
-   * True when a silent run there will hardly go on: its host's entry has gone, or its group lacks a
-   * member and stands still. A host that is only cut off from the store serves on, and is not silent.
+   * True when a silent run at the target will hardly go on: its host's entry has gone, or its group lacks a
+   * member and is stalled. To be asked of silent runs only: a host whose entry has gone because it was cut
+   * off from the store goes on serving.
    */
   isLost({ host, group }: Target): boolean {
     const lacks = group !== undefined && this.#options.lacksMember?.(group) === true;
     return lacks || this.#registry.get(host.id) === undefined;
   }
 
-  /** When a request that has no target could have one. */
+  /** Why a request has no target, and when it could have one. */
   outlook(query: TargetQuery): TargetOutlook {
     const now = monotonicMs();
     const { service, model, homeRegions, exclude } = query;
@@ -171,7 +174,7 @@
     };
   }
 
-  /** When cold hosts can take such requests, all together; undefined where none ever can. */
+  /** When all cold hosts together can take such requests; undefined where none may be sent one. */
   coldPace(query: TargetQuery): ColdPace | undefined {
     const now = monotonicMs();
     const { coldPace, eligibility } = this.#options;
@@ -187,7 +190,7 @@
     return { nextInMs: Math.min(...paces.map(pace => pace.nextInMs)), intervalMs: 1 / perMs };
   }
 
-  /** Groups of a service, as their members tell. */
+  /** Groups of a service, by the entries of their members. */
   groupsOf(service: string): readonly ReplicaGroup[] {
     this.#forgetOlderVersion();
     let groups = this.#groups.get(service);
@@ -238,14 +241,15 @@
     });
   }
 
-  // The first of this host's order that are left: each that is not gives its place to the next one.
+  // The first of this entry host's order among `from`: a target that is not usable is replaced by the next
+  // one of the order.
   #subsetOf(query: TargetQuery, from: readonly Target[], now: number): readonly Target[] {
     const { subsets } = this.#options;
     if (subsets === undefined) {
       return from;
     }
     const key = { service: query.service.name, model: query.model };
-    // A request that is held asks again and again until there is some target.
+    // Counted once: a waiting request asks again and again, until there is some target.
     if (query.exclude.size === 0 && from.length > 0) {
       subsets.noteRequest(key, now);
     }
@@ -277,7 +281,8 @@
     );
   }
 
-  // When many groups are slow at once all have too much to do; without them the rest would be crushed.
+  // Excludes some slow targets only: when many are slow at once the fleet is overloaded, and without them
+  // the others would be overloaded even more.
   #withoutOutliers(targets: readonly Target[], now: number): readonly Target[] {
     const verdicts = new Map<Target, OutlierVerdict>();
     for (const target of targets) {
@@ -299,7 +304,7 @@
     return [kept, reachable, targets].find(list => list.length > 0) ?? [];
   }
 
-  // A head whose member has left or is lost still takes requests, and none of them moves on.
+  // The head of a group that lacks a member still accepts requests, but none of them progresses.
   #isSound({ host, group }: Target, now: number): boolean {
     if (group !== undefined && this.#options.lacksMember?.(group) === true) {
       return false;
@@ -311,7 +316,7 @@
     return !cutOff && !this.#activities.isAvoided(id, now);
   }
 
-  // A target that nothing is known of is taken to be like the others, not to be quicker.
+  // A target of which nothing is known counts as one of usual speed, not as a faster one.
   #cost(host: HostEntry, typicalMs: number | undefined, now: number): number {
     const activity = this.#activities.of(host.id);
     const usualMs = typicalMs ?? DEFAULT_FIRST_MS;
@@ -328,7 +333,7 @@
   return targets.filter(target => !others.includes(target));
 }
 
-// Some of the targets, each with the same chance.
+// A uniform random sample.
 function sampleOf(targets: readonly Target[], count: number): readonly Target[] {
   if (targets.length <= count) {
     return targets;
--- a/packages/entry/src/routing/target-outlook.ts
+++ b/packages/entry/src/routing/target-outlook.ts
@@ -1,4 +1,4 @@
-/** What is known of when a request that has no target could have one. Pure. */
+/** Why a request has no target, and when one could become available. Pure. */
 import type { EngineProfile } from '../configuration/serving-configuration.js';
 import type { ReplicaGroup } from '../groups/replica-groups.js';
 import { headState } from '../groups/replica-groups.js';
@@ -7,22 +7,25 @@
 
 /** The outlook of one request. */
 export type TargetOutlook = {
-  /** Of each target that serves what it names. */
+  /** One for each target that serves the service and model of the request. */
   readonly standings: readonly TargetStanding[];
   /**
-   * Longest time until a group of its model that is forming now can serve it, in milliseconds; of
-   * several the shortest. Undefined while none is forming where it may go.
+   * Upper bound on the time until a group that is forming now serves the model, in milliseconds; the
+   * least one where several are forming. Undefined while none is forming where the request may go.
    */
   readonly formingMs: number | undefined;
 };
 
 /**
- * Time from a group that is ready to one that serves, in milliseconds: the order to open, the opening
- * itself, and the news of it each take one or two hundred.
+ * Time from when a group is ready until it serves, in milliseconds: the order to open it, the opening
+ * itself and the new entry of its head take one or two hundred each.
  */
 const OPENING_MS = 500;
 
-/** The time until one of the groups that form for the model serves; `mayReceive` tells of their heads. */
+/**
+ * {@link TargetOutlook.formingMs} for a model; any model where it is undefined. `mayReceive` tells whether
+ * the request may be sent to a group's head.
+ */
 export function formingMs(
   groups: readonly ReplicaGroup[],
   engine: EngineProfile,
@@ -39,7 +42,8 @@
   return times.length === 0 ? undefined : Math.min(...times);
 }
 
-// Nobody tells when a load began, so that the whole of it counts: a caller is held too rarely, not in vain.
+// Entries do not say when a load began, so it counts in full: a request may be refused that could have
+// waited, but none waits in vain.
 function loadLeftMs(
   group: ReplicaGroup,
   head: HostEntry,
