--- a/packages/entry/src/evacuation/evacuated-domains.ts
+++ b/packages/entry/src/evacuation/evacuated-domains.ts
@@ -23,7 +23,7 @@
 
 /** Options of the evacuated domains. */
 export type EvacuatedDomainsOptions = {
-  /** False where settings have no bound for evacuations: then nothing is followed, and none is ever in force. */
+  /** False where settings have no bound for evacuations: then none is ever in force. */
   readonly isFollowed: boolean;
   /** An evacuation has ended, as of a revision of the store; hosts of the failure domain may be cold. */
   readonly ended: (failureDomain: string, revision: number) => void;
@@ -116,7 +116,7 @@
     this.#options.log.info(message, { failureDomain, revision });
   }
 
-  // Reported also for an evacuation whose beginning this host has missed: the hosts may be cold all the same.
+  // Reported also for an evacuation whose beginning this host has missed: its hosts may be cold too.
   #end(failureDomain: string, revision: number): void {
     const known = this.#evacuations.get(failureDomain);
     this.#evacuations.delete(failureDomain);
--- a/packages/entry/src/requests/attempt-log.ts
+++ b/packages/entry/src/requests/attempt-log.ts
@@ -62,7 +62,7 @@
     return this.canRetry() && (this.#arrivals() === 0 || this.#budget.take(reason));
   }
 
-  /** True when a stream that is under way could be given up and sent to one more host. */
+  /** True when a stream in progress could be sent to one more host as well; takes no allowance. */
   couldMove(reason: RepeatReason): boolean {
     return mayRepeat(this.#context.route) && this.canRetry() && this.#budget.hasRoom(reason);
   }
--- a/packages/entry/src/requests/cold-wait.ts
+++ b/packages/entry/src/requests/cold-wait.ts
@@ -15,7 +15,7 @@
   readonly gone: AbortSignal;
 };
 
-/** Period in which a waiting request asks again, in milliseconds: small beside the interval between two sends. */
+/** Period in which a waiting request asks again, in milliseconds: well below the interval of sends. */
 const STEP_MS = 15;
 
 /** Numbers of waiting requests, by service and model. */
--- a/packages/entry/src/requests/connection-reuse.ts
+++ b/packages/entry/src/requests/connection-reuse.ts
@@ -1,7 +1,9 @@
 /** For how long an idle connection to an upstream host is kept for later requests. Pure. */
 
-/** Idle time where the upstream announces none, in milliseconds: below the keep-alive timeout
- * of 5 s that is the default of common HTTP servers. */
+/**
+ * Idle time where the upstream announces none, in milliseconds: below 5 s, the shortest keep-alive timeout
+ * that common HTTP servers have by default.
+ */
 export const USUAL_IDLE_MS = 4_000;
 /**
  * Longest idle time, in milliseconds. The longer a connection is idle, the likelier it has broken without
--- a/packages/entry/src/requests/exchange.ts
+++ b/packages/entry/src/requests/exchange.ts
@@ -85,7 +85,7 @@
     ended = true;
     clearTimeout(connectTimer);
     if (how !== 'whole') {
-      // Where one kept connection was reset or does not answer, the other idle ones to the host may be broken too.
+      // Where a kept connection was reset or got no answer, other idle ones to the host may be broken too.
       const isDoubtful = how === 'stale' || (how === 'cancelled' && answer === undefined);
       if (isDoubtful && sent.reusedSocket) {
         connections?.closeIdleTo(host.ip, host.port);
--- a/packages/entry/src/requests/home-regions.ts
+++ b/packages/entry/src/requests/home-regions.ts
@@ -27,7 +27,7 @@
 export class RequestHomes {
   readonly #table: () => RouteTable | undefined;
   readonly #named: NamedByRequest;
-  /** Route and workspace as of the newest configuration that had them: they stay in force if it drops one. */
+  /** Route and workspace of the newest configuration that had them: they bind after one is removed. */
   #latest: Admission;
   #resolvedWith: RouteTable | undefined;
   #homes: HomeRegions;
--- a/packages/entry/src/requests/plain-relay.ts
+++ b/packages/entry/src/requests/plain-relay.ts
@@ -15,7 +15,7 @@
 import type { RelayServices } from './relay-services.js';
 import type { RequestContext } from './request-context.js';
 import { mayRepeat } from './request-context.js';
-import { needsOperator, RETRY_AFTER_MS,RETRY_AFTER_NO_HOST_MS } from './retry-after.js';
+import { needsOperator, RETRY_AFTER_MS, RETRY_AFTER_NO_HOST_MS } from './retry-after.js';
 import { upstreamHeaders } from './upstream-request.js';
 import type { NoTargetReason } from './wait-for-target.js';
 
--- a/packages/entry/src/requests/service-limits.ts
+++ b/packages/entry/src/requests/service-limits.ts
@@ -19,12 +19,12 @@
   readonly counters: Counters;
 };
 
-/** Entry hosts that share the bounds where they do not know each other: one of few. */
+/** Entry hosts among which the bounds are divided where they have no peers: deployments of few hosts. */
 const HOSTS_WITHOUT_PEERS = 10;
-/** Entry hosts among which a host's connections are divided at least. */
+/** Least number of entry hosts among which a host's connections are divided. */
 const MIN_CONNECTION_PARTS = 12;
 const MIN_CONNECTIONS = 4;
-/** Part of an upstream host's connections that all entry hosts together keep idle at most, 0 to 1. */
+/** Greatest part of an upstream host's connections that all entry hosts together keep idle, 0 to 1. */
 const IDLE_PART = 0.5;
 /** Entry hosts among which that part is divided while their number is not known. */
 const UNKNOWN_HOSTS = 64;
--- a/packages/entry/src/requests/stall-limits.ts
+++ b/packages/entry/src/requests/stall-limits.ts
@@ -1,21 +1,21 @@
 /**
- * Decides after which silence a run at a host is reported to other entry hosts, and after which a
- * second attempt starts beside it. Pure.
+ * Decides after which silence a stalled run is reported to other entry hosts, and after which a second
+ * attempt is started: a hedged one beside the run, or one in place of a run that counts as lost. Pure.
  *
- * A second attempt reads the whole prompt anew and makes its group slower for all. Before the first
- * event it pays in two cases only: it can still be in time, or the first host will not go on at all.
- * Within a stream it also shows the others that a group is slow, which is worth more than it costs.
+ * A second attempt processes the whole prompt again, which slows its group down for others. Before the
+ * first event it pays in two cases only: it can still meet the objective, or the first run will not go on
+ * at all. Within a stream a report also tells other entry hosts that the group is slow.
  */
 
 /** What is known of a run that is silent. */
 export type SilentRun = {
   /** Its first event has come. */
   readonly begun: boolean;
-  /** It goes on behind an event of an earlier run, so that its caller waits since that one. */
+  /** It resumes a stream after an event of an earlier run, since which its caller has been waiting. */
   readonly resumed: boolean;
-  /** Others' streams at the host go on meanwhile: it is busy, not lost. */
+  /** Other streams at the host progress meanwhile: it is busy, not lost. */
   readonly hostServesOthers: boolean;
-  /** Entry hosts can not connect to the host any more, its entry has gone, or its group stands still. */
+  /** The host is unreachable, its entry has gone, or its group lacks a member. */
   readonly isGone: boolean;
   readonly objectiveMs: number;
   readonly gapTargetMs: number;
@@ -25,52 +25,52 @@
 
 /** Silences in milliseconds. */
 export type StallLimits = {
-  /** The group is reported, and new requests go elsewhere. */
+  /** The group is reported, so that new requests go to others. */
   readonly reportMs: number;
   /** A second attempt starts. */
   readonly secondAttemptMs: number;
-  /** The run is as good as lost: what follows is no second attempt beside it, but one in its place. */
+  /** The run counts as lost: an attempt that starts then replaces it, and may use the whole retry budget. */
   readonly lostMs: number;
 };
 
 /**
- * Gaps of this part of the target are outliers: on the users' engines a usual gap is an eighth of it, and
- * a group of which one member is five times slower stays below the target itself. Reported at 0.6,
- * seconds with such a group earned 0.90 to 0.95 of their credit, at 1 0.84 (played days).
+ * Gaps above this part of the target are outliers. A usual gap is a small part of the target; a group with
+ * one member that is five times slower shows gaps below the target itself, and has to be noticed too.
  */
 const GAP_REPORT_PART = 0.6;
-/** A second attempt that starts here can still bring its first event within the target. */
+/** Silence after which a second attempt starts where its first event can still come within the target. */
 const GAP_SECOND_PART = 0.6;
 /**
- * Where it usually can not, the second attempt waits until the gap is late in any case and longer than
- * the pauses that end by themselves, of which many end just behind the target. An attempt that was not
- * needed has used up one of the route's, which its stream lacks when its group is lost later.
+ * Silence after which it starts where it usually can't: longer than the target and than most pauses that
+ * end by themselves, many of which end just after the target. An attempt that was not needed uses up one of
+ * the route's attempts, which the stream then lacks when its group is lost later.
  */
 const GAP_SECOND_LATE_PART = 1.25;
 /** The same at a host that serves others meanwhile: most such pauses end by themselves. */
 const GAP_BUSY_PART = 2.5;
-/** Part of the objective or gap target that is waited for where the host is known to be lost. */
+/** The same where the host is known to be lost, as a part of the objective or gap target. */
 const GONE_PART = 0.6;
-/** Times to the first event this much over the usual one are outliers; long prompts stay below. */
+/** Times to the first event above this multiple of the usual one are outliers; long prompts stay below. */
 const FIRST_OUTLIER_FACTOR = 2.5;
-/** The usual time has to have passed by half before a second attempt can be the quicker one. */
+/** Multiple of the usual time to the first event before which a second attempt is hardly the faster one. */
 const FIRST_SECOND_FACTOR = 1.5;
-/** Silence before the first event after which a request is late in any case, of the objective. */
+/** Silence before the first event after which a run is reported at the latest, of the objective. */
 const FIRST_LATE_PART = 1.4;
 /**
- * Silence after which a late request gets a second attempt that can not be in time: callers leave after
- * two seconds or four objectives, and of those that started at 1.4 two thirds were for nothing.
+ * Silence after which a request that missed its objective gets a second attempt, as a multiple of the
+ * objective: late enough that most slow first events have come, and early enough that callers, who wait for
+ * some objectives, have not left.
  */
 const FIRST_SECOND_LATE_PART = 2.5;
 /**
- * Gap targets of silence, at a host that serves nobody, after which a run counts as lost. Callers leave
- * after eight of them at the earliest, and a run elsewhere needs some to begin.
+ * Silence after which a run counts as lost, at a host of which no stream progresses, in gap targets. Less
+ * than callers wait for (eight and more), since a run at another host needs some to begin.
  */
 const GAP_LOST_PART = 3;
-/** Gap targets within which a resumed run should bring its first event. */
+/** Objective for the first event of a resumed run, in gap targets: its caller has been waiting already. */
 const RESUMED_GAPS = 2;
 
-/** The limits of a run as things stand. */
+/** The limits of a run in its present state. */
 export function stallLimits(run: SilentRun): StallLimits {
   const limits = run.begun ? gapLimits(run) : firstLimits(run);
   if (!run.isGone) {
@@ -104,7 +104,7 @@
     return { reportMs: lateMs, secondAttemptMs: secondLateMs, lostMs: secondLateMs };
   }
   const reportMs = Math.min(lateMs, typicalFirstMs * FIRST_OUTLIER_FACTOR);
-  // The last moment at which a second attempt would usually be in time.
+  // The latest moment at which a second attempt would usually still meet the objective.
   const inTimeMs = objectiveMs - typicalFirstMs;
   const rescues = !resumed && inTimeMs >= typicalFirstMs * FIRST_SECOND_FACTOR;
   return { reportMs, secondAttemptMs: rescues ? inTimeMs : secondLateMs, lostMs: secondLateMs };
--- a/packages/entry/src/requests/stream-attempt.ts
+++ b/packages/entry/src/requests/stream-attempt.ts
@@ -33,8 +33,8 @@
   /** Bytes of an answer that is the own one. */
   readonly events: (chunk: Buffer) => void;
   /**
-   * The run stands still; called at each look while it does. `isLost`: for so long that what is sent
-   * elsewhere takes its place.
+   * The run is stalled; called at each check while it is. `isLost`: for so long that it counts as lost, and
+   * another attempt replaces it.
    */
   readonly stalled: (isLost: boolean) => void;
 };
--- a/packages/entry/src/requests/stream-relay.ts
+++ b/packages/entry/src/requests/stream-relay.ts
@@ -1,5 +1,5 @@
 /**
- * Relays streams event by event. A stream that breaks or stands still goes on at another host
+ * Relays streams event by event. A stream that breaks or stalls goes on at another host
  * behind its last whole event, within one answer that keeps the head of its first host.
  */
 import type { IncomingMessage } from 'node:http';
@@ -17,14 +17,14 @@
 import { endToEndHeaders } from './relay-headers.js';
 import type { RelayServices } from './relay-services.js';
 import type { RequestContext } from './request-context.js';
-import { RETRY_AFTER_MS,RETRY_AFTER_NO_HOST_MS } from './retry-after.js';
+import { RETRY_AFTER_MS, RETRY_AFTER_NO_HOST_MS } from './retry-after.js';
 import type { StreamAttemptEnd } from './stream-attempt.js';
 import { StreamAttempt } from './stream-attempt.js';
 import type { NoTargetReason } from './wait-for-target.js';
 
 const DEADLINE_MARGIN_MS = 15;
-/** Period in which a broken stream asks again for the allowance of a repeat, in milliseconds. */
-const ALLOWANCE_LOOK_MS = 50;
+/** Period in which a broken stream asks the retry budget again, in milliseconds. */
+const BUDGET_POLL_MS = 50;
 const EVENT_END = '\n\n';
 const NOTHING = Buffer.alloc(0);
 const DROPPED_HEADERS: ReadonlySet<string> = new Set(['content-length']);
@@ -40,7 +40,7 @@
   readonly #running = new Set<StreamAttempt>();
   /** The attempt whose events are passed on. */
   #leader: StreamAttempt | undefined;
-  /** Bytes of attempts that do not lead: the first part of an event. */
+  /** Bytes of attempts that do not lead, held back until they hold a whole event. */
   readonly #aside = new Map<StreamAttempt, Buffer>();
   #finishSend: ((end: StreamAttemptEnd) => void) | undefined;
   /** The last answer of a host that was a failure: better than one of our own when nothing follows. */
@@ -112,14 +112,14 @@
     }
   }
 
-  // A stream that has begun waits for the allowance of a repeat: its caller would lose what it has.
+  // A stream that has begun waits for room in the retry budget: failing it would lose what its caller has.
   async #mayGoOn(): Promise<boolean> {
     const { gone, response } = this.#context;
     while (!this.#log.takeRetry()) {
       if (!response.headersSent || !this.#log.canRetry()) {
         return false;
       }
-      await sleep(ALLOWANCE_LOOK_MS, gone);
+      await sleep(BUDGET_POLL_MS, gone);
     }
     return true;
   }
@@ -129,7 +129,7 @@
     return { service, model, homeRegions: homes.inForce(), exclude: this.#log.tried };
   }
 
-  // While an attempt stands still a second one may run beside it; the first that goes on wins, so
+  // While an attempt is stalled a second one may run beside it; the first that goes on wins, so
   // that a wrong suspicion never ends an answer.
   #send(target: Target): Promise<StreamAttemptEnd> {
     this.#events.restart();
@@ -171,7 +171,8 @@
     }
   }
 
-  // A host that ends may still send a part of an event. Only a whole one ends the attempt beside it.
+  // A host that shuts down may still send a part of an event; only a whole event makes its attempt the
+  // leader and cancels the other one.
   #take(attempt: StreamAttempt, chunk: Buffer): void {
     if (attempt === this.#leader) {
       if (this.#forward(chunk)) {
@@ -200,7 +201,7 @@
     }
   }
 
-  // The attempt has delivered: the other one, if any, is not needed any more.
+  // The attempt has delivered a whole event: the other one, if any, is cancelled.
   #lead(attempt: StreamAttempt): void {
     if (attempt !== this.#leader) {
       this.#makeLeader(attempt);
--- a/packages/entry/src/requests/upstream-connections.ts
+++ b/packages/entry/src/requests/upstream-connections.ts
@@ -17,27 +17,27 @@
   | 'first'
   /** All others to the host have requests in progress. */
   | 'busy'
-  /** The one before was idle for as long as it may be. */
+  /** The one before was idle for as long as it may be, and was closed from this side. */
   | 'idle-closed'
   /** The one before was closed by the upstream, or reset, while idle. */
   | 'peer-closed'
-  /** The one before ended with its answer: the upstream said so, or the request was given up. */
+  /** The one before was closed with its answer by the upstream, or with a request that was cancelled. */
   | 'not-kept';
 
-/** What is told of the connections. */
+/** Receives what happens to the connections. */
 export type ConnectionObserver = {
   /** One was opened. */
   readonly opened: (cause: ConnectionCause) => void;
-  /** The upstream announces another idle time than before, in milliseconds. */
+  /** An upstream has announced another idle time than the last one, in milliseconds. */
   readonly announced: (idleMs: number) => void;
 };
 
 /** Idle connections that are kept to one host. */
 const MAX_IDLE_PER_HOST = 8;
-/** Hosts of which the last close is remembered; beyond, all are forgotten and count as `first`. */
+/** Hosts whose last close is remembered; beyond, all are forgotten and count as `first`. */
 const MOST_REMEMBERED = 4_000;
 
-/** What watches an idle connection. */
+/** Listeners on an idle connection. */
 type IdleWatch = {
   readonly data: () => void;
   readonly timeout: () => void;
@@ -68,7 +68,7 @@
     return keptIdleMs(this.#announcedMs);
   }
 
-  /** Bounds the idle connections that are kept to one host. */
+  /** Sets how many idle connections are kept to one host, at least one and at most `MAX_IDLE_PER_HOST`. */
   keepIdle(mostPerHost: number): void {
     this.maxFreeSockets = Math.max(1, Math.min(MAX_IDLE_PER_HOST, Math.floor(mostPerHost)));
   }
@@ -78,7 +78,7 @@
     return (this.freeSockets[this.getName({ host: ip, port })]?.length ?? 0) > 0;
   }
 
-  /** Closes the idle connections to one host: they may have gone silent like the one just given up. */
+  /** Closes the idle connections to one host, after one of them has failed or got no answer. */
   closeIdleTo(ip: string, port: number): void {
     const name = this.getName({ host: ip, port });
     this.freeSockets[name]?.forEach(socket => {
@@ -106,8 +106,8 @@
   }
 
   override keepSocketAlive(socket: Duplex): boolean {
-    // The types call the result void; it tells whether the connection may be kept. The agent itself
-    // says no to an announced second, and knows no idle time above its own.
+    // Declared as void, the agent's method returns whether the connection may be kept. The result is ignored:
+    // the agent refuses an announced timeout of 1 s, and never keeps a connection beyond its own timeout.
     (super.keepSocketAlive as (socket: Duplex) => boolean).call(this, socket);
     const announcedMs = announcedIdleMs(keepAliveOf(socket));
     this.#noteAnnounced(announcedMs);
--- a/packages/entry/src/requests/wait-for-target.ts
+++ b/packages/entry/src/requests/wait-for-target.ts
@@ -1,11 +1,11 @@
 /**
  * Decides whether a request that has no target waits for one. Pure.
  *
- * A caller that is held and then refused has lost the time in which it could have asked again, while
- * one that is refused at once may find a place elsewhere. So a request waits only for what is on its
- * way and can still come in time: a group that is forming, the allowance of a cold host, a change that
- * this entry host has not heard of yet. A stream that has brought events waits for anything: its
- * caller would lose them.
+ * A caller whose request waits and is then refused has lost time, while one that is refused at once may
+ * succeed with a retry at another entry host. So a request waits only for what is expected in time: a
+ * group that is forming, or a change that has not reached this entry host yet. (Waiting for the rate limit
+ * of cold hosts is decided in `cold-wait.ts`.) A stream that has delivered events waits up to its deadline,
+ * since failing it would lose them.
  */
 import type { Eligibility } from '../routing/eligibility.js';
 import type { TargetOutlook } from '../routing/target-outlook.js';
@@ -18,7 +18,7 @@
 export type Waiter = {
   /** For how long it has had none, in milliseconds. */
   readonly lackingMs: number;
-  /** For how long the same has been said of the groups that form, in milliseconds. */
+  /** For how long the outlook's `formingMs` has been the same, in milliseconds. */
   readonly formingForMs: number;
   /** Time until its final answer is due, in milliseconds. */
   readonly leftMs: number;
@@ -26,17 +26,17 @@
   readonly begun: boolean;
 };
 
-/** Least time in which a run makes sense, in milliseconds; as for another attempt. */
+/** Least time left for which a request is still sent, in milliseconds; the same as for a retry. */
 const LEAST_RUN_MS = 60;
-/** Time left at which an answer of our own still reaches the caller before it leaves, in milliseconds. */
+/** Time left in which a refusal still reaches the caller before its deadline, in milliseconds. */
 const ANSWER_MARGIN_MS = 30;
 /**
- * Time in which a change that others know of reaches this entry host with a sound store, in
- * milliseconds: a host that was replaced, a group that was opened, a list that was never seen.
+ * Time in which a change reaches this entry host while the store is reachable, in milliseconds: a host that
+ * was replaced, a group that was opened, the first list of evacuations.
  */
 const NEWS_LAG_MS = 100;
 
-/** True when the request waits on. */
+/** True when the request goes on waiting. */
 export function waitsForTarget(outlook: TargetOutlook, waiter: Waiter): boolean {
   const { lackingMs, formingForMs, leftMs, begun } = waiter;
   if (begun) {
@@ -50,17 +50,18 @@
   if (standings.includes('eligible')) {
     return true;
   }
-  // A group that takes longer than its model ever does may never serve.
+  // A group that has been forming for longer than its model ever takes may never serve.
   const formsInMs = formingMs === undefined ? Infinity : formingMs - formingForMs;
   if (formsInMs >= 0 && formsInMs <= runnableMs) {
     return true;
   }
-  // Hosts that have rejected it are there: its caller is told when to come back to them.
+  // Where it was sent to all there are, news are no reason to wait: the refusal's `Retry-After` tells when
+  // to retry.
   const allTried = standings.length > 0 && standings.every(standing => standing === 'tried');
   return !allTried && !isForbidden(standings) && lackingMs < NEWS_LAG_MS;
 }
 
-/** What the refusal says; of several reasons the one that ends soonest. */
+/** The reason given in the refusal; of several the one that is likely to end first. */
 export function noTargetReason({ standings }: TargetOutlook): NoTargetReason {
   const reasons: readonly Exclude<NoTargetReason, 'no-target'>[] = [
     'cold-limit',
@@ -72,7 +73,7 @@
   return told ?? 'no-target';
 }
 
-// Hosts are there, and an operator wants none of them to have the request: no news will change that.
+// True where evacuations or home regions exclude hosts: these last, so there is no change to wait for.
 function isForbidden(standings: readonly TargetStanding[]): boolean {
   const isDeclared = standings.includes('evacuated') || standings.includes('outside-home-regions');
   return isDeclared && !standings.includes('evacuations-unknown');
--- a/packages/entry/src/routing/connect-times.ts
+++ b/packages/entry/src/routing/connect-times.ts
@@ -9,11 +9,11 @@
  * tens. A lost SYN is sent again after a second only, so no timeout here waits for that.
  */
 const LEAST_CONNECT_MS = 100;
-/** Timeout in milliseconds while no connect time is known, and the greatest one: a slow round trip between continents. */
+/** Timeout while no connect time is known, and the greatest one, in ms: a slow round trip between continents. */
 export const MOST_CONNECT_MS = 300;
 /** The timeout as a multiple of the usual connect time. */
 const LIMIT_FACTOR = 10;
-/** Weight of the newest connect time: small, so that some dead hosts do not raise the average of their failure domain. */
+/** Weight of the newest connect time: small, so that a few dead hosts hardly raise the average. */
 const SMOOTHING = 0.05;
 
 /** Moving averages of the connect times that this entry host has seen. */
--- a/packages/entry/src/routing/target-chooser.ts
+++ b/packages/entry/src/routing/target-chooser.ts
@@ -60,7 +60,7 @@
 const REMOTE_FACTOR = 1.05;
 /** Greatest part by which a cost is raised at random, so that equal targets are chosen alike. */
 const SPREAD = 0.1;
-/** Factor on the cost of hosts to which no connection is open: a new one costs a round trip, and counts there. */
+/** Factor on the cost of hosts to which no idle connection is open: a new one costs a round trip. */
 const UNCONNECTED_FACTOR = 1.1;
 /**
  * Cost of the best target of the subset, as a multiple of that of one outside, from which the one outside
@@ -80,7 +80,7 @@
   readonly #activities: HostActivities;
   readonly #options: ChooserOptions;
   readonly #groups = new Map<string, readonly ReplicaGroup[]>();
-  /** Targets by service and model as of the registry's version, cached since each request asks several times. */
+  /** Targets by service and model as of the registry's version: each request asks several times. */
   readonly #targets = new Map<string, readonly Target[]>();
   #version = -1;
 
