Slow start, members, readers: comments and names for a first reader

Stumbled over: hosts that 'tell', 'bear' and 'take themselves for'; 'told' as a field; a list of members 'in one order' that has no order; the evacuation bound, of which only its presence is read; comments of a peer's 'news'. Changed: comments; 'told' to 'announced', spellTold to announcedSpell. Behaviour is unchanged.

--- a/packages/entry/src/configuration/configuration-holder.ts
+++ b/packages/entry/src/configuration/configuration-holder.ts
@@ -16,14 +16,14 @@
   readonly log: Log;
 };
 
-/** How long keys may be honoured without a word of the store. */
+/** For how long keys may be honoured without a confirmation of the store. */
 export type KeyBounds = {
   /** A key that was taken away is not honoured later than this, in milliseconds. */
   readonly keyRevocationMs: number;
   readonly keysFailClosed: boolean;
 };
 
-/** Part of the revocation bound that is left for what is under way, in milliseconds. */
+/** Part of the revocation bound that is left for requests already in progress, in milliseconds. */
 const KEY_MARGIN_MS = 500;
 
 /** Keeps the newest version that was ever seen; nothing older is applied after it. */
@@ -47,7 +47,7 @@
     return monotonicMs() - this.#confirmedAt;
   }
 
-  /** True while keys may be honoured. */
+  /** True while the configuration was confirmed recently enough to honour keys by it. */
   keysHold({ keyRevocationMs, keysFailClosed }: KeyBounds): boolean {
     return !keysFailClosed || this.confirmationAgeMs < keyRevocationMs - KEY_MARGIN_MS;
   }
--- a/packages/entry/src/configuration/serving-configuration.ts
+++ b/packages/entry/src/configuration/serving-configuration.ts
@@ -62,7 +62,7 @@
   readonly stagedModelsKept: number;
 };
 
-/** What hosts of a service bear for a while after they have started. */
+/** Rate limit of hosts that have started a moment ago, in their caches and connections still cold. */
 export type SlowStart = {
   /** Requests a second that a cold host can handle. */
   readonly requestsPerSecond: number;
@@ -75,7 +75,7 @@
   readonly name: string;
   /** Connections a host accepts from all entry hosts together. */
   readonly maxConnections: number;
-  /** Undefined where a host bears its full rate from the start. */
+  /** Undefined where a host takes its full rate from the start. */
   readonly slowStart: SlowStart | undefined;
   /** Present where the hosts are model engines that form groups. */
   readonly engine: EngineProfile | undefined;
--- a/packages/entry/src/hosts/host-entry.ts
+++ b/packages/entry/src/hosts/host-entry.ts
@@ -36,8 +36,8 @@
   readonly lastModel: string | undefined;
   readonly membership: Membership | undefined;
   /**
-   * For how much longer the host bears only the cold rate of its service, in milliseconds as of when it
-   * wrote the entry; 0 once it is warm.
+   * For how much longer the host takes only the slow-start rate of its service, in milliseconds from when
+   * it wrote the entry; 0 once it is warm.
    */
   readonly coldLeftMs: number;
 };
--- a/packages/entry/src/hosts/host-registry.ts
+++ b/packages/entry/src/hosts/host-registry.ts
@@ -16,19 +16,19 @@
 /** Reads a host from the value of its object. */
 export type HostReader = (id: string, value: unknown) => HostEntry;
 
-/** An entry that has come. */
+/** An entry that was received and taken over. */
 export type TakenEntry = {
   readonly entry: HostEntry;
   /** Revision of the store at which it was written. */
   readonly revision: number;
   /**
-   * `first`: it stood in this process's first list; `new`: it has come since; `back`: it had gone less
-   * than a minute ago; `known`: a newer entry of a host that is there.
+   * `first`: from this process's first list; `new`: of a host not known before; `back`: of a host whose
+   * entry had gone less than a minute ago; `known`: a newer entry of a host that is present.
    */
   readonly standing: 'first' | 'new' | 'back' | 'known';
 };
 
-/** What one answer of the store or a peer has brought. */
+/** The changes of one answer of the store or a peer. */
 export type HostBatch = {
   readonly taken: readonly TakenEntry[];
   readonly departed: readonly HostEntry[];
@@ -51,7 +51,7 @@
   #version = 0;
   #isListed = false;
 
-  /** `batchTaken` is told at once what each answer has brought, before anything is sent by it. */
+  /** `batchTaken` is called for each answer, before any request can be sent to hosts of it. */
   constructor(
     read: HostReader,
     log: Log,
@@ -119,7 +119,7 @@
     this.#noteChange();
   }
 
-  // The entry that has come; nothing where a newer one is known.
+  // The entry as taken over; empty where the same or a newer one is known.
   #put(object: StoredObject): readonly TakenEntry[] {
     const known = this.#revisions.get(object.name);
     if (known !== undefined && known >= object.revision) {
@@ -160,7 +160,7 @@
     }
   }
 
-  // The entry that has gone, if there was one.
+  // The entry that was removed; empty if there was none.
   #remove(id: string): readonly HostEntry[] {
     const entry = this.#hosts.get(id);
     if (entry === undefined) {
--- a/packages/entry/src/peers/membership.ts
+++ b/packages/entry/src/peers/membership.ts
@@ -17,10 +17,10 @@
   readonly log: Log;
 };
 
-/** The registered hosts as this one knows them; the same object as long as they are the same hosts. */
+/** The registered entry hosts as this one knows them; the same object until one comes or goes. */
 export type MemberView = {
   readonly names: readonly string[];
-  /** Monotonic milliseconds since when it stands. */
+  /** When this view came into being, in monotonic milliseconds. */
   readonly since: number;
 };
 
@@ -74,7 +74,7 @@
     return this.#members.size;
   }
 
-  /** The names of the registered hosts; undefined while nothing was read. */
+  /** The registered hosts and since when they are these; undefined while none is known. */
   get view(): MemberView | undefined {
     return this.#view;
   }
@@ -84,7 +84,7 @@
     return this.#members.get(name);
   }
 
-  /** Names of the registered hosts, in one order; the same array until one comes or goes. */
+  /** The names of {@link view}, in no particular order; empty while none is known. */
   get names(): readonly string[] {
     return this.#view?.names ?? NOBODY;
   }
--- a/packages/entry/src/peers/peers.ts
+++ b/packages/entry/src/peers/peers.ts
@@ -1,6 +1,6 @@
 /**
- * What entry hosts tell each other: the objects that they follow, what they add up, and groups that
- * stand still.
+ * What entry hosts tell each other: the objects that they follow, what they add up, and stalled
+ * groups.
  */
 import type { LinkServer } from '@hingescale/link';
 import { LinkPool } from '@hingescale/link';
@@ -41,7 +41,7 @@
   readonly ownWork: () => Counts;
   /** Name of the entry host that gives orders, as far as it is known. */
   readonly orderGiver: () => string | undefined;
-  /** This host gives orders, and a group is said to stand still. */
+  /** This host gives orders, and a group is reported as stalled. */
   readonly suspected: (request: SuspectRequest) => void;
   /** True for hosts that requests may go to, by their name. */
   readonly isRoutable: (name: string) => boolean;
@@ -140,7 +140,7 @@
    */
   get mayLead(): boolean {
     const { failureDomain } = this.#options.self;
-    // While the store is out all would stand in for each other, and ask it in vain.
+    // During an outage of the store every host would take over from the others, and call it in vain.
     if (this.#choice.isAvoided(this.#store.name)) {
       return false;
     }
@@ -185,7 +185,7 @@
     void this.#exchange();
   }
 
-  /** Tells the order giver that a group stands still. */
+  /** Reports a stalled group to the order giver. */
   suspect(service: string, group: SuspectedGroup): void {
     const now = monotonicMs();
     if (now - (this.#suspectedAt.get(group.target) ?? -Infinity) < SUSPICION_PERIOD_MS) {
--- a/packages/entry/src/peers/reader-choice.ts
+++ b/packages/entry/src/peers/reader-choice.ts
@@ -42,9 +42,9 @@
 } as const;
 
 /**
- * Peers in a row that have gone silent before an urgent kind is read from the store. Each costs up to
- * half a second; six of them cost more than the 5 s that an evacuation has. Not one, so that the loss of
- * the followed host does not bring all its followers to the store at once.
+ * Number of peers in a row that have to fail before an urgent kind is read from the store. The first costs
+ * up to 1.4 s, each further one half a second, out of the few seconds in which an evacuation has to take
+ * effect. Not one, so that the loss of one host does not send all its followers to the store at once.
  */
 const MOST_SILENT_PEERS = 2;
 
@@ -75,7 +75,7 @@
     return !this.#followsBelow;
   }
 
-  /** The reader of the next step; for an urgent kind the store, once peers in a row were silent. */
+  /** The reader of the next step; for an urgent kind the store, once `MOST_SILENT_PEERS` have failed in a row. */
   choose(isUrgent = false): KindReader {
     const { store } = this.#options;
     if (this.#skipsPeers(isUrgent)) {
@@ -90,7 +90,7 @@
     return reader;
   }
 
-  /** The reader that would be chosen; nothing is noted. */
+  /** The reader that {@link choose} would give; changes no state. */
   peek(isUrgent = false): KindReader {
     return this.#skipsPeers(isUrgent) ? this.#options.store : this.#best().reader;
   }
--- a/packages/entry/src/requests/stall-limits.ts
+++ b/packages/entry/src/requests/stall-limits.ts
@@ -48,7 +48,7 @@
 const GAP_SECOND_LATE_PART = 1.25;
 /** The same at a host that serves others meanwhile: most such pauses end by themselves. */
 const GAP_BUSY_PART = 2.5;
-/** The same where the host is known to be lost, as a part of the objective or gap target. */
+/** Silence after which it starts where the host is known to be lost, of the objective or gap target. */
 const GONE_PART = 0.6;
 /** Times to the first event above this multiple of the usual one are outliers; long prompts stay below. */
 const FIRST_OUTLIER_FACTOR = 2.5;
--- a/packages/entry/src/requests/upstream-connections.ts
+++ b/packages/entry/src/requests/upstream-connections.ts
@@ -106,8 +106,8 @@
   }
 
   override keepSocketAlive(socket: Duplex): boolean {
-    // Declared as void, the agent's method returns whether the connection may be kept. The result is ignored:
-    // the agent refuses an announced timeout of 1 s, and never keeps a connection beyond its own timeout.
+    // Called for what it does to the connection; its result (declared as void) is ignored: the agent refuses
+    // an announced timeout of 1 s, and never keeps a connection beyond its own timeout.
     (super.keepSocketAlive as (socket: Duplex) => boolean).call(this, socket);
     const announcedMs = announcedIdleMs(keepAliveOf(socket));
     this.#noteAnnounced(announcedMs);
--- a/packages/entry/src/routing/connect-times.ts
+++ b/packages/entry/src/routing/connect-times.ts
@@ -9,7 +9,7 @@
  * tens. A lost SYN is sent again after a second only, so no timeout here waits for that.
  */
 const LEAST_CONNECT_MS = 100;
-/** Timeout while no connect time is known, and the greatest one, in ms: a slow round trip between continents. */
+/** Greatest timeout in milliseconds, also while no connect time is known: a slow long-distance link. */
 export const MOST_CONNECT_MS = 300;
 /** The timeout as a multiple of the usual connect time. */
 const LIMIT_FACTOR = 10;
--- a/packages/entry/src/server/entry-settings.ts
+++ b/packages/entry/src/server/entry-settings.ts
@@ -22,11 +22,14 @@
   readonly retrySlack: number;
   /** Window in which loads from the weight store are counted. */
   readonly loadWindowMs: number;
-  /** Time after which nothing reaches an evacuated failure domain; undefined: none is ever evacuated. */
+  /**
+   * Time after which nothing new may reach an evacuated failure domain, in milliseconds; undefined:
+   * evacuations are not followed. Only whether it is defined matters here: the limits in the code keep it.
+   */
   readonly evacuationMs: number | undefined;
-  /** Factor on a cold host's rate up to which arrivals of all entry hosts are allowed. */
+  /** Arrivals in a second that are allowed at a cold host, as a multiple of its rate. */
   readonly coldOvershoot: number;
-  /** Arrivals in a second at a cold host that are allowed beyond that. */
+  /** Arrivals in a second at a cold host that are allowed in addition. */
   readonly coldSlack: number;
 };
 
@@ -118,7 +121,8 @@
   return settings;
 }
 
-// Without its region a host counts as at home nowhere, so that a slip here would refuse callers.
+// Checked strictly: a host without a region takes no requests with home regions, so a typing error here
+// would have requests refused.
 function readRegions(reader: SettingsReader): readonly DomainRegion[] {
   return reader
     .keysOf('regions')
--- a/packages/entry/src/server/metrics.ts
+++ b/packages/entry/src/server/metrics.ts
@@ -28,11 +28,11 @@
 /** Value of a gauge for one set of labels. */
 export type GaugeReading = { readonly labels: Labels; readonly value: number };
 
-/** States that are read at the moment somebody asks for them. */
+/** Metrics whose values are read when they are served. */
 export class Gauges {
   readonly #readers = new Map<string, () => readonly GaugeReading[]>();
 
-  /** Serves what `read` gives under a name; `hingescale_` is put before it when it is served. */
+  /** Serves what `read` gives under a name, to which the prefix `hingescale_` is added. */
   follow(name: string, read: () => readonly GaugeReading[]): void {
     this.#readers.set(name, read);
   }
@@ -45,7 +45,7 @@
   }
 }
 
-/** All that an entry host measures of itself. */
+/** All metrics of an entry host. */
 export type Metrics = {
   readonly counters: Counters;
   readonly gauges: Gauges;
--- a/packages/entry/src/slow-start/cold-hosts.ts
+++ b/packages/entry/src/slow-start/cold-hosts.ts
@@ -1,11 +1,12 @@
 /**
- * Which upstream hosts are cold, by incarnation and in this process's monotonic time. Pure: entries and
- * ends of evacuations go in.
+ * Which upstream hosts are cold, by incarnation and in this process's monotonic time. Pure: it is given
+ * entries and ends of evacuations.
  *
- * A host tells in its entry for how much longer it is cold; that counts from when the entry came, which
- * is later than it was written. Two cases are taken for cold without its word: an evacuation of its
- * failure domain has ended and its entry is older than that, or all hosts of its service in a failure
- * domain were gone and it is one of the new ones there.
+ * A host's entry says for how much longer the host is cold. That is counted from when the entry was
+ * received, which is later than it was written, so that a host is never taken for warm too early. In two
+ * cases a host counts as cold although its entry does not say so: an evacuation of its failure domain has
+ * ended and its entry is older than that; or all hosts of its service in the failure domain were gone, and
+ * it is a new one there.
  */
 import type { SlowStart } from '../configuration/serving-configuration.js';
 import type { HostEntry } from '../hosts/host-entry.js';
@@ -14,7 +15,7 @@
 
 /** A time for which a host counts as cold, in monotonic milliseconds. */
 export type ColdSpell = {
-  /** Since when this process takes it for cold. */
+  /** When this process first took it for cold. */
   readonly since: number;
   readonly until: number;
 };
@@ -24,18 +25,18 @@
   readonly entry: HostEntry;
   /** Revision of the store at which its newest entry was written. */
   readonly revision: number;
-  /** What that entry says. */
-  readonly told: ColdSpell | undefined;
+  /** The spell that this entry announces. */
+  readonly announced: ColdSpell | undefined;
   /** When it came into a failure domain that had been empty; until its next entry. */
   readonly returnedAt: number | undefined;
 };
 
-/** The end of an evacuation. */
+/** The end of an evacuation: when this process learned of it, and at which revision of the store it was. */
 type EvacuationEnd = { readonly at: number; readonly revision: number };
 
 /** Options of the cold hosts. */
 export type ColdHostsOptions = {
-  /** Undefined where hosts of the service bear their full rate from the start. */
+  /** Undefined where hosts of the service take their full rate from the start. */
   readonly slowStartOf: (service: string) => SlowStart | undefined;
   /**
    * Period in which hosts renew their entries, in milliseconds: for so long a host may have been cold
@@ -45,16 +46,16 @@
   readonly log: Log;
 };
 
-/** Keeps the cold hosts. */
+/** Keeps track of the cold hosts. */
 export class ColdHosts {
   readonly #options: ColdHostsOptions;
   readonly #hosts = new Map<string, KnownHost>();
   readonly #ends = new Map<string, EvacuationEnd>();
   /** Known hosts by service and failure domain. */
   readonly #counts = new Map<string, number>();
-  /** Services' failure domains whose hosts were all gone; when the first came back. */
+  /** By service and failure domain, where all hosts were gone: when the first came back, once one has. */
   readonly #emptied = new Map<string, number | undefined>();
-  /** Until when no further line about a failure domain is due. */
+  /** By service and failure domain: until when arrivals are not logged again. */
   readonly #loggedUntil = new Map<string, number>();
 
   constructor(options: ColdHostsOptions) {
@@ -70,7 +71,7 @@
     this.#logCold(cold, now);
   }
 
-  /** A failure domain is used again; its hosts may have gone cold meanwhile. */
+  /** An evacuation has ended at a revision of the store; hosts may have become cold meanwhile. */
   evacuationEnded(failureDomain: string, revision: number, now: number): void {
     this.#ends.set(failureDomain, { at: now, revision });
   }
@@ -84,12 +85,12 @@
     const known = this.#hosts.get(host.id);
     const endedAt = this.#endedFor(host, known);
     const returnedAt = known?.returnedAt;
-    // Asked for each target of each request, and true of nearly all.
-    if (known?.told === undefined && returnedAt === undefined && endedAt === undefined) {
+    // A shortcut for nearly all hosts: this is asked for each target of each request.
+    if (known?.announced === undefined && returnedAt === undefined && endedAt === undefined) {
       return undefined;
     }
     const spells = [
-      known?.told,
+      known?.announced,
       this.#assumed(returnedAt, slowStart),
       this.#assumed(endedAt, slowStart),
     ];
@@ -102,7 +103,7 @@
     return hosts.filter(({ entry }) => this.spellOf(entry, now) !== undefined).length;
   }
 
-  // True for an entry with which its host becomes cold.
+  // True when the entry makes its host cold.
   #takeEntry({ entry, revision, standing }: TakenEntry, now: number): boolean {
     const before = this.#hosts.get(entry.id);
     if (before === undefined) {
@@ -110,13 +111,14 @@
       this.#counts.set(key, (this.#counts.get(key) ?? 0) + 1);
     }
     const returnedAt = standing === 'new' && this.#isReturning(entry, now) ? now : undefined;
-    const told = spellTold(entry, before?.told, now);
-    this.#hosts.set(entry.id, { entry, revision, told, returnedAt });
-    const isCold = told !== undefined || returnedAt !== undefined;
-    return isCold && told?.since !== before?.told?.since;
+    const announced = announcedSpell(entry, before?.announced, now);
+    this.#hosts.set(entry.id, { entry, revision, announced, returnedAt });
+    const isCold = announced !== undefined || returnedAt !== undefined;
+    return isCold && announced?.since !== before?.announced?.since;
   }
 
-  // A failure domain that was lost comes back within about the time for which its hosts are cold.
+  // New hosts count as returned for as long after the first of them as hosts stay cold; later ones are
+  // ordinary new hosts again.
   #isReturning(entry: HostEntry, now: number): boolean {
     const slowStart = this.#options.slowStartOf(entry.service);
     const key = placeOf(entry);
@@ -144,11 +146,11 @@
     }
   }
 
-  // A host that has written its entry after the end tells by itself whether it is cold.
+  // Undefined for a host whose entry was written after the end: the entry itself says whether it is cold.
   #endedFor(host: HostEntry, known: KnownHost | undefined): number | undefined {
     const end = this.#ends.get(host.failureDomain);
-    const isTold = end !== undefined && known !== undefined && known.revision > end.revision;
-    return isTold ? undefined : end?.at;
+    const isAnswered = end !== undefined && known !== undefined && known.revision > end.revision;
+    return isAnswered ? undefined : end?.at;
   }
 
   #assumed(since: number | undefined, { coldMs }: SlowStart): ColdSpell | undefined {
@@ -158,7 +160,7 @@
     return { since, until: since + coldMs + this.#options.heartbeatMs() };
   }
 
-  // The entries of one failure domain come in several answers; the first of them has the line.
+  // One line for each failure domain: its entries arrive in several answers, of which the first is logged.
   #logCold(cold: readonly TakenEntry[], now: number): void {
     for (const { entry } of cold) {
       const { id, service, failureDomain } = entry;
@@ -183,8 +185,8 @@
   return `${service}/${failureDomain}`;
 }
 
-// A host that was cold already stays so from then on: what was sent to it meanwhile counts.
-function spellTold(
+// A host that is cold already keeps the start of its spell, so that its allowance does not start anew.
+function announcedSpell(
   { coldLeftMs }: HostEntry,
   before: ColdSpell | undefined,
   now: number,
--- a/packages/entry/src/slow-start/cold-sends.ts
+++ b/packages/entry/src/slow-start/cold-sends.ts
@@ -1,9 +1,9 @@
 /**
- * The requests that this entry host may send to cold hosts. Needs no agreement and no messages: who
- * owns a part of a cold host's rate follows from the members that this host knows.
+ * Rate limit of this entry host's requests to cold hosts. Needs no agreement and no messages: which entry
+ * hosts own a share of a cold host's rate follows from the list of members (the entry hosts).
  *
- * An allowance starts empty and holds one request at most, so that neither a start of this process nor
- * a quiet time lets through more than one request in an interval.
+ * The allowance is a token bucket that starts empty and holds one request at most, so that neither a
+ * restart of this process nor an idle period allows more than one request in an interval.
  */
 import type { SlowStart } from '../configuration/serving-configuration.js';
 import type { HostEntry } from '../hosts/host-entry.js';
@@ -20,13 +20,13 @@
   /** Name of this entry host among the members. */
   readonly self: string;
   /**
-   * Undefined: this entry host is the only one. A host that does not know the members yet sends
-   * nothing to cold hosts, since all others may be owners.
+   * Undefined: this entry host is the only one. While the function gives undefined, the members are not
+   * known yet, and nothing is sent to cold hosts, since all others may be owners.
    */
   readonly members: (() => MemberView | undefined) | undefined;
   readonly spellOf: (host: HostEntry, now: number) => ColdSpell | undefined;
   readonly slowStartOf: (service: string) => SlowStart | undefined;
-  /** The bound that all entry hosts keep together. */
+  /** The bound on arrivals from all entry hosts together. */
   readonly bounds: () => { readonly coldOvershoot: number; readonly coldSlack: number };
   readonly counters: Counters;
 };
@@ -51,16 +51,16 @@
 };
 
 /**
- * Time in which registrations reach the other entry hosts, in milliseconds: a peer's longest wait for
- * members and its pause. Whoever becomes an owner waits for so long, since another one may not know yet
- * that it is none any more.
+ * Time within which registrations reach the other entry hosts, in milliseconds: the longest wait of a
+ * peer's question for members and its pause. A new owner waits for so long before it sends, since a former
+ * one may not know yet that it has lost its share.
  */
 export const MEMBERS_SETTLE_MS = 2_000;
 const NO_MEMBERS: MemberView = { names: [], since: -Infinity };
-/** Allowances from which those of hosts that are not cold any more are dropped. */
+/** Number of allowances from which old ones, of hosts that are not cold any more, are dropped. */
 const MANY_ALLOWANCES = 200;
 
-/** Gives out the sends. */
+/** Limits the sends to cold hosts. */
 export class ColdSends implements ColdSendFacts {
   readonly #options: ColdSendsOptions;
   readonly #allowances = new Map<string, Allowance>();
@@ -144,7 +144,7 @@
   }
 }
 
-// Each interval starts anew with a spell and with a view; a new owner waits for the others first.
+// A new spell and a new view both start a new interval; a new owner waits for the former ones first.
 function firstSendAt(
   { since }: ColdSpell,
   view: MemberView,
--- a/packages/entry/src/slow-start/cold-share.ts
+++ b/packages/entry/src/slow-start/cold-share.ts
@@ -1,9 +1,10 @@
 /**
- * How many entry hosts may send to one cold host, and how much each of them. Pure.
+ * How many entry hosts may send to one cold host, and at which rate each of them. Pure.
  *
- * An entry host is an owner of a cold host while fewer than `owners` of the members that it knows stand
- * before it in the rendezvous order. With `lag` members missing from its view it takes itself for an
- * owner up to place `owners + lag`, so that no more than so many send at once, whoever is cut off.
+ * An entry host is an owner of a cold host while fewer than `owners` of the members that it knows precede
+ * it in the rendezvous order. If `lag` members are missing from its view, it may be one although its place
+ * among all members is as low as `owners + lag`. So at most that many entry hosts send at once, even if
+ * some are cut off from the others.
  */
 
 /** What all entry hosts together may send to one cold host. */
@@ -23,15 +24,15 @@
 };
 
 /**
- * Members that a view may lack while the bound still holds for certain. Registrations stay in the store,
- * so that views only lag, by the few hosts that came while a link was down.
+ * Members that a view may lack while the bound still holds for certain. Registrations are never removed
+ * from the store, so a view can only lack members: the few that were added while a link was down.
  */
 export const TOLERATED_LAG = 4;
-/** Part of the rate from which a division is good enough; with more owners each has too few requests. */
+/** Part of the rate from which a division is good enough: larger shares would then mean fewer owners. */
 const ENOUGH_PART = 0.85;
 /**
- * Factor on the interval between two sends: what a send takes longer than the one before it must not
- * bring one more into the same second.
+ * Factor on the interval between two sends, so that jitter in the network delay does not bring one more
+ * arrival into the same second.
  */
 const PACE_FACTOR = 1.05;
 const MS_PER_S = 1_000;
@@ -46,9 +47,9 @@
 }
 
 /**
- * The division for a view of so many members: as many owners as there may be, each with the least whole
- * share that makes up the rate. Many owners bear more lag, and use it up also where each entry host
- * has few requests.
+ * The division for a view of so many members: as many owners as the bound allows, each with the smallest
+ * whole number of requests a second that adds up to the rate. With many owners the bound tolerates more
+ * lag, and the rate is used up even if each entry host has few requests.
  */
 export function coldShare(limit: ColdLimit, members: number): ColdShare {
   const { requestsPerSecond: rate } = limit;
@@ -83,8 +84,8 @@
   return perSecond > 0 ? (PACE_FACTOR * MS_PER_S) / perSecond : Infinity;
 }
 
-// Those that lag may all be owners beside the others, and whoever stands behind them may be one by a
-// newer view, whose shares are smaller.
+// Bounds the sum of all shares: owners with a view that lags send beside those with a newer view, and a
+// view of more members may have more owners, with smaller shares.
 function mostOwners(
   { requestsPerSecond, mostPerSecond }: ColdLimit,
   members: number,
@@ -96,7 +97,7 @@
   return Math.min(withLag, Math.floor(mostPerSecond - TOLERATED_LAG * perSecond - behind));
 }
 
-// Where the bound has no room for views that lag, one owner remains, with one request a second.
+// Where the bound has no room for views that lag: one owner, with at most one request a second.
 function leastShare({ requestsPerSecond, mostPerSecond }: ColdLimit): ColdShare {
   return mostPerSecond >= 1 ? { owners: 1, perSecond: Math.min(1, requestsPerSecond) } : NO_SHARE;
 }
--- a/packages/entry/src/slow-start/slow-start-limits.ts
+++ b/packages/entry/src/slow-start/slow-start-limits.ts
@@ -1,4 +1,4 @@
-/** Slow start at one entry host: which hosts are cold, and what may be sent to them, wired together. */
+/** Slow start at one entry host: wires together which hosts are cold and what may be sent to them. */
 import type { HostBatch } from '../hosts/host-registry.js';
 import { monotonicMs } from '../server/time.js';
 import type { ColdHostsOptions } from './cold-hosts.js';
@@ -16,7 +16,7 @@
     readonly bounds: () => SlowStartBounds;
   };
 
-/** Keeps the cold hosts by this process's clock, and answers for them. */
+/** Cold hosts and the sends to them, by this process's clock. */
 export class SlowStartLimits {
   readonly sends: ColdSends;
   readonly #hosts: ColdHosts;
@@ -35,7 +35,7 @@
     return this.#hosts.count(monotonicMs());
   }
 
-  /** Takes what an answer of the store or a peer says of hosts. */
+  /** Takes the hosts of one answer of the store or a peer. */
   readonly batchTaken = (batch: HostBatch): void => {
     this.#hosts.take(batch, monotonicMs());
   };
--- a/packages/entry/src/store/followed-kinds.ts
+++ b/packages/entry/src/store/followed-kinds.ts
@@ -62,8 +62,9 @@
   staleMs: 9_000,
 };
 /**
- * Evacuations are rare, and a waiting question is answered as soon as there is one: long waits cost few
- * calls. They bound how long a silent reader goes unnoticed, out of the seconds that an evacuation has.
+ * Evacuations are rare, and a long poll is answered as soon as there is one, so long waits save calls at no
+ * delay. But the wait also bounds how long a silent reader goes unnoticed, and an evacuation has to take
+ * effect within seconds.
  */
 const EVACUATIONS_TIMING: Timing = {
   storeWaitMs: 1_500,
--- a/packages/entry/src/store/watched-kind.ts
+++ b/packages/entry/src/store/watched-kind.ts
@@ -26,11 +26,11 @@
 /** Chooses the reader of each step, and learns how it went. */
 export type ReaderChoice = {
   /**
-   * A reader other than one that has just failed, as long as any other is usable. For an urgent kind,
-   * whose news have a bound, it is the store itself soon after peers have gone silent.
+   * A reader other than one that has just failed, as long as any other is usable. For an urgent kind it is
+   * the store itself once some peers in a row have failed.
    */
   readonly choose: (isUrgent?: boolean) => KindReader;
-  /** The reader that `choose` would give, without taking the turn at it. */
+  /** The reader that `choose` would give, without the effects of choosing it. */
   readonly peek: (isUrgent?: boolean) => KindReader;
   readonly note: (reader: KindReader, outcome: ReadingOutcome) => void;
   /** Milliseconds until some reader is worth asking; 0 when one is. */
@@ -45,7 +45,7 @@
   readonly firstReader?: () => KindReader | undefined;
   /** How much of the kind this host needs; all of it where nothing is said. */
   readonly view?: () => KindView;
-  /** True where news have a bound that several silent readers in a row would exceed. */
+  /** True where changes have to arrive sooner than several failing readers in a row would allow. */
   readonly isUrgent?: boolean;
   /** Longest wait of one call, in milliseconds. */
   readonly waitMs: () => number;
@@ -102,8 +102,8 @@
     }
   }
 
-  // Kinds that wait for the same reader wake together, and the first finds out for all how it is; without
-  // this the others went to the store, whose outage is known, several times a second from each host.
+  // Waits while no reader is worth asking. Kinds that wait for the same reader wake together, and the first
+  // one finds out for all whether it is back; otherwise each would call a store that is known to be down.
   async #untilUsable(): Promise<void> {
     const { readers } = this.#options;
     for (;;) {
@@ -132,7 +132,7 @@
     return this.#view;
   }
 
-  /** When it last came in touch with the store (monotonic milliseconds). */
+  /** Since when readings have been fresh without a failure (monotonic milliseconds); Infinity: not now. */
   get inTouchSince(): number {
     return this.#inTouchSince ?? Infinity;
   }
