--- a/packages/cli/src/admin-client.ts
+++ b/packages/cli/src/admin-client.ts
@@ -121,7 +121,7 @@
     checked(await this.#send(owner.lease?.adminAddress ?? '', method, path));
   }
 
-  /** Orders that a failure domain be evacuated, or taken back; gives the order in force. */
+  /** Evacuates a failure domain, or ends its evacuation; returns the order in force. */
   async evacuate(failureDomain: string, evacuated: boolean): Promise<Evacuation> {
     const path = `/v1/evacuations/${encodeURIComponent(failureDomain)}`;
     return (await this.#any(evacuated ? 'PUT' : 'DELETE', path)) as Evacuation;
--- a/packages/cli/src/bin-hingescale.ts
+++ b/packages/cli/src/bin-hingescale.ts
@@ -22,7 +22,7 @@
 
 const WATCH_MS = 1_000;
 const DEFAULT_WAIT_S = 19;
-/** In place of a failure domain: asks for the list. */
+/** Given in place of a failure domain, asks for the list of evacuated ones. */
 const LIST_WORD = 'list';
 
 const FAILURE_CODES: Readonly<Record<AdminError['reason'], number>> = {
--- a/packages/cli/src/trace.ts
+++ b/packages/cli/src/trace.ts
@@ -24,7 +24,7 @@
   'lease taken',
   'order sent',
 ]);
-/** Messages about evacuations: few, and one from long before says why no host might take the request. */
+/** Messages about evacuations: one from long before the request may explain why no host could take it. */
 const EVACUATIONS = new Set([
   'failure domain evacuated',
   'failure domain evacuated anew',
--- a/packages/controller/src/admin/evacuations.ts
+++ b/packages/controller/src/admin/evacuations.ts
@@ -1,4 +1,4 @@
-/** Evacuations on the administration API: orders are written to the platform, from where all hear them. */
+/** Evacuations on the administration API: orders are objects in the platform, which all controllers watch. */
 import type { Evacuation, FailureDomainId } from '@hingescale/core';
 import { ProblemError } from '@hingescale/core';
 import type { PlatformClient, PlatformError, StoredObject } from '@hingescale/object-store';
@@ -9,9 +9,9 @@
   readonly client: PlatformClient;
   /** Failure domains of the configuration in force. */
   readonly failureDomains: () => readonly FailureDomainId[];
-  /** The orders that are known here; undefined before the first were read. */
+  /** The orders that this controller knows; undefined before it has read them. */
   readonly orders: () => readonly Evacuation[] | undefined;
-  /** Takes an order that was written here, so that gateways hear of it with their next poll. */
+  /** Takes over an order that was written here, so that gateways get it with their next poll. */
   readonly take: (order: StoredObject<Evacuation>) => Promise<void>;
 };
 
@@ -26,7 +26,7 @@
   return known.filter(({ evacuated }) => evacuated);
 }
 
-/** Orders that a failure domain be evacuated, or taken back; gives the order in force. */
+/** Writes the order to evacuate a failure domain, or to end its evacuation; returns the order in force. */
 export async function orderEvacuation(
   { client, failureDomains, take }: EvacuationOptions,
   failureDomain: FailureDomainId,
--- a/packages/controller/src/views/poll-handler.ts
+++ b/packages/controller/src/views/poll-handler.ts
@@ -28,7 +28,7 @@
   readonly remotes: RemoteDomains;
   /** The own view, or undefined while this process does not vouch for it. */
   readonly ownView: () => DomainView | undefined;
-  /** Undefined before they were read from the platform. */
+  /** The orders to evacuate failure domains; undefined before they were read from the platform. */
   readonly evacuations: () => readonly VersionedEvacuation[] | undefined;
   readonly loads: () => readonly LoadReport[];
   readonly cacheEvents: (from: Readonly<Record<string, number>>) => readonly GroupCacheEvents[];
--- a/packages/core/src/hosts/evacuation.ts
+++ b/packages/core/src/hosts/evacuation.ts
@@ -7,9 +7,9 @@
   /** True while nothing new may be sent to its hosts. */
   readonly evacuated: boolean;
   readonly operator: string;
-  /** When it was ordered, ISO 8601. */
+  /** Time of the order, ISO 8601. */
   readonly at: string;
 };
 
-/** An order with the version of the store at which it was written; a higher one replaces it. */
+/** An order with the version of its object in the store; an order with a higher version replaces it. */
 export type VersionedEvacuation = { readonly version: number; readonly evacuation: Evacuation };
--- a/packages/entry/src/groups/capacity-log.ts
+++ b/packages/entry/src/groups/capacity-log.ts
@@ -4,11 +4,11 @@
 import type { ReplicaGroup } from './replica-groups.js';
 import { headState } from './replica-groups.js';
 
-/** What is under way. */
+/** Changes of the capacity that are in progress. */
 export type CapacityComing = {
   /** Groups that are being formed. */
   readonly forming: number;
-  /** Hosts that stage a model. */
+  /** Hosts that are staging a model. */
   readonly staging: number;
 };
 
@@ -21,12 +21,14 @@
     this.#log = log;
   }
 
-  /** Looks whether the open groups have changed that may be used. */
+  /** Logs the open groups outside evacuated failure domains, if their numbers have changed. */
   note(groups: readonly ReplicaGroup[], fleet: FleetView, coming: CapacityComing): void {
     const { profile, domains, evacuated } = fleet;
-    const left = new Set(evacuated.map(domain => domain.failureDomain));
+    const notUsed = new Set(evacuated.map(domain => domain.failureDomain));
     const open = groups.filter(group => headState(group) === 'open');
-    const usable = open.filter(({ head }) => head !== undefined && !left.has(head.failureDomain));
+    const usable = open.filter(
+      ({ head }) => head !== undefined && !notUsed.has(head.failureDomain),
+    );
     const text = profile.models
       .map(({ name }) => `${name}:${usable.filter(({ model }) => model === name).length}`)
       .join(',');
--- a/packages/entry/src/groups/capacity-value.ts
+++ b/packages/entry/src/groups/capacity-value.ts
@@ -8,9 +8,10 @@
 import type { GroupModel } from '../configuration/serving-configuration.js';
 
 /**
- * How fast the cost rises with the work per group. The part of a group's time that requests wait, p^2 / (1 - p)
- * at a load p, grows as the power 2 + p / (1 - p) of the load: 4 at two thirds, from where on answers are late.
- * With the square, groups of eight hosts carry twice the work of groups of two.
+ * How fast the cost rises with the work per group. The mean number of requests that wait in a queue is
+ * p^2 / (1 - p) at a load p (M/M/1), which grows there as the power 2 + p / (1 - p) of the load: 4 at two
+ * thirds, from where on answers miss their objectives. With a lower exponent large groups get more work each
+ * than small ones: with 2, groups of eight hosts twice that of groups of two.
  */
 const COST_EXPONENT = 4;
 /** Cost of a model without any group; costs of served models stay well below 1. */
@@ -20,8 +21,8 @@
 /** The same within one failure domain, where the others help most of the time. */
 const DOMAIN_GROUP_OFFSET = 1;
 /**
- * Weight of the failure domains' own costs: a cut is rare against ordinary load. With 0.3 and an
- * offset of 0.5 two groups were dissolved for balance alone on a played day (vuon-uom-dn scale-2).
+ * Weight of the failure domains' own costs: the loss of one is rare against ordinary load. With a larger
+ * weight, or a smaller offset, groups are dissolved only to balance the failure domains.
  */
 const FAILURE_DOMAIN_WEIGHT = 0.2;
 /** Least part of the work that is assumed of a model, 0 to 1: demand may come back. */
--- a/packages/entry/src/groups/domain-use.ts
+++ b/packages/entry/src/groups/domain-use.ts
@@ -1,17 +1,21 @@
 /**
- * Follows which failure domains plans may count on. Pure but for what it remembers.
+ * Tells which failure domains plans may use. Pure but for what it remembers.
  *
- * An evacuated domain is left out at once. When it is taken back its groups count again at once, but its
- * hosts may be cold, so that for as long the others give up nothing. A leader that has just begun knows
- * the evacuations but not what ended before; the entries of cold hosts tell it the same.
+ * An evacuated domain is excluded at once. When its evacuation ends its groups count again at once, but its
+ * hosts may be cold; while they may be, no other groups are dissolved because of them. A leader whose term
+ * has just begun knows the evacuations in force, but not those that have ended; the entries of cold hosts
+ * tell it that a domain has come back.
  */
 import type { HostEntry } from '../hosts/host-entry.js';
 import type { Log } from '../server/log.js';
 
-/** Part of a failure domain's hosts that has to be cold, 0 to 1: single hosts start every day. */
+/**
+ * Part of a failure domain's hosts, 0 to 1, above which cold hosts mean that the domain has come back; fewer
+ * may just have started one by one.
+ */
 const RETURNING_PART = 0.5;
 
-/** What plans have to know of failure domains. */
+/** Which failure domains plans may use, and whether one has just come back. */
 export type DomainUse = {
   readonly evacuatedDomains: ReadonlySet<string>;
   /** A failure domain has come back into use, and its hosts may still be cold. */
@@ -28,10 +32,10 @@
   readonly log: Log;
 };
 
-/** Remembers the evacuated domains of the last look, and when one of them came back. */
+/** Remembers the evacuated domains of the last call, and when one of them came back. */
 export class DomainUses {
   readonly #options: DomainUsesOptions;
-  /** Failure domains that have had hosts: one that is cut off may still be evacuated. */
+  /** Failure domains that have had hosts: one that has none now, being cut off, may still be evacuated. */
   readonly #seen = new Set<string>();
   #evacuated: ReadonlySet<string> = new Set();
   #returnedAt = -Infinity;
@@ -40,7 +44,7 @@
     this.#options = options;
   }
 
-  /** Looks at the failure domains of these hosts; `now` in monotonic milliseconds. */
+  /** The use of the failure domains of these hosts; `now` in monotonic milliseconds. */
   observe(hosts: readonly HostEntry[], now: number): DomainUse {
     const { isEvacuated, coldMs } = this.#options;
     hosts.forEach(host => this.#seen.add(host.failureDomain));
@@ -49,10 +53,10 @@
     this.#returnedAt = returned ? now : this.#returnedAt;
     this.#note(evacuatedDomains);
     const mayBeCold = now - this.#returnedAt < coldMs();
-    return { evacuatedDomains, isReturning: mayBeCold || isAnyCold(hosts, evacuatedDomains) };
+    return { evacuatedDomains, isReturning: mayBeCold || isAnyDomainCold(hosts, evacuatedDomains) };
   }
 
-  /** Forgets what was seen: another term has begun, and much may have happened since the last one. */
+  /** Forgets the evacuations of the last call: a new term has begun, and they may be long out of date. */
   clear(): void {
     this.#evacuated = new Set();
     this.#returnedAt = -Infinity;
@@ -70,8 +74,8 @@
   }
 }
 
-// True when most hosts of a domain in use say that they are cold.
-function isAnyCold(hosts: readonly HostEntry[], evacuated: ReadonlySet<string>): boolean {
+// True when, by their entries, most hosts of a domain in use are cold.
+function isAnyDomainCold(hosts: readonly HostEntry[], evacuated: ReadonlySet<string>): boolean {
   const counts = new Map<string, { all: number; cold: number }>();
   for (const { failureDomain, coldLeftMs } of hosts) {
     const count = counts.get(failureDomain) ?? { all: 0, cold: 0 };
--- a/packages/entry/src/groups/evacuated-plan.ts
+++ b/packages/entry/src/groups/evacuated-plan.ts
@@ -1,9 +1,9 @@
 /**
- * Plans what the hosts of evacuated failure domains do meanwhile. Pure.
+ * Plans for the hosts of evacuated failure domains. Pure.
  *
- * Their groups stay formed and serve at once when the domain is taken back. A group that breaks there is
- * formed anew, for the layout that all domains together will need; nothing there is dissolved. Loads
- * go to the domains in use first.
+ * Their groups stay formed, so that they serve at once when the evacuation ends. The hosts of a group that
+ * breaks there form groups again, valued as all domains together will need them; no group there is
+ * dissolved for another. Loads go to the domains in use first.
  */
 import type { FleetView } from './fleet-view.js';
 import { valueOf, wholeFleetOf } from './fleet-view.js';
@@ -13,8 +13,8 @@
 import { planCompletions } from './staging-plan.js';
 
 /**
- * Part of the loads which the domains in use leave over, 0 to 1. A load takes 12 to 16 s on the users'
- * deployments, so that all of them would keep the domains in use waiting after their next loss.
+ * Part of the loads left over by the domains in use that evacuated ones may take, 0 to 1. A load lasts for
+ * many seconds: if all of them were taken, the domains in use would have to wait after their next loss.
  */
 const PART_OF_LOADS = 0.5;
 
--- a/packages/entry/src/groups/fleet-view.ts
+++ b/packages/entry/src/groups/fleet-view.ts
@@ -26,11 +26,11 @@
   readonly profile: EngineProfile;
   /** Fabric domains that may be used. */
   readonly domains: readonly FleetDomain[];
-  /** Fabric domains of evacuated failure domains: what stands there counts for nothing meanwhile. */
+  /** Fabric domains of evacuated failure domains: their groups and hosts are not counted meanwhile. */
   readonly evacuated: readonly FleetDomain[];
   /**
-   * A failure domain has just come back into use and its hosts may be cold: its groups count, but no
-   * others are given up because of them.
+   * A failure domain has just come back into use and its hosts may be cold: its groups count, but no other
+   * groups are dissolved because of them.
    */
   readonly isReturning: boolean;
   /** Fabric domains whose hosts are coming back one after the other, or were a moment ago. */
@@ -74,8 +74,9 @@
 }
 
 /**
- * Tells fabric domains that may be used from those that are evacuated. Where all are, plans go on as if
- * none were: there is nowhere else to go, and the groups are needed when the first one is back.
+ * Divides fabric domains into those that may be used and those that are evacuated. Where all are
+ * evacuated, plans go on as if none were: no other domain can take over, and the groups will be needed as
+ * soon as the first evacuation ends.
  */
 export function dividedByUse(
   domains: readonly FleetDomain[],
@@ -90,7 +91,7 @@
       };
 }
 
-/** The value of the groups that are there and may be used. */
+/** The value of the groups in the domains that may be used. */
 export function valueOf(view: FleetView): CapacityValue {
   const { profile, domains } = view;
   const value = new CapacityValue(profile.models, failureDomainsOf(domains).length);
--- a/packages/entry/src/groups/formation-plan.ts
+++ b/packages/entry/src/groups/formation-plan.ts
@@ -35,7 +35,7 @@
 
 /**
  * What a slow host costs against one that has to load, in milliseconds: it would make its whole group
- * slow for as long as it lasts, some 10 s on the users' days, so that it is taken last.
+ * slow for as long as it is slow itself, so that it is taken last.
  */
 const SLOW_HOST_MS = 60_000;
 
@@ -169,7 +169,8 @@
   };
 }
 
-// Only the head receives requests, so that a cold host limits its group as its head alone.
+// The first host becomes the head. Only the head receives requests, so a cold host limits its group only
+// where it is the head.
 function warmestFirst(hosts: readonly HostEntry[]): readonly HostEntry[] {
   return [...hosts].sort((a, b) => a.coldLeftMs - b.coldLeftMs);
 }
--- a/packages/entry/src/groups/group-beliefs.ts
+++ b/packages/entry/src/groups/group-beliefs.ts
@@ -55,7 +55,7 @@
   readonly entriesMayReturn: boolean;
   /** Fabric domains that lack most of their entries, or did a moment ago. */
   readonly lapsedDomains: ReadonlySet<string>;
-  /** Failure domains to which nothing may be sent. */
+  /** Failure domains that are evacuated. */
   readonly evacuatedDomains: ReadonlySet<string>;
   /** A failure domain has come back into use a moment ago, and its hosts may be cold. */
   readonly isReturning: boolean;
--- a/packages/entry/src/groups/rearrangement-plan.ts
+++ b/packages/entry/src/groups/rearrangement-plan.ts
@@ -14,7 +14,7 @@
 
 /**
  * Part by which the cost has to fall for each dissolved group, which costs its streams and two to
- * three seconds. Chosen by hand; moves on the users' days gained 0.1 to 0.45 (log line `group
+ * three seconds. Chosen by hand; dissolutions usually gain 0.1 to 0.45 (`gain` of the log line `group
  * dissolved for another`).
  */
 const LEAST_GAIN = 0.08;
@@ -55,8 +55,8 @@
 }
 
 // Each dissolved group has to pay for itself. A model that nobody serves is brought back at any
-// price: its requests all fail, while the others only get slower. That is all while a failure domain
-// comes back: its cold groups can't yet take over what others would give up.
+// price: its requests all fail, while the others only get slower. While a failure domain comes back that is
+// the only reason: its cold groups can't take over yet from groups that would be dissolved.
 function isWorthIt(before: number, after: number, dissolved: number, view: FleetView): boolean {
   const servesOneMore = before - after > UNSERVED_COST / 2;
   const lowersCost = after < before * Math.pow(1 - LEAST_GAIN, dissolved);
--- a/packages/entry/src/groups/staging-plan.ts
+++ b/packages/entry/src/groups/staging-plan.ts
@@ -21,8 +21,8 @@
 export type PlannedStaging = { readonly host: HostEntry; readonly model: GroupModel };
 
 /**
- * Chance that a host is lost while a replacement is staged: nine of 48 hosts in 24 s on the users'
- * days, over a load of 12 to 16 s.
+ * Chance that a host is lost within the 12 to 16 s in which a replacement is staged: as when nine of 48
+ * hosts are lost in 24 s.
  */
 const LOSS_CHANCE = 0.1;
 /**
@@ -31,7 +31,7 @@
  */
 const NEXT_REPLACEMENT = 0.35;
 /**
- * What it costs to give up a staged copy that others may need, in loads of the model: most of the
+ * What it costs to evict a staged copy that others may need, in loads of the model: most of the
  * time it has to be loaded again. Chosen by hand, not measured apart.
  */
 const RESTAGE_FACTOR = 1.5;
@@ -129,9 +129,8 @@
   return candidateOf(view, hosts, model, gain, missing);
 }
 
-// Other models of which the free hosts make up whole groups, none to spare, once running loads have
-// ended. These form then; a load in place of one of their copies would put that off, and again by the
-// next one, for ever.
+// Other models of which the free hosts will make up whole groups without any host to spare, once running
+// loads have ended. To evict one of their copies would delay these groups, possibly again and again.
 function preparedIn(
   view: FleetView,
   domain: FleetDomain,
@@ -143,7 +142,7 @@
   });
 }
 
-// True when a load would evict a copy of one of these models that the host has nowhere else.
+// True when a load would evict the host's only copy of one of these models.
 function losesCopyOf(models: readonly GroupModel[], host: HostEntry, view: FleetView): boolean {
   const isOnlyCopy = ({ name }: GroupModel): boolean =>
     name !== host.lastModel && host.stagedModels.includes(name);
@@ -253,8 +252,9 @@
   return isIdle && !willHave(host, model, view) && !isAwaited(host, view);
 }
 
-// Hosts of a domain that goes dark come back one after the other with what they had loaded. A load on
-// the first of them, for want of the others, takes 12 to 16 s and the copy that its group needs.
+// Hosts of a fabric domain that was cut off come back one after the other, with what they had loaded. A load
+// that is begun because the first ones are still too few would take many seconds, and evict the copy with
+// which their group could form at once.
 function isAwaited(host: HostEntry, view: FleetView): boolean {
   const hasCopy = host.lastModel !== undefined || host.stagedModels.length > 0;
   return hasCopy && view.lapsed.has(fabricDomainOf(host));
@@ -272,7 +272,7 @@
   return [...hosts].sort((a, b) => copiesOf(a, view) - copiesOf(b, view));
 }
 
-// Staged copies that a host would give up, besides the one of the model it has loaded.
+// Staged copies that a host could evict, besides the one of the model it has loaded.
 function copiesOf(host: HostEntry, view: FleetView): number {
   return view.profile.models.filter(
     model => model.name !== host.lastModel && host.stagedModels.includes(model.name),
--- a/packages/entry/src/peers/reader-choice.ts
+++ b/packages/entry/src/peers/reader-choice.ts
@@ -75,7 +75,7 @@
     return !this.#followsBelow;
   }
 
-  /** The reader of the next step; for an urgent kind the store, once `MOST_SILENT_PEERS` have failed in a row. */
+  /** The reader of the next step; for an urgent kind the store, once some peers in a row have failed. */
   choose(isUrgent = false): KindReader {
     const { store } = this.#options;
     if (this.#skipsPeers(isUrgent)) {
--- a/packages/entry/src/requests/stall-limits.ts
+++ b/packages/entry/src/requests/stall-limits.ts
@@ -29,7 +29,7 @@
   readonly reportMs: number;
   /** A second attempt starts. */
   readonly secondAttemptMs: number;
-  /** The run counts as lost: an attempt that starts then replaces it, and may use the whole retry budget. */
+  /** The run counts as lost: an attempt that starts then replaces it and may use the whole budget. */
   readonly lostMs: number;
 };
 
--- a/packages/entry/src/testing/cold-days.ts
+++ b/packages/entry/src/testing/cold-days.ts
@@ -1,7 +1,7 @@
 /**
- * A minute of many entry hosts that send to cold hosts, played without I/O: views of the members that
- * lag, restarts, groups of entry hosts that are cut off. Ways to divide a cold host's rate are compared
- * on the same days.
+ * Simulates, without I/O, one minute of many entry hosts that send to cold hosts: views of the members that
+ * lag, restarts, entry hosts that are cut off. Ways to divide a cold host's rate are compared on the same
+ * simulated minutes ("days").
  */
 import type { SlowStart } from '../configuration/serving-configuration.js';
 import type { HostEntry } from '../hosts/host-entry.js';
@@ -13,7 +13,7 @@
 
 /** When requests for cold hosts come to the entry hosts. */
 export type Demand =
-  /** More than may be sent, at every moment. */
+  /** At every moment more than may be sent. */
   | 'pressing'
   /** Nothing for a while, then at all entry hosts at the same moment. */
   | 'bursts';
@@ -21,7 +21,7 @@
 /** A process that ends and starts again at once. */
 export type Restart = {
   readonly atMs: number;
-  /** Part of the entry hosts that it strikes, the first ones. */
+  /** Part of the entry hosts that restart, the first ones, 0 to 1. */
   readonly part: number;
 };
 
@@ -31,15 +31,15 @@
   readonly coldHosts: number;
   /** Times at which one more entry host registers, in milliseconds. */
   readonly joins: readonly number[];
-  /** Longest time until the others know of it, in milliseconds. */
+  /** Longest time until the others know of a join, in milliseconds. */
   readonly lagMs: number;
-  /** Part of the entry hosts that hears of no registration any more, 0 to 1. */
+  /** Part of the entry hosts that learn of no joins, 0 to 1. */
   readonly cutOff: number;
   readonly restarts: readonly Restart[];
   readonly demand: Demand;
 };
 
-/** One life of an entry host's process, as a way to divide the rate. */
+/** What one process of an entry host may send, by one way to divide the rate. */
 export type ColdSender = {
   readonly take: (host: HostEntry, now: number) => boolean;
   readonly nextRoomInMs: (host: HostEntry, now: number) => number;
@@ -53,7 +53,7 @@
   startedAt: number,
 ) => ColdSender;
 
-/** What came of it. */
+/** What cold hosts got. */
 export type ColdDayResult = {
   /** Most requests that one cold host got in any one second. */
   readonly mostInSecond: number;
@@ -61,6 +61,7 @@
   readonly leastRate: number;
 };
 
+/** Length of a simulated day. */
 export const DAY_MS = 60_000;
 const STEP_MS = 10;
 const BURST_PERIOD_MS = 7_000;
@@ -103,7 +104,7 @@
     );
 }
 
-/** Plays the day with one way. */
+/** Simulates the day with one way to divide the rate. */
 export function playColdDay(day: ColdDay, limit: ColdLimit, way: ColdWay): ColdDayResult {
   const names = Array.from({ length: day.members }, (_, at) => `entry-${at}`);
   const hosts = Array.from(
@@ -246,7 +247,7 @@
   return { take, nextRoomInMs };
 }
 
-// The same view all the while, as `ColdSends` asks for, but as if it had always stood.
+// The same view object while the members are the same, as `ColdSends` expects, but as if it were old.
 function withoutAge(view: () => MemberView): () => MemberView {
   let before = view();
   let ageless: MemberView = { ...before, since: -Infinity };
--- a/packages/entry/src/testing/fleet-model.ts
+++ b/packages/entry/src/testing/fleet-model.ts
@@ -69,13 +69,13 @@
   servingHostMs = 0;
   /** Time that hosts could have spent there if loads took no time, in host milliseconds. */
   possibleHostMs = 0;
-  /** Time that hosts in use were there, in host milliseconds. */
+  /** Time of all hosts in use, in host milliseconds. */
   hostMs = 0;
-  /** Time that hosts in use spent in no group and ready for none of their domain's, in host milliseconds. */
+  /** Time that hosts in use spent in no group and without a model that their domain serves, in host ms. */
   strandedHostMs = 0;
-  /** Loads from the weight store that have begun, but for the free ones. */
+  /** Loads from the weight store that were begun, without those before the first request. */
   loads = 0;
-  /** Orders to hosts. */
+  /** Orders sent to hosts. */
   orders = 0;
   /** Names of groups that were dissolved for others. */
   readonly dissolved: string[] = [];
@@ -288,7 +288,7 @@
     this.possibleHostMs += ms * this.#possibleHosts(view);
   }
 
-  // Hosts in groups if any host could serve any model: it changes only with the hosts in use.
+  // Hosts that would be in groups if every host could serve any model; cached by the hosts in use.
   #possibleHosts(view: FleetView): number {
     const sizes = view.domains.map(({ fabricDomain, free, groups }) => {
       const grouped = groups.reduce((sum, { members }) => sum + members.length, 0);
--- a/packages/gateway/src/domain/evacuated-domains.ts
+++ b/packages/gateway/src/domain/evacuated-domains.ts
@@ -1,6 +1,6 @@
 /**
- * The failure domains that operators have evacuated, as controllers or the platform tell of them. What is
- * known holds until a newer order: a gateway that hears nothing goes on keeping it.
+ * The failure domains that operators have evacuated, as learned from controllers or the platform. An order
+ * holds until a newer one: a gateway that reaches neither goes on observing the orders that it knows.
  */
 import type { FailureDomainId, VersionedEvacuation } from '@hingescale/core';
 import type { Log } from '@hingescale/runtime';
@@ -15,7 +15,7 @@
     this.#log = log;
   }
 
-  /** Takes all orders that somebody knows, who has read them from the platform at least once. */
+  /** Takes all orders that a controller knows or that were read from the platform, even if there are none. */
   take(orders: readonly VersionedEvacuation[]): void {
     this.#isKnown = true;
     for (const order of orders) {
@@ -32,7 +32,7 @@
     }
   }
 
-  /** False while nothing new may be sent to hosts of the failure domain, or no order has been heard yet. */
+  /** False while nothing new may be sent to hosts of the failure domain, and before the first `take`. */
   mayReceive(failureDomain: FailureDomainId): boolean {
     const evacuated = this.#orders.get(failureDomain)?.evacuation.evacuated ?? false;
     return this.#isKnown && !evacuated;
--- a/packages/gateway/src/domain/group-directory.ts
+++ b/packages/gateway/src/domain/group-directory.ts
@@ -102,13 +102,13 @@
     void this.messages.emit('changed');
   }
 
-  /** Takes the orders to evacuate failure domains that somebody knows. */
+  /** Takes all orders to evacuate failure domains, from a controller or the platform. */
   takeEvacuations(orders: readonly VersionedEvacuation[]): void {
     this.#evacuated.take(orders);
     void this.messages.emit('changed');
   }
 
-  /** False while nothing new may be sent to hosts of the failure domain. */
+  /** False while nothing new may be sent to hosts of the failure domain, and until evacuations are known. */
   mayReceive(failureDomain: FailureDomainId): boolean {
     return this.#evacuated.mayReceive(failureDomain);
   }
--- a/packages/object-store/src/evacuation-store.ts
+++ b/packages/object-store/src/evacuation-store.ts
@@ -5,7 +5,10 @@
 import type { PlatformClient, StoredObject } from './platform-client.js';
 import type { PlatformError } from './platform-error.js';
 
-/** Writes an order unless the same one stands already; fails with `conflict` when another came first. */
+/**
+ * Writes an order, unless the one in force says the same; returns the order in force. Fails with `conflict`
+ * when another order was written meanwhile.
+ */
 export async function writeEvacuation(
   client: PlatformClient,
   evacuation: Evacuation,
@@ -23,7 +26,7 @@
     : client.update('evacuation', failureDomain, version, evacuation);
 }
 
-/** Stored orders as they are handed on to gateways. */
+/** Stored orders in the form in which they are passed on to gateways. */
 export function versioned(
   objects: Iterable<StoredObject<Evacuation>>,
 ): readonly VersionedEvacuation[] {
