--- a/packages/entry/src/groups/capacity-value.ts
+++ b/packages/entry/src/groups/capacity-value.ts
@@ -11,7 +11,7 @@
  * How fast the cost rises with the work per group. The mean number of requests that wait in a queue is
  * p^2 / (1 - p) at a load p (M/M/1), which grows there as the power 2 + p / (1 - p) of the load: 4 at two
  * thirds, from where on answers miss their objectives. With a lower exponent large groups get more work each
- * than small ones: with 2, groups of eight hosts twice that of groups of two.
+ * than small ones: with 2, a group of eight hosts 1.6 times that of a group of two (with 4, 1.3 times).
  */
 const COST_EXPONENT = 4;
 /** Cost of a model without any group; costs of served models stay well below 1. */
