--- a/packages/entry/src/requests/cold-wait.ts
+++ b/packages/entry/src/requests/cold-wait.ts
@@ -1,6 +1,6 @@
 /**
- * Waits for the right to send to a cold host, when that is all there is: only as many requests as this
- * entry host will get through before their time is over. The others are refused at once.
+ * Requests that wait because only cold hosts are left, and their rate limit is used up. A request waits
+ * only if its turn, behind those that wait already, comes in time; the others are refused at once.
  */
 import type { Target, TargetQuery } from '../routing/target-chooser.js';
 import { monotonicMs, sleep } from '../server/time.js';
@@ -9,13 +9,13 @@
 
 /** How long a request may wait. */
 export type ColdWait = {
-  /** Monotonic milliseconds after which a send would come too late to be answered. */
+  /** Monotonic milliseconds after which a send would be too late for an answer in time. */
   readonly until: number;
-  /** Raised when the caller has gone. */
+  /** Aborted when the caller has disconnected. */
   readonly gone: AbortSignal;
 };
 
-/** Period in which a waiting request asks again: small beside any interval between two sends. */
+/** Period in which a waiting request asks again, in milliseconds: well below the interval of sends. */
 const STEP_MS = 15;
 
 /** The place of one request in the order of those that wait for the same cold hosts. */
@@ -25,7 +25,7 @@
   readonly leave: () => void;
 };
 
-/** Keeps the order of the requests that wait, by service, model and home regions. */
+/** Waiting requests in the order in which they came, by service, model and home regions. */
 export class ColdWaits {
   readonly #waiting = new Map<string, ColdPlace[]>();
 
@@ -54,9 +54,9 @@
 }
 
 /**
- * The target to which the request must be sent at once; `query` is asked for at each look. Undefined where
- * no cold host can take it in time, or none will any more. A warm host that comes meanwhile is taken as
- * well, out of turn; cold ones go to whoever has waited longest.
+ * The target to which the request must be sent at once; a warm host where one becomes available meanwhile,
+ * which anybody may take, a cold one for the request that has waited longest. Undefined where no cold host
+ * can take the request in time, or none can any more. `query` is called for each attempt to choose.
  */
 export async function awaitColdTarget(
   services: RelayServices,
