--- a/packages/entry/src/groups/evacuation-days.test.ts
+++ b/packages/entry/src/groups/evacuation-days.test.ts
@@ -1,6 +1,6 @@
 /**
- * Failure domains are evacuated and taken back while groups serve: the others serve meanwhile, and what
- * stands in the evacuated one serves at once afterwards.
+ * Failure domains are evacuated and used again while groups serve: the others serve meanwhile, and the
+ * groups of the evacuated one serve at once afterwards.
  */
 import { expect } from 'chai';
 import fc from 'fast-check';
--- a/packages/entry/src/groups/fleet-days.test.ts
+++ b/packages/entry/src/groups/fleet-days.test.ts
@@ -72,7 +72,7 @@
   return (hosts * LOAD_MS) / deployment.loadsAtOnce + 4 * LOAD_MS;
 }
 
-/** A day like the users': a loss every three seconds, some hosts replaced after a while. */
+/** A day with a loss every three seconds; some hosts are replaced after a while. */
 function playDay(fleet: FleetModel, seed: number): void {
   fleet.run(6_000, FREE_LOADS);
   for (let loss = 0; loss < 9; loss++) {
--- a/packages/entry/src/groups/lapsed-domains.ts
+++ b/packages/entry/src/groups/lapsed-domains.ts
@@ -2,7 +2,7 @@
  * Tells which fabric domains have lost most of their entries at once. Pure but for what it remembers.
  *
  * A failure domain that is cut off from the store loses the entries of its hosts although they serve
- * on, and so does a fabric domain that goes dark for a moment. When it is back, entries return within
+ * on, and so does a fabric domain that is cut off for a moment. When it is back, entries return within
  * a heartbeat or two, one after the other. Until then a missing head or member says nothing about its
  * group: on a day with a cut of 5 s, six sound groups were dissolved in the second after it.
  */
--- a/packages/entry/src/groups/member-prober.ts
+++ b/packages/entry/src/groups/member-prober.ts
@@ -69,7 +69,7 @@
     return this.#unlisted;
   }
 
-  /** Asks the members of a group whose streams stand still. */
+  /** Asks the members of a group whose streams are stalled. */
   suspect(members: readonly HostEntry[]): void {
     for (const member of members) {
       this.#askEvery(member, SUSPICION_PERIOD_MS);
--- a/packages/entry/src/peers/peer-messages.ts
+++ b/packages/entry/src/peers/peer-messages.ts
@@ -9,7 +9,7 @@
   read: 'read-kind',
   /** What a failure domain has added up. */
   tally: 'domain-tally',
-  /** A group stands still; for the order giver. */
+  /** A group is stalled; for the order giver. */
   suspect: 'suspect-group',
 } as const;
 
@@ -58,7 +58,7 @@
 /** Answer to a question for a failure domain's tally. */
 export type TallyReply = { readonly tally: Tally };
 
-/** A group that stands still. */
+/** A group that is stalled. */
 export type SuspectRequest = {
   readonly service: string;
   /** What was met, and by which entry host. */
--- a/packages/entry/src/peers/silent-readers.test.ts
+++ b/packages/entry/src/peers/silent-readers.test.ts
@@ -1,4 +1,4 @@
-/** How long an evacuation takes to a host whose peers go silent as it is ordered. */
+/** How long it takes until an evacuation reaches a host whose peers stop answering as it is ordered. */
 import { expect } from 'chai';
 
 import { silentLog } from '../server/log.js';
@@ -10,17 +10,17 @@
 import type { Member } from './member.js';
 import { PeerReaderChoice } from './reader-choice.js';
 
-/** The bound of an evacuation on the users' sheets. */
+/** Time within which an evacuation has to take effect, as deployments set it. */
 const BOUND_MS = 5_000;
-/** Time to connect to a peer that does not answer, and beyond the wait of a question. */
+/** Connect timeout of a peer, and margin of its answers beyond the wait that was asked for. */
 const UNANSWERED_MS = 500;
-/** As many as are tried before the store at most. */
+/** Number of peers: the most that are tried before the store. */
 const MOST_ABOVE = 6;
 
 const timing = KIND_TIMINGS[OBJECT_KINDS.evacuations];
 const pause = (ms: number): Promise<void> => new Promise(resolve => setTimeout(resolve, ms));
 
-/** Time from the order until a host has heard of it, of whose peers `count` go silent with it. */
+/** Time from the order until it reaches a host of whose peers `count` stop answering with the order. */
 async function heardAfterMs(count: number): Promise<number> {
   if (timing === undefined) {
     throw new Error('evacuations are not followed');
--- a/packages/entry/src/peers/store-outage.test.ts
+++ b/packages/entry/src/peers/store-outage.test.ts
@@ -1,4 +1,4 @@
-/** How often a host that follows others asks a store that is known to be down. */
+/** How often an entry host that follows others calls a store that is known to be down. */
 import { expect } from 'chai';
 
 import { silentLog } from '../server/log.js';
--- a/packages/entry/src/requests/stream-attempt.ts
+++ b/packages/entry/src/requests/stream-attempt.ts
@@ -279,7 +279,7 @@
     if (end.kind === 'complete' || this.#context.gone.aborted) {
       return;
     }
-    // What stood still has been noted when it was suspected.
+    // A stalled run has been noted already, when it was suspected.
     if (end.kind === 'never-sent') {
       activities.noteUnreachable(this.#target.host);
       this.#suspect(true);
--- a/packages/entry/src/requests/stream-relay.test.ts
+++ b/packages/entry/src/requests/stream-relay.test.ts
@@ -1,4 +1,4 @@
-/** Streams whose hosts stand still, tear an event or end, each fault by itself. */
+/** Streams whose hosts stall, send a part of an event or end, one fault in each test. */
 import type { ServerResponse } from 'node:http';
 
 import { expect } from 'chai';
@@ -35,7 +35,7 @@
       response => {
         response.writeHead(200, HEAD);
         response.write(events(1, 2));
-        // Silent for long enough that a second attempt runs, then a part of an event, then the end.
+        // Silent until a second attempt runs, then a part of an event, then the end of the connection.
         setTimeout(() => response.write('id: 3\nda'), 300);
         setTimeout(() => response.destroy(), 340);
       },
--- a/packages/entry/src/requests/upstream-connections.test.ts
+++ b/packages/entry/src/requests/upstream-connections.test.ts
@@ -48,7 +48,7 @@
   return { connections, call, causes, announced, sockets, close };
 }
 
-// The agent takes a connection back a moment after the answer has ended.
+// The agent puts a connection among the idle ones a moment after the end of the answer.
 const TAKE_BACK_MS = 20;
 
 describe('connections to upstream hosts', () => {
--- a/packages/entry/src/requests/wait-for-target.test.ts
+++ b/packages/entry/src/requests/wait-for-target.test.ts
@@ -14,7 +14,7 @@
   it('waits for a group that can serve it before its deadline, and for no other', () => {
     expect(waitsForTarget(outlook([], 1_600), { ...fresh, lackingMs: 1_000 })).to.equal(true);
     expect(waitsForTarget(outlook([], 12_000), { ...fresh, lackingMs: 1_000 })).to.equal(false);
-    // Of a load that it has seen for a while, less is left.
+    // The time for which this entry host has known of the load counts.
     const later = { ...fresh, lackingMs: 1_500, formingForMs: 1_500, leftMs: 1_000 };
     expect(waitsForTarget(outlook([], 1_600), later)).to.equal(true);
   });
@@ -22,7 +22,7 @@
   it('waits no longer for a group that takes longer than its model ever does', () => {
     const stuck = { ...fresh, lackingMs: 1_700, formingForMs: 1_700 };
     expect(waitsForTarget(outlook([], 1_600), stuck)).to.equal(false);
-    // It has loaded and is to be opened: that is news.
+    // A changed outlook starts the time anew: it has loaded and is to be opened.
     expect(waitsForTarget(outlook([], 500), { ...stuck, formingForMs: 0 })).to.equal(true);
   });
 
--- a/packages/entry/src/routing/host-subset.test.ts
+++ b/packages/entry/src/routing/host-subset.test.ts
@@ -33,7 +33,7 @@
   return Math.max(...targets.map(usesOf));
 }
 
-// Places of all members that hold another target than before.
+// Number of places in all subsets that hold another target than before.
 function moved(before: Subsets, after: Subsets): number {
   let count = 0;
   for (const [member, subset] of after) {
@@ -68,7 +68,7 @@
     fc.assert(
       fc.property(anyCase, one => {
         const mean = (one.members.length * one.size) / one.targets.length;
-        // A member that has all targets that are not full takes a full one: one more each.
+        // A member that already has every target that is not full takes a full one: one use more.
         const most = Math.ceil(mean * 1.1) + 1;
         expect(mostUses(subsetsOf(one), one.targets)).to.be.at.most(most);
       }),
--- a/packages/entry/src/routing/rendezvous.test.ts
+++ b/packages/entry/src/routing/rendezvous.test.ts
@@ -30,7 +30,7 @@
         taken.set(member, (taken.get(member) ?? 0) + 1);
       }
     }
-    // Mean 300, standard deviation 17: five of these either way.
+    // Mean 300, standard deviation 17: within five standard deviations.
     for (const member of members) {
       expect(taken.get(member) ?? 0, member).to.be.within(215, 385);
     }
--- a/packages/entry/src/routing/subset-choice.test.ts
+++ b/packages/entry/src/routing/subset-choice.test.ts
@@ -21,7 +21,7 @@
   return Array.from({ length: count }, (_, index) => `e${index}`);
 }
 
-// As after a minute at the same rate.
+// Notes the requests of a minute at a constant rate.
 function atRate(choice: SubsetChoice, perS: number): SubsetChoice {
   for (let now = 0; now <= MINUTE_MS; now += 1_000 / perS) {
     choice.noteRequest(KEY, now);
--- a/packages/entry/src/slow-start/cold-days.test.ts
+++ b/packages/entry/src/slow-start/cold-days.test.ts
@@ -19,7 +19,7 @@
 
 const time = fc.integer({ min: 0, max: DAY_MS });
 const restart = fc.record({ atMs: time, part: fc.double({ min: 0.01, max: 1, noNaN: true }) });
-// A power failure, and processes that end again right after their start.
+// All processes restart together, and again right after their start, as after a power failure.
 const restarts = fc.oneof(
   fc.array(restart, { maxLength: 6 }),
   fc
@@ -71,7 +71,7 @@
   for (const members of [5, 6, 9, 13, 30, 90, 300]) {
     it(`get most of their rate from ${members} entry hosts that agree and have enough to send`, () => {
       const { leastRate } = playColdDay({ ...CALM, members }, TYPICAL, ownersWay());
-      // The first interval and the time in which the members settle count.
+      // Less than the rate, since the first interval and `MEMBERS_SETTLE_MS` are part of the minute.
       expect(leastRate).to.be.at.least(0.8 * 14 * ((DAY_MS - 3_000) / DAY_MS));
     });
   }
--- a/packages/entry/src/slow-start/cold-hosts.test.ts
+++ b/packages/entry/src/slow-start/cold-hosts.test.ts
@@ -113,7 +113,7 @@
     expect(hosts.spellOf(host, 10_001)?.until).to.equal(10_000 + ASSUMED_MS);
     expect(hosts.spellOf(testHost('b', { failureDomain: 'b' }), 10_001)).to.equal(undefined);
     expect(hosts.spellOf(testHost('not-listed-yet'), 10_001)?.since).to.equal(10_000);
-    // Written before the end, though it comes after it.
+    // Written before the end of the evacuation, but received after it.
     const older = { entry: host, revision: endRevision - 1, standing: 'known' } as const;
     hosts.take({ taken: [older], departed: [] }, 10_100);
     expect(hosts.spellOf(host, 10_101)).to.not.equal(undefined);
--- a/packages/entry/src/slow-start/cold-sends.test.ts
+++ b/packages/entry/src/slow-start/cold-sends.test.ts
@@ -53,7 +53,7 @@
     expect(sends.hasRoom(HOST, 1_000 + INTERVAL_MS)).to.equal(true);
     expect(sends.take(HOST, 1_000 + INTERVAL_MS)).to.equal(true);
     expect(sends.take(HOST, 1_001 + INTERVAL_MS)).to.equal(false);
-    // A quiet time does not add up.
+    // An idle period does not save up allowances.
     expect(sends.take(HOST, 60_000)).to.equal(true);
     expect(sends.take(HOST, 60_001)).to.equal(false);
     expect(counters.value('cold_sends_total', { service: 'lm' })).to.equal(2);
@@ -85,7 +85,7 @@
     const { sends } = coldSends({ view: () => view });
     expect(sends.nextRoomInMs(HOST, 5_000)).to.equal(MEMBERS_SETTLE_MS + INTERVAL_MS);
     expect(sends.take(HOST, 5_000 + MEMBERS_SETTLE_MS + INTERVAL_MS)).to.equal(true);
-    // One that stays an owner goes on, an interval after the change.
+    // A host that stays an owner sends again one interval after the change.
     view = { names: [...NAMES, 'entry-new'], since: 20_000 };
     expect(sends.nextRoomInMs(HOST, 20_000)).to.equal(INTERVAL_MS);
   });
--- a/packages/entry/src/slow-start/cold-share.test.ts
+++ b/packages/entry/src/slow-start/cold-share.test.ts
@@ -11,7 +11,7 @@
     let most = 0;
     for (let missing = 0; missing <= Math.min(lag, members - 1); missing += 1) {
       const share = coldShare(limit, members - missing);
-      // With `missing` hosts unknown, so many of those that stand before this one are.
+      // Of the members that precede this one, `missing` are not in its view.
       if (place < share.owners + missing) {
         most = Math.max(most, Math.ceil(1_000 / sendIntervalMs(share)));
       }
@@ -46,7 +46,7 @@
     fc.assert(
       fc.property(figures, ({ rate, overshoot, slack, members }) => {
         const limit = limitOf(rate, overshoot, slack);
-        // One owner alone needs room for those that a view may lack.
+        // Even a single owner needs room in the bound for members that its view may lack.
         const lag = Math.min(TOLERATED_LAG, Math.max(0, Math.floor(limit.mostPerSecond) - 1));
         const most = Math.max(limit.mostPerSecond, 1);
         return worstSecond(limit, members, lag) <= most;
