Leftover idiom in the changed files; a long function of a simulation split

Changed: comments; joinEvents taken out of eventsOf, with the same events in the same order. Behaviour is unchanged.

--- a/packages/entry/src/evacuation/evacuated-domains.ts
+++ b/packages/entry/src/evacuation/evacuated-domains.ts
@@ -17,7 +17,7 @@
   readonly failureDomain: string;
   /** Revision of the store at which it was ordered. */
   readonly revision: number;
-  /** Monotonic milliseconds when this entry host heard of it. */
+  /** When this entry host learned of it, in monotonic milliseconds. */
   readonly since: number;
 };
 
--- a/packages/entry/src/groups/coordinator.ts
+++ b/packages/entry/src/groups/coordinator.ts
@@ -18,7 +18,7 @@
   readonly isReady: () => boolean;
   /** Models of a service with their shares of the work as measured. */
   readonly profileOf: (service: string) => EngineProfile | undefined;
-  /** Since when the store has told of hosts without a break (monotonic milliseconds). */
+  /** Since when hosts have been followed without an interruption (monotonic milliseconds). */
   readonly inTouchSince: () => number;
   readonly loadWindowMs: number;
   /** True before the first request for a service: then loads are quick and do not count. */
--- a/packages/entry/src/groups/group-task.ts
+++ b/packages/entry/src/groups/group-task.ts
@@ -40,7 +40,7 @@
   readonly registry: HostRegistry;
   readonly sender: OrderSender;
   readonly prober: MemberProber;
-  /** Since when the store has told of hosts without a break (monotonic milliseconds). */
+  /** Since when hosts have been followed without an interruption (monotonic milliseconds). */
   readonly inTouchSince: () => number;
   readonly loadWindowMs: number;
   /** True before the first request: then loads are quick and do not count. */
@@ -235,7 +235,7 @@
     }
   }
 
-  // A head whose entry went may still serve: it is told to leave, in case it hears.
+  // A head whose entry has gone may still serve: it is ordered to leave, in case the order reaches it.
   #releaseDeparted(groups: readonly ReplicaGroup[], view: GuardView, now: number): void {
     for (const group of groups) {
       const known = this.#observer.heads.get(group.name);
--- a/packages/entry/src/peers/peers.ts
+++ b/packages/entry/src/peers/peers.ts
@@ -62,11 +62,11 @@
 /** The same for hosts that follow a peer, which brings the tally of all, in milliseconds. */
 const IDLE_EXCHANGE_PERIOD_MS = 1_000;
 const REQUEST_TIMEOUT_MS = 400;
-/** The same group is not told of again within this time, in milliseconds. */
+/** The same group is not reported again within this time, in milliseconds. */
 const SUSPICION_PERIOD_MS = 500;
 /**
  * Entry hosts up to which each starts from the store: 100 lists of 300 hosts are 10 MB, a tenth of a
- * second of the store's link on the users' sheets (1,000 Mbit/s).
+ * second on a link of 1,000 Mbit/s.
  */
 const MOST_MEMBERS_AT_STORE = 100;
 /** A suspicion goes up to two followed hosts, and from there to the host that gives orders. */
--- a/packages/entry/src/peers/reader-choice.ts
+++ b/packages/entry/src/peers/reader-choice.ts
@@ -29,7 +29,7 @@
    * outage what a peer confirms travels down the chain of followed hosts, and keys wait for it.
    */
   stale: 500,
-  /** The store, by a host that nobody stronger stands before. */
+  /** The store, by a host that has no stronger one to follow. */
   storeOfFirst: 250,
   /**
    * The store, by any other host: it hears from a stronger one when the store is back, and asks by
--- a/packages/entry/src/requests/final-answer.ts
+++ b/packages/entry/src/requests/final-answer.ts
@@ -1,4 +1,4 @@
-/** Final answers of the entry host's own: refusals and failures, told at once. */
+/** Final answers of the entry host's own: refusals and failures, given without delay. */
 import type { ServerResponse } from 'node:http';
 
 import type { NoTargetReason } from './wait-for-target.js';
--- a/packages/entry/src/requests/plain-relay.ts
+++ b/packages/entry/src/requests/plain-relay.ts
@@ -24,6 +24,7 @@
 const DEADLINE_MARGIN_MS = 15;
 const NOTHING_DROPPED: ReadonlySet<string> = new Set(['content-length']);
 
+/** Why a call ends without an answer of a host. */
 type GiveUpReason = NoTargetReason | 'not-run';
 
 type WholeAnswer = { readonly head: IncomingMessage; readonly body: Buffer };
@@ -92,8 +93,8 @@
     return { service, model: undefined, homeRegions, exclude: this.#log.tried };
   }
 
-  // An own failure of a host, or an answer of which nobody can tell whether it is whole, is worth
-  // another try only where the call may run again.
+  // A failure of the host itself, or an answer that may be incomplete, is worth another try only where the
+  // call may run again.
   #worthRetrying(answer: WholeAnswer): boolean {
     const doubtful = (answer.head.statusCode ?? 0) >= 500 || !isFramed(answer.head);
     return doubtful && mayRepeat(this.#context.route);
@@ -266,7 +267,7 @@
   }
 }
 
-/** False when an answer ends with its connection, so that nobody can tell whether it is whole. */
+/** False when only the end of the connection ends the answer, so that it may be incomplete. */
 export function isFramed(head: IncomingMessage): boolean {
   const { headers } = head;
   return headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
--- a/packages/entry/src/requests/relay-services.ts
+++ b/packages/entry/src/requests/relay-services.ts
@@ -27,8 +27,9 @@
   readonly suspect: (service: string, target: Target, isUnreachable: boolean) => void;
   /** True while entry hosts report that they can not connect to the target. */
   readonly isUnreachable: (target: Target) => boolean;
+  /** Requests that wait for their turn at cold hosts. */
   readonly coldWaits: ColdWaits;
-  /** Asked at the moment of each send. */
+  /** Decides at the moment of each send whether it may happen. */
   readonly eligibility: SendEligibility;
   /** True while keys may be honoured. */
   readonly keysHold: () => boolean;
--- a/packages/entry/src/requests/stream-relay.ts
+++ b/packages/entry/src/requests/stream-relay.ts
@@ -29,6 +29,7 @@
 const NOTHING = Buffer.alloc(0);
 const DROPPED_HEADERS: ReadonlySet<string> = new Set(['content-length']);
 
+/** Why a stream ends without another attempt. */
 type GiveUpReason = NoTargetReason | 'not-run' | 'overloaded';
 
 /** One stream of a caller. */
--- a/packages/entry/src/store/watched-kind.ts
+++ b/packages/entry/src/store/watched-kind.ts
@@ -1,7 +1,7 @@
 /**
  * Follows all objects of a kind: lists them, then watches, and lists anew when history is gone.
  *
- * What is followed stands in a cache that only moves forward, whichever reader it came from, so
+ * What was read is kept in a cache that only moves forward, whichever reader it came from, so
  * that readers can be changed at any time.
  */
 import type { Log } from '../server/log.js';
--- a/packages/entry/src/testing/cold-days.ts
+++ b/packages/entry/src/testing/cold-days.ts
@@ -152,6 +152,25 @@
   names: readonly string[],
   processes: Process[],
   start: (process: Process, now: number) => void,
+): DayEvent[] {
+  const joins = joinEvents(day, names, processes, start);
+  const restarts = day.restarts.map(({ atMs, part }): DayEvent => ({
+    atMs,
+    happen: now => {
+      processes.slice(0, Math.ceil(part * processes.length)).forEach(process => {
+        start(process, now);
+      });
+    },
+  }));
+  return [...joins, ...restarts].sort((a, b) => a.atMs - b.atMs);
+}
+
+// Each join, and when each of the others learns of it, spread evenly over the lag.
+function joinEvents(
+  day: ColdDay,
+  names: readonly string[],
+  processes: Process[],
+  start: (process: Process, now: number) => void,
 ): DayEvent[] {
   const events: DayEvent[] = [];
   const count = processes.length;
@@ -187,17 +206,7 @@
           events.push({ atMs: atMs + delay, happen: now => learn(process, now) });
         });
     });
-  for (const { atMs, part } of day.restarts) {
-    events.push({
-      atMs,
-      happen: now => {
-        processes.slice(0, Math.ceil(part * processes.length)).forEach(process => {
-          start(process, now);
-        });
-      },
-    });
-  }
-  return events.sort((a, b) => a.atMs - b.atMs);
+  return events;
 }
 
 function sendAll(
--- a/packages/entry/src/testing/fleet-model.ts
+++ b/packages/entry/src/testing/fleet-model.ts
@@ -99,7 +99,7 @@
     return this.#hosts.length;
   }
 
-  /** Serving groups of a model; those of evacuated failure domains serve nobody. */
+  /** Serving groups of a model; those of evacuated failure domains get no requests and don't count. */
   serving(model: string): number {
     return this.#serving.filter(group => group.model.name === model).length;
   }
@@ -112,7 +112,7 @@
     this.#remove(inside[0]?.members[0]);
   }
 
-  /** Names of the groups that stand in a failure domain, serving or not. */
+  /** Names of the groups in a failure domain, serving or not. */
   groupsIn(failureDomain: string): readonly string[] {
     const inside = this.#groups.filter(
       ({ members }) => members[0]?.failureDomain === failureDomain,
