--- a/packages/entry/src/slow-start/cold-hosts.ts
+++ b/packages/entry/src/slow-start/cold-hosts.ts
@@ -149,8 +149,8 @@
   // Undefined for a host whose entry was written after the end: the entry itself says whether it is cold.
   #endedFor(host: HostEntry, known: KnownHost | undefined): number | undefined {
     const end = this.#ends.get(host.failureDomain);
-    const isAnswered = end !== undefined && known !== undefined && known.revision > end.revision;
-    return isAnswered ? undefined : end?.at;
+    const isNewer = end !== undefined && known !== undefined && known.revision > end.revision;
+    return isNewer ? undefined : end?.at;
   }
 
   #assumed(since: number | undefined, { coldMs }: SlowStart): ColdSpell | undefined {
