--- a/packages/proofs/src/sessions/operator.test.ts
+++ b/packages/proofs/src/sessions/operator.test.ts
@@ -115,6 +115,11 @@
   });
 
   it('reports the burn of service levels', async () => {
+    const load = new Load(deployment, { callers: 2, tokens: 10 });
+    await eventually('requests were counted', async () => {
+      return (await hingescale('report', 'burn')).text.includes('bank-alpha');
+    });
+    await load.stop();
     const text = (await hingescale('report', 'burn')).text;
     expect(text).to.match(/bank-alpha +lm-pool +\d+ +\d+\.\d\d of [1-9]\d*/);
     expect((await hingescale('report', 'burn', '--html')).text).to.include('<svg');
