A line for each lost run tells which content it was

Cause: 'attempt failed' names the request's id, which is new with each send of a caller, so the logs could not tell whether hosts ended under one request or under many. No change of logic.

--- a/packages/entry/src/requests/plain-relay.ts
+++ b/packages/entry/src/requests/plain-relay.ts
@@ -212,6 +212,7 @@
         end: end.kind,
         status: end.kind === 'answered' ? end.answer.head.statusCode : undefined,
         detail: end.kind === 'lost' ? end.detail : undefined,
+        fingerprint: end.kind === 'lost' ? this.#context.fingerprint() : undefined,
         afterMs: Math.round(ms),
       });
     }
--- a/packages/entry/src/requests/request-context.ts
+++ b/packages/entry/src/requests/request-context.ts
@@ -2,6 +2,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 
 import type { Route, Service } from '../configuration/serving-configuration.js';
+import type { RequestFingerprint } from '../quarantine/request-fingerprint.js';
 import type { RequestHomes } from './home-regions.js';
 
 /** A request of a caller. */
@@ -12,6 +13,8 @@
   readonly body: Buffer | undefined;
   readonly route: Route;
   readonly service: Service;
+  /** Fingerprint of the content, which stays the same when it is sent again; made at the first call. */
+  readonly fingerprint: () => RequestFingerprint;
   /** Workspace of the caller's key; undefined on public routes. */
   readonly workspace: string | undefined;
   /** Home regions of its route and of its workspace; asked anew at each send. */
--- a/packages/entry/src/requests/request-intake.ts
+++ b/packages/entry/src/requests/request-intake.ts
@@ -5,6 +5,8 @@
 import type { RouteTable } from '../configuration/route-table.js';
 import { pickService } from '../configuration/route-table.js';
 import type { Route } from '../configuration/serving-configuration.js';
+import type { RequestFingerprint } from '../quarantine/request-fingerprint.js';
+import { fingerprintOf } from '../quarantine/request-fingerprint.js';
 import { monotonicMs } from '../server/time.js';
 import type { AnswerReason, FinalAnswer } from './final-answer.js';
 import { giveFinalAnswer } from './final-answer.js';
@@ -21,6 +23,12 @@
 const CALLER_GONE = 'the connection of the caller is closed';
 const BEARER = /^bearer\s+(\S+)\s*$/i;
 
+/** What is known of a request by its head. */
+type AdmittedRequest = Omit<
+  RequestContext,
+  'deadline' | 'fingerprint' | 'request' | 'response' | 'body' | 'arrivedAt' | 'gone'
+>;
+
 /** Admits requests. */
 export class RequestIntake {
   readonly #holder: ConfigurationHolder;
@@ -96,10 +104,14 @@
     response.destroy();
   }
 
-  #relay(context: Omit<RequestContext, 'deadline'>): Promise<void> {
+  #relay(context: Omit<RequestContext, 'deadline' | 'fingerprint'>): Promise<void> {
     const given = Number(header(context.request, this.#services.headers.deadlineMs));
     const limit = given > 0 ? Math.min(given, context.route.timeoutMs) : context.route.timeoutMs;
-    const full: RequestContext = { ...context, deadline: context.arrivedAt + limit };
+    const full: RequestContext = {
+      ...context,
+      fingerprint: fingerprintOnce(context),
+      deadline: context.arrivedAt + limit,
+    };
     this.#services.budgetOf(context.service.name).noteRequest();
     if (context.model !== undefined) {
       const tokens = header(context.request, this.#services.headers.tokenCounts);
@@ -112,12 +124,7 @@
     return relay.run();
   }
 
-  #admit(
-    table: RouteTable,
-    request: IncomingMessage,
-  ):
-    | Omit<RequestContext, 'deadline' | 'request' | 'response' | 'body' | 'arrivedAt' | 'gone'>
-    | FinalAnswer {
+  #admit(table: RouteTable, request: IncomingMessage): AdmittedRequest | FinalAnswer {
     const names = this.#services.headers;
     const key = keyOf(request);
     const named = { hostHeader: request.headers.host ?? '', url: request.url ?? '/', key };
@@ -173,6 +180,24 @@
   }
 }
 
+// Most requests need no fingerprint, and the others need it several times.
+function fingerprintOnce(
+  context: Pick<RequestContext, 'request' | 'workspace' | 'body'>,
+): () => RequestFingerprint {
+  const { request, workspace, body } = context;
+  let made: RequestFingerprint | undefined;
+  return () => {
+    made ??= fingerprintOf({
+      method: request.method ?? '',
+      host: request.headers.host ?? '',
+      url: request.url ?? '',
+      workspace,
+      body,
+    });
+    return made;
+  };
+}
+
 function isCut(body: Buffer | string | CutBody | undefined): body is CutBody {
   return typeof body === 'object' && 'cutBy' in body;
 }
--- a/packages/entry/src/requests/stream-attempt.ts
+++ b/packages/entry/src/requests/stream-attempt.ts
@@ -293,6 +293,8 @@
       end: end.kind,
       status: this.#head?.statusCode,
       detail: end.kind === 'lost' ? end.detail : undefined,
+      // Told for lost runs only: they alone may have ended their host.
+      fingerprint: end.kind === 'lost' ? this.#context.fingerprint() : undefined,
       faultyHost: headerText(this.#head, names.faultyHost),
       begun: this.#begun,
       afterMs: Math.round(monotonicMs() - this.#startedAt),
--- a/packages/entry/src/testing/relay.ts
+++ b/packages/entry/src/testing/relay.ts
@@ -5,6 +5,7 @@
 
 import type { Route, Service } from '../configuration/serving-configuration.js';
 import type { HostEntry } from '../hosts/host-entry.js';
+import { fingerprintOf } from '../quarantine/request-fingerprint.js';
 import { ColdWaits } from '../requests/cold-wait.js';
 import type { RelayServices } from '../requests/relay-services.js';
 import type { RequestContext } from '../requests/request-context.js';
@@ -146,6 +147,14 @@
     request: { method: 'GET', url: '/', rawHeaders: ['host', route.host, 'x-request-id', id] },
     response,
     body: undefined,
+    fingerprint: () =>
+      fingerprintOf({
+        method: 'GET',
+        host: route.host,
+        url: '/',
+        workspace: undefined,
+        body: undefined,
+      }),
     route,
     service: { name: 's', maxConnections: 100, slowStart: undefined, engine: undefined },
     homes: { inForce: () => [] },
