--- /dev/null
+++ b/packages/entry/src/entry-host-options.ts
@@ -0,0 +1,21 @@
+/** What a platform's adapter gives an entry host. */
+import type { ConfigurationReader } from './configuration/configuration-holder.js';
+import type { HostOrders } from './groups/host-orders.js';
+import type { HostReader } from './hosts/host-registry.js';
+import type { RelayHeaders } from './requests/relay-headers.js';
+import type { EntrySettings } from './server/entry-settings.js';
+import type { Log } from './server/log.js';
+import type { ObjectStore } from './store/object-store.js';
+
+/** What the adapter of a platform brings. */
+export type EntryHostOptions = {
+  readonly settings: EntrySettings;
+  readonly store: ObjectStore;
+  readonly orders: HostOrders;
+  readonly headers: RelayHeaders;
+  readonly readConfiguration: ConfigurationReader;
+  /** Name of the object that holds the configuration. */
+  readonly configurationName: string;
+  readonly readHost: HostReader;
+  readonly log: Log;
+};
--- a/packages/entry/src/entry-host.ts
+++ b/packages/entry/src/entry-host.ts
@@ -2,20 +2,20 @@
 import { randomUUID } from 'node:crypto';
 import type { Server } from 'node:http';
 
-import type { ConfigurationReader } from './configuration/configuration-holder.js';
 import { ConfigurationHolder } from './configuration/configuration-holder.js';
 import type { EngineProfile } from './configuration/serving-configuration.js';
+import type { EntryHostOptions } from './entry-host-options.js';
 import { Coordinator } from './groups/coordinator.js';
-import type { HostOrders } from './groups/host-orders.js';
 import { LackingGroups } from './groups/lacking-groups.js';
 import type { ReplicaGroup } from './groups/replica-groups.js';
+import type { HostEntry } from './hosts/host-entry.js';
 import { isRoutable } from './hosts/host-entry.js';
-import type { HostReader } from './hosts/host-registry.js';
 import { HostRegistry } from './hosts/host-registry.js';
 import { DEFAULT_LEASE_TIMING, LeaseTask } from './lease/lease-task.js';
 import { Peers } from './peers/peers.js';
+import { probeHost } from './quarantine/host-probe.js';
+import { RequestQuarantine } from './quarantine/request-quarantine.js';
 import { ColdWaits } from './requests/cold-wait.js';
-import type { RelayHeaders } from './requests/relay-headers.js';
 import type { RelayServices } from './requests/relay-services.js';
 import { RequestIntake } from './requests/request-intake.js';
 import { ServiceLimits } from './requests/service-limits.js';
@@ -30,35 +30,16 @@
 import { TargetChooser } from './routing/target-chooser.js';
 import { CallerServer } from './server/caller-server.js';
 import type { EntrySettings } from './server/entry-settings.js';
-import type { Log } from './server/log.js';
 import { newMetrics } from './server/metrics.js';
+import { finishRequests } from './server/planned-stop.js';
 import { changedSettings } from './server/settings-change.js';
 import { serveMetrics, serveReadiness } from './server/side-servers.js';
-import { monotonicMs, sleep } from './server/time.js';
-import { FollowedKinds } from './store/followed-kinds.js';
+import { monotonicMs } from './server/time.js';
+import { FollowedKinds, onlyReader } from './store/followed-kinds.js';
 import { configurationObserver, hostsObserver } from './store/kind-observers.js';
 import { storeReader } from './store/kind-reader.js';
-import type { ObjectStore } from './store/object-store.js';
 import { OBJECT_KINDS } from './store/object-store.js';
 
-/** What the adapter of a platform brings. */
-export type EntryHostOptions = {
-  readonly settings: EntrySettings;
-  readonly store: ObjectStore;
-  readonly orders: HostOrders;
-  readonly headers: RelayHeaders;
-  readonly readConfiguration: ConfigurationReader;
-  /** Name of the object that holds the configuration. */
-  readonly configurationName: string;
-  readonly readHost: HostReader;
-  readonly log: Log;
-};
-
-/** Time that callers' balancers need to notice that this host is leaving. */
-const NOTICE_MS = 2_600;
-const GRACE_MARGIN_MS = 700;
-const DRAIN_STEP_MS = 50;
-
 /** A running entry host. */
 export class EntryHost {
   readonly #options: EntryHostOptions;
@@ -78,6 +59,7 @@
   readonly #rules: SendRules;
   readonly #chooser: TargetChooser;
   readonly #lease: LeaseTask;
+  readonly #quarantine: RequestQuarantine;
   readonly #coordinator: Coordinator;
   readonly #limits: ServiceLimits;
   readonly #intake: RequestIntake;
@@ -114,6 +96,7 @@
       eligible: () => this.#peers?.mayLead ?? true,
       log,
     });
+    this.#quarantine = this.#makeQuarantine();
     this.#peers = this.#makePeers();
     this.#kinds = this.#makeKinds();
     this.#coordinator = this.#makeCoordinator();
@@ -155,9 +138,8 @@
     await this.#peers?.start();
     this.#kinds.start();
     this.#coordinator.start();
-    this.#competeForLease().catch((error: unknown) => {
-      log.error('task ended', { task: 'lease', cause: String((error as Error).stack) });
-    });
+    this.#runTask('lease', this.#competeForLease());
+    this.#runTask('quarantine', this.#quarantine.run());
     const { callers, readiness, metrics } = settings;
     await this.#callers.listen(callers.ip, callers.port);
     this.#sideServers.push(await serveReadiness(readiness.ip, readiness.port, () => this.ready));
@@ -191,15 +173,7 @@
     this.#callers.drain();
     this.#coordinator.stop();
     await this.#lease.stop();
-    const startedAt = monotonicMs();
-    await sleep(NOTICE_MS);
-    // Whoever still holds an idle connection would send into a host that is about to end.
-    this.#callers.close();
-    const limit = this.#settings.bounds.graceMs - GRACE_MARGIN_MS;
-    while (this.#intake.open > 0 && monotonicMs() - startedAt < limit) {
-      await sleep(DRAIN_STEP_MS);
-      this.#callers.closeIdle();
-    }
+    await finishRequests(this.#callers, this.#intake, this.#settings.bounds.graceMs);
     log.info('entry host stopped', { open: this.#intake.open });
     this.end();
   }
@@ -210,6 +184,7 @@
     this.#coordinator.stop();
     this.#lease.abandon();
     this.#callers.close();
+    this.#quarantine.stop();
     this.#kinds.stop();
     this.#peers?.end();
     this.#sideServers.forEach(server => server.close());
@@ -218,6 +193,36 @@
     this.#options.store.close();
   }
 
+  #runTask(task: string, run: Promise<void>): void {
+    run.catch((error: unknown) => {
+      this.#options.log.error('task ended', { task, cause: String((error as Error).stack) });
+    });
+  }
+
+  #makeQuarantine(): RequestQuarantine {
+    const { store, log } = this.#options;
+    const { connects } = this.#activities;
+    return new RequestQuarantine({
+      store,
+      holdsLease: () => this.#lease.term !== undefined,
+      probe: host => probeHost(host, connects.limitMs(host.failureDomain)),
+      isExpected: ({ id }) => this.#registry.get(id)?.accepting ?? false,
+      progressedAt: id => this.#activities.of(id).lastProgressAt,
+      hostEnded: host => {
+        this.#suspect(host, host.membership?.group, true);
+      },
+      hostEndedAnywhere: ended => {
+        const host = this.#registry.get(ended.id);
+        if (host?.startedAt === ended.startedAt) {
+          this.#activities.noteEnded(ended.id);
+        }
+      },
+      reported: () => this.#peers?.shareRunReports(),
+      log,
+      metrics: this.#metrics,
+    });
+  }
+
   #makePeers(): Peers | undefined {
     const { settings, store, log } = this.#options;
     const { peers, name, failureDomain } = settings;
@@ -247,6 +252,11 @@
           this.#stalls.lookNow();
         });
       },
+      runReports: this.#quarantine.evidence,
+      runReportsHeard: reports => {
+        this.#quarantine.take(reports);
+      },
+      instance: this.#instance,
       log,
       counters: this.#counters,
     });
@@ -283,15 +293,9 @@
   #makeKinds(): FollowedKinds {
     const store = storeReader(this.#options.store);
     const { bounds } = this.#settings;
-    const alone = {
-      choose: () => store,
-      peek: () => store,
-      note: (): void => undefined,
-      usableInMs: () => 0,
-    };
     const members = this.#peers?.membership.observer;
     return new FollowedKinds({
-      readers: this.#peers?.readers ?? alone,
+      readers: this.#peers?.readers ?? onlyReader(store),
       observers: {
         [OBJECT_KINDS.configuration]: configurationObserver(this.#holder, () => {
           this.#applyConfiguration();
@@ -300,6 +304,7 @@
           this.#hostsKnown = true;
         }),
         ...(members === undefined ? {} : { [OBJECT_KINDS.members]: members }),
+        [OBJECT_KINDS.quarantine]: this.#quarantine.observer,
         ...(bounds.evacuationMs === undefined
           ? {}
           : { [OBJECT_KINDS.evacuations]: this.#rules.evacuated.observer }),
@@ -328,17 +333,17 @@
   }
 
   // Hosts of plain services are in no group; each entry host leaves them by its own failures.
-  #suspect(service: string, { host, group }: Target, isUnreachable: boolean): void {
+  #suspect(host: HostEntry, group: string | undefined, isUnreachable: boolean): void {
     if (group === undefined) {
       return;
     }
+    const { id: targetHost, service, failureDomain: targetDomain } = host;
     this.#counters.count('groups_suspected_total');
     if (this.#peers === undefined) {
-      this.#coordinator.suspect(service, group.name);
+      this.#coordinator.suspect(service, group);
       return;
     }
-    const { id: targetHost, failureDomain: targetDomain } = host;
-    this.#peers.suspect(service, { target: group.name, targetHost, targetDomain, isUnreachable });
+    this.#peers.suspect(service, { target: group, targetHost, targetDomain, isUnreachable });
   }
 
   // Plans need all hosts, which this one may not have followed before it took the lease.
@@ -370,13 +375,14 @@
       chooser: this.#chooser,
       eligibility: this.#rules.eligibility,
       coldWaits: new ColdWaits(),
+      quarantine: this.#quarantine,
       activities: this.#activities,
       demand: this.#demand,
       stalls: this.#stalls,
       budgetOf: service => this.#limits.budgetOf(service),
       connectionsOf: service => this.#limits.connectionsOf(service),
-      suspect: (service, target, isUnreachable) => {
-        this.#suspect(service, target, isUnreachable);
+      suspect: ({ host, group }, isUnreachable) => {
+        this.#suspect(host, group?.name, isUnreachable);
       },
       isUnreachable: target => this.#outlier(target, monotonicMs())?.isUnreachable ?? false,
       keysHold: () => this.#holder.keysHold(this.#settings.bounds),
--- a/packages/entry/src/hosts/host-entry.ts
+++ b/packages/entry/src/hosts/host-entry.ts
@@ -15,8 +15,13 @@
 
 /** One incarnation of an upstream host. */
 export type HostEntry = {
-  /** Unique per start of the host. */
+  /** Name of the host's entry. A host may keep it when its process starts again. */
   readonly id: string;
+  /**
+   * When its process started, in milliseconds of the host's own wall clock; undefined where it does not tell.
+   * Two starts under one id differ in it.
+   */
+  readonly startedAt?: number | undefined;
   readonly service: string;
   readonly ip: string;
   readonly port: number;
@@ -42,6 +47,14 @@
   readonly coldLeftMs: number;
 };
 
+/** One start of a host's process. */
+export type HostIncarnation = Pick<HostEntry, 'id' | 'startedAt'>;
+
+/** Names one start of a host's process. */
+export function incarnationOf({ id, startedAt }: HostIncarnation): string {
+  return startedAt === undefined ? id : `${id}@${startedAt}`;
+}
+
 /** A host whose entry has gone. */
 export type DepartedHost = {
   readonly entry: HostEntry;
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -3,6 +3,7 @@
 export * from './configuration/route-table.js';
 export * from './configuration/serving-configuration.js';
 export * from './entry-host.js';
+export * from './entry-host-options.js';
 export * from './groups/host-orders.js';
 export * from './hosts/host-entry.js';
 export * from './requests/relay-headers.js';
--- a/packages/entry/src/lease/lease-task.test.ts
+++ b/packages/entry/src/lease/lease-task.test.ts
@@ -21,6 +21,7 @@
     create: (_kind, name, value) => this.#write(this.object === undefined, name, value),
     replace: (_kind, name, value, revision) =>
       this.#write(this.object?.revision === revision, name, value),
+    remove: () => Promise.reject(new StoreError('refused', 'not used')),
     close: () => undefined,
   };
 
--- a/packages/entry/src/peers/peer-messages.ts
+++ b/packages/entry/src/peers/peer-messages.ts
@@ -1,4 +1,5 @@
 /** Messages between entry hosts, on links. */
+import type { RunReport } from '../quarantine/run-report.js';
 import type { OutlierReport } from '../routing/outlier-reports.js';
 import type { KindAnswer, KindView } from '../store/kind-reader.js';
 import type { ObjectKind } from '../store/object-store.js';
@@ -11,6 +12,8 @@
   tally: 'domain-tally',
   /** A group is stalled; for the order giver. */
   suspect: 'suspect-group',
+  /** Runs that were lost with their hosts, and runs that hosts survived. */
+  runReports: 'run-reports',
 } as const;
 
 /** Numbers by key. */
@@ -58,6 +61,15 @@
 /** Answer to a question for a failure domain's tally. */
 export type TallyReply = { readonly tally: Tally };
 
+/** Run reports for an entry host that this one follows, that follows it, or that it exchanges tallies with. */
+export type RunReportsRequest = { readonly reports: readonly RunReport[] };
+
+/** Answer to run reports. */
+export type RunReportsReply = {
+  /** Names the start of the process that has taken them. */
+  readonly instance: string;
+};
+
 /** A group that is stalled. */
 export type SuspectRequest = {
   readonly service: string;
--- a/packages/entry/src/peers/peer-server.test.ts
+++ b/packages/entry/src/peers/peer-server.test.ts
@@ -50,6 +50,8 @@
     watchOf: () => undefined,
     tally: new SharedTally({ loads: () => [], work: () => [] }),
     outliers: new OutlierReports(),
+    runReportsHeard: () => undefined,
+    instance: 'first',
     mayBeFollowed: () => true,
     suspected: () => undefined,
     isRoutable: () => true,
--- a/packages/entry/src/peers/peer-server.ts
+++ b/packages/entry/src/peers/peer-server.ts
@@ -2,6 +2,7 @@
 import type { LinkIdentity } from '@hingescale/link';
 import { LinkServer } from '@hingescale/link';
 
+import type { RunReport } from '../quarantine/run-report.js';
 import type { OutlierReports } from '../routing/outlier-reports.js';
 import { monotonicMs } from '../server/time.js';
 import type { KindCache } from '../store/kind-cache.js';
@@ -13,6 +14,8 @@
   Counts,
   ReadReply,
   ReadRequest,
+  RunReportsReply,
+  RunReportsRequest,
   SuspectRequest,
   TallyReply,
 } from './peer-messages.js';
@@ -29,6 +32,10 @@
   readonly watchOf: (kind: ObjectKind) => WatchedKind | undefined;
   readonly tally: SharedTally;
   readonly outliers: OutlierReports;
+  /** A peer has told of lost runs. */
+  readonly runReportsHeard: (reports: readonly RunReport[]) => void;
+  /** Names this start of the process. */
+  readonly instance: string;
   /** False while peers are better off without this host. */
   readonly mayBeFollowed: () => boolean;
   readonly suspected: (request: SuspectRequest) => void;
@@ -73,6 +80,10 @@
         suspected(request);
         return null;
       },
+      [PEER_REQUESTS.runReports]: ({ reports }: RunReportsRequest): RunReportsReply => {
+        options.runReportsHeard(reports);
+        return { instance: options.instance };
+      },
     },
   });
 }
--- a/packages/entry/src/peers/peers.test.ts
+++ b/packages/entry/src/peers/peers.test.ts
@@ -3,6 +3,7 @@
 
 import { expect } from 'chai';
 
+import { CrashEvidence } from '../quarantine/crash-evidence.js';
 import { silentLog } from '../server/log.js';
 import { Counters } from '../server/metrics.js';
 import { monotonicMs } from '../server/time.js';
@@ -42,6 +43,9 @@
     suspected: () => undefined,
     unreachable: () => undefined,
     ejected: () => undefined,
+    runReports: new CrashEvidence(),
+    runReportsHeard: () => undefined,
+    instance: self.name,
     isRoutable: () => true,
     lackingGroups: () => [],
     log: silentLog(),
--- a/packages/entry/src/peers/peers.ts
+++ b/packages/entry/src/peers/peers.ts
@@ -5,6 +5,7 @@
 import type { LinkServer } from '@hingescale/link';
 import { LinkPool } from '@hingescale/link';
 
+import type { RunReport } from '../quarantine/run-report.js';
 import type { OutlierReport } from '../routing/outlier-reports.js';
 import { OutlierReports } from '../routing/outlier-reports.js';
 import { FailureSeries } from '../server/failure-series.js';
@@ -18,11 +19,19 @@
 import type { ReaderChoice, WatchedKind } from '../store/watched-kind.js';
 import type { Member } from './member.js';
 import { Membership } from './membership.js';
-import type { Counts, SuspectRequest, TallyReply } from './peer-messages.js';
+import type {
+  Counts,
+  RunReportsReply,
+  RunReportsRequest,
+  SuspectRequest,
+  TallyReply,
+} from './peer-messages.js';
 import { PEER_REQUESTS } from './peer-messages.js';
 import { peerReader } from './peer-reader.js';
 import { createPeerServer } from './peer-server.js';
 import { PeerReaderChoice } from './reader-choice.js';
+import type { ReportSource } from './report-exchange.js';
+import { ReportExchange } from './report-exchange.js';
 import { SharedTally } from './shared-tally.js';
 
 /** Options of the peers. */
@@ -51,6 +60,12 @@
   readonly unreachable: (failureDomain: string, hostId: string) => void;
   /** A group was ejected that was not before. */
   readonly ejected: () => void;
+  /** What this host knows of lost runs. */
+  readonly runReports: ReportSource;
+  /** Other entry hosts have told of lost runs. */
+  readonly runReportsHeard: (reports: readonly RunReport[]) => void;
+  /** Names this start of the process. */
+  readonly instance: string;
   readonly log: Log;
   readonly counters: Counters;
 };
@@ -91,6 +106,7 @@
   readonly #abort = new AbortController();
   readonly #suspicionFailures: FailureSeries;
   readonly #tallyFailures: FailureSeries;
+  readonly #reports: ReportExchange;
 
   constructor(options: PeersOptions) {
     this.#options = options;
@@ -108,6 +124,8 @@
       watchOf,
       tally: this.tally,
       outliers: this.outliers,
+      runReportsHeard: options.runReportsHeard,
+      instance: options.instance,
       mayBeFollowed: () => this.#choice.mayBeFollowed,
       isRoutable: options.isRoutable,
       lackingGroups: options.lackingGroups,
@@ -122,6 +140,12 @@
       candidates: () => this.membership.candidates,
       readerOf: member => this.#readerOf(member),
     });
+    this.#reports = new ReportExchange({
+      source: options.runReports,
+      addresses: () => this.#neighbours(),
+      send: (address, reports) => this.#sendReports(address, reports),
+      log,
+    });
   }
 
   /** Where kinds are read from. */
@@ -198,9 +222,15 @@
     this.#passOn({ service, report, hops: SUSPICION_HOPS });
   }
 
+  /** Tells other entry hosts of new run reports. */
+  shareRunReports(): void {
+    this.#reports.flush();
+  }
+
   /** Closes all links. */
   end(): void {
     this.#abort.abort();
+    this.#reports.stop();
     this.membership.stop();
     this.#links.close();
     void this.#server.stop();
@@ -239,6 +269,26 @@
     }
   }
 
+  // All whom this host exchanges anything with: whom it follows and who follows it, and whoever follows the
+  // store also the host that gives orders, and failure domains that nobody of follows it.
+  #neighbours(): readonly string[] {
+    const { self, orderGiver } = this.#options;
+    const { above } = this.membership.candidates;
+    const followed = above.find(member => !this.#choice.isAvoided(this.#readerOf(member).name));
+    const beside = [this.membership.get(orderGiver() ?? ''), ...this.#firstReachable()];
+    const upwards = followed === undefined || this.followsStore ? beside : [followed];
+    const followers = this.tally.loads.followers.map(name => this.membership.get(name));
+    const addresses = [...upwards, ...followers].flatMap(member => member?.address ?? []);
+    return [...new Set(addresses)].filter(address => address !== self.address);
+  }
+
+  #sendReports(address: string, reports: readonly RunReport[]): Promise<RunReportsReply> {
+    const request: RunReportsRequest = { reports };
+    return this.#links
+      .to(address)
+      .request<RunReportsReply>(PEER_REQUESTS.runReports, request, REQUEST_TIMEOUT_MS);
+  }
+
   #passOn(request: SuspectRequest): void {
     const { self, orderGiver, suspected, counters } = this.#options;
     const giver = orderGiver();
@@ -278,6 +328,8 @@
       if (this.followsStore) {
         await Promise.all(this.#firstReachable().map(member => this.#askTally(member)));
       }
+      // There may be other neighbours now, who have not heard of them.
+      this.#reports.flush();
     }
   }
 
--- a/packages/entry/src/peers/shared-counts.ts
+++ b/packages/entry/src/peers/shared-counts.ts
@@ -45,6 +45,12 @@
     return this.#fresh(this.#followers).length > 0;
   }
 
+  /** Names of the hosts that tell their counts by following this one. */
+  get followers(): readonly string[] {
+    this.#fresh(this.#followers);
+    return [...this.#followers.keys()];
+  }
+
   /** True while a host of the failure domain tells its counts by following this one. */
   hasFollowerIn(failureDomain: string): boolean {
     return this.#fresh(this.#followers).some(told => told.failureDomain === failureDomain);
--- /dev/null
+++ b/packages/entry/src/quarantine/crash-evidence.test.ts
@@ -0,0 +1,233 @@
+/** Which request is blamed for hosts that end, over drawn minutes with and without such requests. */
+import { expect } from 'chai';
+import fc from 'fast-check';
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
+
+import type { CrashDay } from '../testing/crash-days.js';
+import { playCrashDay } from '../testing/crash-days.js';
+import { CrashEvidence } from './crash-evidence.js';
+import type { CrashReport } from './run-report.js';
+
+/** Without a loss; each day changes some of it. */
+const CALM: CrashDay = {
+  hosts: 16,
+  requestsPerS: 40,
+  crashing: 0,
+  alikePart: 0.05,
+  rackLosses: [],
+  powerLosses: [],
+  cuts: [],
+  lossEveryMs: 5_000,
+};
+const DAYS = 60;
+const SEED = 38;
+
+const time = fc.integer({ min: 500, max: 40_000 });
+const losses = {
+  hosts: fc.constantFrom(8, 12, 16, 24),
+  alikePart: fc.constantFrom(0, 0.05, 0.3),
+  rackLosses: fc.array(fc.record({ atMs: time, overMs: fc.integer({ min: 0, max: 900 }) }), {
+    maxLength: 3,
+  }),
+  powerLosses: fc.array(time, { maxLength: 1 }),
+  cuts: fc.array(time, { maxLength: 3 }),
+  lossEveryMs: fc.integer({ min: 1_500, max: 10_000 }),
+};
+
+type Totals = { innocent: number; condemned: number; alikeCondemned: number; endedBy: number[] };
+
+function play(drawn: fc.Arbitrary<Partial<CrashDay>>): Totals {
+  const totals: Totals = { innocent: 0, condemned: 0, alikeCondemned: 0, endedBy: [] };
+  fc.sample(fc.tuple(drawn, fc.integer()), { seed: SEED, numRuns: DAYS }).forEach(
+    ([change, seed]) => {
+      const result = playCrashDay({ ...CALM, ...change }, randomOf(seed));
+      totals.innocent += result.innocent;
+      totals.condemned += result.condemned;
+      totals.alikeCondemned += Number(result.isAlikeCondemned);
+      totals.endedBy.push(...result.endedBy);
+    },
+  );
+  return totals;
+}
+
+function randomOf(seed: number): () => number {
+  const generator = xoroshiro128plus(seed);
+  return () => (generator.next() >>> 0) / 0x1_0000_0000;
+}
+
+function mean(values: readonly number[]): number {
+  return values.reduce((sum, value) => sum + value, 0) / values.length;
+}
+
+describe('evidence of requests that crash their hosts', () => {
+  it('condemns next to no innocent request when racks, single hosts and links are lost', () => {
+    const { innocent, condemned, alikeCondemned } = play(fc.record(losses));
+    expect(condemned).to.be.below(innocent / 10_000);
+    expect(alikeCondemned).to.equal(0);
+  });
+
+  it('condemns those that crash hosts, among losses, after few hosts', () => {
+    const crashing = fc.constantFrom(1, 2, 3);
+    const { innocent, condemned, endedBy } = play(fc.record({ ...losses, crashing }));
+    expect(mean(endedBy)).to.be.below(6);
+    expect(Math.max(...endedBy)).to.be.at.most(16);
+    expect(condemned).to.be.below(innocent / 3_000);
+  });
+
+  it('blames nobody for hosts of one rack that end one after the other', () => {
+    const rackLosses = [8_000, 30_000].map(atMs => ({ atMs, overMs: 600 }));
+    const lossEveryMs = 1e9;
+    const totals = play(fc.constant({ hosts: 4, alikePart: 0.5, rackLosses, lossEveryMs }));
+    expect(totals.condemned).to.equal(0);
+  });
+
+  it('blames nobody for hosts of all racks that end at one moment', () => {
+    const powerLosses = [8_000, 30_000];
+    const totals = play(fc.constant({ hosts: 12, alikePart: 0.5, powerLosses, lossEveryMs: 1e9 }));
+    expect(totals.condemned).to.equal(0);
+  });
+});
+
+describe('evidence of two requests that ended under the same hosts', () => {
+  let now: number;
+  let evidence: CrashEvidence;
+
+  beforeEach(() => {
+    now = 0;
+    evidence = new CrashEvidence(() => now);
+  });
+
+  function crash(host: string, ...fingerprints: string[]): void {
+    now += 5_000;
+    for (const fingerprint of fingerprints) {
+      const origin = { route: 'r', workspace: 'w' };
+      const report: CrashReport = {
+        kind: 'crashed',
+        fingerprint,
+        host: { id: host },
+        place: host,
+        ranMs: 50,
+        ageMs: 0,
+        ...origin,
+      };
+      evidence.note(report);
+    }
+    now += 1_000;
+  }
+
+  function condemned(): readonly string[] {
+    return evidence.judge().map(({ fingerprint }) => fingerprint);
+  }
+
+  it('condemns neither until the next run tells them apart', () => {
+    crash('h1', 'a', 'b');
+    crash('h2', 'a', 'b');
+    crash('h3', 'a', 'b');
+    expect(condemned()).to.deep.equal([]);
+    crash('h4', 'b', 'c');
+    expect(condemned()).to.deep.equal(['b']);
+    crash('h5', 'a', 'd');
+    expect(condemned()).to.deep.equal([]);
+  });
+
+  it('condemns the one as soon as the other was survived', () => {
+    crash('h1', 'a', 'b');
+    crash('h2', 'a', 'b');
+    crash('h3', 'a', 'b');
+    expect(condemned()).to.deep.equal([]);
+    evidence.note({ kind: 'survived', fingerprint: 'a', ageMs: 0 });
+    expect(condemned()).to.deep.equal(['b']);
+  });
+
+  it('condemns both where no run tells them apart', () => {
+    ['h1', 'h2', 'h3', 'h4', 'h5'].forEach(host => {
+      crash(host, 'a', 'b');
+    });
+    expect(condemned().length).to.be.at.least(1);
+  });
+});
+
+describe('evidence that entry hosts tell each other', () => {
+  let now: number;
+
+  function crashOf(fingerprint: string, host: string): CrashReport {
+    const origin = { route: 'r', workspace: undefined };
+    const run = { host: { id: host }, place: host, ranMs: 50, ageMs: 0 };
+    return { kind: 'crashed', fingerprint, ...run, ...origin };
+  }
+
+  beforeEach(() => {
+    now = 10_000;
+  });
+
+  it('leads all of them to the same verdict, in whatever order and however often it comes', () => {
+    const order = fc.shuffledSubarray([0, 1, 2, 3, 4, 5, 0, 1, 2, 3, 4, 5], { minLength: 12 });
+    fc.assert(
+      fc.property(order, indexes => {
+        now = 10_000;
+        const first = new CrashEvidence(() => now);
+        ['h1', 'h2', 'h3'].forEach(host => {
+          first.note(crashOf('a', host));
+          first.note(crashOf('b', host === 'h3' ? 'h9' : host));
+          now += 2_000;
+        });
+        const second = new CrashEvidence(() => now);
+        const reports = first.since(0);
+        indexes.forEach(index => {
+          const report = reports[index];
+          if (report !== undefined) {
+            second.note(report);
+          }
+        });
+        const verdicts = (evidence: CrashEvidence): readonly string[] =>
+          evidence.judge().map(({ fingerprint }) => fingerprint);
+        expect(verdicts(second)).to.have.members([...verdicts(first)]);
+      }),
+      { seed: SEED },
+    );
+  });
+
+  it('is told once to each, and to whoever starts anew', () => {
+    const evidence = new CrashEvidence(() => now);
+    expect(evidence.note(crashOf('a', 'h1'))).to.equal('taken');
+    expect(evidence.note(crashOf('a', 'h1'))).to.equal('known');
+    const heard = evidence.sequence;
+    expect(evidence.since(heard)).to.deep.equal([]);
+    evidence.note(crashOf('a', 'h2'));
+    expect(evidence.since(heard)).to.have.length(1);
+    expect(evidence.since(0)).to.have.length(2);
+    expect(evidence.since(heard + 100)).to.have.length(2);
+  });
+
+  it('does not bring back crashes from before a run that was survived', () => {
+    const evidence = new CrashEvidence(() => now);
+    const old = crashOf('a', 'h1');
+    evidence.note(old);
+    now += 500;
+    evidence.note({ kind: 'survived', fingerprint: 'a', ageMs: 0 });
+    expect(evidence.isSuspect('a')).to.equal(false);
+    expect(evidence.note({ ...old, ageMs: 500 })).to.equal('known');
+    expect(evidence.since(0).map(({ kind }) => kind)).to.deep.equal(['survived']);
+  });
+
+  it('is bounded when thousands of requests crash hosts, and keeps those with most crashes', () => {
+    const evidence = new CrashEvidence(() => now);
+    evidence.note(crashOf('twice', 'h1'));
+    evidence.note(crashOf('twice', 'h2'));
+    for (let index = 0; index < 20_000; index++) {
+      now += 1;
+      evidence.note(crashOf(`f${index}`, `h${index}`));
+    }
+    expect(evidence.suspects).to.be.at.most(2_048);
+    expect(evidence.isSuspect('twice')).to.equal(true);
+    expect(evidence.since(0).length).to.be.at.most(2_100);
+  });
+
+  it('is forgotten after ten minutes', () => {
+    const evidence = new CrashEvidence(() => now);
+    evidence.note(crashOf('a', 'h1'));
+    now += 601_000;
+    expect(evidence.since(0)).to.deep.equal([]);
+    expect(evidence.isSuspect('a')).to.equal(false);
+  });
+});
--- /dev/null
+++ b/packages/entry/src/quarantine/quarantine-trials.test.ts
@@ -0,0 +1,178 @@
+/** Trials of requests in quarantine, and who writes them to the store. */
+import { expect } from 'chai';
+
+import { silentLog } from '../server/log.js';
+import { newMetrics } from '../server/metrics.js';
+import type { ObjectKind, ObjectStore, StoredObject, WriteAnswer } from '../store/object-store.js';
+import { StoreError } from '../store/object-store.js';
+import { NO_STORE } from '../testing/no-store.js';
+import { QuarantineKeeper } from './quarantine-keeper.js';
+import { QuarantineTrials } from './quarantine-trials.js';
+import { QuarantinedRequests } from './quarantined-requests.js';
+
+const VERDICT = { fingerprint: 'f', route: 'chat', workspace: 'north', hosts: ['h1', 'h2', 'h3'] };
+const MINUTE_MS = 60_000;
+
+/** The objects of one kind, with conditional writes. */
+class Objects {
+  readonly objects = new Map<string, StoredObject>();
+  isDown = false;
+  #revision = 0;
+
+  readonly store: ObjectStore = {
+    ...NO_STORE,
+    create: (_kind: ObjectKind, name, value) => this.#write(!this.objects.has(name), name, value),
+    replace: (_kind: ObjectKind, name, value, revision) =>
+      this.#write(this.objects.get(name)?.revision === revision, name, value),
+    remove: (_kind: ObjectKind, name) => {
+      this.objects.delete(name);
+      return Promise.resolve(true);
+    },
+  };
+
+  #write(fits: boolean, name: string, value: unknown): Promise<WriteAnswer> {
+    if (this.isDown) {
+      return Promise.reject(new StoreError('refused', 'down'));
+    }
+    if (!fits) {
+      return Promise.resolve({ kind: 'conflict', object: this.objects.get(name) });
+    }
+    this.#revision += 1;
+    const object = { name, revision: this.#revision, value };
+    this.objects.set(name, object);
+    return Promise.resolve({ kind: 'written', object });
+  }
+}
+
+describe('trials of a request in quarantine', () => {
+  let objects: Objects;
+  let since: number;
+
+  beforeEach(() => {
+    objects = new Objects();
+    since = Date.now() - 2 * MINUTE_MS;
+  });
+
+  function entryHost(): {
+    readonly requests: QuarantinedRequests;
+    readonly trials: QuarantineTrials;
+  } {
+    const requests = new QuarantinedRequests({
+      entered: () => undefined,
+      left: () => undefined,
+      log: silentLog(),
+      metrics: newMetrics(),
+      wallNow: () => since,
+    });
+    requests.condemn(VERDICT);
+    return {
+      requests,
+      trials: new QuarantineTrials({ requests, store: objects.store, log: silentLog() }),
+    };
+  }
+
+  async function keep(requests: QuarantinedRequests): Promise<void> {
+    const { store } = objects;
+    const keeper = new QuarantineKeeper({
+      requests,
+      store,
+      holdsLease: () => true,
+      log: silentLog(),
+    });
+    void keeper.run();
+    await new Promise(resolve => setTimeout(resolve, 350));
+    keeper.stop();
+  }
+
+  it('go to one of all entry hosts that ask at the same moment', async () => {
+    const hosts = Array.from({ length: 8 }, entryHost);
+    const [first] = hosts;
+    await keep((first as (typeof hosts)[number]).requests);
+    const list = { objects: [...objects.objects.values()], revision: 9 };
+    hosts.forEach(({ requests }) => {
+      requests.observer.listed(list);
+    });
+    const claims = await Promise.all(hosts.map(({ trials }) => trials.claim('f')));
+    expect(claims.filter(isClaimed => isClaimed)).to.have.length(1);
+    const again = await Promise.all(hosts.map(({ trials }) => trials.claim('f')));
+    expect(again.filter(isClaimed => isClaimed)).to.have.length(0);
+  });
+
+  it('wait for a minute', async () => {
+    since = Date.now() - MINUTE_MS / 2;
+    const { requests, trials } = entryHost();
+    await keep(requests);
+    expect(await trials.claim('f')).to.equal(false);
+  });
+
+  it('do not happen while the store can not agree to them', async () => {
+    const { requests, trials } = entryHost();
+    expect(await trials.claim('f')).to.equal(false);
+    await keep(requests);
+    objects.isDown = true;
+    expect(await trials.claim('f')).to.equal(false);
+  });
+
+  it('that go well take the request out of the store', async () => {
+    const { requests, trials } = entryHost();
+    await keep(requests);
+    const request = requests.get('f');
+    expect(objects.objects.size).to.equal(1);
+    if (request !== undefined) {
+      await trials.remove(request);
+    }
+    expect(objects.objects.size).to.equal(0);
+  });
+});
+
+describe('the list of requests in quarantine', () => {
+  it('is written again once the store is back', async () => {
+    const objects = new Objects();
+    objects.isDown = true;
+    const requests = new QuarantinedRequests({
+      entered: () => undefined,
+      left: () => undefined,
+      log: silentLog(),
+      metrics: newMetrics(),
+    });
+    requests.condemn(VERDICT);
+    const keeper = new QuarantineKeeper({
+      requests,
+      store: objects.store,
+      holdsLease: () => true,
+      log: silentLog(),
+    });
+    void keeper.run();
+    await new Promise(resolve => setTimeout(resolve, 350));
+    expect(objects.objects.size).to.equal(0);
+    objects.isDown = false;
+    await new Promise(resolve => setTimeout(resolve, 350));
+    keeper.stop();
+    expect(objects.objects.size).to.equal(1);
+    expect(requests.get('f')?.revision).to.equal(1);
+  });
+
+  it('loses what is a day old', async () => {
+    const objects = new Objects();
+    const requests = new QuarantinedRequests({
+      entered: () => undefined,
+      left: () => undefined,
+      log: silentLog(),
+      metrics: newMetrics(),
+      wallNow: () => Date.now() - 25 * 60 * MINUTE_MS,
+    });
+    requests.condemn(VERDICT);
+    const { store } = objects;
+    const keeper = new QuarantineKeeper({
+      requests,
+      store,
+      holdsLease: () => true,
+      log: silentLog(),
+    });
+    void keeper.run();
+    await new Promise(resolve => setTimeout(resolve, 700));
+    keeper.stop();
+    expect(objects.objects.size).to.equal(0);
+    expect(requests.size).to.equal(0);
+  });
+});
--- /dev/null
+++ b/packages/entry/src/quarantine/quarantine-trials.ts
@@ -0,0 +1,88 @@
+/**
+ * Lets a quarantined request run once in a while, as a circuit breaker that is half open: what was condemned
+ * wrongly, or crashed an engine that was replaced since, is served again without an operator.
+ */
+import type { Log } from '../server/log.js';
+import { sleep } from '../server/time.js';
+import type { ObjectStore } from '../store/object-store.js';
+import { OBJECT_KINDS } from '../store/object-store.js';
+import type { QuarantinedRequest } from './quarantined-request.js';
+import { nextTrialAt, objectValue } from './quarantined-request.js';
+import type { QuarantinedRequests } from './quarantined-requests.js';
+import type { RequestFingerprint } from './request-fingerprint.js';
+
+/** Options of the trials. */
+export type QuarantineTrialsOptions = {
+  readonly requests: QuarantinedRequests;
+  readonly store: ObjectStore;
+  readonly log: Log;
+};
+
+/** Attempts to remove a request from the store after a trial that went well, and the pause between them. */
+const REMOVAL_ATTEMPTS = 20;
+const REMOVAL_PAUSE_MS = 1_000;
+
+/** Claims trials: one at a time among all entry hosts, by a conditional update of the request's object. */
+export class QuarantineTrials {
+  readonly #options: QuarantineTrialsOptions;
+  readonly #claiming = new Set<RequestFingerprint>();
+
+  constructor(options: QuarantineTrialsOptions) {
+    this.#options = options;
+  }
+
+  /** True when this entry host may send the request to one host, once. */
+  async claim(fingerprint: RequestFingerprint): Promise<boolean> {
+    const request = this.#options.requests.get(fingerprint);
+    const isDue = request !== undefined && Date.now() >= nextTrialAt(request);
+    if (!isDue || this.#claiming.has(fingerprint)) {
+      return false;
+    }
+    this.#claiming.add(fingerprint);
+    try {
+      return await this.#claimAtStore(request);
+    } finally {
+      this.#claiming.delete(fingerprint);
+    }
+  }
+
+  /** Removes a request that a host has survived, so that it leaves quarantine everywhere. */
+  async remove({ fingerprint, revision }: QuarantinedRequest): Promise<void> {
+    const { store, log } = this.#options;
+    for (let attempt = 0; attempt < REMOVAL_ATTEMPTS && revision !== undefined; attempt++) {
+      try {
+        await store.remove(OBJECT_KINDS.quarantine, fingerprint, revision);
+        return;
+      } catch (error) {
+        log.warn('quarantined request not removed', { fingerprint, cause: String(error) });
+        await sleep(REMOVAL_PAUSE_MS);
+      }
+    }
+  }
+
+  async #claimAtStore(request: QuarantinedRequest): Promise<boolean> {
+    const { requests, store, log } = this.#options;
+    const { fingerprint, revision, trials } = request;
+    if (revision === undefined) {
+      return false;
+    }
+    const claimed = { ...request, trials: trials + 1, lastTrialAt: Date.now() };
+    try {
+      const value = objectValue(claimed);
+      const answer = await store.replace(OBJECT_KINDS.quarantine, fingerprint, value, revision);
+      if (answer.object !== undefined) {
+        requests.noteWritten(answer.object);
+      }
+      const isClaimed = answer.kind === 'written';
+      log.info('trial of a quarantined request', {
+        fingerprint,
+        isClaimed,
+        trials: claimed.trials,
+      });
+      return isClaimed;
+    } catch (error) {
+      log.warn('no trial of a quarantined request', { fingerprint, cause: String(error) });
+      return false;
+    }
+  }
+}
--- /dev/null
+++ b/packages/entry/src/quarantine/quarantined-requests.test.ts
@@ -0,0 +1,99 @@
+/** Requests in quarantine, from evidence, the store and an operator. */
+import { expect } from 'chai';
+
+import { silentLog } from '../server/log.js';
+import { newMetrics } from '../server/metrics.js';
+import type { StoredObject } from '../store/object-store.js';
+import type { QuarantinedRequest } from './quarantined-request.js';
+import { isExpired, nextTrialAt, objectValue, readQuarantined } from './quarantined-request.js';
+import { QuarantinedRequests } from './quarantined-requests.js';
+
+const VERDICT = { fingerprint: 'f', route: 'chat', workspace: 'north', hosts: ['h1', 'h2', 'h3'] };
+const NOW = 1_700_000_000_000;
+const MINUTE_MS = 60_000;
+
+describe('requests in quarantine', () => {
+  let entered: string[];
+  let left: string[];
+  let requests: QuarantinedRequests;
+
+  beforeEach(() => {
+    entered = [];
+    left = [];
+    requests = new QuarantinedRequests({
+      entered: ({ fingerprint }) => entered.push(fingerprint),
+      left: fingerprint => left.push(fingerprint),
+      log: silentLog(),
+      metrics: newMetrics(),
+      wallNow: () => NOW,
+    });
+  });
+
+  function objectOf(request: QuarantinedRequest, revision: number): StoredObject {
+    return { name: request.fingerprint, revision, value: objectValue(request) };
+  }
+
+  function condemned(): QuarantinedRequest {
+    requests.condemn(VERDICT);
+    return requests.get('f') as QuarantinedRequest;
+  }
+
+  it('are the same again after the store', () => {
+    const request = condemned();
+    const read = readQuarantined(objectOf(request, 4));
+    expect(read).to.deep.equal({ ...request, revision: 4 });
+  });
+
+  it('are known by a host that has only read the store', () => {
+    const request = condemned();
+    requests.lift('f', 'test');
+    requests.observer.listed({ objects: [objectOf(request, 4)], revision: 5 });
+    expect(requests.get('f')?.hosts).to.deep.equal(VERDICT.hosts);
+    expect(entered).to.deep.equal(['f', 'f']);
+  });
+
+  it('stay although an older list lacks them', () => {
+    condemned();
+    requests.observer.listed({ objects: [], revision: 5 });
+    expect(requests.get('f')).to.not.equal(undefined);
+  });
+
+  it('leave when an operator removes them from the store, and only then', () => {
+    const object = objectOf(condemned(), 4);
+    requests.observer.changed([{ object, deleted: false }]);
+    expect(left).to.deep.equal([]);
+    requests.observer.changed([{ object: { ...object, revision: 6 }, deleted: true }]);
+    expect(requests.size).to.equal(0);
+    expect(left).to.deep.equal(['f']);
+  });
+
+  it('leave when a later list lacks them', () => {
+    const object = objectOf(condemned(), 4);
+    requests.observer.changed([{ object, deleted: false }]);
+    requests.observer.listed({ objects: [], revision: 9 });
+    expect(left).to.deep.equal(['f']);
+  });
+
+  it('are not disturbed by objects that can not be read', () => {
+    const values = [null, 7, 'text', [], {}, { route: 1 }, { ...VERDICT, hosts: [1], since: 1 }];
+    const objects = values.map((value, index) => ({ name: `x${index}`, revision: 3, value }));
+    requests.observer.listed({ objects: [...objects, objectOf(condemned(), 4)], revision: 5 });
+    expect(requests.all.map(({ fingerprint }) => fingerprint)).to.deep.equal(['f']);
+  });
+
+  it('are bounded in memory when the store can not be written', () => {
+    for (let index = 0; index < 5_000; index++) {
+      requests.condemn({ ...VERDICT, fingerprint: `f${index}` });
+    }
+    expect(requests.size).to.be.at.most(2_000);
+  });
+
+  it('may run again after a minute, ten minutes more, and so on, and are forgotten after a day', () => {
+    const request = condemned();
+    expect(nextTrialAt(request)).to.equal(NOW + MINUTE_MS);
+    const tried = { ...request, trials: 1, lastTrialAt: NOW + MINUTE_MS };
+    expect(nextTrialAt(tried)).to.equal(NOW + 11 * MINUTE_MS);
+    expect(isExpired(request, NOW + 23 * 60 * MINUTE_MS)).to.equal(false);
+    expect(isExpired(request, NOW + 25 * 60 * MINUTE_MS)).to.equal(true);
+  });
+});
--- a/packages/entry/src/requests/attempt-log.test.ts
+++ b/packages/entry/src/requests/attempt-log.test.ts
@@ -10,6 +10,7 @@
     route: { kind: 'stream', resumable: true, maxAttempts: 2, ...route },
     gone: new AbortController().signal,
     deadline: monotonicMs() + 5_000,
+    isQuarantined: () => false,
   } as RequestContext;
 }
 
@@ -77,4 +78,17 @@
     second.noteSent('host');
     expect(second.takeRetry()).to.equal(false);
   });
+
+  it('end when the request comes into quarantine, without using the budget', () => {
+    let isQuarantined = false;
+    const context = { ...contextOf({}), isQuarantined: () => isQuarantined };
+    const budget = fullBudget();
+    const log = new AttemptLog(context, budget);
+    log.noteSent('h1');
+    log.noteMayRun();
+    expect(log.canRetry()).to.equal(true);
+    isQuarantined = true;
+    expect(log.takeRetry()).to.equal(false);
+    expect(log.couldMove('beside')).to.equal(false);
+  });
 });
--- a/packages/entry/src/requests/attempt-log.ts
+++ b/packages/entry/src/requests/attempt-log.ts
@@ -69,8 +69,8 @@
 
   /** True when the request may be sent once more, but for the budget. */
   canRetry(): boolean {
-    const { gone, deadline, route } = this.#context;
-    if (gone.aborted || deadline - monotonicMs() < MIN_LEFT_MS) {
+    const { gone, deadline, route, isQuarantined } = this.#context;
+    if (gone.aborted || isQuarantined() || deadline - monotonicMs() < MIN_LEFT_MS) {
       return false;
     }
     if (this.#mayHaveRun && !mayRepeat(route)) {
--- a/packages/entry/src/requests/await-target.ts
+++ b/packages/entry/src/requests/await-target.ts
@@ -35,12 +35,17 @@
 ): Promise<Target | NoTarget> {
   const { gone, deadline, route } = context;
   const wait = new TargetWait(context);
+  const isTrial = context.isQuarantined() && (await services.quarantine.claimTrial(context));
   // Those that wait for a cold host have come before.
   const asked = (): TargetQuery => ({
     ...query(),
     leavesCold: services.coldWaits.count(query()) > 0,
   });
   for (;;) {
+    if (!isTrial && context.isQuarantined()) {
+      services.counters.count('requests_without_target_total', { reason: 'quarantined' });
+      return { reason: 'quarantined', targets: '' };
+    }
     const target = wait.mayClaim ? claimTarget(services, asked()) : undefined;
     if (target !== undefined) {
       return target;
--- a/packages/entry/src/requests/exchange.ts
+++ b/packages/entry/src/requests/exchange.ts
@@ -46,6 +46,11 @@
   /** Cancelled by the caller of {@link startExchange}. */
   | 'cancelled';
 
+/** True when the connection ended after the request was sent and before its answer was whole. */
+export function isBroken(end: string): boolean {
+  return end === 'lost' || end === 'broken';
+}
+
 /** Receives what an exchange brings; `ended` comes once, last. */
 export type ExchangeObserver = {
   readonly head: (answer: IncomingMessage) => void;
--- a/packages/entry/src/requests/final-answer.ts
+++ b/packages/entry/src/requests/final-answer.ts
@@ -28,6 +28,14 @@
   readonly retryAfterMs?: number;
 };
 
+/**
+ * The answer to a request that crashes the hosts that run it. Not one of the 4xx, which says that the request
+ * is wrong: the verdict may be. And no time to come back, since it would be refused again.
+ */
+export function quarantinedAnswer(mayHaveRun: boolean): FinalAnswer {
+  return { status: mayHaveRun ? 502 : 503, reason: 'quarantined' };
+}
+
 const MS_PER_S = 1_000;
 
 /** Writes the answer, unless one has begun: then the connection is closed. */
--- a/packages/entry/src/requests/plain-relay.ts
+++ b/packages/entry/src/requests/plain-relay.ts
@@ -8,9 +8,9 @@
 import { awaitTarget, isTarget } from './await-target.js';
 import { connectionsFor } from './connection-choice.js';
 import type { ExchangeEnd } from './exchange.js';
-import { startExchange } from './exchange.js';
+import { isBroken, startExchange } from './exchange.js';
 import type { FinalAnswer } from './final-answer.js';
-import { giveFinalAnswer } from './final-answer.js';
+import { giveFinalAnswer, quarantinedAnswer } from './final-answer.js';
 import { endToEndHeaders } from './relay-headers.js';
 import type { RelayServices } from './relay-services.js';
 import type { RequestContext } from './request-context.js';
@@ -79,8 +79,11 @@
       if (end.kind === 'answered') {
         this.#lastFailure = end.answer;
       }
+      if (end.kind === 'lost' || end.kind === 'stale') {
+        await this.#services.quarantine.judged(this.#context);
+      }
       if (!this.#log.takeRetry()) {
-        this.#giveUp('not-run');
+        this.#giveUp(this.#context.isQuarantined() ? 'quarantined' : 'not-run');
         return;
       }
       this.#services.counters.count('retries_total', { service: 'plain', after: end.kind });
@@ -112,6 +115,7 @@
     return new Promise(resolve => {
       const finish = (end: AttemptEnd): void => {
         clearTimeout(timer);
+        unguard();
         gone.removeEventListener('abort', onGone);
         activities.leave(target.host.id, false);
         this.#learn(target, end, monotonicMs() - sentAt);
@@ -146,6 +150,7 @@
         exchange.cancel();
       };
       gone.addEventListener('abort', onGone);
+      const unguard = this.#services.quarantine.guard(this.#context, onGone);
       const timer = setTimeout(onGone, this.#attemptLimitMs(deadline));
     });
   }
@@ -191,8 +196,13 @@
   }
 
   #learn(target: Target, end: AttemptEnd, ms: number): void {
-    const { activities, counters, log } = this.#services;
+    const { activities, counters, log, quarantine } = this.#services;
     counters.count('attempts_total', { kind: 'plain', end: end.kind });
+    if (end.kind === 'answered') {
+      quarantine.runSurvived(this.#context);
+    } else if (end.kind === 'stale' || (end.kind === 'lost' && isBroken(end.detail))) {
+      quarantine.runLost(this.#context, target.host, ms);
+    }
     if (end.kind === 'never-sent') {
       this.#log.noteNeverSent();
     }
@@ -257,6 +267,9 @@
   }
 
   #finalAnswer(reason: GiveUpReason): FinalAnswer {
+    if (reason === 'quarantined') {
+      return quarantinedAnswer(this.#log.mayHaveRun);
+    }
     if (!this.#log.mayHaveRun) {
       const retryAfterMs = needsOperator(reason) ? RETRY_AFTER_NO_HOST_MS : RETRY_AFTER_MS;
       return { status: 503, reason, retryAfterMs };
--- a/packages/entry/src/requests/relay-services.ts
+++ b/packages/entry/src/requests/relay-services.ts
@@ -1,6 +1,7 @@
 /** What the relays of requests share. */
 import type { Service } from '../configuration/serving-configuration.js';
 import type { HostRegistry } from '../hosts/host-registry.js';
+import type { QuarantineGate } from '../quarantine/request-quarantine.js';
 import type { DemandMeter } from '../routing/demand-meter.js';
 import type { HostActivities } from '../routing/host-activity.js';
 import type { RetryBudget } from '../routing/retry-budget.js';
@@ -24,11 +25,13 @@
   readonly budgetOf: (service: string) => RetryBudget;
   readonly connectionsOf: (service: Service) => UpstreamConnections;
   /** Tells the other entry hosts and the one that gives orders that a group stalls or is lost. */
-  readonly suspect: (service: string, target: Target, isUnreachable: boolean) => void;
+  readonly suspect: (target: Target, isUnreachable: boolean) => void;
   /** True while entry hosts report that they can not connect to the target. */
   readonly isUnreachable: (target: Target) => boolean;
   /** Requests that wait for their turn at cold hosts. */
   readonly coldWaits: ColdWaits;
+  /** Finds out which requests crash the hosts that run them. */
+  readonly quarantine: QuarantineGate;
   /** Decides at the moment of each send whether it may happen. */
   readonly eligibility: SendEligibility;
   /** True while keys may be honoured. */
--- a/packages/entry/src/requests/request-context.ts
+++ b/packages/entry/src/requests/request-context.ts
@@ -15,6 +15,8 @@
   readonly service: Service;
   /** Fingerprint of the content, which stays the same when it is sent again; made at the first call. */
   readonly fingerprint: () => RequestFingerprint;
+  /** True while no host may get the request, since it crashes those that run it. */
+  readonly isQuarantined: () => boolean;
   /** Workspace of the caller's key; undefined on public routes. */
   readonly workspace: string | undefined;
   /** Home regions of its route and of its workspace; asked anew at each send. */
--- a/packages/entry/src/requests/request-intake.ts
+++ b/packages/entry/src/requests/request-intake.ts
@@ -26,7 +26,14 @@
 /** What is known of a request by its head. */
 type AdmittedRequest = Omit<
   RequestContext,
-  'deadline' | 'fingerprint' | 'request' | 'response' | 'body' | 'arrivedAt' | 'gone'
+  | 'deadline'
+  | 'fingerprint'
+  | 'isQuarantined'
+  | 'request'
+  | 'response'
+  | 'body'
+  | 'arrivedAt'
+  | 'gone'
 >;
 
 /** Admits requests. */
@@ -104,12 +111,16 @@
     response.destroy();
   }
 
-  #relay(context: Omit<RequestContext, 'deadline' | 'fingerprint'>): Promise<void> {
+  #relay(
+    context: Omit<RequestContext, 'deadline' | 'fingerprint' | 'isQuarantined'>,
+  ): Promise<void> {
     const given = Number(header(context.request, this.#services.headers.deadlineMs));
     const limit = given > 0 ? Math.min(given, context.route.timeoutMs) : context.route.timeoutMs;
+    const fingerprint = fingerprintOnce(context);
     const full: RequestContext = {
       ...context,
-      fingerprint: fingerprintOnce(context),
+      fingerprint,
+      isQuarantined: () => this.#services.quarantine.holds(fingerprint),
       deadline: context.arrivedAt + limit,
     };
     this.#services.budgetOf(context.service.name).noteRequest();
--- a/packages/entry/src/requests/stream-attempt.ts
+++ b/packages/entry/src/requests/stream-attempt.ts
@@ -6,7 +6,7 @@
 import { monotonicMs } from '../server/time.js';
 import { connectionsFor } from './connection-choice.js';
 import type { Exchange, ExchangeEnd } from './exchange.js';
-import { startExchange } from './exchange.js';
+import { isBroken, startExchange } from './exchange.js';
 import { isFramed, saysNotRun } from './plain-relay.js';
 import type { RelayServices } from './relay-services.js';
 import type { RequestContext } from './request-context.js';
@@ -187,7 +187,7 @@
 
   // Tells the other entry hosts, and the host that gives orders, that the group may be lost or slow.
   #suspect(isUnreachable: boolean): void {
-    this.#services.suspect(this.#context.service.name, this.#target, isUnreachable);
+    this.#services.suspect(this.#target, isUnreachable);
   }
 
   #limits(hostServesOthers: boolean): StallLimits {
@@ -273,9 +273,20 @@
     return isFramed(head) ? { kind: 'complete' } : { kind: 'lost', detail: 'unframed' };
   }
 
+  // Cancelled runs tell nothing: their hosts may go on.
+  #tellQuarantine(end: StreamAttemptEnd): void {
+    const { quarantine } = this.#services;
+    if (end.kind === 'complete' || end.kind === 'failed') {
+      quarantine.runSurvived(this.#context);
+    } else if (end.kind === 'stale' || (end.kind === 'lost' && isBroken(end.detail))) {
+      quarantine.runLost(this.#context, this.#target.host, monotonicMs() - this.#startedAt);
+    }
+  }
+
   #learn(end: StreamAttemptEnd): void {
     const { activities, counters, log, headers: names } = this.#services;
     counters.count('attempts_total', { kind: 'stream', end: end.kind });
+    this.#tellQuarantine(end);
     if (end.kind === 'complete' || this.#context.gone.aborted) {
       return;
     }
--- a/packages/entry/src/requests/stream-relay.ts
+++ b/packages/entry/src/requests/stream-relay.ts
@@ -13,7 +13,7 @@
 import { claimTarget } from './claim-target.js';
 import { EventForwarder } from './event-forwarder.js';
 import type { FinalAnswer } from './final-answer.js';
-import { giveFinalAnswer } from './final-answer.js';
+import { giveFinalAnswer, quarantinedAnswer } from './final-answer.js';
 import { endToEndHeaders } from './relay-headers.js';
 import type { RelayServices } from './relay-services.js';
 import type { RequestContext } from './request-context.js';
@@ -70,11 +70,13 @@
       });
     };
     gone.addEventListener('abort', cancel);
+    const unguard = this.#services.quarantine.guard(this.#context, cancel);
     const timer = setTimeout(cancel, Math.max(1, deadline - DEADLINE_MARGIN_MS - monotonicMs()));
     try {
       await this.#attempts();
     } finally {
       clearTimeout(timer);
+      unguard();
       gone.removeEventListener('abort', cancel);
     }
   }
@@ -101,12 +103,15 @@
         this.#finish();
         return;
       }
+      if (end.kind === 'lost' || end.kind === 'stale') {
+        await this.#services.quarantine.judged(this.#context);
+      }
       const mayGoOn = await this.#mayGoOn();
       if (gone.aborted) {
         return;
       }
       if (!mayGoOn) {
-        this.#giveUp('not-run');
+        this.#giveUp(this.#context.isQuarantined() ? 'quarantined' : 'not-run');
         return;
       }
       this.#services.counters.count('retries_total', { service: 'engine', after: end.kind });
@@ -315,6 +320,9 @@
   }
 
   #finalAnswer(reason: GiveUpReason): FinalAnswer {
+    if (reason === 'quarantined') {
+      return quarantinedAnswer(this.#log.mayHaveRun);
+    }
     if (!this.#log.mayHaveRun) {
       const any = this.#services.chooser.hasSound({ ...this.#query(), exclude: new Set() });
       const retryAfterMs = any ? RETRY_AFTER_MS : RETRY_AFTER_NO_HOST_MS;
--- a/packages/entry/src/requests/wait-for-target.ts
+++ b/packages/entry/src/requests/wait-for-target.ts
@@ -12,7 +12,11 @@
 import type { TargetStanding } from '../routing/target-standings.js';
 
 /** Why a request has no target, as its refusal says. */
-export type NoTargetReason = Exclude<Eligibility, 'eligible' | 'draining'> | 'no-target';
+export type NoTargetReason =
+  | Exclude<Eligibility, 'eligible' | 'draining'>
+  | 'no-target'
+  /** The request crashes the hosts that run it. */
+  | 'quarantined';
 
 /** A request without a target. */
 export type Waiter = {
@@ -67,7 +71,7 @@
 
 /** The reason given in the refusal; of several the one that is likely to end first. */
 export function noTargetReason({ standings }: TargetOutlook): NoTargetReason {
-  const reasons: readonly Exclude<NoTargetReason, 'no-target'>[] = [
+  const reasons: readonly Exclude<NoTargetReason, 'no-target' | 'quarantined'>[] = [
     'cold-limit',
     'evacuations-unknown',
     'evacuated',
--- a/packages/entry/src/routing/host-activity.ts
+++ b/packages/entry/src/routing/host-activity.ts
@@ -9,6 +9,11 @@
 /** Age at which a moving average says nothing any more, in milliseconds. */
 const FIRST_VALID_MS = 1_500;
 const FAILURE_COOLDOWN_MS = 1_500;
+/**
+ * Time for which a host is avoided whose process is known to have ended, in milliseconds: a little more than until
+ * its entry goes. Without it each entry host finds out by requests of its own, up to twelve hosts in a row.
+ */
+const ENDED_AVOID_MS = 4_500;
 const FORGET_MS = 120_000;
 
 /** One host as seen by this entry host. */
@@ -175,6 +180,11 @@
     activity.avoidUntil = monotonicMs() + FAILURE_COOLDOWN_MS * factor;
   }
 
+  /** An entry host has found that the host's process has ended: avoid it until its entry goes. */
+  noteEnded(id: string): void {
+    this.of(id).avoidUntil = monotonicMs() + ENDED_AVOID_MS;
+  }
+
   /** True while new requests should go elsewhere if they can; `now` in monotonic milliseconds. */
   isAvoided(id: string, now: number): boolean {
     return (this.#hosts.get(id)?.avoidUntil ?? -Infinity) > now;
--- a/packages/entry/src/store/followed-kinds.ts
+++ b/packages/entry/src/store/followed-kinds.ts
@@ -73,12 +73,24 @@
   giverPauseMs: 50,
   staleMs: 4_500,
 };
+/**
+ * Entry hosts know of a request in quarantine from each other; the store tells those that start. A long poll is
+ * answered as soon as there is one, so the waits are as long as those for members.
+ */
+const QUARANTINE_TIMING: Timing = {
+  storeWaitMs: 3_000,
+  peerWaitMs: 1_500,
+  pauseMs: 50,
+  giverPauseMs: 50,
+  staleMs: 9_000,
+};
 /** The timing of each kind. */
 export const KIND_TIMINGS: Readonly<Partial<Record<ObjectKind, Timing>>> = {
   [OBJECT_KINDS.configuration]: CONFIGURATION_TIMING,
   [OBJECT_KINDS.hosts]: HOSTS_TIMING,
   [OBJECT_KINDS.members]: MEMBERS_TIMING,
   [OBJECT_KINDS.evacuations]: EVACUATIONS_TIMING,
+  [OBJECT_KINDS.quarantine]: QUARANTINE_TIMING,
 };
 
 /** A watch for each kind that has an observer. */
@@ -123,6 +135,16 @@
   }
 }
 
+/** Reads everything from one place, for a host without peers. */
+export function onlyReader(reader: KindReader): ReaderChoice {
+  return {
+    choose: () => reader,
+    peek: () => reader,
+    note: () => undefined,
+    usableInMs: () => 0,
+  };
+}
+
 function watchOf(
   kind: ObjectKind,
   observer: KindObserver,
--- a/packages/entry/src/store/object-store.ts
+++ b/packages/entry/src/store/object-store.ts
@@ -9,6 +9,8 @@
   members: 'members',
   /** Failure domains that operators have evacuated, by their names. */
   evacuations: 'evacuations',
+  /** Requests that crash hosts, by their fingerprints. */
+  quarantine: 'quarantine',
 } as const;
 /** One of the kinds. */
 export type ObjectKind = (typeof OBJECT_KINDS)[keyof typeof OBJECT_KINDS];
@@ -86,5 +88,7 @@
     value: unknown,
     revision: number,
   ) => Promise<WriteAnswer>;
+  /** Removes an object if it still has the revision; true when it is not there any more. */
+  readonly remove: (kind: ObjectKind, name: string, revision: number) => Promise<boolean>;
   readonly close: () => void;
 };
--- a/packages/entry/src/testing/no-store.ts
+++ b/packages/entry/src/testing/no-store.ts
@@ -11,5 +11,6 @@
   watch: refuse,
   create: refuse,
   replace: refuse,
+  remove: refuse,
   close: () => undefined,
 };
