--- a/packages/entry/src/entry-host.ts
+++ b/packages/entry/src/entry-host.ts
@@ -16,7 +16,7 @@
 import { Peers } from './peers/peers.js';
 import { probeHost } from './quarantine/host-probe.js';
 import { RequestQuarantine } from './quarantine/request-quarantine.js';
-import { ColdWaits } from './requests/cold-wait.js';
+import { ColdWaits } from './requests/cold-waits.js';
 import type { RelayServices } from './requests/relay-services.js';
 import { RequestIntake } from './requests/request-intake.js';
 import { ServiceLimits } from './requests/service-limits.js';
--- a/packages/entry/src/quarantine/crash-evidence.ts
+++ b/packages/entry/src/quarantine/crash-evidence.ts
@@ -4,7 +4,7 @@
  *
  * A host that ends takes up to all of its slots of innocent requests with it, and what was lost together is
  * sent again together. So a count of lost hosts alone would condemn many an innocent request in a bad minute.
- * Four rules separate them; the property test of this module removes each, and fails:
+ * Four rules separate them; without any of them the tests of this module fail:
  *
  * - Hosts that end at the same moment were lost together and count once, those of one place within a second less.
  * - A run that its host survived clears a request of all crashes before it.
--- a/packages/entry/src/requests/cold-wait.ts
+++ b/packages/entry/src/requests/cold-wait.ts
@@ -18,41 +18,6 @@
 /** Period in which a waiting request asks again, in milliseconds: well below the interval of sends. */
 const STEP_MS = 15;
 
-/** The place of one request in the order of those that wait for the same cold hosts. */
-export type ColdPlace = {
-  /** True for the one that has waited longest. */
-  readonly isFirst: () => boolean;
-  readonly leave: () => void;
-};
-
-/** Waiting requests in the order in which they came, by service, model and home regions. */
-export class ColdWaits {
-  readonly #waiting = new Map<string, ColdPlace[]>();
-
-  /** Requests that wait for the same cold hosts. */
-  count(query: TargetQuery): number {
-    return this.#waiting.get(keyOf(query))?.length ?? 0;
-  }
-
-  /** One more waits, behind all others, until it leaves. */
-  enter(query: TargetQuery): ColdPlace {
-    const key = keyOf(query);
-    const places = this.#waiting.get(key) ?? [];
-    this.#waiting.set(key, places);
-    const place: ColdPlace = {
-      isFirst: () => places[0] === place,
-      leave: () => {
-        places.splice(places.indexOf(place), 1);
-        if (places.length === 0) {
-          this.#waiting.delete(key);
-        }
-      },
-    };
-    places.push(place);
-    return place;
-  }
-}
-
 /**
  * The target to which the request must be sent at once; a warm host where one becomes available meanwhile,
  * which anybody may take, a cold one for the request that has waited longest. Undefined where no cold host
@@ -92,9 +57,3 @@
     place.leave();
   }
 }
-
-// Callers choose the model's name freely where the service has no engine.
-function keyOf({ service, model, homeRegions }: TargetQuery): string {
-  const served = service.engine === undefined ? '' : (model ?? '');
-  return `${service.name}/${served}/${JSON.stringify(homeRegions)}`;
-}
--- a/packages/entry/src/requests/relay-services.ts
+++ b/packages/entry/src/requests/relay-services.ts
@@ -9,7 +9,7 @@
 import type { Target, TargetChooser } from '../routing/target-chooser.js';
 import type { Log } from '../server/log.js';
 import type { Counters, Latencies } from '../server/metrics.js';
-import type { ColdWaits } from './cold-wait.js';
+import type { ColdWaits } from './cold-waits.js';
 import type { RelayHeaders } from './relay-headers.js';
 import type { StallMonitor } from './stall-monitor.js';
 import type { UpstreamConnections } from './upstream-connections.js';
--- a/packages/entry/src/server/log.ts
+++ b/packages/entry/src/server/log.ts
@@ -43,6 +43,11 @@
 };
 
 const WINDOW_MS = 1_000;
+/**
+ * Greatest part of the lines of a level that one message may take, 0 to 1. When requests fail by the hundred, a
+ * line for each would else leave out the few lines that tell why: a host that ended, a request in quarantine.
+ */
+const MOST_OF_ONE_MESSAGE = 0.7;
 
 /** Makes the log of a process. */
 export function createLog(
@@ -101,6 +106,8 @@
   #windowStart = monotonicMs();
   #infoLines = 0;
   #warnLines = 0;
+  /** Lines by message in this window. */
+  readonly #lines = new Map<string, number>();
 
   constructor(bounds: LogBounds, sink: LogSink) {
     this.#bounds = bounds;
@@ -108,7 +115,7 @@
   }
 
   admits(level: 'info' | 'warn' | 'error', message: string): boolean {
-    if (this.#hasRoom(level)) {
+    if (this.#hasRoomOf(level, message) && this.#hasRoom(level)) {
       return true;
     }
     this.#omitted.set(message, (this.#omitted.get(message) ?? 0) + 1);
@@ -121,6 +128,7 @@
       return undefined;
     }
     this.#windowStart = monotonicMs();
+    this.#lines.clear();
     this.#infoLines = 0;
     this.#warnLines = 0;
     if (this.#omitted.size === 0) {
@@ -131,6 +139,14 @@
     return omitted;
   }
 
+  #hasRoomOf(level: 'info' | 'warn' | 'error', message: string): boolean {
+    const { infoPerSecond, warnPerSecond } = this.#bounds;
+    const lines = (this.#lines.get(message) ?? 0) + 1;
+    this.#lines.set(message, lines);
+    const bound = level === 'info' ? infoPerSecond : warnPerSecond;
+    return lines <= Math.max(1, bound * MOST_OF_ONE_MESSAGE);
+  }
+
   #hasRoom(level: 'info' | 'warn' | 'error'): boolean {
     if (this.#sink.writableLength > this.#bounds.maxPendingBytes) {
       return false;
--- a/packages/entry/src/testing/relay.ts
+++ b/packages/entry/src/testing/relay.ts
@@ -6,7 +6,7 @@
 import type { Route, Service } from '../configuration/serving-configuration.js';
 import type { HostEntry } from '../hosts/host-entry.js';
 import { fingerprintOf } from '../quarantine/request-fingerprint.js';
-import { ColdWaits } from '../requests/cold-wait.js';
+import { ColdWaits } from '../requests/cold-waits.js';
 import type { RelayServices } from '../requests/relay-services.js';
 import type { RequestContext } from '../requests/request-context.js';
 import { ServiceLimits } from '../requests/service-limits.js';
