A request that waits for a cold host is not sent after its verdict

Cause, found by reading: the wait for a cold host claims by itself, so a request that came into quarantine meanwhile was sent all the same.

--- a/packages/entry/src/requests/await-target.ts
+++ b/packages/entry/src/requests/await-target.ts
@@ -43,8 +43,7 @@
   });
   for (;;) {
     if (!isTrial && context.isQuarantined()) {
-      services.counters.count('requests_without_target_total', { reason: 'quarantined' });
-      return { reason: 'quarantined', targets: '' };
+      return quarantined(services);
     }
     const target = wait.mayClaim ? claimTarget(services, asked()) : undefined;
     if (target !== undefined) {
@@ -55,12 +54,20 @@
     if (gone.aborted || !waitsForTarget(outlook, waiter)) {
       const until = deadline - route.objectiveMs;
       const cold = await awaitColdTarget(services, query, { until, gone });
+      if (!isTrial && context.isQuarantined()) {
+        return quarantined(services);
+      }
       return cold ?? noTarget(services, services.chooser.outlook(query()), gone.aborted);
     }
     await sleep(pauseMs(waiter), gone);
   }
 }
 
+function quarantined({ counters }: RelayServices): NoTarget {
+  counters.count('requests_without_target_total', { reason: 'quarantined' });
+  return { reason: 'quarantined', targets: '' };
+}
+
 function noTarget(
   { counters }: RelayServices,
   outlook: TargetOutlook,
