--- a/packages/entry/src/routing/host-subset.ts
+++ b/packages/entry/src/routing/host-subset.ts
@@ -25,8 +25,6 @@
 const MOST_KEPT = 1_000;
 /** Key by which the members themselves are ordered; no target has this name. */
 const MEMBERS = '';
-/** Key by which the targets are ordered that have room for one more; no member has this name. */
-const ROOMS = '\u0000rooms';
 /** Taken off the weight of a full target: more than any weight, so that it comes after all others. */
 const FULL_PENALTY = 2 ** 33;
 
@@ -56,15 +54,15 @@
 
   #balanced(targets: readonly string[]): readonly string[] {
     const columns = targets.map(target => this.#column(target));
-    const rooms = new TargetRooms(targets);
+    const uses = new Uint32Array(targets.length);
     const taken = this.#ordered.map((): number[] => []);
     const places = Math.min(BALANCED_PLACES, targets.length);
     for (let place = 1; place <= places; place += 1) {
-      rooms.open(((place * this.#ordered.length) / targets.length) * HEADROOM);
+      const most = Math.ceil(((place * this.#ordered.length) / targets.length) * HEADROOM);
       taken.forEach((before, member) => {
-        const best = bestOf(columns, member, before, rooms);
+        const best = bestOf(columns, member, before, uses, most);
         before.push(best);
-        rooms.take(best);
+        uses[best] = (uses[best] ?? 0) + 1;
       });
     }
     return (taken[this.#self] ?? []).map(index => targets[index] ?? '');
@@ -80,53 +78,20 @@
   }
 }
 
-/**
- * In how many subsets each target may be. A mean of 2.1 gives a tenth of the targets, always the same ones, room
- * for three and the others for two. Rounded up for all of them, the loss of one target could raise the room of all:
- * in one of 60 drawn cases it changed 11% of the places, which is never more than 10% this way (of 200).
- */
-class TargetRooms {
-  readonly #uses: Uint32Array;
-  /** Place of each target in an order of all that hardly changes when one goes, from 0 to below 1. */
-  readonly #ranks: Float64Array;
-  #mean = 0;
-
-  constructor(targets: readonly string[]) {
-    this.#uses = new Uint32Array(targets.length);
-    this.#ranks = new Float64Array(targets.length);
-    const indexes = new Map(targets.map((target, index) => [target, index]));
-    byWeight(ROOMS, targets).forEach((target, rank) => {
-      this.#ranks[indexes.get(target) ?? 0] = rank / targets.length;
-    });
-  }
-
-  /** Lets each target be in as many subsets as `mean`, on the mean of all. */
-  open(mean: number): void {
-    this.#mean = mean;
-  }
-
-  take(index: number): void {
-    this.#uses[index] = (this.#uses[index] ?? 0) + 1;
-  }
-
-  isFull(index: number): boolean {
-    const most = Math.floor(this.#mean) + Number((this.#ranks[index] ?? 0) < this.#mean % 1);
-    return (this.#uses[index] ?? 0) >= most;
-  }
-}
-
 // Index of the member's next target: the one with the greatest weight that is not full, or, where all are
 // full, the one with the greatest weight.
 function bestOf(
   columns: readonly Float64Array[],
   member: number,
   before: readonly number[],
-  rooms: TargetRooms,
+  uses: Uint32Array,
+  most: number,
 ): number {
   let best = -1;
   let bestWeight = -Infinity;
   columns.forEach((column, index) => {
-    const weight = (column[member] ?? 0) - (rooms.isFull(index) ? FULL_PENALTY : 0);
+    const isFull = (uses[index] ?? 0) >= most;
+    const weight = (column[member] ?? 0) - (isFull ? FULL_PENALTY : 0);
     if (weight > bestWeight && !before.includes(index)) {
       best = index;
       bestWeight = weight;
