--- a/packages/entry/src/quarantine/quarantine-trials.test.ts
+++ b/packages/entry/src/quarantine/quarantine-trials.test.ts
@@ -152,9 +152,9 @@
     expect(requests.get('f')?.revision).to.equal(1);
   });
 
-  it('loses what is a day old', async () => {
+  it('loses what is over a week old', async () => {
     const objects = new Objects();
-    const requests = requestsSince(Date.now() - 25 * 60 * MINUTE_MS);
+    const requests = requestsSince(Date.now() - 8 * 24 * 60 * MINUTE_MS);
     const { store } = objects;
     const keeper = new QuarantineKeeper({
       requests,
--- a/packages/entry/src/quarantine/quarantined-request.ts
+++ b/packages/entry/src/quarantine/quarantined-request.ts
@@ -18,13 +18,18 @@
 
 /** Time until the first trial, in milliseconds: a request that was condemned wrongly is refused for a minute. */
 const FIRST_TRIAL_MS = 60_000;
-/** Factor from the wait for one trial to the next: a request that still crashes hosts ends four in a day. */
+/** Factor from the wait for one trial to the next. */
 const TRIAL_FACTOR = 10;
-/** Time after its last crash or trial for which a request is kept, in milliseconds: a day. */
-const KEPT_MS = 24 * 3_600_000;
+/** Trials, after a minute, eleven, and nearly two hours: a request that still crashes hosts ends no more than these. */
+const MOST_TRIALS = 3;
+/** Time after the verdict or the last trial for which a request is kept, in milliseconds: a week. */
+const KEPT_MS = 7 * 24 * 3_600_000;
 
-/** Earliest time of the next trial. */
+/** Earliest time of the next trial; Infinity when there is none. */
 export function nextTrialAt({ since, trials, lastTrialAt }: QuarantinedRequest): number {
+  if (trials >= MOST_TRIALS) {
+    return Infinity;
+  }
   return (lastTrialAt ?? since) + FIRST_TRIAL_MS * Math.pow(TRIAL_FACTOR, trials);
 }
 
--- a/packages/entry/src/quarantine/quarantined-requests.test.ts
+++ b/packages/entry/src/quarantine/quarantined-requests.test.ts
@@ -88,12 +88,14 @@
     expect(requests.size).to.be.at.most(2_000);
   });
 
-  it('may run again after a minute, ten minutes more, and so on, and are forgotten after a day', () => {
+  it('may run three times, after a minute, eleven, and two hours, and are forgotten after a week', () => {
     const request = condemned();
     expect(nextTrialAt(request)).to.equal(NOW + MINUTE_MS);
     const tried = { ...request, trials: 1, lastTrialAt: NOW + MINUTE_MS };
     expect(nextTrialAt(tried)).to.equal(NOW + 11 * MINUTE_MS);
-    expect(isExpired(request, NOW + 23 * 60 * MINUTE_MS)).to.equal(false);
-    expect(isExpired(request, NOW + 25 * 60 * MINUTE_MS)).to.equal(true);
+    expect(nextTrialAt({ ...tried, trials: 3 })).to.equal(Infinity);
+    const dayMs = 24 * 60 * MINUTE_MS;
+    expect(isExpired(request, NOW + 6 * dayMs)).to.equal(false);
+    expect(isExpired(request, NOW + 8 * dayMs)).to.equal(true);
   });
 });
