No order leaves after its term: the lease is looked at again right before each send

Cause, found by reading: a host is asked for its sequence before an order, up to 0.3 s; a process that was suspended meanwhile sent what it had planned long before, as an open of a group whose member another holder of the lease had told to leave. Test: the lease lapses while the host is asked; nothing is sent. It fails without.

--- a/packages/entry/src/groups/coordinator.ts
+++ b/packages/entry/src/groups/coordinator.ts
@@ -45,8 +45,8 @@
 
   constructor(options: CoordinatorOptions) {
     this.#options = options;
-    const { orders, log, counters } = options;
-    this.#sender = new OrderSender(orders, log, counters);
+    const { orders, lease, log, counters } = options;
+    this.#sender = new OrderSender(orders, log, counters, term => lease.term === term);
     this.#prober = new MemberProber({
       orders,
       log,
--- a/packages/entry/src/groups/host-orders.ts
+++ b/packages/entry/src/groups/host-orders.ts
@@ -40,6 +40,8 @@
   | 'rejected'
   /** Not sent: the host still carries out an order of an earlier order giver. */
   | 'occupied'
+  /** Not sent: the lease has lapsed since it was planned. */
+  | 'lease-lost'
   /** No answer: it may have been taken, or may be carried out later. */
   | 'unanswered';
 
--- a/packages/entry/src/groups/order-sender.test.ts
+++ b/packages/entry/src/groups/order-sender.test.ts
@@ -10,7 +10,7 @@
 
 type Sent = { readonly order: HostOrder; readonly expectedSequence: number };
 
-function senderTo(report: HostReport | undefined, outcome: OrderOutcome = 'begun') {
+function ordersOf(report: HostReport | undefined, outcome: OrderOutcome = 'begun') {
   const sent: Sent[] = [];
   const orders: HostOrders = {
     send: (_, order, expectedSequence) => {
@@ -20,6 +20,11 @@
     report: () => Promise.resolve(report),
     close: () => undefined,
   };
+  return { sent, orders };
+}
+
+function senderTo(report: HostReport | undefined, outcome: OrderOutcome = 'begun') {
+  const { sent, orders } = ordersOf(report, outcome);
   return { sent, sender: new OrderSender(orders, silentLog(), new Counters()) };
 }
 
@@ -81,4 +86,21 @@
     expect(await sender.send({ ...host, membership }, open, 'members-ready', 1)).to.equal('begun');
     expect(sent.map(({ order }) => order.kind)).to.deep.equal(['join', 'open']);
   });
+
+  it('sends nothing when the lease has lapsed while the host was asked', async () => {
+    const { sent, orders } = ordersOf(idle);
+    let term: number | undefined = 1;
+    const sender = new OrderSender(
+      orders,
+      silentLog(),
+      new Counters(),
+      planned => planned === term,
+    );
+    const outcome = sender.send(testHost('h'), STAGE, 'spare', 1);
+    term = undefined;
+    expect(await outcome).to.equal('lease-lost');
+    expect(sent).to.deep.equal([]);
+    term = 2;
+    expect(await sender.send(testHost('h'), STAGE, 'spare', 2)).to.equal('begun');
+  });
 });
--- a/packages/entry/src/groups/order-sender.ts
+++ b/packages/entry/src/groups/order-sender.ts
@@ -20,11 +20,19 @@
   readonly #orders: HostOrders;
   readonly #log: Log;
   readonly #counters: Counters;
+  readonly #holds: (term: number) => boolean;
   readonly #busy = new Set<string>();
   /** By start of the host: a process that starts again counts anew. */
   readonly #sequences = new Map<string, KnownSequence>();
 
-  constructor(orders: HostOrders, log: Log, counters: Counters) {
+  /** `holds` is true while the lease is held in a term. */
+  constructor(
+    orders: HostOrders,
+    log: Log,
+    counters: Counters,
+    holds: (term: number) => boolean = () => true,
+  ) {
+    this.#holds = holds;
     this.#orders = orders;
     this.#log = log;
     this.#counters = counters;
@@ -51,6 +59,11 @@
       if (typeof expected !== 'number') {
         return expected;
       }
+      // The host was asked meanwhile, and this process may have been suspended: another one may give orders now,
+      // and what this order was planned by may be long over.
+      if (!this.#holds(term)) {
+        return 'lease-lost';
+      }
       const outcome = await this.#orders.send(host, order, expected);
       this.#counters.count('orders_total', { order: order.kind, outcome });
       this.#log.info('order sent', {
