A request that crashes hosts without a pause is found too; names of the quarantine

Cause: the evaluation waited until the newest crash of a suspect had settled, 0.15 s.

Change: crashes are evaluated one by one as they settle; later ones wait. The names judge, condemn, charge and innocent give way to evaluate, quarantine, score and harmless in code, logs and docs.

Each rule of the head of crash-evidence.ts left out fails its tests; this change left out fails "does not wait for a pause between crashes".

--- a/packages/entry/src/groups/load-crashes.ts
+++ b/packages/entry/src/groups/load-crashes.ts
@@ -2,14 +2,14 @@
  * Holds back loads of a model that end the hosts that load it: a version whose weights can not be read would
  * otherwise end one free host after the other, as fast as loads may begin.
  *
- * Hosts are lost for other reasons too, and those of a rack together: crashes count as in `crash-charge.ts`, and a
+ * Hosts are lost for other reasons too, and those of a rack together: crashes count as in `crash-score.ts`, and a
  * load of the model that any host completes clears it. A model that is held is tried again by the next load after
  * a pause, which doubles while loads of it go on to end their hosts.
  */
 import type { HostEntry } from '../hosts/host-entry.js';
 import { incarnationOf } from '../hosts/host-entry.js';
-import type { Crash } from '../quarantine/crash-charge.js';
-import { chargeOf } from '../quarantine/crash-charge.js';
+import type { Crash } from '../quarantine/crash-score.js';
+import { crashScoreOf } from '../quarantine/crash-score.js';
 import type { Log } from '../server/log.js';
 import type { FleetView } from './fleet-view.js';
 
@@ -99,7 +99,7 @@
       sequence: before.crashes.length,
     };
     const crashes = [...before.crashes, crash];
-    const isHeld = chargeOf(crashes, NOTHING_EXPLAINED).score >= LEAST_CRASHES;
+    const isHeld = crashScoreOf(crashes, NOTHING_EXPLAINED).score >= LEAST_CRASHES;
     const { holdMs } = before;
     const after = isHeld
       ? { crashes, holdMs: Math.min(2 * holdMs, MOST_HOLD_MS), heldUntil: at + holdMs }
--- a/packages/entry/src/peers/peer-messages.ts
+++ b/packages/entry/src/peers/peer-messages.ts
@@ -12,7 +12,7 @@
   tally: 'domain-tally',
   /** A group is stalled; for the order giver. */
   suspect: 'suspect-group',
-  /** Runs that were lost with their hosts, and runs that hosts survived. */
+  /** Runs that were lost with their hosts, and runs that hosts completed. */
   runReports: 'run-reports',
 } as const;
 
--- a/packages/entry/src/peers/read-messages.ts
+++ b/packages/entry/src/peers/read-messages.ts
@@ -162,7 +162,7 @@
     return false;
   }
   const isCrash = isText(place) && isText(route) && isAge(ranMs) && isText(hostIdOf(host));
-  return kind === 'survived' || (kind === 'crashed' && isCrash);
+  return kind === 'completed' || (kind === 'crashed' && isCrash);
 }
 
 function hostIdOf(host: unknown): unknown {
--- a/packages/entry/src/quarantine/crash-evidence.test.ts
+++ b/packages/entry/src/quarantine/crash-evidence.test.ts
@@ -1,4 +1,4 @@
-/** Which request is blamed for hosts that end, over drawn minutes with and without such requests. */
+/** Which request is held responsible for hosts that end, over drawn minutes with and without such requests. */
 import { expect } from 'chai';
 import fc from 'fast-check';
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
@@ -34,16 +34,21 @@
   lossEveryMs: fc.integer({ min: 1_500, max: 10_000 }),
 };
 
-type Totals = { innocent: number; condemned: number; alikeCondemned: number; endedBy: number[] };
+type Totals = {
+  harmless: number;
+  quarantined: number;
+  alikeQuarantined: number;
+  endedBy: number[];
+};
 
 function play(drawn: fc.Arbitrary<Partial<CrashDay>>): Totals {
-  const totals: Totals = { innocent: 0, condemned: 0, alikeCondemned: 0, endedBy: [] };
+  const totals: Totals = { harmless: 0, quarantined: 0, alikeQuarantined: 0, endedBy: [] };
   fc.sample(fc.tuple(drawn, fc.integer()), { seed: SEED, numRuns: DAYS }).forEach(
     ([change, seed]) => {
       const result = playCrashDay({ ...CALM, ...change }, randomOf(seed));
-      totals.innocent += result.innocent;
-      totals.condemned += result.condemned;
-      totals.alikeCondemned += Number(result.isAlikeCondemned);
+      totals.harmless += result.harmless;
+      totals.quarantined += result.quarantined;
+      totals.alikeQuarantined += Number(result.isAlikeQuarantined);
       totals.endedBy.push(...result.endedBy);
     },
   );
@@ -60,31 +65,31 @@
 }
 
 describe('evidence of requests that crash their hosts', () => {
-  it('condemns next to no innocent request when racks, single hosts and links are lost', () => {
-    const { innocent, condemned, alikeCondemned } = play(fc.record(losses));
-    expect(condemned).to.be.below(innocent / 10_000);
-    expect(alikeCondemned).to.equal(0);
+  it('quarantines next to no harmless request when racks, single hosts and links are lost', () => {
+    const { harmless, quarantined, alikeQuarantined } = play(fc.record(losses));
+    expect(quarantined).to.be.below(harmless / 10_000);
+    expect(alikeQuarantined).to.equal(0);
   });
 
-  it('condemns those that crash hosts, among losses, after few hosts', () => {
+  it('quarantines those that crash hosts, among losses, after few hosts', () => {
     const crashing = fc.constantFrom(1, 2, 3);
-    const { innocent, condemned, endedBy } = play(fc.record({ ...losses, crashing }));
+    const { harmless, quarantined, endedBy } = play(fc.record({ ...losses, crashing }));
     expect(mean(endedBy)).to.be.below(6);
     expect(Math.max(...endedBy)).to.be.at.most(16);
-    expect(condemned).to.be.below(innocent / 3_000);
+    expect(quarantined).to.be.below(harmless / 3_000);
   });
 
-  it('blames nobody for hosts of one rack that end one after the other', () => {
+  it('quarantines nothing for hosts of one rack that end one after the other', () => {
     const rackLosses = [8_000, 30_000].map(atMs => ({ atMs, overMs: 600 }));
     const lossEveryMs = 1e9;
     const totals = play(fc.constant({ hosts: 4, alikePart: 0.5, rackLosses, lossEveryMs }));
-    expect(totals.condemned).to.equal(0);
+    expect(totals.quarantined).to.equal(0);
   });
 
-  it('blames nobody for hosts of all racks that end at one moment', () => {
+  it('quarantines nothing for hosts of all racks that end at one moment', () => {
     const powerLosses = [8_000, 30_000];
     const totals = play(fc.constant({ hosts: 12, alikePart: 0.5, powerLosses, lossEveryMs: 1e9 }));
-    expect(totals.condemned).to.equal(0);
+    expect(totals.quarantined).to.equal(0);
   });
 });
 
@@ -115,35 +120,64 @@
     now += 1_000;
   }
 
-  function condemned(): readonly string[] {
-    return evidence.judge().map(({ fingerprint }) => fingerprint);
+  function quarantined(): readonly string[] {
+    return evidence.evaluate().map(({ fingerprint }) => fingerprint);
   }
 
-  it('condemns neither until the next run tells them apart', () => {
+  it('quarantines neither until the next run tells them apart', () => {
     crash('h1', 'a', 'b');
     crash('h2', 'a', 'b');
     crash('h3', 'a', 'b');
-    expect(condemned()).to.deep.equal([]);
+    expect(quarantined()).to.deep.equal([]);
     crash('h4', 'b', 'c');
-    expect(condemned()).to.deep.equal(['b']);
+    expect(quarantined()).to.deep.equal(['b']);
     crash('h5', 'a', 'd');
-    expect(condemned()).to.deep.equal([]);
+    expect(quarantined()).to.deep.equal([]);
   });
 
-  it('condemns the one as soon as the other was survived', () => {
+  it('quarantines the one as soon as the other was completed', () => {
     crash('h1', 'a', 'b');
     crash('h2', 'a', 'b');
     crash('h3', 'a', 'b');
-    expect(condemned()).to.deep.equal([]);
-    evidence.note({ kind: 'survived', fingerprint: 'a', ageMs: 0 });
-    expect(condemned()).to.deep.equal(['b']);
+    expect(quarantined()).to.deep.equal([]);
+    evidence.note({ kind: 'completed', fingerprint: 'a', ageMs: 0 });
+    expect(quarantined()).to.deep.equal(['b']);
+  });
+
+  it('waits for reports of the same crash that arrive later', () => {
+    const tell = (fingerprint: string, host: string, ageMs: number): void => {
+      const report = { host: { id: host }, place: host, ranMs: 50, ageMs };
+      evidence.note({ kind: 'crashed', fingerprint, ...report, route: 'r', workspace: 'w' });
+    };
+    ['h1', 'h2', 'h3'].forEach(host => {
+      now += 1_000;
+      tell('a', host, 0);
+    });
+    expect(evidence.evaluate()).to.deep.equal([]);
+    now += 100;
+    ['h1', 'h2', 'h3'].forEach((host, index) => {
+      tell('b', host, 100 + (2 - index) * 1_000);
+    });
+    expect(quarantined()).to.deep.equal([]);
+  });
+
+  it('does not wait for a pause between crashes', () => {
+    const found: string[] = [];
+    for (let index = 0; index < 12 && found.length === 0; index++) {
+      const report = { host: { id: `h${index}` }, place: `h${index}`, ranMs: 50, ageMs: 0 };
+      evidence.note({ kind: 'crashed', fingerprint: 'a', ...report, route: 'r', workspace: 'w' });
+      now += 60;
+      found.push(...quarantined());
+    }
+    expect(found).to.deep.equal(['a']);
+    expect(evidence.crashesOf('a')).to.be.at.most(6);
   });
 
-  it('condemns both where no run tells them apart', () => {
+  it('quarantines both where no run tells them apart', () => {
     ['h1', 'h2', 'h3', 'h4', 'h5'].forEach(host => {
       crash(host, 'a', 'b');
     });
-    expect(condemned().length).to.be.at.least(1);
+    expect(quarantined().length).to.be.at.least(1);
   });
 });
 
@@ -180,7 +214,7 @@
           }
         });
         const verdicts = (evidence: CrashEvidence): readonly string[] =>
-          evidence.judge().map(({ fingerprint }) => fingerprint);
+          evidence.evaluate().map(({ fingerprint }) => fingerprint);
         expect(verdicts(second)).to.have.members([...verdicts(first)]);
       }),
       { seed: SEED },
@@ -199,15 +233,15 @@
     expect(evidence.since(heard + 100)).to.have.length(2);
   });
 
-  it('does not bring back crashes from before a run that was survived', () => {
+  it('does not bring back crashes from before a run that was completed', () => {
     const evidence = new CrashEvidence(() => now);
     const old = crashOf('a', 'h1');
     evidence.note(old);
     now += 500;
-    evidence.note({ kind: 'survived', fingerprint: 'a', ageMs: 0 });
+    evidence.note({ kind: 'completed', fingerprint: 'a', ageMs: 0 });
     expect(evidence.isSuspect('a')).to.equal(false);
     expect(evidence.note({ ...old, ageMs: 500 })).to.equal('known');
-    expect(evidence.since(0).map(({ kind }) => kind)).to.deep.equal(['survived']);
+    expect(evidence.since(0).map(({ kind }) => kind)).to.deep.equal(['completed']);
   });
 
   it('is bounded when thousands of requests crash hosts, and keeps those with most crashes', () => {
--- a/packages/entry/src/quarantine/crash-evidence.ts
+++ b/packages/entry/src/quarantine/crash-evidence.ts
@@ -2,25 +2,26 @@
  * Decides which request crashes the hosts that run it (a "query of death"), from what all entry hosts have seen.
  * Pure but for what it remembers.
  *
- * A host that ends takes up to all of its slots of innocent requests with it, and what was lost together is
- * sent again together. So a count of lost hosts alone would condemn many an innocent request in a bad minute.
- * Four rules separate them; without any of them the tests of this module fail:
+ * A host that ends takes up to all of its slots of harmless requests with it, and what was lost together is
+ * sent again together. So a count of lost hosts alone would quarantine many a harmless request in a bad minute.
+ * Five rules separate them; without any of them the tests of this module fail:
  *
  * - Hosts that end at the same moment were lost together and count once, those of one place within a second less.
- * - A run that its host survived clears a request of all crashes before it.
- * - A crash has one cause: once a request is condemned, its crashes count for no other one any more.
- * - While another request has met as many crashes, and the same ones, neither is condemned: the next run
+ * - A run that its host completed clears a request of all crashes before it.
+ * - A crash has one cause: once a request is quarantined, its crashes count for no other one any more.
+ * - While another request has met as many crashes, and the same ones, neither is quarantined: the next run
  *   separates them.
+ * - A crash counts only once all entry hosts have had time to report what they had lost by it.
  *
- * Errors that remain: a request is condemned wrongly when three hosts end for other reasons under its runs and
- * no run ends well in between; a request that crashes its hosts only now and then is never condemned.
+ * Errors that remain: a request is quarantined wrongly when three hosts end for other reasons under its runs and
+ * no run ends well in between; a request that crashes its hosts only now and then is never quarantined.
  */
 import { incarnationOf } from '../hosts/host-entry.js';
 import { monotonicMs } from '../server/time.js';
-import type { Charge, Crash } from './crash-charge.js';
-import { chargeOf, TRANSIT_MS } from './crash-charge.js';
+import type { Crash, CrashScore } from './crash-score.js';
+import { crashScoreOf, TRANSIT_MS } from './crash-score.js';
 import type { RequestFingerprint } from './request-fingerprint.js';
-import type { CrashReport, RequestOrigin, RunReport, SurvivalReport } from './run-report.js';
+import type { CompletionReport, CrashReport, RequestOrigin, RunReport } from './run-report.js';
 
 /** A request that was found to crash its hosts. */
 export type CrashVerdict = RequestOrigin & {
@@ -32,16 +33,16 @@
 /** Whether a report has told anything new. */
 export type ReportOutcome = 'known' | 'taken';
 
-/** Crashes from which a request is condemned. Two happen to innocent requests: the route lets them run twice. */
+/** Crashes from which a request is quarantined. Two happen to harmless requests: the route lets them run twice. */
 export const LEAST_CRASHES = 3;
-/** Crashes from which it is condemned even if another one may be their cause. */
+/** Crashes from which it is quarantined even if another one may be their cause. */
 const CERTAIN_CRASHES = 5;
 /** Crashes that two requests have in common from which either may be the cause of all of them. */
-const RIVAL_CRASHES = 2;
-/** Survivals closer together than this are told once, in milliseconds: each entry host reports its own runs. */
-const SAME_SURVIVAL_MS = 100;
+const SHARED_CRASHES = 2;
+/** Completions closer together than this are told once, in milliseconds: each entry host reports its own runs. */
+const SAME_COMPLETION_MS = 100;
 /**
- * Time after a crash before it is judged, in milliseconds. Each entry host reports its own runs at the host;
+ * Time after a crash before it is evaluated, in milliseconds. Each entry host reports its own runs at the host;
  * they arrive over up to three links, within some tens of milliseconds.
  */
 const SETTLE_MS = 150;
@@ -52,7 +53,7 @@
  * 2,048 take 1 MB.
  */
 const MOST_SUSPECTS = 2_048;
-/** Crashes that are remembered of one suspect, the newest ones; more than it takes to condemn it. */
+/** Crashes that are remembered of one suspect, the newest ones; more than it takes to quarantine it. */
 const MOST_CRASHES = 16;
 
 type Suspect = {
@@ -63,7 +64,7 @@
   /** Crashes up to then do not count (monotonic milliseconds). */
   clearedAt: number;
   clearedSequence: number;
-  isCondemned: boolean;
+  isQuarantined: boolean;
 };
 
 const NO_ORIGIN: RequestOrigin = { route: '', workspace: undefined };
@@ -73,10 +74,10 @@
   readonly #suspects = new Map<RequestFingerprint, Suspect>();
   /** Suspects by the incarnation that ended under them. */
   readonly #byHost = new Map<string, Set<RequestFingerprint>>();
-  /** Incarnations whose end is put down to a condemned request. */
+  /** Incarnations whose end is put down to a quarantined request. */
   readonly #explained = new Set<string>();
-  /** Suspects that were told of since they were judged. */
-  readonly #unjudged = new Set<RequestFingerprint>();
+  /** Suspects that were told of since they were evaluated. */
+  readonly #pending = new Set<RequestFingerprint>();
   readonly #now: () => number;
   #sequence = 0;
 
@@ -90,9 +91,9 @@
     return this.#sequence;
   }
 
-  /** Requests under which hosts have ended and that are neither cleared nor condemned. */
+  /** Requests under which hosts have ended and that are neither cleared nor quarantined. */
   get suspects(): number {
-    return [...this.#suspects.values()].filter(one => one.crashes.length > 0 && !one.isCondemned)
+    return [...this.#suspects.values()].filter(one => one.crashes.length > 0 && !one.isQuarantined)
       .length;
   }
 
@@ -101,7 +102,7 @@
     return this.#suspects.size === 0;
   }
 
-  /** True when hosts have ended under the request, so that a run that its host survives is news. */
+  /** True when hosts have ended under the request, so that a completed run is news. */
   isSuspect(fingerprint: RequestFingerprint): boolean {
     return this.crashesOf(fingerprint) > 0;
   }
@@ -111,9 +112,9 @@
     return this.#suspects.get(fingerprint)?.crashes.length ?? 0;
   }
 
-  /** True until {@link judge} has looked at the newest crash of the request. */
-  isUnjudged(fingerprint: RequestFingerprint): boolean {
-    return this.#unjudged.has(fingerprint);
+  /** True until {@link evaluate} has looked at the newest crash of the request. */
+  isPending(fingerprint: RequestFingerprint): boolean {
+    return this.#pending.has(fingerprint);
   }
 
   /** Takes a report of this or another entry host. */
@@ -121,62 +122,54 @@
     if (report.ageMs > EVIDENCE_MS) {
       return 'known';
     }
-    return report.kind === 'crashed' ? this.#noteCrash(report) : this.#noteSurvival(report);
+    return report.kind === 'crashed' ? this.#noteCrash(report) : this.#noteCompletion(report);
   }
 
   /**
-   * The requests that are condemned now and were not before. To be called again {@link judgedInMs} later,
+   * The requests that are quarantined now and were not before. To be called again {@link evaluateInMs} later,
    * where that is given.
    */
-  judge(): readonly CrashVerdict[] {
+  evaluate(): readonly CrashVerdict[] {
     const settledAt = this.#now() - SETTLE_MS;
-    const settled = [...this.#unjudged].flatMap(fingerprint => {
-      const suspect = this.#suspects.get(fingerprint);
-      const last = suspect?.crashes.at(-1);
-      return suspect !== undefined && (last?.at ?? -Infinity) <= settledAt ? [suspect] : [];
-    });
-    settled.forEach(({ fingerprint }) => {
-      this.#unjudged.delete(fingerprint);
-    });
+    const suspects = [...this.#pending].flatMap(one => this.#suspects.get(one) ?? []);
     const verdicts: CrashVerdict[] = [];
     for (;;) {
-      const worst = this.#worstOf(settled);
+      const worst = this.#worstOf(suspects, settledAt);
       if (worst === undefined) {
-        return verdicts;
+        break;
       }
-      verdicts.push(this.#condemnSuspect(worst));
+      verdicts.push(this.#quarantine(worst));
     }
+    suspects.forEach(suspect => {
+      if (lastAtOf(suspect) <= settledAt) {
+        this.#pending.delete(suspect.fingerprint);
+      }
+    });
+    return verdicts;
   }
 
-  /** Milliseconds until reports that were taken can be judged; undefined when all are. */
-  judgedInMs(): number | undefined {
-    if (this.#unjudged.size === 0) {
+  /** Milliseconds until reports that were taken can be evaluated; undefined when all are. */
+  evaluateInMs(): number | undefined {
+    if (this.#pending.size === 0) {
       return undefined;
     }
     const now = this.#now();
-    const dueAt = [...this.#unjudged].map(fingerprint => {
-      const last = this.#suspects.get(fingerprint)?.crashes.at(-1);
-      return (last?.at ?? -Infinity) + SETTLE_MS;
+    const dueAt = [...this.#pending].map(fingerprint => {
+      const crashes = this.#suspects.get(fingerprint)?.crashes ?? [];
+      const next = crashes.find(({ at }) => at > now - SETTLE_MS);
+      return (next?.at ?? -Infinity) + SETTLE_MS;
     });
     return Math.max(0, Math.min(...dueAt) - now);
   }
 
-  /** Another entry host has condemned a request: its crashes count for no other one. */
-  condemn(fingerprint: RequestFingerprint, hosts: readonly string[]): void {
-    this.#of(fingerprint).isCondemned = true;
+  /** Another entry host has quarantined a request: its crashes count for no other one. */
+  quarantine(fingerprint: RequestFingerprint, hosts: readonly string[]): void {
+    this.#of(fingerprint).isQuarantined = true;
     hosts.forEach(host => {
       this.#explained.add(host);
     });
   }
 
-  /** The request is not in quarantine any more, for another reason than that it was cleared. */
-  release(fingerprint: RequestFingerprint): void {
-    const suspect = this.#suspects.get(fingerprint);
-    if (suspect !== undefined) {
-      this.#forget(suspect);
-    }
-  }
-
   /**
    * Reports after a sequence number that another entry host should know. A number that is not reached yet is
    * of an earlier start of this process.
@@ -218,27 +211,27 @@
     this.#forgetCrashes(suspect, crashes.slice(0, -MOST_CRASHES));
     suspect.crashes = crashes.slice(-MOST_CRASHES);
     this.#suspectsAt(host).add(fingerprint);
-    if (suspect.isCondemned) {
+    if (suspect.isQuarantined) {
       this.#explained.add(host);
     } else {
-      this.#unjudged.add(fingerprint);
+      this.#pending.add(fingerprint);
     }
     this.#keepBound();
     return 'taken';
   }
 
-  #noteSurvival({ fingerprint, ageMs }: SurvivalReport): ReportOutcome {
+  #noteCompletion({ fingerprint, ageMs }: CompletionReport): ReportOutcome {
     const at = this.#now() - ageMs;
     const suspect = this.#of(fingerprint);
     // Several entry hosts may report it at once; one is enough.
-    if (at <= suspect.clearedAt + SAME_SURVIVAL_MS) {
+    if (at <= suspect.clearedAt + SAME_COMPLETION_MS) {
       return 'known';
     }
     this.#sequence += 1;
     suspect.clearedAt = at;
     suspect.clearedSequence = this.#sequence;
-    suspect.isCondemned = false;
-    this.#judgeAnew(suspect);
+    suspect.isQuarantined = false;
+    this.#evaluateAnew(suspect);
     this.#forgetCrashes(
       suspect,
       suspect.crashes.filter(crash => crash.at <= at),
@@ -256,7 +249,7 @@
         crashes: [],
         clearedAt: -Infinity,
         clearedSequence: 0,
-        isCondemned: false,
+        isQuarantined: false,
       };
       this.#suspects.set(fingerprint, suspect);
     }
@@ -272,37 +265,48 @@
     return fingerprints;
   }
 
-  // Of those that may be condemned, the one that explains most crashes.
-  #worstOf(suspects: readonly Suspect[]): Suspect | undefined {
+  // Of those that may be quarantined, the one that explains most crashes.
+  #worstOf(suspects: readonly Suspect[], settledAt: number): Suspect | undefined {
     let worst: { readonly suspect: Suspect; readonly score: number } | undefined;
     for (const suspect of suspects) {
-      const charge = chargeOf(suspect.crashes, this.#explained);
-      const isEnough = charge.score >= LEAST_CRASHES && !suspect.isCondemned;
-      const isClear = charge.score >= CERTAIN_CRASHES || !this.#hasRival(suspect, charge);
-      if (isEnough && isClear && charge.score > (worst?.score ?? 0)) {
-        worst = { suspect, score: charge.score };
+      const crashScore = this.#scoreOf(suspect, settledAt);
+      const isEnough = crashScore.score >= LEAST_CRASHES && !suspect.isQuarantined;
+      const isClear =
+        crashScore.score >= CERTAIN_CRASHES || !this.#hasOtherCause(suspect, crashScore, settledAt);
+      if (isEnough && isClear && crashScore.score > (worst?.score ?? 0)) {
+        worst = { suspect, score: crashScore.score };
       }
     }
     return worst?.suspect;
   }
 
+  // Later crashes wait for the reports of other entry hosts, which may name another request.
+  #scoreOf({ crashes }: Suspect, settledAt: number): CrashScore {
+    const settled = crashes.filter(({ at }) => at <= settledAt);
+    return crashScoreOf(settled, this.#explained);
+  }
+
   // True when another suspect has met as many crashes, and some of them the same: it may be their cause.
-  #hasRival({ fingerprint }: Suspect, { score, hosts }: Charge): boolean {
+  #hasOtherCause(
+    { fingerprint }: Suspect,
+    { score, hosts }: CrashScore,
+    settledAt: number,
+  ): boolean {
     const others = new Set(hosts.flatMap(host => [...this.#suspectsAt(host)]));
     others.delete(fingerprint);
     return [...others].some(other => {
       const suspect = this.#suspects.get(other);
-      if (suspect === undefined || suspect.isCondemned) {
+      if (suspect === undefined || suspect.isQuarantined) {
         return false;
       }
-      const charge = chargeOf(suspect.crashes, this.#explained);
-      const shared = charge.hosts.filter(host => hosts.includes(host)).length;
-      return charge.score >= score && shared >= RIVAL_CRASHES;
+      const crashScore = this.#scoreOf(suspect, settledAt);
+      const shared = crashScore.hosts.filter(host => hosts.includes(host)).length;
+      return crashScore.score >= score && shared >= SHARED_CRASHES;
     });
   }
 
-  #condemnSuspect(suspect: Suspect): CrashVerdict {
-    suspect.isCondemned = true;
+  #quarantine(suspect: Suspect): CrashVerdict {
+    suspect.isQuarantined = true;
     const hosts = suspect.crashes.map(({ host }) => host);
     hosts.forEach(host => {
       this.#explained.add(host);
@@ -310,11 +314,11 @@
     return { fingerprint: suspect.fingerprint, hosts, ...suspect.origin };
   }
 
-  // Whoever was not condemned because this suspect had met the same crashes may be now.
-  #judgeAnew({ crashes }: Suspect): void {
+  // Whoever was not quarantined because this suspect had met the same crashes may be now.
+  #evaluateAnew({ crashes }: Suspect): void {
     for (const { host } of crashes) {
       this.#suspectsAt(host).forEach(fingerprint => {
-        this.#unjudged.add(fingerprint);
+        this.#pending.add(fingerprint);
       });
     }
   }
@@ -333,13 +337,13 @@
   #forget(suspect: Suspect): void {
     this.#forgetCrashes(suspect, suspect.crashes);
     this.#suspects.delete(suspect.fingerprint);
-    this.#unjudged.delete(suspect.fingerprint);
+    this.#pending.delete(suspect.fingerprint);
   }
 
   #forgetOld(now: number): void {
     for (const suspect of this.#suspects.values()) {
       const lastAt = Math.max(suspect.clearedAt, suspect.crashes.at(-1)?.at ?? -Infinity);
-      if (now - lastAt > EVIDENCE_MS && !suspect.isCondemned) {
+      if (now - lastAt > EVIDENCE_MS && !suspect.isQuarantined) {
         this.#forget(suspect);
       }
     }
@@ -352,7 +356,7 @@
     }
     this.#forgetOld(this.#now());
     const weakest = [...this.#suspects.values()]
-      .filter(({ isCondemned }) => !isCondemned)
+      .filter(({ isQuarantined }) => !isQuarantined)
       .sort((a, b) => a.crashes.length - b.crashes.length || lastAtOf(a) - lastAtOf(b));
     const surplus = this.#suspects.size - (MOST_SUSPECTS * 7) / 8;
     weakest.slice(0, Math.max(0, surplus)).forEach(suspect => {
@@ -369,7 +373,7 @@
   const { fingerprint, origin, crashes, clearedAt, clearedSequence } = suspect;
   const reports: RunReport[] = [];
   if (clearedSequence > after) {
-    reports.push({ kind: 'survived', fingerprint, ageMs: now - clearedAt });
+    reports.push({ kind: 'completed', fingerprint, ageMs: now - clearedAt });
   }
   for (const { incarnation: host, place, sentAt, at, sequence } of crashes) {
     if (sequence > after) {
--- a/packages/entry/src/quarantine/crash-charge.ts
+++ b/packages/entry/src/quarantine/crash-score.ts
@@ -15,7 +15,7 @@
 };
 
 /** What speaks against a suspect: the score of its crashes, and the hosts that ended in them. */
-export type Charge = { readonly score: number; readonly hosts: readonly string[] };
+export type CrashScore = { readonly score: number; readonly hosts: readonly string[] };
 
 /**
  * Crashes closer together than this are one event, in milliseconds: a loss of power, a link that breaks. Not so
@@ -37,7 +37,10 @@
  * What speaks against a request whose runs were lost in these crashes, in the order of their times. Hosts whose
  * end is explained by another request do not count.
  */
-export function chargeOf(crashes: readonly Crash[], explained: ReadonlySet<string>): Charge {
+export function crashScoreOf(
+  crashes: readonly Crash[],
+  explained: ReadonlySet<string>,
+): CrashScore {
   const counted: Crash[] = [];
   let score = 0;
   for (const crash of crashes) {
--- a/packages/entry/src/quarantine/lost-runs.ts
+++ b/packages/entry/src/quarantine/lost-runs.ts
@@ -26,7 +26,7 @@
   readonly reports: readonly CrashReport[];
 };
 
-/** What lost runs are judged by. */
+/** What lost runs are classified by. */
 export type LostRunsOptions = {
   readonly probe: (host: HostEntry) => Promise<ProbeOutcome>;
   /** True while the host is listed and has not announced its end. */
@@ -73,10 +73,10 @@
       return;
     }
     this.#probed.set(key, [loss]);
-    void this.#judge(run.host, key);
+    void this.#classify(run.host, key);
   }
 
-  async #judge(host: HostEntry, key: string): Promise<void> {
+  async #classify(host: HostEntry, key: string): Promise<void> {
     const { probe, progressedAt, ended, counters } = this.#options;
     const outcome = await probe(host);
     const losses = this.#probed.get(key) ?? [];
--- a/packages/entry/src/quarantine/quarantine-trials.test.ts
+++ b/packages/entry/src/quarantine/quarantine-trials.test.ts
@@ -53,7 +53,7 @@
     metrics: newMetrics(),
     wallNow: () => since,
   });
-  requests.condemn(VERDICT);
+  requests.quarantine(VERDICT);
   return requests;
 }
 
--- a/packages/entry/src/quarantine/quarantine-trials.ts
+++ b/packages/entry/src/quarantine/quarantine-trials.ts
@@ -1,5 +1,5 @@
 /**
- * Lets a quarantined request run once in a while, as a circuit breaker that is half open: what was condemned
+ * Lets a quarantined request run once in a while, as a circuit breaker that is half open: what was quarantined
  * wrongly, or crashed an engine that was replaced since, is served again without an operator.
  */
 import type { Log } from '../server/log.js';
@@ -46,7 +46,7 @@
     }
   }
 
-  /** Removes a request that a host has survived, so that it leaves quarantine everywhere. */
+  /** Removes a request that a host has completed, so that it leaves quarantine everywhere. */
   async remove({ fingerprint, revision }: QuarantinedRequest): Promise<void> {
     const { store, log } = this.#options;
     for (let attempt = 0; attempt < REMOVAL_ATTEMPTS && revision !== undefined; attempt++) {
--- a/packages/entry/src/quarantine/quarantined-request.ts
+++ b/packages/entry/src/quarantine/quarantined-request.ts
@@ -16,7 +16,7 @@
   readonly revision: number | undefined;
 };
 
-/** Time until the first trial, in milliseconds: a request that was condemned wrongly is refused for a minute. */
+/** Time until the first trial, in milliseconds: a request that was quarantined wrongly is refused for a minute. */
 const FIRST_TRIAL_MS = 60_000;
 /** Factor from the wait for one trial to the next. */
 const TRIAL_FACTOR = 10;
--- a/packages/entry/src/quarantine/quarantined-requests.test.ts
+++ b/packages/entry/src/quarantine/quarantined-requests.test.ts
@@ -33,19 +33,19 @@
     return { name: request.fingerprint, revision, value: objectValue(request) };
   }
 
-  function condemned(): QuarantinedRequest {
-    requests.condemn(VERDICT);
+  function quarantined(): QuarantinedRequest {
+    requests.quarantine(VERDICT);
     return requests.get('f') as QuarantinedRequest;
   }
 
   it('are the same again after the store', () => {
-    const request = condemned();
+    const request = quarantined();
     const read = readQuarantined(objectOf(request, 4));
     expect(read).to.deep.equal({ ...request, revision: 4 });
   });
 
   it('are known by a host that has only read the store', () => {
-    const request = condemned();
+    const request = quarantined();
     requests.lift('f', 'test');
     requests.observer.listed({ objects: [objectOf(request, 4)], revision: 5 });
     expect(requests.get('f')?.hosts).to.deep.equal(VERDICT.hosts);
@@ -53,13 +53,13 @@
   });
 
   it('stay although an older list lacks them', () => {
-    condemned();
+    quarantined();
     requests.observer.listed({ objects: [], revision: 5 });
     expect(requests.get('f')).to.not.equal(undefined);
   });
 
   it('leave when an operator removes them from the store, and only then', () => {
-    const object = objectOf(condemned(), 4);
+    const object = objectOf(quarantined(), 4);
     requests.observer.changed([{ object, deleted: false }]);
     expect(left).to.deep.equal([]);
     requests.observer.changed([{ object: { ...object, revision: 6 }, deleted: true }]);
@@ -68,7 +68,7 @@
   });
 
   it('leave when a later list lacks them', () => {
-    const object = objectOf(condemned(), 4);
+    const object = objectOf(quarantined(), 4);
     requests.observer.changed([{ object, deleted: false }]);
     requests.observer.listed({ objects: [], revision: 9 });
     expect(left).to.deep.equal(['f']);
@@ -77,19 +77,19 @@
   it('are not disturbed by objects that can not be read', () => {
     const values = [null, 7, 'text', [], {}, { route: 1 }, { ...VERDICT, hosts: [1], since: 1 }];
     const objects = values.map((value, index) => ({ name: `x${index}`, revision: 3, value }));
-    requests.observer.listed({ objects: [...objects, objectOf(condemned(), 4)], revision: 5 });
+    requests.observer.listed({ objects: [...objects, objectOf(quarantined(), 4)], revision: 5 });
     expect(requests.all.map(({ fingerprint }) => fingerprint)).to.deep.equal(['f']);
   });
 
   it('are bounded in memory when the store can not be written', () => {
     for (let index = 0; index < 5_000; index++) {
-      requests.condemn({ ...VERDICT, fingerprint: `f${index}` });
+      requests.quarantine({ ...VERDICT, fingerprint: `f${index}` });
     }
     expect(requests.size).to.be.at.most(2_000);
   });
 
   it('may run three times, after a minute, eleven, and two hours, and are forgotten after a week', () => {
-    const request = condemned();
+    const request = quarantined();
     expect(nextTrialAt(request)).to.equal(NOW + MINUTE_MS);
     const tried = { ...request, trials: 1, lastTrialAt: NOW + MINUTE_MS };
     expect(nextTrialAt(tried)).to.equal(NOW + 11 * MINUTE_MS);
--- a/packages/entry/src/quarantine/quarantined-requests.ts
+++ b/packages/entry/src/quarantine/quarantined-requests.ts
@@ -65,7 +65,7 @@
   }
 
   /** Takes a request that this entry host has found to crash its hosts. */
-  condemn({ fingerprint, hosts, route, workspace }: CrashVerdict): void {
+  quarantine({ fingerprint, hosts, route, workspace }: CrashVerdict): void {
     const since = (this.#options.wallNow ?? Date.now)();
     const origin = { fingerprint, hosts, route, workspace };
     this.#enter({ ...origin, since, trials: 0, lastTrialAt: undefined, revision: undefined });
--- a/packages/entry/src/quarantine/request-quarantine.ts
+++ b/packages/entry/src/quarantine/request-quarantine.ts
@@ -47,15 +47,15 @@
 /** What a relay needs of the quarantine. */
 export type QuarantineGate = Pick<
   RequestQuarantine,
-  'claimTrial' | 'guard' | 'holds' | 'judged' | 'runLost' | 'runSurvived'
+  'claimTrial' | 'guard' | 'holds' | 'decided' | 'runLost' | 'runCompleted'
 >;
 
 /** A request in progress. */
 type Guarded = { readonly fingerprint: () => RequestFingerprint; readonly cancel: () => void };
 
 /** Step and greatest length of the wait for a verdict, in milliseconds; a verdict takes some 200. */
-const JUDGED_STEP_MS = 20;
-const MOST_JUDGED_MS = 400;
+const DECISION_STEP_MS = 20;
+const MOST_DECISION_MS = 400;
 
 /** Suspects that a line about an ended host names. */
 const LOGGED_SUSPECTS = 3;
@@ -69,7 +69,7 @@
   readonly #trials: QuarantineTrials;
   readonly #keeper: QuarantineKeeper;
   readonly #guarded = new Set<Guarded>();
-  #judgeTimer: NodeJS.Timeout | undefined;
+  #evaluationTimer: NodeJS.Timeout | undefined;
 
   constructor(options: RequestQuarantineOptions) {
     this.#options = options;
@@ -79,7 +79,7 @@
         this.#entered(request);
       },
       left: fingerprint => {
-        this.take([{ kind: 'survived', fingerprint, ageMs: 0 }]);
+        this.take([{ kind: 'completed', fingerprint, ageMs: 0 }]);
       },
       log,
       metrics,
@@ -115,7 +115,7 @@
 
   /** Ends all timers. */
   stop(): void {
-    clearTimeout(this.#judgeTimer);
+    clearTimeout(this.#evaluationTimer);
     this.#keeper.stop();
   }
 
@@ -145,20 +145,20 @@
   }
 
   /** A run ended with an answer of its host. */
-  runSurvived({ fingerprint }: RequestContext): void {
+  runCompleted({ fingerprint }: RequestContext): void {
     if (!this.evidence.isEmpty || this.#requests.size > 0) {
-      this.#survived(fingerprint());
+      this.#completed(fingerprint());
     }
   }
 
   /**
-   * Resolves when it is known whether a request that was lost is condemned; at once for those under which fewer
+   * Resolves when it is known whether a request that was lost is quarantined; at once for those under which fewer
    * hosts have ended than that takes. Sent on before, it would end one more host.
    */
-  async judged({ fingerprint, gone }: RequestContext): Promise<void> {
-    const until = monotonicMs() + MOST_JUDGED_MS;
+  async decided({ fingerprint, gone }: RequestContext): Promise<void> {
+    const until = monotonicMs() + MOST_DECISION_MS;
     while (this.#isDecisive(fingerprint()) && monotonicMs() < until && !gone.aborted) {
-      await sleep(JUDGED_STEP_MS, gone);
+      await sleep(DECISION_STEP_MS, gone);
     }
   }
 
@@ -171,7 +171,7 @@
     news.forEach(report => {
       this.#act(report);
     });
-    this.#scheduleJudge();
+    this.#scheduleEvaluation();
     this.#options.reported();
   }
 
@@ -181,14 +181,14 @@
     if (report.kind === 'crashed') {
       hostEndedAnywhere(report.host);
     } else {
-      this.#requests.lift(report.fingerprint, 'survived by a host');
+      this.#requests.lift(report.fingerprint, 'completed by a host');
     }
   }
 
   #isDecisive(fingerprint: RequestFingerprint): boolean {
     const isPending = this.#lostRuns.isPending(fingerprint);
     const crashes = this.evidence.crashesOf(fingerprint) + Number(isPending);
-    const isOpen = isPending || this.evidence.isUnjudged(fingerprint);
+    const isOpen = isPending || this.evidence.isPending(fingerprint);
     return isOpen && crashes >= LEAST_CRASHES;
   }
 
@@ -218,32 +218,32 @@
       .join(',');
   }
 
-  #survived(fingerprint: RequestFingerprint): void {
+  #completed(fingerprint: RequestFingerprint): void {
     const request = this.#requests.get(fingerprint);
     if (request !== undefined) {
       void this.#trials.remove(request);
     }
     if (request !== undefined || this.evidence.isSuspect(fingerprint)) {
-      this.take([{ kind: 'survived', fingerprint, ageMs: 0 }]);
+      this.take([{ kind: 'completed', fingerprint, ageMs: 0 }]);
     }
   }
 
-  #scheduleJudge(): void {
-    const dueInMs = this.evidence.judgedInMs();
-    clearTimeout(this.#judgeTimer);
+  #scheduleEvaluation(): void {
+    const dueInMs = this.evidence.evaluateInMs();
+    clearTimeout(this.#evaluationTimer);
     if (dueInMs === undefined) {
       return;
     }
-    this.#judgeTimer = setTimeout(() => {
-      this.evidence.judge().forEach(verdict => {
-        this.#requests.condemn(verdict);
+    this.#evaluationTimer = setTimeout(() => {
+      this.evidence.evaluate().forEach(verdict => {
+        this.#requests.quarantine(verdict);
       });
-      this.#scheduleJudge();
+      this.#scheduleEvaluation();
     }, dueInMs + 1);
   }
 
   #entered({ fingerprint, hosts }: QuarantinedRequest): void {
-    this.evidence.condemn(fingerprint, hosts);
+    this.evidence.quarantine(fingerprint, hosts);
     for (const guarded of [...this.#guarded]) {
       if (guarded.fingerprint() === fingerprint) {
         guarded.cancel();
--- a/packages/entry/src/quarantine/run-report.ts
+++ b/packages/entry/src/quarantine/run-report.ts
@@ -1,4 +1,4 @@
-/** What entry hosts tell each other of runs of a request: that a host ended under one, or survived it. */
+/** What entry hosts tell each other of runs of a request: that a host ended under one, or completed one. */
 import type { HostIncarnation } from '../hosts/host-entry.js';
 import type { RequestFingerprint } from './request-fingerprint.js';
 
@@ -23,12 +23,12 @@
 };
 
 /** A run has ended with an answer of its host, or an operator has lifted the quarantine. */
-export type SurvivalReport = {
-  readonly kind: 'survived';
+export type CompletionReport = {
+  readonly kind: 'completed';
   readonly fingerprint: RequestFingerprint;
   /** Time since then, in milliseconds. */
   readonly ageMs: number;
 };
 
 /** One of the two. */
-export type RunReport = CrashReport | SurvivalReport;
+export type RunReport = CrashReport | CompletionReport;
--- a/packages/entry/src/requests/plain-relay.ts
+++ b/packages/entry/src/requests/plain-relay.ts
@@ -80,7 +80,7 @@
         this.#lastFailure = end.answer;
       }
       if (end.kind === 'lost' || end.kind === 'stale') {
-        await this.#services.quarantine.judged(this.#context);
+        await this.#services.quarantine.decided(this.#context);
       }
       if (!this.#log.takeRetry()) {
         this.#giveUp(this.#context.isQuarantined() ? 'quarantined' : 'not-run');
@@ -199,7 +199,7 @@
     const { activities, counters, log, quarantine } = this.#services;
     counters.count('attempts_total', { kind: 'plain', end: end.kind });
     if (end.kind === 'answered') {
-      quarantine.runSurvived(this.#context);
+      quarantine.runCompleted(this.#context);
     } else if (end.kind === 'stale' || (end.kind === 'lost' && isBroken(end.detail))) {
       quarantine.runLost(this.#context, target.host, ms);
     }
--- a/packages/entry/src/requests/stream-attempt.ts
+++ b/packages/entry/src/requests/stream-attempt.ts
@@ -277,7 +277,7 @@
   #tellQuarantine(end: StreamAttemptEnd): void {
     const { quarantine } = this.#services;
     if (end.kind === 'complete' || end.kind === 'failed') {
-      quarantine.runSurvived(this.#context);
+      quarantine.runCompleted(this.#context);
     } else if (end.kind === 'stale' || (end.kind === 'lost' && isBroken(end.detail))) {
       quarantine.runLost(this.#context, this.#target.host, monotonicMs() - this.#startedAt);
     }
--- a/packages/entry/src/requests/stream-relay.ts
+++ b/packages/entry/src/requests/stream-relay.ts
@@ -104,7 +104,7 @@
         return;
       }
       if (end.kind === 'lost' || end.kind === 'stale') {
-        await this.#services.quarantine.judged(this.#context);
+        await this.#services.quarantine.decided(this.#context);
       }
       const mayGoOn = await this.#mayGoOn();
       if (gone.aborted) {
--- a/packages/entry/src/testing/crash-days.ts
+++ b/packages/entry/src/testing/crash-days.ts
@@ -8,11 +8,11 @@
 export type CrashDay = {
   /** Hosts that take requests, in racks of four. */
   readonly hosts: number;
-  /** Innocent requests a second. */
+  /** Harmless requests a second. */
   readonly requestsPerS: number;
   /** Requests that crash each host that runs them; each is sent again as soon as the last send has ended. */
   readonly crashing: number;
-  /** Part of the innocent requests that are alike, as calls without a body are, 0 to 1. */
+  /** Part of the harmless requests that are alike, as calls without a body are, 0 to 1. */
   readonly alikePart: number;
   /** Times at which a rack goes down, over so many milliseconds. */
   readonly rackLosses: readonly { readonly atMs: number; readonly overMs: number }[];
@@ -28,12 +28,12 @@
 export type CrashDayResult = {
   /** Hosts that have ended under each crashing request. */
   readonly endedBy: readonly number[];
-  /** Innocent requests that were condemned. */
-  readonly condemned: number;
-  /** Whether the request that many calls have in common was condemned. */
-  readonly isAlikeCondemned: boolean;
-  /** Innocent requests that were sent. */
-  readonly innocent: number;
+  /** Harmless requests that were quarantined. */
+  readonly quarantined: number;
+  /** Whether the request that many calls have in common was quarantined. */
+  readonly isAlikeQuarantined: boolean;
+  /** Harmless requests that were sent. */
+  readonly harmless: number;
 };
 
 const DAY_MS = 60_000;
@@ -41,7 +41,7 @@
 const BACK_AFTER_MS = 3_000;
 const CUT_MS = 2_000;
 /** Sends of one request: the route lets each run at two hosts, and its caller sends it twice. */
-const INNOCENT_SENDS = 2;
+const HARMLESS_SENDS = 2;
 const RUNS_PER_SEND = 2;
 const CRASHING_SENDS = 60;
 /** Time from the loss of a run until all entry hosts have the report, in milliseconds. */
@@ -53,7 +53,7 @@
   readonly crashes: boolean;
   sendsLeft: number;
   ended: number;
-  isCondemned: boolean;
+  isQuarantined: boolean;
 };
 type ModelHost = { incarnation: number; upAt: number; readonly runs: Set<Run> };
 type Event = { readonly at: number; readonly call: () => void };
@@ -89,12 +89,12 @@
     this.#scheduleRequests();
     this.#scheduleLosses();
     this.#runEvents();
-    const innocent = this.#requests.filter(request => !request.crashes);
+    const harmless = this.#requests.filter(request => !request.crashes);
     return {
       endedBy: this.#requests.filter(({ crashes }) => crashes).map(({ ended }) => ended),
-      condemned: innocent.filter(({ isCondemned }) => isCondemned).length,
-      isAlikeCondemned: this.#alike.isCondemned,
-      innocent: innocent.length,
+      quarantined: harmless.filter(({ isQuarantined }) => isQuarantined).length,
+      isAlikeQuarantined: this.#alike.isQuarantined,
+      harmless: harmless.length,
     };
   }
 
@@ -102,7 +102,7 @@
     const { requestsPerS, crashing } = this.#day;
     for (let at = 0; at < DAY_MS; at += 1_000 / requestsPerS) {
       this.#at(at, () => {
-        this.#sendInnocent();
+        this.#sendHarmless();
       });
     }
     for (let count = 0; count < crashing; count++) {
@@ -163,19 +163,19 @@
 
   #newRequest(crashes: boolean, sendsLeft: number): ModelRequest {
     const fingerprint = `f${this.#requests.length}`;
-    const request = { fingerprint, crashes, sendsLeft, ended: 0, isCondemned: false };
+    const request = { fingerprint, crashes, sendsLeft, ended: 0, isQuarantined: false };
     this.#requests.push(request);
     this.#byFingerprint.set(fingerprint, request);
     return request;
   }
 
-  #sendInnocent(): void {
+  #sendHarmless(): void {
     const isAlike = this.#random() < this.#day.alikePart;
-    this.#send(isAlike ? this.#alike : this.#newRequest(false, INNOCENT_SENDS));
+    this.#send(isAlike ? this.#alike : this.#newRequest(false, HARMLESS_SENDS));
   }
 
   #send(request: ModelRequest): void {
-    if (request.sendsLeft > 0 && !request.isCondemned) {
+    if (request.sendsLeft > 0 && !request.isQuarantined) {
       request.sendsLeft -= 1;
       this.#run({ request, sendRuns: 1, sentAt: this.#now });
     }
@@ -205,7 +205,7 @@
     }
     host.runs.delete(run);
     if (this.#evidence.isSuspect(request.fingerprint)) {
-      this.#evidence.note({ kind: 'survived', fingerprint: request.fingerprint, ageMs: 0 });
+      this.#evidence.note({ kind: 'completed', fingerprint: request.fingerprint, ageMs: 0 });
     }
   }
 
@@ -238,7 +238,7 @@
   }
 
   #sendOn({ request, sendRuns }: Run): void {
-    if (sendRuns < RUNS_PER_SEND && !request.isCondemned) {
+    if (sendRuns < RUNS_PER_SEND && !request.isQuarantined) {
       this.#run({ request, sendRuns: sendRuns + 1, sentAt: this.#now });
       return;
     }
@@ -259,11 +259,11 @@
       ...times,
       ...origin,
     });
-    this.#at(this.#now + (this.#evidence.judgedInMs() ?? 0) + 1, () => {
-      this.#evidence.judge().forEach(verdict => {
-        const condemned = this.#byFingerprint.get(verdict.fingerprint);
-        if (condemned !== undefined) {
-          condemned.isCondemned = true;
+    this.#at(this.#now + (this.#evidence.evaluateInMs() ?? 0) + 1, () => {
+      this.#evidence.evaluate().forEach(verdict => {
+        const quarantined = this.#byFingerprint.get(verdict.fingerprint);
+        if (quarantined !== undefined) {
+          quarantined.isQuarantined = true;
         }
       });
     });
