What is remembered of orders is bounded; a completed run leaves nothing to evaluate

Cause, found by reading: the order sequences and the accepted orders are kept by start of a host since starts under one id are told apart, and nothing forgot those of hosts that were gone: on capacity that comes and goes they add up for ever. The crashes of a model that no host can load were kept without end as well. And a suspect that a completed run had cleared was looked at every millisecond for 0.15 s.

Ruled out: forgetting a host as soon as its entry goes; an entry may come back within a minute, and its sequence would be asked for once more while an evacuation waits. So the least recently ordered of 4,096 goes.

Change: bounds in order-sender, accepted-orders and load-crashes; crashes alone decide whether an evaluation is due. Conclusion: memory of the order giver does not grow with the hosts that it has seen.

--- a/packages/entry/src/groups/accepted-orders.ts
+++ b/packages/entry/src/groups/accepted-orders.ts
@@ -14,7 +14,15 @@
 
   /** The host has accepted an order; `now` in monotonic milliseconds. */
   note(host: HostEntry, order: HostOrder, now: number): void {
-    this.#last.set(incarnationOf(host), { order, at: now });
+    const key = incarnationOf(host);
+    this.#last.delete(key);
+    this.#last.set(key, { order, at: now });
+    this.#forgetOld(now);
+  }
+
+  /** Number of hosts whose orders are remembered. */
+  get size(): number {
+    return this.#last.size;
   }
 
   /** True when the host has taken this order a moment ago, and its entry may not tell of it yet. */
@@ -26,4 +34,14 @@
     const group = 'group' in order ? order.group : undefined;
     return group !== undefined && 'group' in last.order && last.order.group === group;
   }
+
+  // Oldest first. Hosts that come and go would add up for ever.
+  #forgetOld(now: number): void {
+    for (const [key, { at }] of this.#last) {
+      if (now - at <= ENTRY_LAG_MS) {
+        return;
+      }
+      this.#last.delete(key);
+    }
+  }
 }
--- a/packages/entry/src/groups/load-crashes.ts
+++ b/packages/entry/src/groups/load-crashes.ts
@@ -37,6 +37,8 @@
 const MOST_HOLD_MS = 600_000;
 /** Time in which a host whose entry went is asked whether it is there, in milliseconds. */
 const ASKED_MS = 5_000;
+/** Crashes that are remembered of a model, the newest ones; more than it takes to hold it. */
+const MOST_CRASHES = 16;
 
 type Lost = RunningLoad & { readonly at: number };
 type ModelCrashes = { crashes: readonly Crash[]; holdMs: number; heldUntil: number };
@@ -96,9 +98,9 @@
       place: host.fabricDomain ?? host.failureDomain,
       sentAt: since,
       at,
-      sequence: before.crashes.length,
+      sequence: (before.crashes.at(-1)?.sequence ?? 0) + 1,
     };
-    const crashes = [...before.crashes, crash];
+    const crashes = [...before.crashes, crash].slice(-MOST_CRASHES);
     const isHeld = crashScoreOf(crashes, NOTHING_EXPLAINED).score >= LEAST_CRASHES;
     const { holdMs } = before;
     const after = isHeld
--- a/packages/entry/src/groups/order-sender.test.ts
+++ b/packages/entry/src/groups/order-sender.test.ts
@@ -74,6 +74,17 @@
     expect(sent.map(one => one.expectedSequence)).to.deep.equal([3, 4]);
   });
 
+  it('remembers a bounded number of hosts, and asks the others again', async () => {
+    const { sent, sender } = senderTo(idle);
+    const hosts = Array.from({ length: 4_097 }, (_, index) => testHost(`h${index}`));
+    for (const host of hosts) {
+      await sender.send(host, STAGE, 'spare', 1);
+    }
+    await sender.send(testHost('h4096'), STAGE, 'spare', 1);
+    await sender.send(testHost('h0'), STAGE, 'spare', 1);
+    expect(sent.slice(-2).map(one => one.expectedSequence)).to.deep.equal([4, 3]);
+  });
+
   it('plans no group by an entry that does not show the last order yet', async () => {
     const { sent, sender } = senderTo({ ...idle, group: 'g1' });
     const join: HostOrder = { kind: 'join', group: 'g1', epoch: 1, model: 'm', members: ['h'] };
--- a/packages/entry/src/groups/order-sender.ts
+++ b/packages/entry/src/groups/order-sender.ts
@@ -11,6 +11,11 @@
 const REPORT_TIMEOUT_MS = 300;
 /** Time by which a report may lag behind the host, in milliseconds. */
 const REPORT_LAG_MS = 250;
+/**
+ * Starts of hosts whose sequences are remembered, four times the hosts of the largest fleet that is planned for; of
+ * more, the one that was sent an order longest ago is asked again. Hosts that come and go would add up for ever.
+ */
+const MOST_KNOWN = 4_096;
 
 /** The order sequence of a host, and the group that it is in with it. */
 type KnownSequence = { readonly sequence: number; readonly group: string | undefined };
@@ -106,6 +111,15 @@
     return isCurrent(report, host) ? report.orderSequence : 'unanswered';
   }
 
+  #remember(key: string, known: KnownSequence): void {
+    this.#sequences.delete(key);
+    this.#sequences.set(key, known);
+    const [oldest] = this.#sequences.keys();
+    if (this.#sequences.size > MOST_KNOWN && oldest !== undefined) {
+      this.#sequences.delete(oldest);
+    }
+  }
+
   async #learn(
     host: HostEntry,
     order: HostOrder,
@@ -117,7 +131,7 @@
     const key = incarnationOf(host);
     const group = groupAfter(order, host);
     if (begun) {
-      this.#sequences.set(key, { sequence: expected + 1, group });
+      this.#remember(key, { sequence: expected + 1, group });
     } else if (outcome === 'conflict' && order.kind === 'stage') {
       // Another order giver has been there: the next attempt asks what the host is doing.
       this.#sequences.delete(key);
@@ -126,12 +140,12 @@
       await sleep(REPORT_LAG_MS);
       const report = await this.#orders.report(host, REPORT_TIMEOUT_MS);
       if (isCurrent(report, host)) {
-        this.#sequences.set(key, { sequence: report.orderSequence, group: report.group });
+        this.#remember(key, { sequence: report.orderSequence, group: report.group });
       } else {
         this.#sequences.delete(key);
       }
     } else if (outcome === 'done') {
-      this.#sequences.set(key, { sequence: expected, group });
+      this.#remember(key, { sequence: expected, group });
     }
   }
 }
--- a/packages/entry/src/quarantine/crash-evidence.test.ts
+++ b/packages/entry/src/quarantine/crash-evidence.test.ts
@@ -142,6 +142,7 @@
     expect(quarantined()).to.deep.equal([]);
     evidence.note({ kind: 'completed', fingerprint: 'a', ageMs: 0 });
     expect(quarantined()).to.deep.equal(['b']);
+    expect(evidence.evaluateInMs(), 'nothing is left to evaluate').to.equal(undefined);
   });
 
   it('waits for reports of the same crash that arrive later', () => {
--- a/packages/entry/src/quarantine/crash-evidence.ts
+++ b/packages/entry/src/quarantine/crash-evidence.ts
@@ -141,7 +141,8 @@
       verdicts.push(this.#quarantine(worst));
     }
     suspects.forEach(suspect => {
-      if (lastAtOf(suspect) <= settledAt) {
+      const lastCrashAt = suspect.crashes.at(-1)?.at ?? -Infinity;
+      if (lastCrashAt <= settledAt) {
         this.#pending.delete(suspect.fingerprint);
       }
     });
