Sight: what hosts say about themselves, and what a host was believed to be at a send

Cause unknown yet; logs could not tell whether a rejection named a time, and whether the next request was sent although the host was avoided, because its avoidance had run out, or because it had been undone. No change of logic. entry-host.ts: the side servers are started in their own module.

--- a/packages/entry/src/entry-host.ts
+++ b/packages/entry/src/entry-host.ts
@@ -36,7 +36,7 @@
 import { finishRequests } from './server/planned-stop.js';
 import { runTask } from './server/run-task.js';
 import { changedSettings } from './server/settings-change.js';
-import { serveMetrics, serveReadiness } from './server/side-servers.js';
+import { startSideServers } from './server/side-servers.js';
 import { monotonicMs } from './server/time.js';
 import { FollowedKinds, onlyReader } from './store/followed-kinds.js';
 import { configurationObserver, hostsObserver } from './store/kind-observers.js';
@@ -151,14 +151,9 @@
     this.#coordinator.start();
     runTask(log, 'lease', this.#competeForLease());
     runTask(log, 'quarantine', this.#quarantine.run());
-    const { callers, readiness, metrics } = settings;
-    await this.#callers.listen(callers.ip, callers.port);
-    this.#sideServers.push(await serveReadiness(readiness.ip, readiness.port, () => this.ready));
-    if (metrics !== undefined) {
-      this.#sideServers.push(
-        await serveMetrics(metrics.ip, metrics.port, this.#metrics, this.#lists),
-      );
-    }
+    await this.#callers.listen(settings.callers.ip, settings.callers.port);
+    const offered = { isReady: () => this.ready, metrics: this.#metrics, lists: this.#lists };
+    this.#sideServers.push(...(await startSideServers(settings, offered)));
     log.info('entry host started', {
       instance: this.#instance,
       startMs: Math.round(monotonicMs()),
@@ -383,6 +378,7 @@
       coldWaits: new ColdWaits(),
       quarantine: this.#quarantine,
       activities: this.#activities,
+      notices: this.#rules.notices,
       demand: this.#demand,
       stalls: this.#stalls,
       budgetOf: service => this.#limits.budgetOf(service),
--- a/packages/entry/src/requests/exchange.test.ts
+++ b/packages/entry/src/requests/exchange.test.ts
@@ -43,6 +43,7 @@
         body: undefined,
         connections,
         connects,
+        heard: () => undefined,
       },
       { head: () => undefined, data: () => undefined, ended: resolve },
     );
--- a/packages/entry/src/requests/exchange.ts
+++ b/packages/entry/src/requests/exchange.ts
@@ -20,6 +20,8 @@
   /** Undefined for a connection of its own. */
   readonly connections: UpstreamConnections | undefined;
   readonly connects: ConnectTimes;
+  /** Called with the head of each answer of the host, whatever becomes of the request. */
+  readonly heard: (answer: IncomingMessage) => void;
 };
 
 /**
@@ -145,6 +147,7 @@
   sent.on('close', lost);
   sent.on('response', incoming => {
     answer = incoming;
+    call.heard(incoming);
     incoming.on('data', (chunk: Buffer) => {
       if (!ended) {
         observer.data(chunk);
--- a/packages/entry/src/requests/plain-relay.ts
+++ b/packages/entry/src/requests/plain-relay.ts
@@ -11,11 +11,14 @@
 import { isBroken, startExchange } from './exchange.js';
 import type { FinalAnswer } from './final-answer.js';
 import { giveFinalAnswer, quarantinedAnswer } from './final-answer.js';
+import { noticeListener } from './notice-listener.js';
 import { endToEndHeaders } from './relay-headers.js';
 import type { RelayServices } from './relay-services.js';
 import type { RequestContext } from './request-context.js';
 import { mayRepeat } from './request-context.js';
 import { needsOperator, RETRY_AFTER_MS, RETRY_AFTER_NO_HOST_MS } from './retry-after.js';
+import type { StandingAtSend } from './standing-at-send.js';
+import { standingAtSend } from './standing-at-send.js';
 import { upstreamHeaders } from './upstream-request.js';
 import type { NoTargetReason } from './wait-for-target.js';
 
@@ -40,6 +43,14 @@
   | { readonly kind: 'stale' }
   | { readonly kind: 'gone' };
 
+/** An attempt, and what its host was believed to be when it was sent. */
+type EndedAttempt = {
+  readonly target: Target;
+  readonly end: AttemptEnd;
+  readonly ms: number;
+  readonly standing: StandingAtSend;
+};
+
 /** One call of a caller. */
 export class PlainRelay {
   readonly #context: RequestContext;
@@ -107,6 +118,7 @@
     const { gone, deadline, request, body } = this.#context;
     const { activities, headers: names } = this.#services;
     const sentAt = monotonicMs();
+    const standing = standingAtSend(this.#services, target.host, sentAt);
     const chunks: Buffer[] = [];
     let bytes = 0;
     let head: IncomingMessage | undefined;
@@ -118,7 +130,7 @@
         unguard();
         gone.removeEventListener('abort', onGone);
         activities.leave(target.host.id, false);
-        this.#learn(target, end, monotonicMs() - sentAt);
+        this.#learn({ target, end, ms: monotonicMs() - sentAt, standing });
         resolve(end);
       };
       const exchange = startExchange(
@@ -130,6 +142,7 @@
           body,
           connections: connectionsFor(this.#services, this.#context),
           connects: activities.connects,
+          heard: noticeListener(this.#services, target.host),
         },
         {
           head: answer => {
@@ -195,7 +208,7 @@
     return { kind: 'answered', answer: { head, body } };
   }
 
-  #learn(target: Target, end: AttemptEnd, ms: number): void {
+  #learn({ target, end, ms, standing }: EndedAttempt): void {
     const { activities, counters, log, quarantine } = this.#services;
     counters.count('attempts_total', { kind: 'plain', end: end.kind });
     if (end.kind === 'answered') {
@@ -224,6 +237,7 @@
         detail: end.kind === 'lost' ? end.detail : undefined,
         fingerprint: end.kind === 'lost' ? this.#context.fingerprint() : undefined,
         afterMs: Math.round(ms),
+        ...standing,
       });
     }
   }
--- a/packages/entry/src/requests/relay-headers.ts
+++ b/packages/entry/src/requests/relay-headers.ts
@@ -23,6 +23,8 @@
   readonly lastEventId: string;
   /** Host to blame for a refusal. */
   readonly faultyHost: string;
+  /** `1` in each answer of a host that is shutting down. */
+  readonly hostLeaving: string;
 };
 
 /** Name and value, one after the other, as received. */
--- a/packages/entry/src/requests/relay-services.ts
+++ b/packages/entry/src/requests/relay-services.ts
@@ -4,6 +4,7 @@
 import type { QuarantineGate } from '../quarantine/request-quarantine.js';
 import type { DemandMeter } from '../routing/demand-meter.js';
 import type { HostActivities } from '../routing/host-activity.js';
+import type { HostNotices } from '../routing/host-notices.js';
 import type { RetryBudget } from '../routing/retry-budget.js';
 import type { SendEligibility } from '../routing/send-eligibility.js';
 import type { Target, TargetChooser } from '../routing/target-chooser.js';
@@ -20,6 +21,8 @@
   readonly registry: HostRegistry;
   readonly chooser: TargetChooser;
   readonly activities: HostActivities;
+  /** What hosts have said about themselves with their answers. */
+  readonly notices: HostNotices;
   readonly stalls: StallMonitor;
   readonly demand: DemandMeter;
   readonly budgetOf: (service: string) => RetryBudget;
--- a/packages/entry/src/requests/stream-attempt.ts
+++ b/packages/entry/src/requests/stream-attempt.ts
@@ -7,11 +7,14 @@
 import { connectionsFor } from './connection-choice.js';
 import type { Exchange, ExchangeEnd } from './exchange.js';
 import { isBroken, startExchange } from './exchange.js';
+import { noticeListener } from './notice-listener.js';
 import { isFramed, saysNotRun } from './plain-relay.js';
 import type { RelayServices } from './relay-services.js';
 import type { RequestContext } from './request-context.js';
 import type { StallLimits } from './stall-limits.js';
 import { stallLimits } from './stall-limits.js';
+import type { StandingAtSend } from './standing-at-send.js';
+import { standingAtSend } from './standing-at-send.js';
 import { upstreamHeaders } from './upstream-request.js';
 
 /** How a run ended. */
@@ -53,6 +56,7 @@
   readonly #startedAt = monotonicMs();
   readonly #failureChunks: Buffer[] = [];
   #exchange: Exchange | undefined;
+  #standing: StandingAtSend | undefined;
   #head: IncomingMessage | undefined;
   #invalid: string | undefined;
   #superseded = false;
@@ -84,6 +88,7 @@
     const { activities, stalls, headers: names } = this.#services;
     const { request, body } = this.#context;
     const hostId = this.#target.host.id;
+    this.#standing = standingAtSend(this.#services, this.#target.host, monotonicMs());
     activities.enter(hostId);
     stalls.add(this);
     return new Promise(resolve => {
@@ -96,6 +101,7 @@
           body,
           connections: connectionsFor(this.#services, this.#context),
           connects: activities.connects,
+          heard: noticeListener(this.#services, this.#target.host),
         },
         {
           head: answer => {
@@ -310,6 +316,7 @@
       begun: this.#begun,
       afterMs: Math.round(monotonicMs() - this.#startedAt),
       silentMs: Math.round(monotonicMs() - this.#lastProgressAt),
+      ...this.#standing,
     });
   }
 }
--- a/packages/entry/src/routing/host-activity.ts
+++ b/packages/entry/src/routing/host-activity.ts
@@ -200,9 +200,14 @@
     }
   }
 
+  /** For how much longer new requests should go elsewhere if they can, in milliseconds. */
+  avoidedLeftMs(id: string, now: number): number {
+    return Math.max(0, (this.#hosts.get(id)?.avoidUntil ?? -Infinity) - now);
+  }
+
   /** True while new requests should go elsewhere if they can; `now` in monotonic milliseconds. */
   isAvoided(id: string, now: number): boolean {
-    return (this.#hosts.get(id)?.avoidUntil ?? -Infinity) > now;
+    return this.avoidedLeftMs(id, now) > 0;
   }
 
   /** Forgets idle hosts that are not there any more. */
--- a/packages/entry/src/routing/send-rules.ts
+++ b/packages/entry/src/routing/send-rules.ts
@@ -6,6 +6,7 @@
 import type { Log } from '../server/log.js';
 import type { Metrics } from '../server/metrics.js';
 import { SlowStartLimits } from '../slow-start/slow-start-limits.js';
+import { HostNotices } from './host-notices.js';
 import { SendEligibility } from './send-eligibility.js';
 
 /** Options of the rules. */
@@ -24,10 +25,12 @@
   readonly evacuated: EvacuatedDomains;
   readonly slowStart: SlowStartLimits;
   readonly eligibility: SendEligibility;
+  readonly notices: HostNotices;
 
   constructor(options: SendRulesOptions) {
     const { settings, members, slowStartOf, log, metrics } = options;
     const { name, bounds, regions } = settings();
+    this.notices = new HostNotices({ log, counters: metrics.counters });
     this.slowStart = new SlowStartLimits({
       self: name,
       members,
--- a/packages/entry/src/testing/relay.ts
+++ b/packages/entry/src/testing/relay.ts
@@ -12,6 +12,7 @@
 import { ServiceLimits } from '../requests/service-limits.js';
 import { StallMonitor } from '../requests/stall-monitor.js';
 import { HostActivities } from '../routing/host-activity.js';
+import { HostNotices } from '../routing/host-notices.js';
 import type { Target, TargetChooser } from '../routing/target-chooser.js';
 import { silentLog } from '../server/log.js';
 import { Counters, Latencies } from '../server/metrics.js';
@@ -31,6 +32,7 @@
   lengthHint: 'x-length-hint',
   lastEventId: 'last-event-id',
   faultyHost: 'x-faulty-host',
+  hostLeaving: 'x-leaving',
 } as const;
 
 const ROUTE: Route = {
@@ -99,6 +101,7 @@
     },
     coldWaits: new ColdWaits(),
     activities: new HostActivities(),
+    notices: new HostNotices({ log, counters }),
     stalls: new StallMonitor(),
     budgetOf: (service: string) => limits.budgetOf(service),
     connectionsOf: (service: Service) => limits.connectionsOf(service),
