--- a/packages/entry/src/routing/host-notices.ts
+++ b/packages/entry/src/routing/host-notices.ts
@@ -73,6 +73,10 @@
 
   /** For how much longer the host wants no requests, in milliseconds; 0: it takes them. */
   backoffLeftMs(host: HostIncarnation, now: number): number {
+    // Asked of each target for each request, and nearly always there is none.
+    if (this.#backoffs.size === 0) {
+      return 0;
+    }
     const until = this.#backoffs.get(incarnationOf(host)) ?? -Infinity;
     return Math.max(0, until - now);
   }
@@ -89,12 +93,22 @@
       log.info('host asks for no requests', { host: host.id, forMs: Math.round(askedMs) });
     }
     if (leftMs === 0 || until > now() + leftMs) {
+      this.#forgetEnded();
       this.#backoffs.delete(key);
       this.#backoffs.set(key, until);
       forgetOldest(this.#backoffs);
     }
   }
 
+  #forgetEnded(): void {
+    const now = this.#options.now();
+    for (const [key, until] of this.#backoffs) {
+      if (until <= now) {
+        this.#backoffs.delete(key);
+      }
+    }
+  }
+
   #hearLeaving(host: HostIncarnation): void {
     const key = incarnationOf(host);
     if (this.#leaving.has(key)) {
--- a/packages/entry/src/routing/target-chooser.ts
+++ b/packages/entry/src/routing/target-chooser.ts
@@ -36,6 +36,9 @@
   readonly leavesCold?: boolean;
 };
 
+/** A host that serves a request's service and model, and whether it may receive the request. */
+type JudgedHost = { readonly host: HostEntry; readonly verdict: Eligibility };
+
 /** What a chooser knows beside the hosts. */
 export type ChooserOptions = {
   readonly failureDomain: string;
@@ -165,8 +168,9 @@
     const now = monotonicMs();
     const { service, model } = query;
     const verdictOf = (host: HostEntry): Eligibility => this.#verdict(host, query, now);
-    const standings = this.#candidates(query).map(({ host }): TargetStanding =>
-      isExcluded(host, query) ? 'tried' : verdictOf(host),
+    const judged = this.#candidates(query).map(({ host }) => ({ host, verdict: verdictOf(host) }));
+    const standings = judged.map(({ host, verdict }): TargetStanding =>
+      isExcluded(host, query) ? 'tried' : verdict,
     );
     const isOpenTo = (head: HostEntry): boolean =>
       ['eligible', 'cold-limit'].includes(verdictOf(head));
@@ -175,20 +179,19 @@
     return {
       standings,
       formingMs: engine === undefined ? undefined : formingMs(groups, engine, model, isOpenTo),
-      backoffMs: this.#backoffMs(query, now),
+      backoffMs: this.#backoffMs(judged, now),
     };
   }
 
   // Hosts that the request was sent to count too: its caller may come back.
-  #backoffMs(query: TargetQuery, now: number): number | undefined {
+  #backoffMs(judged: readonly JudgedHost[], now: number): number | undefined {
     const { backoffLeftMs } = this.#options;
-    const hosts = this.#candidates(query).map(({ host }) => host);
-    const verdicts = hosts.map(host => this.#verdict(host, query, now));
-    const waits = hosts.filter((_, index) => verdicts[index] === 'backing-off');
-    if (backoffLeftMs === undefined || waits.length === 0 || verdicts.includes('eligible')) {
+    const waits = judged.filter(({ verdict }) => verdict === 'backing-off');
+    const isAnyEligible = judged.some(({ verdict }) => verdict === 'eligible');
+    if (backoffLeftMs === undefined || waits.length === 0 || isAnyEligible) {
       return undefined;
     }
-    return Math.ceil(Math.min(...waits.map(host => backoffLeftMs(host, now))));
+    return Math.ceil(Math.min(...waits.map(({ host }) => backoffLeftMs(host, now))));
   }
 
   /** When all cold hosts together can take such requests; undefined where none may be sent one. */
