--- /dev/null
+++ b/packages/entry/src/requests/withheld-send.test.ts
@@ -0,0 +1,67 @@
+/** Requests whose host may not receive them any more when they are about to be written to a connection. */
+import type { ServerResponse } from 'node:http';
+
+import { expect } from 'chai';
+
+import type { HostEntry } from '../hosts/host-entry.js';
+import type { Target } from '../routing/target-chooser.js';
+import { monotonicMs } from '../server/time.js';
+import { relayServices, requestContext, UpstreamStandIn } from '../testing/relay.js';
+import { PlainRelay } from './plain-relay.js';
+import type { RelayServices } from './relay-services.js';
+import { StreamRelay } from './stream-relay.js';
+
+const HEAD = { 'x-request-id': 'r', 'x-stamp': 's' };
+const RELAYS = [
+  { Relay: PlainRelay, route: { kind: 'non-idempotent', resumable: false } },
+  { Relay: PlainRelay, route: { kind: 'idempotent', resumable: false } },
+  { Relay: StreamRelay, route: { kind: 'stream', resumable: false } },
+] as const;
+
+function answers(response: ServerResponse): void {
+  response.writeHead(200, HEAD).end('id: 1\ndata: 1\n\n');
+}
+
+describe('a request that a host may not have any more', () => {
+  let hosts: UpstreamStandIn[];
+  let targets: Target[];
+
+  beforeEach(async () => {
+    hosts = [new UpstreamStandIn(answers), new UpstreamStandIn(answers)];
+    targets = await Promise.all(hosts.map((host, index) => host.listen(`h${index}`)));
+  });
+
+  afterEach(() => {
+    hosts.forEach(host => {
+      host.close();
+    });
+  });
+
+  function servicesWithout(barred: readonly string[]): RelayServices {
+    const queue = [...targets];
+    const services = relayServices(() => queue.shift());
+    Object.assign(services.eligibility, {
+      stillMay: ({ id }: HostEntry) => !barred.includes(id),
+    });
+    return services;
+  }
+
+  for (const { Relay, route } of RELAYS) {
+    it(`goes to another one, as a ${route.kind} request, and is no failure of the first`, async () => {
+      const services = servicesWithout(['h0']);
+      const { context, answer } = requestContext('r', { ...route, maxAttempts: 1 });
+      await new Relay(context, services).run();
+      expect(answer.status).to.equal(200);
+      expect(hosts.map(({ seen }) => seen.length)).to.deep.equal([0, 1]);
+      expect(services.activities.isAvoided('h0', monotonicMs())).to.equal(false);
+    });
+
+    it(`is refused as not run, as a ${route.kind} request, when there is no other`, async () => {
+      const services = servicesWithout(['h0', 'h1']);
+      const { context, answer } = requestContext('r', route);
+      await new Relay(context, services).run();
+      expect(answer.status).to.equal(503);
+      expect(hosts.map(({ seen }) => seen.length)).to.deep.equal([0, 0]);
+    });
+  }
+});
