Epochs of one term never reach the next; steps of the order giver go through formations once

Cause: a term had 1,000 epochs, and a fleet of 3,000 model hosts is 1,024 groups: epochs and names of the next term were ones that hosts had seen, which they refuse (412) or take for the same group. Each step of the order giver looked through all formations for each host. Change: 100,000 epochs a term; awaited hosts and members are found by id, once for all hosts.

--- a/packages/entry/src/groups/fleet-picture.ts
+++ b/packages/entry/src/groups/fleet-picture.ts
@@ -4,8 +4,8 @@
 import { fabricDomainOf } from './fabric-domain.js';
 import type { FleetView, PlacedGroup } from './fleet-view.js';
 import { dividedByUse } from './fleet-view.js';
-import { isFree, isReleased } from './free-hosts.js';
-import type { Formation, GroupBeliefs } from './group-beliefs.js';
+import { awaitedHosts, isFree, isReleased } from './free-hosts.js';
+import type { GroupBeliefs } from './group-beliefs.js';
 import type { ReplicaGroup } from './replica-groups.js';
 import { headState } from './replica-groups.js';
 
@@ -27,7 +27,7 @@
   const waiting = new Set<string>();
   const placed = [
     ...groups.flatMap(group => placedGroup(group, beliefs) ?? []),
-    ...[...beliefs.formations.values()].map(one => formingGroup(one, hosts)),
+    ...formingGroups(beliefs, hosts),
   ];
   for (const group of placed) {
     const [anyMember] = group.members;
@@ -41,10 +41,11 @@
       waiting.add(fabricDomainOf(anyMember));
     }
   }
+  const awaited = awaitedHosts(beliefs);
   for (const host of hosts) {
     const draft = draftOf(drafts, host);
     // The hosts of a domain wait for those of a group that is being dissolved for them.
-    if (isFree(host, beliefs) && !waiting.has(draft.fabricDomain)) {
+    if (isFree(host, beliefs, awaited) && !waiting.has(draft.fabricDomain)) {
       draft.free.push(host);
     }
   }
@@ -87,8 +88,14 @@
   return { name, model, members, dissolvable };
 }
 
-function formingGroup(formation: Formation, hosts: readonly HostEntry[]): PlacedGroup {
-  const members = hosts.filter(host => formation.members.includes(host.id));
-  const { group, model } = formation;
-  return { name: group, model, members, dissolvable: false };
+function formingGroups(
+  { formations }: GroupBeliefs,
+  hosts: readonly HostEntry[],
+): readonly PlacedGroup[] {
+  const placeOf = new Map(hosts.map(({ id }, index) => [id, index]));
+  return [...formations.values()].map(({ group, model, members }) => {
+    const places = members.flatMap(id => placeOf.get(id) ?? []).sort((a, b) => a - b);
+    const present = places.flatMap(place => hosts[place] ?? []);
+    return { name: group, model, members: present, dissolvable: false };
+  });
 }
--- a/packages/entry/src/groups/free-hosts.ts
+++ b/packages/entry/src/groups/free-hosts.ts
@@ -7,13 +7,25 @@
 import type { HostEntry } from '../hosts/host-entry.js';
 import type { GroupBeliefs } from './group-beliefs.js';
 
-/** True when the host may be ordered into a new group. */
-export function isFree(host: HostEntry, beliefs: GroupBeliefs): boolean {
+/** Ids of hosts that are to be members of groups that are being formed. */
+export function awaitedHosts({ formations }: GroupBeliefs): ReadonlySet<string> {
+  return new Set([...formations.values()].flatMap(({ members }) => members));
+}
+
+/**
+ * True when the host may be ordered into a new group. `awaited` as of {@link awaitedHosts}: it is made once for all
+ * hosts, since a thousand formations are under way when a fleet of 3,000 hosts starts.
+ */
+export function isFree(
+  host: HostEntry,
+  beliefs: GroupBeliefs,
+  awaited: ReadonlySet<string>,
+): boolean {
   if (!host.accepting || beliefs.busy.has(host.id) || beliefs.silent.has(host.id)) {
     return false;
   }
   // Its entry may still name the group that it is about to exchange for the new one.
-  if (isAwaited(host, beliefs)) {
+  if (awaited.has(host.id)) {
     return false;
   }
   const membership = host.membership;
@@ -31,12 +43,3 @@
 export function isReleased(group: string, beliefs: GroupBeliefs): boolean {
   return beliefs.heads.get(group)?.left === true;
 }
-
-function isAwaited(host: HostEntry, beliefs: GroupBeliefs): boolean {
-  for (const formation of beliefs.formations.values()) {
-    if (formation.members.includes(host.id)) {
-      return true;
-    }
-  }
-  return false;
-}
--- a/packages/entry/src/groups/group-task.ts
+++ b/packages/entry/src/groups/group-task.ts
@@ -56,8 +56,12 @@
   readonly counters: Counters;
 };
 
-/** Groups that one term of the lease may form: epochs are `term * EPOCHS_PER_TERM + n`. */
-const EPOCHS_PER_TERM = 1_000;
+/**
+ * Groups that one term of the lease may form: epochs are `term * EPOCHS_PER_TERM + n`. A term may last for months, and
+ * one fleet of 3,000 hosts is a thousand groups: with as few epochs, those of the next term would be ones that hosts
+ * have seen, and refuse. Terms below 40,000 stay within 32 bits.
+ */
+const EPOCHS_PER_TERM = 100_000;
 /** Time a formation has beyond what its loads should take, in milliseconds. */
 const FORMATION_SLACK_MS = 4_000;
 /** Time after an outage of the store in which entries that went meanwhile are back. */
@@ -152,8 +156,9 @@
     const entryOf = (id: string): HostEntry | undefined => registry.get(id);
     this.#observer.observe(groups, profile, now);
     this.#stagings.observe(hosts, now);
+    const byName = new Map(groups.map(group => [group.name, group]));
     for (const [name, formation] of this.#formations) {
-      const group = groups.find(candidate => candidate.name === name);
+      const group = byName.get(name);
       const opened = group?.head?.membership?.state === 'open';
       const restarted = formation.starts?.some(start => hasRestarted(start, entryOf(start.id)));
       if (opened || restarted === true || (group === undefined && now > formation.deadline)) {
