What is remembered of starts of hosts has one bounded memory

Found by reading the change once more: order sequences, backoffs and leaving hosts each kept a map by start of the host with the same bound of 4,096 and the same eviction, written three times; tests of the quarantine's keeper made and ran one in three places. No behaviour and no assertion changed; the clock is read once where a backoff is heard.

--- a/packages/entry/src/groups/order-sender.ts
+++ b/packages/entry/src/groups/order-sender.ts
@@ -1,6 +1,7 @@
 /** Sends orders, one at a time to a host, and keeps each host's expected order sequence. */
 import type { HostEntry } from '../hosts/host-entry.js';
-import { incarnationOf, isSameStart } from '../hosts/host-entry.js';
+import { isSameStart } from '../hosts/host-entry.js';
+import { StartMemory } from '../hosts/start-memory.js';
 import type { Log } from '../server/log.js';
 import type { Counters } from '../server/metrics.js';
 import { sleep } from '../server/time.js';
@@ -12,12 +13,6 @@
 const REPORT_TIMEOUT_MS = 300;
 /** Time by which a report may lag behind the host, in milliseconds. */
 const REPORT_LAG_MS = 250;
-/**
- * Starts of hosts whose sequences are remembered, four times the hosts of the largest fleet that is planned for; of
- * more, the one that was sent an order longest ago is asked again. Hosts that come and go would add up for ever.
- */
-const MOST_KNOWN = 4_096;
-
 /** The order sequence of a host, and the group that it is in with it. */
 type KnownSequence = { readonly sequence: number; readonly group: string | undefined };
 
@@ -30,7 +25,7 @@
   readonly #places = new OrderPlaces();
   readonly #busy = new Set<string>();
   /** By start of the host: a process that starts again counts anew. */
-  readonly #sequences = new Map<string, KnownSequence>();
+  readonly #sequences = new StartMemory<KnownSequence>();
 
   /** `holds` is true while the lease is held in a term. */
   constructor(
@@ -102,7 +97,7 @@
   // A host that tells of no model and no group has most likely taken no order yet; a wrong guess
   // is answered with a conflict.
   async #expected(host: HostEntry, order: HostOrder): Promise<number | 'occupied' | 'unanswered'> {
-    const known = this.#sequences.get(incarnationOf(host));
+    const known = this.#sequences.get(host);
     // While the entry does not show yet what the last order has brought, plans for the host's group are out of
     // date. A staging does not touch the group.
     const isCurrentGroup = known?.group === host.membership?.group;
@@ -122,15 +117,6 @@
     return isCurrent(report, host) ? report.orderSequence : 'unanswered';
   }
 
-  #remember(key: string, known: KnownSequence): void {
-    this.#sequences.delete(key);
-    this.#sequences.set(key, known);
-    const [oldest] = this.#sequences.keys();
-    if (this.#sequences.size > MOST_KNOWN && oldest !== undefined) {
-      this.#sequences.delete(oldest);
-    }
-  }
-
   async #learn(
     host: HostEntry,
     order: HostOrder,
@@ -139,24 +125,23 @@
   ): Promise<void> {
     // A leave is done as soon as it has begun.
     const begun = outcome === 'begun' || (outcome === 'done' && order.kind === 'leave');
-    const key = incarnationOf(host);
     const group = groupAfter(order, host);
     if (begun) {
-      this.#remember(key, { sequence: expected + 1, group });
+      this.#sequences.set(host, { sequence: expected + 1, group });
     } else if (outcome === 'conflict' && order.kind === 'stage') {
       // Another order giver has been there: the next attempt asks what the host is doing.
-      this.#sequences.delete(key);
+      this.#sequences.delete(host);
     } else if (outcome === 'conflict') {
       // A report shows the host as it stood a little earlier.
       await sleep(REPORT_LAG_MS);
       const report = await this.#orders.report(host, REPORT_TIMEOUT_MS);
       if (isCurrent(report, host)) {
-        this.#remember(key, { sequence: report.orderSequence, group: report.group });
+        this.#sequences.set(host, { sequence: report.orderSequence, group: report.group });
       } else {
-        this.#sequences.delete(key);
+        this.#sequences.delete(host);
       }
     } else if (outcome === 'done') {
-      this.#remember(key, { sequence: expected, group });
+      this.#sequences.set(host, { sequence: expected, group });
     }
   }
 }
--- a/packages/entry/src/hosts/host-registry.ts
+++ b/packages/entry/src/hosts/host-registry.ts
@@ -7,6 +7,7 @@
 import type { ObjectChange, ObjectList, StoredObject } from '../store/object-store.js';
 import type { DepartedHost, HostEntry, HostIncarnation, HostReading } from './host-entry.js';
 import { incarnationOf, isSameStart } from './host-entry.js';
+import { StartMemory } from './start-memory.js';
 
 /** Messages of the registry. */
 export type HostMessages = {
@@ -41,8 +42,6 @@
 };
 
 const FORGET_DEPARTED_MS = 60_000;
-/** Starts of leaving hosts that are remembered, four times the hosts of the largest fleet that is planned for. */
-const MOST_LEAVING = 4_096;
 /** Hosts of one answer up to which each has a line: a rack or a scale-out, not a whole list. */
 const MOST_LINES = 20;
 
@@ -57,7 +56,7 @@
   readonly #revisions = new Map<string, number>();
   readonly #departed = new Map<string, DepartedHost>();
   /** Starts of hosts that have said that they are shutting down; see {@link noteLeaving}. */
-  readonly #leaving = new Set<string>();
+  readonly #leaving = new StartMemory<true>();
   #byService: Map<string, HostEntry[]> | undefined;
   #version = 0;
   #isListed = false;
@@ -109,14 +108,9 @@
    * entries of this start of it count as of one that does not accept requests from now on.
    */
   noteLeaving(host: HostIncarnation): void {
-    const start = incarnationOf(host);
-    this.#leaving.add(start);
-    const [oldest] = this.#leaving;
-    if (this.#leaving.size > MOST_LEAVING && oldest !== undefined) {
-      this.#leaving.delete(oldest);
-    }
+    this.#leaving.set(host, true);
     const entry = this.#hosts.get(host.id);
-    if (entry !== undefined && incarnationOf(entry) === start) {
+    if (entry !== undefined && incarnationOf(entry) === incarnationOf(host)) {
       this.#hosts.set(host.id, { ...entry, accepting: false });
       this.#noteChange();
     }
@@ -203,7 +197,7 @@
   }
 
   #isLeaving(host: HostIncarnation): boolean {
-    return this.#leaving.has(incarnationOf(host));
+    return this.#leaving.has(host);
   }
 
   #standingOf(id: string, before: HostEntry | undefined): TakenEntry['standing'] {
--- a/packages/entry/src/quarantine/quarantine-trials.test.ts
+++ b/packages/entry/src/quarantine/quarantine-trials.test.ts
@@ -11,6 +11,8 @@
 import { QuarantinedRequests } from './quarantined-requests.js';
 
 const VERDICT = { fingerprint: 'f', route: 'chat', workspace: 'north', hosts: ['h1', 'h2', 'h3'] };
+/** Time in which a keeper writes what it has to, in milliseconds. */
+const KEPT_MS = 350;
 const MINUTE_MS = 60_000;
 
 /** The objects of one kind, with conditional writes. */
@@ -57,6 +59,22 @@
   return requests;
 }
 
+/** A keeper that holds the lease. */
+function keeperOf(requests: QuarantinedRequests, store: ObjectStore): QuarantineKeeper {
+  return new QuarantineKeeper({ requests, store, holdsLease: () => true, log: silentLog() });
+}
+
+async function keepFor(
+  ms: number,
+  requests: QuarantinedRequests,
+  store: ObjectStore,
+): Promise<void> {
+  const keeper = keeperOf(requests, store);
+  void keeper.run();
+  await new Promise(resolve => setTimeout(resolve, ms));
+  keeper.stop();
+}
+
 describe('trials of a request in quarantine', () => {
   let objects: Objects;
   let since: number;
@@ -77,17 +95,8 @@
     };
   }
 
-  async function keep(requests: QuarantinedRequests): Promise<void> {
-    const { store } = objects;
-    const keeper = new QuarantineKeeper({
-      requests,
-      store,
-      holdsLease: () => true,
-      log: silentLog(),
-    });
-    void keeper.run();
-    await new Promise(resolve => setTimeout(resolve, 350));
-    keeper.stop();
+  function keep(requests: QuarantinedRequests): Promise<void> {
+    return keepFor(KEPT_MS, requests, objects.store);
   }
 
   it('go to one of all entry hosts that ask at the same moment', async () => {
@@ -136,17 +145,12 @@
     const objects = new Objects();
     objects.isDown = true;
     const requests = requestsSince(Date.now());
-    const keeper = new QuarantineKeeper({
-      requests,
-      store: objects.store,
-      holdsLease: () => true,
-      log: silentLog(),
-    });
+    const keeper = keeperOf(requests, objects.store);
     void keeper.run();
-    await new Promise(resolve => setTimeout(resolve, 350));
+    await new Promise(resolve => setTimeout(resolve, KEPT_MS));
     expect(objects.objects.size).to.equal(0);
     objects.isDown = false;
-    await new Promise(resolve => setTimeout(resolve, 350));
+    await new Promise(resolve => setTimeout(resolve, KEPT_MS));
     keeper.stop();
     expect(objects.objects.size).to.equal(1);
     expect(requests.get('f')?.revision).to.equal(1);
@@ -155,16 +159,7 @@
   it('loses what is over a week old', async () => {
     const objects = new Objects();
     const requests = requestsSince(Date.now() - 8 * 24 * 60 * MINUTE_MS);
-    const { store } = objects;
-    const keeper = new QuarantineKeeper({
-      requests,
-      store,
-      holdsLease: () => true,
-      log: silentLog(),
-    });
-    void keeper.run();
-    await new Promise(resolve => setTimeout(resolve, 700));
-    keeper.stop();
+    await keepFor(2 * KEPT_MS, requests, objects.store);
     expect(objects.objects.size).to.equal(0);
     expect(requests.size).to.equal(0);
   });
--- a/packages/entry/src/routing/host-notices.ts
+++ b/packages/entry/src/routing/host-notices.ts
@@ -8,7 +8,7 @@
  * by start of the host, since a process that starts again has said nothing.
  */
 import type { HostIncarnation } from '../hosts/host-entry.js';
-import { incarnationOf } from '../hosts/host-entry.js';
+import { StartMemory } from '../hosts/start-memory.js';
 import type { HostNotice } from '../requests/host-notice.js';
 import type { Log } from '../server/log.js';
 import type { Counters, Gauges } from '../server/metrics.js';
@@ -37,18 +37,16 @@
  */
 export const SPREAD_PART = 0.1;
 export const MOST_SPREAD_MS = 500;
-/** Starts of hosts that are remembered, four times the hosts of the largest fleet that is planned for. */
-const MOST_KNOWN = 4_096;
 
 /** What hosts have said, by start of the host; times in monotonic milliseconds. */
 export class HostNotices {
   readonly #options: HostNoticesOptions;
   /**
-   * Until when hosts want no requests. By the steady clock: it stands still while the machine is suspended, so that
+   * Until when hosts want no requests. By the steady clock: it does not advance while the machine is suspended, so that
    * requests may be withheld for longer than was asked, but never for less, as by a time of day that is set.
    */
-  readonly #backoffs = new Map<string, number>();
-  readonly #leaving = new Set<string>();
+  readonly #backoffs = new StartMemory<number>();
+  readonly #leaving = new StartMemory<true>();
 
   constructor(options: HostNoticesOptions) {
     this.#options = options;
@@ -58,7 +56,7 @@
   /** Hosts that want no requests now. */
   get backingOff(): number {
     const now = this.#options.now();
-    return [...this.#backoffs.values()].filter(until => until > now).length;
+    return this.#backoffs.values.filter(until => until > now).length;
   }
 
   /** A host has said something with an answer. */
@@ -77,56 +75,35 @@
     if (this.#backoffs.size === 0) {
       return 0;
     }
-    const until = this.#backoffs.get(incarnationOf(host)) ?? -Infinity;
+    const until = this.#backoffs.get(host) ?? -Infinity;
     return Math.max(0, until - now);
   }
 
   // Times overlap: the latest end holds, also when a later answer names an earlier one or serves its request.
   #hearBackoff(host: HostIncarnation, askedMs: number): void {
     const { log, counters, now, random = Math.random } = this.#options;
-    const key = incarnationOf(host);
-    const leftMs = this.backoffLeftMs(host, now());
+    const heardAt = now();
+    const leftMs = this.backoffLeftMs(host, heardAt);
     const forMs = Math.min(askedMs, MOST_BACKOFF_MS);
-    const until = now() + forMs + random() * Math.min(forMs * SPREAD_PART, MOST_SPREAD_MS);
+    const until = heardAt + forMs + random() * Math.min(forMs * SPREAD_PART, MOST_SPREAD_MS);
     counters.count('host_backoffs_total', { repeated: String(leftMs > 0) });
     if (leftMs === 0) {
       log.info('host asks for no requests', { host: host.id, forMs: Math.round(askedMs) });
     }
-    if (leftMs === 0 || until > now() + leftMs) {
-      this.#forgetEnded();
-      this.#backoffs.delete(key);
-      this.#backoffs.set(key, until);
-      forgetOldest(this.#backoffs);
-    }
-  }
-
-  #forgetEnded(): void {
-    const now = this.#options.now();
-    for (const [key, until] of this.#backoffs) {
-      if (until <= now) {
-        this.#backoffs.delete(key);
-      }
+    if (until > heardAt + leftMs) {
+      this.#backoffs.forget(end => end <= heardAt);
+      this.#backoffs.set(host, until);
     }
   }
 
   #hearLeaving(host: HostIncarnation): void {
-    const key = incarnationOf(host);
-    if (this.#leaving.has(key)) {
+    if (this.#leaving.has(host)) {
       return;
     }
     const { log, counters, leaves } = this.#options;
-    this.#leaving.add(key);
-    forgetOldest(this.#leaving);
+    this.#leaving.set(host, true);
     counters.count('hosts_leaving_total');
     log.info('host says that it is leaving', { host: host.id });
     leaves(host);
   }
 }
-
-// In the order in which they were heard.
-function forgetOldest(known: Map<string, unknown> | Set<string>): void {
-  const [oldest] = known.keys();
-  if (known.size > MOST_KNOWN && oldest !== undefined) {
-    known.delete(oldest);
-  }
-}
