Sight: limits that hosts name, and what is sent to such hosts

A host may name with its answers how many requests a second it takes from all entry hosts together. Nothing read it, so that logs could not tell whether an entry host had heard of a limit, which one, and what it sent the host afterwards. Now: a line when a host begins and ends to name limits, with the requests sent in between, two counters and a gauge. What is sent where is decided as before.

Of two words of a host the newer one holds; answers overtake each other, so a word ends a limit only if its request was sent after the limit was heard.

--- a/packages/entry/src/entry-host.ts
+++ b/packages/entry/src/entry-host.ts
@@ -107,9 +107,7 @@
       this.#activities.departed(batch.departed);
     };
     this.#registry = new HostRegistry(options.readHost, log, batchTaken, this.#counters);
-    options.orders.onAnswer(
-      noticeListener({ headers: options.headers, notices: this.#rules.notices }),
-    );
+    options.orders.onAnswer(noticeListener(options.headers, this.#rules));
     this.#lease = new LeaseTask({
       store,
       host: settings.name,
@@ -379,6 +377,7 @@
       quarantine: this.#quarantine,
       activities: this.#activities,
       notices: this.#rules.notices,
+      namedLimits: this.#rules.namedLimits,
       demand: this.#demand,
       stalls: this.#stalls,
       budgetOf: service => this.#limits.budgetOf(service),
--- a/packages/entry/src/groups/host-orders.ts
+++ b/packages/entry/src/groups/host-orders.ts
@@ -59,8 +59,17 @@
   readonly pace: number;
 };
 
-/** Called with the head of an answer of a host. */
-export type HostAnswerListener = (host: HostIncarnation, answer: AnswerHead) => void;
+/** The head of an answer of a host, and what it answers. */
+export type HostAnswer = {
+  readonly head: AnswerHead;
+  /** Id of the request; undefined for orders and questions for reports. */
+  readonly requestId: string | undefined;
+  /** When the host was asked, in monotonic milliseconds. */
+  readonly askedAt: number;
+};
+
+/** Called as the head of an answer arrives. */
+export type HostAnswerListener = (host: HostIncarnation, answer: HostAnswer) => void;
 
 /** Calls to hosts. */
 export type HostOrders = {
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -10,4 +10,5 @@
 export * from './requests/relay-headers.js';
 export * from './server/entry-settings.js';
 export * from './server/log.js';
+export * from './server/time.js';
 export * from './store/object-store.js';
--- a/packages/entry/src/requests/exchange.test.ts
+++ b/packages/entry/src/requests/exchange.test.ts
@@ -45,6 +45,7 @@
         connections,
         connects,
         mayWrite,
+        requestId: 'r',
         heard: () => undefined,
       },
       { head: () => undefined, data: () => undefined, ended: resolve },
--- a/packages/entry/src/requests/exchange.ts
+++ b/packages/entry/src/requests/exchange.ts
@@ -23,6 +23,7 @@
   readonly connects: ConnectTimes;
   /** Asked right before the request is written to a connection; false: it must not be. */
   readonly mayWrite: () => boolean;
+  readonly requestId: string;
   /** Called with the head of each answer of the host, whatever becomes of the request. */
   readonly heard: HostAnswerListener;
 };
@@ -160,7 +161,7 @@
   sent.on('close', lost);
   sent.on('response', incoming => {
     answer = incoming;
-    call.heard(host, incoming);
+    call.heard(host, { head: incoming, requestId: call.requestId, askedAt: sentAt });
     incoming.on('data', (chunk: Buffer) => {
       if (!ended) {
         observer.data(chunk);
--- a/packages/entry/src/requests/may-write.ts
+++ b/packages/entry/src/requests/may-write.ts
@@ -9,10 +9,18 @@
  * milliseconds, in which the host may have asked for no requests, begun to leave or been evacuated.
  */
 export function mayWriteTo(
-  { registry, eligibility }: Pick<RelayServices, 'registry' | 'eligibility'>,
+  {
+    registry,
+    eligibility,
+    namedLimits,
+  }: Pick<RelayServices, 'registry' | 'eligibility' | 'namedLimits'>,
   { homes }: Pick<RequestContext, 'homes'>,
   chosen: HostEntry,
 ): boolean {
   const host = registry.latestOf(chosen);
-  return eligibility.stillMay(host, homes.inForce(), monotonicMs());
+  const mayWrite = eligibility.stillMay(host, homes.inForce(), monotonicMs());
+  if (mayWrite) {
+    namedLimits.noteSend(host);
+  }
+  return mayWrite;
 }
--- a/packages/entry/src/requests/plain-relay.ts
+++ b/packages/entry/src/requests/plain-relay.ts
@@ -147,7 +147,8 @@
           connections: connectionsFor(this.#services, this.#context),
           connects: activities.connects,
           mayWrite: () => mayWriteTo(this.#services, this.#context, target.host),
-          heard: noticeListener(this.#services),
+          requestId: this.#context.id,
+          heard: noticeListener(this.#services.headers, this.#services),
         },
         {
           head: answer => {
--- a/packages/entry/src/requests/relay-headers.ts
+++ b/packages/entry/src/requests/relay-headers.ts
@@ -25,6 +25,8 @@
   readonly faultyHost: string;
   /** `1` in each answer of a host that is shutting down. */
   readonly hostLeaving: string;
+  /** Requests a second that the host takes from all entry hosts together; a decimal number. */
+  readonly hostLimit: string;
 };
 
 /** Name and value, one after the other, as received. */
--- a/packages/entry/src/requests/relay-services.ts
+++ b/packages/entry/src/requests/relay-services.ts
@@ -2,6 +2,7 @@
 import type { Service } from '../configuration/serving-configuration.js';
 import type { HostRegistry } from '../hosts/host-registry.js';
 import type { QuarantineGate } from '../quarantine/request-quarantine.js';
+import type { NamedLimits } from '../rate-limits/named-limits.js';
 import type { DemandMeter } from '../routing/demand-meter.js';
 import type { HostActivities } from '../routing/host-activity.js';
 import type { HostNotices } from '../routing/host-notices.js';
@@ -23,6 +24,8 @@
   readonly activities: HostActivities;
   /** What hosts have said about themselves with their answers. */
   readonly notices: HostNotices;
+  /** The limits that they have named. */
+  readonly namedLimits: NamedLimits;
   readonly stalls: StallMonitor;
   readonly demand: DemandMeter;
   readonly budgetOf: (service: string) => RetryBudget;
--- a/packages/entry/src/requests/stream-attempt.ts
+++ b/packages/entry/src/requests/stream-attempt.ts
@@ -106,7 +106,8 @@
           connections: connectionsFor(this.#services, this.#context),
           connects: activities.connects,
           mayWrite: () => mayWriteTo(this.#services, this.#context, host),
-          heard: noticeListener(this.#services),
+          requestId: this.#context.id,
+          heard: noticeListener(this.#services.headers, this.#services),
         },
         {
           head: answer => {
--- a/packages/entry/src/routing/send-rules.ts
+++ b/packages/entry/src/routing/send-rules.ts
@@ -3,6 +3,7 @@
 import { EvacuatedDomains } from '../evacuation/evacuated-domains.js';
 import type { HostIncarnation } from '../hosts/host-entry.js';
 import type { MemberView } from '../peers/membership.js';
+import { NamedLimits } from '../rate-limits/named-limits.js';
 import type { EntrySettings } from '../server/entry-settings.js';
 import type { Log } from '../server/log.js';
 import type { Metrics } from '../server/metrics.js';
@@ -31,12 +32,14 @@
   readonly slowStart: SlowStartLimits;
   readonly eligibility: SendEligibility;
   readonly notices: HostNotices;
+  readonly namedLimits: NamedLimits;
 
   constructor(options: SendRulesOptions) {
     const { settings, members, slowStartOf, leaves, log, metrics } = options;
     const { name, bounds, regions } = settings();
     const { counters, gauges } = metrics;
     this.notices = new HostNotices({ leaves, log, counters, gauges, now: monotonicMs });
+    this.namedLimits = new NamedLimits({ log, counters, gauges, now: monotonicMs });
     this.slowStart = new SlowStartLimits({
       self: name,
       members,
--- a/packages/entry/src/testing/relay.ts
+++ b/packages/entry/src/testing/relay.ts
@@ -6,6 +6,7 @@
 import type { Route, Service } from '../configuration/serving-configuration.js';
 import type { HostEntry } from '../hosts/host-entry.js';
 import { fingerprintOf } from '../quarantine/request-fingerprint.js';
+import { NamedLimits } from '../rate-limits/named-limits.js';
 import { ColdWaits } from '../requests/cold-waits.js';
 import type { RelayServices } from '../requests/relay-services.js';
 import type { RequestContext } from '../requests/request-context.js';
@@ -33,6 +34,7 @@
   lastEventId: 'last-event-id',
   faultyHost: 'x-faulty-host',
   hostLeaving: 'x-leaving',
+  hostLimit: 'x-limit',
 } as const;
 
 const ROUTE: Route = {
@@ -108,6 +110,7 @@
       gauges: new Gauges(),
       now: monotonicMs,
     }),
+    namedLimits: new NamedLimits({ log, counters, gauges: new Gauges(), now: monotonicMs }),
     registry: { latestOf: (host: HostEntry) => host },
     stalls: new StallMonitor(),
     budgetOf: (service: string) => limits.budgetOf(service),
