Paced sends: owners, shares and waits of cold hosts serve any host that takes few requests

No change of behaviour: the division of a rate among entry hosts (now for windows of any length), the allowance, and the requests that wait for their turn no longer know of cold hosts. Slow start is one bound of them. Tests are renamed with the code; their figures are the same.

--- a/packages/entry/src/entry-host.ts
+++ b/packages/entry/src/entry-host.ts
@@ -16,8 +16,8 @@
 import { Peers } from './peers/peers.js';
 import { probeHost } from './quarantine/host-probe.js';
 import { RequestQuarantine } from './quarantine/request-quarantine.js';
-import { ColdWaits } from './requests/cold-waits.js';
 import { noticeListener } from './requests/notice-listener.js';
+import { PacedWaits } from './requests/paced-waits.js';
 import type { RelayServices } from './requests/relay-services.js';
 import { RequestIntake } from './requests/request-intake.js';
 import { ServiceLimits } from './requests/service-limits.js';
@@ -129,7 +129,7 @@
     this.#chooser = new TargetChooser(this.#registry, this.#activities, {
       failureDomain: settings.failureDomain,
       eligibility: (host, homes, now) => this.#rules.eligibility.of(host, homes, now),
-      coldPace: this.#rules.slowStart.sends.paceOf,
+      paceOf: this.#rules.slowStart.sends.paceOf,
       backoffLeftMs: (host, now) => this.#rules.notices.backoffLeftMs(host, now),
       othersAt: hostId => this.#peers?.tally.loads.ofOthers(hostId) ?? 0,
       lacksMember: group => this.#lacksMember(group),
@@ -373,7 +373,7 @@
       registry: this.#registry,
       chooser: this.#chooser,
       eligibility: this.#rules.eligibility,
-      coldWaits: new ColdWaits(),
+      pacedWaits: new PacedWaits(),
       quarantine: this.#quarantine,
       activities: this.#activities,
       notices: this.#rules.notices,
--- a/packages/entry/src/requests/await-target.ts
+++ b/packages/entry/src/requests/await-target.ts
@@ -4,7 +4,7 @@
 import { describeStandings } from '../routing/target-standings.js';
 import { monotonicMs, sleep } from '../server/time.js';
 import { claimTarget } from './claim-target.js';
-import { awaitColdTarget } from './cold-wait.js';
+import { awaitPacedTarget } from './paced-wait.js';
 import type { RelayServices } from './relay-services.js';
 import type { RequestContext } from './request-context.js';
 import type { NoTargetReason, Waiter } from './wait-for-target.js';
@@ -36,10 +36,10 @@
   const { gone, deadline, route } = context;
   const wait = new TargetWait(context);
   const isTrial = context.isQuarantined() && (await services.quarantine.claimTrial(context));
-  // Those that wait for a cold host have come before.
+  // Those that wait for a paced host have come before.
   const asked = (): TargetQuery => ({
     ...query(),
-    leavesCold: services.coldWaits.count(query()) > 0,
+    leavesPaced: services.pacedWaits.count(query()) > 0,
   });
   for (;;) {
     if (!isTrial && context.isQuarantined()) {
@@ -53,11 +53,11 @@
     const waiter = wait.asOf(outlook, monotonicMs());
     if (gone.aborted || !waitsForTarget(outlook, waiter)) {
       const until = deadline - route.objectiveMs;
-      const cold = await awaitColdTarget(services, query, { until, gone });
+      const paced = await awaitPacedTarget(services, query, { until, gone });
       if (!isTrial && context.isQuarantined()) {
         return quarantined(services);
       }
-      return cold ?? noTarget(services, services.chooser.outlook(query()), gone.aborted);
+      return paced ?? noTarget(services, services.chooser.outlook(query()), gone.aborted);
     }
     await sleep(pauseMs(waiter), gone);
   }
--- a/packages/entry/src/requests/cold-wait.test.ts
+++ b/packages/entry/src/requests/paced-wait.test.ts
@@ -1,10 +1,10 @@
 import { expect } from 'chai';
 
+import type { SendPace } from '../rate-limits/paced-sends.js';
 import type { Target, TargetQuery } from '../routing/target-chooser.js';
 import { monotonicMs } from '../server/time.js';
-import type { ColdPace } from '../slow-start/cold-sends.js';
 import { relayServices } from '../testing/relay.js';
-import { awaitColdTarget } from './cold-wait.js';
+import { awaitPacedTarget } from './paced-wait.js';
 import type { RelayServices } from './relay-services.js';
 
 const QUERY = { service: { name: 's' }, model: 'm', homeRegions: [] } as unknown as TargetQuery;
@@ -13,24 +13,24 @@
 
 describe('wait for a cold host', () => {
   /** Services whose cold host can take one request in each interval, the first after `nextInMs`. */
-  function services(pace: ColdPace | undefined): RelayServices {
+  function services(pace: SendPace | undefined): RelayServices {
     let nextAt = monotonicMs() + (pace?.nextInMs ?? Infinity);
-    const choose = ({ leavesCold }: TargetQuery): Target | undefined => {
-      if (pace === undefined || leavesCold === true || monotonicMs() < nextAt) {
+    const choose = ({ leavesPaced }: TargetQuery): Target | undefined => {
+      if (pace === undefined || leavesPaced === true || monotonicMs() < nextAt) {
         return undefined;
       }
       nextAt += pace.intervalMs;
       return TARGET;
     };
     const made = relayServices(choose);
-    const chooser = { ...made.chooser, coldPace: () => pace };
+    const chooser = { ...made.chooser, paceOf: () => pace };
     return { ...made, chooser } as unknown as RelayServices;
   }
 
   it('is refused at once where none can take it', async () => {
     const startedAt = monotonicMs();
     const until = startedAt + 5_000;
-    expect(await awaitColdTarget(services(undefined), () => QUERY, { until, gone })).to.equal(
+    expect(await awaitPacedTarget(services(undefined), () => QUERY, { until, gone })).to.equal(
       undefined,
     );
     expect(monotonicMs() - startedAt).to.be.below(100);
@@ -40,7 +40,7 @@
     const startedAt = monotonicMs();
     const far = services({ nextInMs: 2_000, intervalMs: 1_000 });
     const until = startedAt + 1_000;
-    expect(await awaitColdTarget(far, () => QUERY, { until, gone })).to.equal(undefined);
+    expect(await awaitPacedTarget(far, () => QUERY, { until, gone })).to.equal(undefined);
     expect(monotonicMs() - startedAt).to.be.below(100);
   });
 
@@ -48,13 +48,13 @@
     const near = services({ nextInMs: 50, intervalMs: 200 });
     const until = monotonicMs() + 400;
     const waits = Array.from({ length: 6 }, () =>
-      awaitColdTarget(near, () => QUERY, { until, gone }),
+      awaitPacedTarget(near, () => QUERY, { until, gone }),
     );
     const first = await Promise.race(waits.map(async wait => (await wait) ?? 'refused'));
     expect(first).to.equal('refused');
     const targets = await Promise.all(waits);
     expect(targets.filter(target => target !== undefined)).to.have.length(2);
-    expect(near.coldWaits.count(QUERY)).to.equal(0);
+    expect(near.pacedWaits.count(QUERY)).to.equal(0);
   });
 
   it('serves those that wait in the order in which they came', async () => {
@@ -62,7 +62,7 @@
     const until = monotonicMs() + 1_000;
     const served: number[] = [];
     const waits = Array.from({ length: 6 }, async (_, at) => {
-      await awaitColdTarget(near, () => QUERY, { until, gone });
+      await awaitPacedTarget(near, () => QUERY, { until, gone });
       served.push(at);
     });
     await Promise.all(waits);
@@ -70,12 +70,12 @@
   });
 
   it('ends soon after no cold host can take it any more', async () => {
-    let pace: ColdPace | undefined = { nextInMs: 500, intervalMs: 500 };
+    let pace: SendPace | undefined = { nextInMs: 500, intervalMs: 500 };
     const made = services(undefined);
-    const chooser = { ...made.chooser, coldPace: () => pace };
+    const chooser = { ...made.chooser, paceOf: () => pace };
     const waits = { ...made, chooser } as unknown as RelayServices;
     const startedAt = monotonicMs();
-    const wait = awaitColdTarget(waits, () => QUERY, { until: startedAt + 5_000, gone });
+    const wait = awaitPacedTarget(waits, () => QUERY, { until: startedAt + 5_000, gone });
     setTimeout(() => {
       pace = undefined;
     }, 50);
@@ -87,9 +87,9 @@
     const caller = new AbortController();
     const near = services({ nextInMs: 60, intervalMs: 200 });
     const until = monotonicMs() + 5_000;
-    const wait = awaitColdTarget(near, () => QUERY, { until, gone: caller.signal });
+    const wait = awaitPacedTarget(near, () => QUERY, { until, gone: caller.signal });
     caller.abort();
     expect(await wait).to.equal(undefined);
-    expect(near.coldWaits.count(QUERY)).to.equal(0);
+    expect(near.pacedWaits.count(QUERY)).to.equal(0);
   });
 });
--- a/packages/entry/src/requests/cold-wait.ts
+++ b/packages/entry/src/requests/paced-wait.ts
@@ -1,5 +1,5 @@
 /**
- * Requests that wait because only cold hosts are left, and their rate limit is used up. A request waits
+ * Requests that wait because only hosts that take few requests are left, and their rate is used up. A request waits
  * only if its turn, behind those that wait already, comes in time; the others are refused at once.
  */
 import type { Target, TargetQuery } from '../routing/target-chooser.js';
@@ -8,7 +8,7 @@
 import type { RelayServices } from './relay-services.js';
 
 /** How long a request may wait. */
-export type ColdWait = {
+export type PacedWait = {
   /** Monotonic milliseconds after which a send would be too late for an answer in time. */
   readonly until: number;
   /** Aborted when the caller has disconnected. */
@@ -20,35 +20,35 @@
 
 /**
  * The target to which the request must be sent at once; a warm host where one becomes available meanwhile,
- * which anybody may take, a cold one for the request that has waited longest. Undefined where no cold host
+ * which anybody may take, a paced one for the request that has waited longest. Undefined where no paced host
  * can take the request in time, or none can any more. `query` is called for each attempt to choose.
  */
-export async function awaitColdTarget(
+export async function awaitPacedTarget(
   services: RelayServices,
   query: () => TargetQuery,
-  { until, gone }: ColdWait,
+  { until, gone }: PacedWait,
 ): Promise<Target | undefined> {
-  const { chooser, coldWaits } = services;
+  const { chooser, pacedWaits } = services;
   const asked = query();
-  const pace = chooser.coldPace(asked);
+  const pace = chooser.paceOf(asked);
   if (pace === undefined) {
     return undefined;
   }
-  const turnInMs = pace.nextInMs + coldWaits.count(asked) * pace.intervalMs;
+  const turnInMs = pace.nextInMs + pacedWaits.count(asked) * pace.intervalMs;
   if (monotonicMs() + turnInMs > until) {
     return undefined;
   }
-  const place = coldWaits.enter(asked);
+  const place = pacedWaits.enter(asked);
   try {
     while (monotonicMs() < until && !gone.aborted) {
       await sleep(STEP_MS, gone);
-      const leavesCold = !place.isFirst();
-      const target = gone.aborted ? undefined : claimTarget(services, { ...query(), leavesCold });
+      const leavesPaced = !place.isFirst();
+      const target = gone.aborted ? undefined : claimTarget(services, { ...query(), leavesPaced });
       if (target !== undefined) {
         return target;
       }
       // Evacuated, or the turns belong to another entry host now: its caller is told at once.
-      if (chooser.coldPace(query()) === undefined) {
+      if (chooser.paceOf(query()) === undefined) {
         return undefined;
       }
     }
--- a/packages/entry/src/requests/cold-waits.ts
+++ b/packages/entry/src/requests/paced-waits.ts
@@ -1,28 +1,28 @@
-/** The order of requests that wait for the same cold hosts. */
+/** The order of requests that wait for the same paced hosts. */
 import type { TargetQuery } from '../routing/target-chooser.js';
 
-/** The place of one request in the order of those that wait for the same cold hosts. */
-export type ColdPlace = {
+/** The place of one request in the order of those that wait for the same paced hosts. */
+export type PacedPlace = {
   /** True for the one that has waited longest. */
   readonly isFirst: () => boolean;
   readonly leave: () => void;
 };
 
 /** Waiting requests in the order in which they came, by service, model and home regions. */
-export class ColdWaits {
-  readonly #waiting = new Map<string, ColdPlace[]>();
+export class PacedWaits {
+  readonly #waiting = new Map<string, PacedPlace[]>();
 
-  /** Requests that wait for the same cold hosts. */
+  /** Requests that wait for the same paced hosts. */
   count(query: TargetQuery): number {
     return this.#waiting.get(keyOf(query))?.length ?? 0;
   }
 
   /** One more waits, behind all others, until it leaves. */
-  enter(query: TargetQuery): ColdPlace {
+  enter(query: TargetQuery): PacedPlace {
     const key = keyOf(query);
     const places = this.#waiting.get(key) ?? [];
     this.#waiting.set(key, places);
-    const place: ColdPlace = {
+    const place: PacedPlace = {
       isFirst: () => places[0] === place,
       leave: () => {
         places.splice(places.indexOf(place), 1);
--- a/packages/entry/src/requests/quarantined-send.test.ts
+++ b/packages/entry/src/requests/quarantined-send.test.ts
@@ -114,7 +114,7 @@
     const turns: Target[] = [];
     Object.assign(services.chooser, {
       choose: () => turns[0],
-      coldPace: () => ({ nextInMs: 10, intervalMs: 10 }),
+      paceOf: () => ({ nextInMs: 10, intervalMs: 10 }),
       outlook: () => ({ standings: ['cold-limit'], formingMs: undefined }),
     });
     const { context, answer } = contextOf(STREAM);
--- a/packages/entry/src/requests/relay-services.ts
+++ b/packages/entry/src/requests/relay-services.ts
@@ -11,7 +11,7 @@
 import type { Target, TargetChooser } from '../routing/target-chooser.js';
 import type { Log } from '../server/log.js';
 import type { Counters, Latencies } from '../server/metrics.js';
-import type { ColdWaits } from './cold-waits.js';
+import type { PacedWaits } from './paced-waits.js';
 import type { RelayHeaders } from './relay-headers.js';
 import type { StallMonitor } from './stall-monitor.js';
 import type { UpstreamConnections } from './upstream-connections.js';
@@ -34,8 +34,8 @@
   readonly suspect: (target: Target, isUnreachable: boolean) => void;
   /** True while entry hosts report that they can not connect to the target. */
   readonly isUnreachable: (target: Target) => boolean;
-  /** Requests that wait for their turn at cold hosts. */
-  readonly coldWaits: ColdWaits;
+  /** Requests that wait for their turn at hosts that take few. */
+  readonly pacedWaits: PacedWaits;
   /** Finds out which requests crash the hosts that run them. */
   readonly quarantine: QuarantineGate;
   /** Decides at the moment of each send whether it may happen. */
--- a/packages/entry/src/requests/wait-for-target.test.ts
+++ b/packages/entry/src/requests/wait-for-target.test.ts
@@ -50,7 +50,7 @@
     expect(waitsForTarget({ ...rejected, formingMs: 500 }, fresh)).to.equal(true);
   });
 
-  it('is told that only cold hosts are left; its turn there is cold-wait.ts to decide', () => {
+  it('is told that only cold hosts are left; its turn there is paced-wait.ts to decide', () => {
     const cold = outlook(['cold-limit', 'evacuated']);
     expect(waitsForTarget(cold, fresh)).to.equal(false);
     expect(noTargetReason(cold)).to.equal('cold-limit');
--- a/packages/entry/src/requests/wait-for-target.ts
+++ b/packages/entry/src/requests/wait-for-target.ts
@@ -4,7 +4,7 @@
  * A caller whose request waits and is then refused has lost time, while one that is refused at once may
  * succeed with a retry at another entry host. So a request waits only for what is expected in time: a
  * group that is forming, the end of a time in which a host wants no requests, or a change that has not reached this
- * entry host yet. (Waiting for the rate limit of cold hosts is decided in `cold-wait.ts`.) A stream that has delivered
+ * entry host yet. (Waiting for the rate limit of cold hosts is decided in `paced-wait.ts`.) A stream that has delivered
  * events waits up to its deadline, since failing it would lose them.
  */
 import type { Eligibility } from '../routing/eligibility.js';
@@ -94,7 +94,7 @@
   return told ?? 'no-target';
 }
 
-// True where only the allowance of cold hosts is lacking; `cold-wait.ts` decides about that wait.
+// True where only the allowance of cold hosts is lacking; `paced-wait.ts` decides about that wait.
 function isColdOnly(standings: readonly TargetStanding[]): boolean {
   const isCold = standings.includes('cold-limit');
   return isCold && standings.every(standing => standing === 'cold-limit' || standing === 'tried');
--- a/packages/entry/src/routing/target-chooser.ts
+++ b/packages/entry/src/routing/target-chooser.ts
@@ -5,8 +5,8 @@
 import type { HostEntry } from '../hosts/host-entry.js';
 import { incarnationOf } from '../hosts/host-entry.js';
 import type { HostRegistry } from '../hosts/host-registry.js';
+import type { SendPace } from '../rate-limits/paced-sends.js';
 import { monotonicMs } from '../server/time.js';
-import type { ColdPace } from '../slow-start/cold-sends.js';
 import type { Eligibility, HomeRegions } from './eligibility.js';
 import type { HostActivities } from './host-activity.js';
 import { kindOf } from './host-activity.js';
@@ -32,8 +32,8 @@
   readonly exclude: ReadonlySet<string>;
   /** Home regions that restrict the request. */
   readonly homeRegions: HomeRegions;
-  /** True where other requests have waited longer for the cold hosts. */
-  readonly leavesCold?: boolean;
+  /** True where other requests have waited longer for the paced hosts. */
+  readonly leavesPaced?: boolean;
 };
 
 /** A host that serves a request's service and model, and whether it may receive the request. */
@@ -48,8 +48,8 @@
   readonly eligibility: (host: HostEntry, homeRegions: HomeRegions, now: number) => Eligibility;
   /** For how much longer a host has asked for no requests, in milliseconds; left out: none ever asks. */
   readonly backoffLeftMs?: (host: HostEntry, now: number) => number;
-  /** When requests may be sent to a cold host; undefined where none may. */
-  readonly coldPace?: (host: HostEntry, now: number) => ColdPace | undefined;
+  /** When requests may be sent to a host that takes few; undefined where none may, and for any other host. */
+  readonly paceOf?: (host: HostEntry, now: number) => SendPace | undefined;
   /** True when a member has left the group (see `lacking-groups.ts`). */
   readonly lacksMember?: (group: ReplicaGroup) => boolean;
   /** What entry hosts report of the target; `now` in monotonic milliseconds. */
@@ -194,12 +194,12 @@
     return Math.ceil(Math.min(...waits.map(({ host }) => backoffLeftMs(host, now))));
   }
 
-  /** When all cold hosts together can take such requests; undefined where none may be sent one. */
-  coldPace(query: TargetQuery): ColdPace | undefined {
+  /** When all hosts that take few can take such requests together; undefined where none may be sent one. */
+  paceOf(query: TargetQuery): SendPace | undefined {
     const now = monotonicMs();
     const paces = this.#candidates(query).flatMap(({ host }) => {
       const mayHave = ['eligible', 'cold-limit'].includes(this.#verdict(host, query, now));
-      const pace = mayHave && !isExcluded(host, query) && this.#options.coldPace?.(host, now);
+      const pace = mayHave && !isExcluded(host, query) && this.#options.paceOf?.(host, now);
       return pace ? [pace] : [];
     });
     if (paces.length === 0) {
@@ -234,12 +234,12 @@
     );
   }
 
-  // Turns at a cold host go to those that have waited for them.
-  #verdict(host: HostEntry, { homeRegions, leavesCold }: TargetQuery, now: number): Eligibility {
-    const { eligibility, coldPace } = this.#options;
+  // Turns at a paced host go to those that have waited for them.
+  #verdict(host: HostEntry, { homeRegions, leavesPaced }: TargetQuery, now: number): Eligibility {
+    const { eligibility, paceOf } = this.#options;
     const verdict = eligibility(host, homeRegions, now);
-    const isLeft = leavesCold === true && verdict === 'eligible';
-    return isLeft && coldPace?.(host, now) !== undefined ? 'cold-limit' : verdict;
+    const isLeft = leavesPaced === true && verdict === 'eligible';
+    return isLeft && paceOf?.(host, now) !== undefined ? 'cold-limit' : verdict;
   }
 
   #candidates(query: TargetQuery): readonly Target[] {
--- a/packages/entry/src/slow-start/cold-days.test.ts
+++ b/packages/entry/src/slow-start/cold-days.test.ts
@@ -1,12 +1,17 @@
 import { expect } from 'chai';
 import fc from 'fast-check';
 
+import type { RateLimit } from '../rate-limits/rate-share.js';
+import { TOLERATED_LAG } from '../rate-limits/rate-share.js';
 import type { ColdDay, ColdWay } from '../testing/cold-days.js';
 import { DAY_MS, EQUAL_PARTS, fixedOwners, ownersWay, playColdDay } from '../testing/cold-days.js';
-import type { ColdLimit } from './cold-share.js';
-import { TOLERATED_LAG } from './cold-share.js';
 
-const TYPICAL: ColdLimit = { requestsPerSecond: 14, mostPerSecond: 26 };
+const limitOf = (perWindow: number, mostPerWindow: number): RateLimit => ({
+  windowMs: 1_000,
+  perWindow,
+  mostPerWindow,
+});
+const TYPICAL: RateLimit = limitOf(14, 26);
 const CALM: ColdDay = {
   members: 90,
   coldHosts: 3,
@@ -39,8 +44,8 @@
   });
 }
 
-function isWithin(limit: ColdLimit, way: ColdWay): (day: ColdDay) => boolean {
-  return day => playColdDay(day, limit, way).mostInSecond <= limit.mostPerSecond;
+function isWithin(limit: RateLimit, way: ColdWay): (day: ColdDay) => boolean {
+  return day => playColdDay(day, limit, way).mostInSecond <= limit.mostPerWindow;
 }
 
 /** Whether the way breaks the bound on some day, among as many as it has to hold on. */
@@ -55,11 +60,11 @@
 
   it('never do for other figures either', () => {
     const limits = fc.constantFrom(
-      { requestsPerSecond: 3, mostPerSecond: 3 },
-      { requestsPerSecond: 2, mostPerSecond: 3 },
-      { requestsPerSecond: 40, mostPerSecond: 65 },
-      { requestsPerSecond: 14, mostPerSecond: 14 },
-      { requestsPerSecond: 0.5, mostPerSecond: 5 },
+      limitOf(3, 3),
+      limitOf(2, 3),
+      limitOf(40, 65),
+      limitOf(14, 14),
+      limitOf(0.5, 5),
     );
     const anything = fc.tuple(limits, days(2));
     fc.assert(
--- a/packages/entry/src/slow-start/cold-sends.test.ts
+++ b/packages/entry/src/slow-start/cold-sends.test.ts
@@ -1,11 +1,12 @@
 import { expect } from 'chai';
 
 import type { MemberView } from '../peers/membership.js';
+import { MEMBERS_SETTLE_MS } from '../rate-limits/paced-sends.js';
 import { topMembers } from '../routing/rendezvous.js';
 import { Counters } from '../server/metrics.js';
 import { testHost } from '../testing/groups.js';
 import type { ColdSpell } from './cold-hosts.js';
-import { ColdSends, MEMBERS_SETTLE_MS } from './cold-sends.js';
+import { ColdSends } from './cold-sends.js';
 
 const HOST = testHost('cold');
 const FOREVER: ColdSpell = { since: 1_000, until: Infinity };
--- a/packages/entry/src/testing/cold-days.ts
+++ b/packages/entry/src/testing/cold-days.ts
@@ -6,10 +6,10 @@
 import type { SlowStart } from '../configuration/serving-configuration.js';
 import type { HostEntry } from '../hosts/host-entry.js';
 import type { MemberView } from '../peers/membership.js';
+import type { RateLimit } from '../rate-limits/rate-share.js';
 import { isAmongTop } from '../routing/rendezvous.js';
 import { Counters } from '../server/metrics.js';
 import { ColdSends } from '../slow-start/cold-sends.js';
-import type { ColdLimit } from '../slow-start/cold-share.js';
 
 /** When requests for cold hosts come to the entry hosts. */
 export type Demand =
@@ -48,7 +48,7 @@
 /** Makes the sender of a process that starts; `view` tells the members that it knows at the moment. */
 export type ColdWay = (
   self: string,
-  limit: ColdLimit,
+  limit: RateLimit,
   view: () => MemberView,
   startedAt: number,
 ) => ColdSender;
@@ -79,14 +79,14 @@
 /** The way of the product; `startsFull` leaves out the wait after a start and a change of the members. */
 export function ownersWay(startsFull = false): ColdWay {
   return (self, limit, view, startedAt) => {
-    const slowStart: SlowStart = { requestsPerSecond: limit.requestsPerSecond, coldMs: DAY_MS };
+    const slowStart: SlowStart = { requestsPerSecond: limit.perWindow, coldMs: DAY_MS };
     const since = startsFull ? -Infinity : startedAt;
     return new ColdSends({
       self,
       members: startsFull ? withoutAge(view) : view,
       spellOf: () => ({ since, until: Infinity }),
       slowStartOf: () => slowStart,
-      bounds: () => ({ coldOvershoot: 0, coldSlack: limit.mostPerSecond }),
+      bounds: () => ({ coldOvershoot: 0, coldSlack: limit.mostPerWindow }),
       counters: new Counters(),
     });
   };
@@ -94,7 +94,7 @@
 
 /** Each entry host has the same part of the rate, by the number of members that it knows. */
 export const EQUAL_PARTS: ColdWay = (_self, limit, view, startedAt) =>
-  pacedSender(startedAt, () => limit.requestsPerSecond / Math.max(1, view().names.length));
+  pacedSender(startedAt, () => limit.perWindow / Math.max(1, view().names.length));
 
 /** A fixed number of owners, each with a fixed share, whatever the bound and the number of members. */
 export function fixedOwners(owners: number, perSecond: number): ColdWay {
@@ -105,7 +105,7 @@
 }
 
 /** Simulates the day with one way to divide the rate. */
-export function playColdDay(day: ColdDay, limit: ColdLimit, way: ColdWay): ColdDayResult {
+export function playColdDay(day: ColdDay, limit: RateLimit, way: ColdWay): ColdDayResult {
   const names = Array.from({ length: day.members }, (_, at) => `entry-${at}`);
   const hosts = Array.from(
     { length: day.coldHosts },
--- a/packages/entry/src/testing/relay.ts
+++ b/packages/entry/src/testing/relay.ts
@@ -7,7 +7,7 @@
 import type { HostEntry } from '../hosts/host-entry.js';
 import { fingerprintOf } from '../quarantine/request-fingerprint.js';
 import { NamedLimits } from '../rate-limits/named-limits.js';
-import { ColdWaits } from '../requests/cold-waits.js';
+import { PacedWaits } from '../requests/paced-waits.js';
 import type { RelayServices } from '../requests/relay-services.js';
 import type { RequestContext } from '../requests/request-context.js';
 import { ServiceLimits } from '../requests/service-limits.js';
@@ -99,9 +99,9 @@
       isLost: () => false,
       expectedFirstMs: () => undefined,
       outlook: () => ({ standings: [], formingMs: undefined, backoffMs: undefined }),
-      coldPace: () => undefined,
+      paceOf: () => undefined,
     },
-    coldWaits: new ColdWaits(),
+    pacedWaits: new PacedWaits(),
     activities: new HostActivities(),
     notices: new HostNotices({
       leaves: () => undefined,
