--- a/packages/entry/src/entry-host.ts
+++ b/packages/entry/src/entry-host.ts
@@ -98,6 +98,7 @@
       leaves: host => {
         this.#hostLeaves(host);
       },
+      limitsReported: () => this.#peers?.shareLimits(),
       slowStartOf: service => this.#holder.table?.service(service)?.slowStart,
       log,
       metrics: this.#metrics,
@@ -128,9 +129,7 @@
     });
     this.#chooser = new TargetChooser(this.#registry, this.#activities, {
       failureDomain: settings.failureDomain,
-      eligibility: (host, homes, now) => this.#rules.eligibility.of(host, homes, now),
-      paceOf: this.#rules.slowStart.sends.paceOf,
-      backoffLeftMs: (host, now) => this.#rules.notices.backoffLeftMs(host, now),
+      ...this.#rules.choice,
       othersAt: hostId => this.#peers?.tally.loads.ofOthers(hostId) ?? 0,
       lacksMember: group => this.#lacksMember(group),
       outlier: (target, now) => this.#outlier(target, now),
@@ -268,6 +267,9 @@
       runReportsHeard: reports => {
         this.#quarantine.take(reports);
       },
+      limitReports: this.#rules.namedLimits,
+      limitReportsHeard: (reports, requestedAt) =>
+        this.#rules.namedLimits.take(reports, requestedAt),
       instance: this.#instance,
       log,
       counters: this.#counters,
--- a/packages/entry/src/peers/peer-messages.ts
+++ b/packages/entry/src/peers/peer-messages.ts
@@ -1,5 +1,6 @@
 /** Messages between entry hosts, on links. */
 import type { RunReport } from '../quarantine/run-report.js';
+import type { LimitReport } from '../rate-limits/limit-report.js';
 import type { OutlierReport } from '../routing/outlier-reports.js';
 import type { KindAnswer, KindView } from '../store/kind-reader.js';
 import type { ObjectKind } from '../store/object-store.js';
@@ -14,6 +15,10 @@
   suspect: 'suspect-group',
   /** Runs that were lost with their hosts, and runs that hosts completed. */
   runReports: 'run-reports',
+  /** Limits of requests a second that hosts have named. */
+  limitReports: 'limit-reports',
+  /** All that the asked one knows of such limits. */
+  askLimits: 'ask-limits',
 } as const;
 
 /** Numbers by key. */
@@ -61,11 +66,14 @@
 /** Answer to a question for a failure domain's tally. */
 export type TallyReply = { readonly tally: Tally };
 
-/** Run reports for an entry host that this one follows, that follows it, or that it exchanges tallies with. */
-export type RunReportsRequest = { readonly reports: readonly RunReport[] };
+/** Reports for an entry host that this one follows, that follows it, or that it exchanges tallies with. */
+export type ReportsRequest<T extends RunReport | LimitReport> = { readonly reports: readonly T[] };
 
-/** Answer to run reports. */
-export type RunReportsReply = {
+/** Answer to a question for limits. */
+export type LimitsReply = { readonly reports: readonly LimitReport[] };
+
+/** Answer to reports. */
+export type ReportsReply = {
   /** Names the start of the process that has taken them. */
   readonly instance: string;
 };
--- a/packages/entry/src/peers/peer-server.test.ts
+++ b/packages/entry/src/peers/peer-server.test.ts
@@ -51,6 +51,8 @@
     tally: new SharedTally({ loads: () => [], work: () => [] }),
     outliers: new OutlierReports(),
     runReportsHeard: () => undefined,
+    limitReportsHeard: () => undefined,
+    limitReports: () => [],
     instance: 'first',
     mayBeFollowed: () => true,
     suspected: () => undefined,
--- a/packages/entry/src/peers/peer-server.ts
+++ b/packages/entry/src/peers/peer-server.ts
@@ -3,6 +3,7 @@
 import { LinkServer } from '@hingescale/link';
 
 import type { RunReport } from '../quarantine/run-report.js';
+import type { LimitReport } from '../rate-limits/limit-report.js';
 import type { OutlierReports } from '../routing/outlier-reports.js';
 import { elapsedMs } from '../server/elapsed-time.js';
 import { monotonicMs } from '../server/time.js';
@@ -13,14 +14,15 @@
 import type { WatchedKind } from '../store/watched-kind.js';
 import type {
   Counts,
+  LimitsReply,
   ReadReply,
   ReadRequest,
-  RunReportsReply,
+  ReportsReply,
   SuspectRequest,
   TallyReply,
 } from './peer-messages.js';
 import { PEER_REQUESTS } from './peer-messages.js';
-import { readRequestOf, readRunReports, readSuspicion } from './read-messages.js';
+import { readLimitReports, readRequestOf, readRunReports, readSuspicion } from './read-messages.js';
 import type { SharedTally } from './shared-tally.js';
 
 /** Options of a peer server. */
@@ -35,6 +37,10 @@
   readonly outliers: OutlierReports;
   /** A peer has told of lost runs. */
   readonly runReportsHeard: (reports: readonly RunReport[]) => void;
+  /** A peer has told of limits that hosts have named. */
+  readonly limitReportsHeard: (reports: readonly LimitReport[], from: string) => void;
+  /** The limits that are known here. */
+  readonly limitReports: () => readonly LimitReport[];
   /** Names this start of the process. */
   readonly instance: string;
   /** False while peers are better off without this host. */
@@ -81,10 +87,15 @@
         suspected(readSuspicion(request));
         return null;
       },
-      [PEER_REQUESTS.runReports]: (request: unknown): RunReportsReply => {
+      [PEER_REQUESTS.runReports]: (request: unknown): ReportsReply => {
         options.runReportsHeard(readRunReports(request));
         return { instance: options.instance };
       },
+      [PEER_REQUESTS.limitReports]: (request: unknown, peer: LinkIdentity): ReportsReply => {
+        options.limitReportsHeard(readLimitReports(request), peer.name);
+        return { instance: options.instance };
+      },
+      [PEER_REQUESTS.askLimits]: (): LimitsReply => ({ reports: options.limitReports() }),
     },
   });
 }
--- a/packages/entry/src/peers/peers.ts
+++ b/packages/entry/src/peers/peers.ts
@@ -19,23 +19,18 @@
 import type { ReaderChoice, WatchedKind } from '../store/watched-kind.js';
 import type { Member } from './member.js';
 import { Membership } from './membership.js';
-import type {
-  Counts,
-  RunReportsReply,
-  RunReportsRequest,
-  SuspectRequest,
-} from './peer-messages.js';
+import type { Counts, SuspectRequest } from './peer-messages.js';
 import { PEER_REQUESTS } from './peer-messages.js';
 import { peerReader } from './peer-reader.js';
 import { createPeerServer } from './peer-server.js';
-import { readRunReportsReply, readTallyReply } from './read-messages.js';
+import { readTallyReply } from './read-messages.js';
 import { PeerReaderChoice } from './reader-choice.js';
-import type { ReportSource } from './report-exchange.js';
-import { ReportExchange } from './report-exchange.js';
+import type { ReportSources } from './shared-reports.js';
+import { SharedReports } from './shared-reports.js';
 import { SharedTally } from './shared-tally.js';
 
 /** Options of the peers. */
-export type PeersOptions = {
+export type PeersOptions = ReportSources & {
   readonly self: Member;
   /** Addresses (`ip:port`) of some peers; they may be gone. */
   readonly seeds: readonly string[];
@@ -60,8 +55,6 @@
   readonly unreachable: (failureDomain: string, hostId: string) => void;
   /** A group was ejected that was not before. */
   readonly ejected: () => void;
-  /** What this host knows of lost runs. */
-  readonly runReports: ReportSource;
   /** Other entry hosts have told of lost runs. */
   readonly runReportsHeard: (reports: readonly RunReport[]) => void;
   /** Names this start of the process. */
@@ -106,7 +99,7 @@
   readonly #abort = new AbortController();
   readonly #suspicionFailures: FailureSeries;
   readonly #tallyFailures: FailureSeries;
-  readonly #reports: ReportExchange;
+  readonly #reports: SharedReports;
 
   constructor(options: PeersOptions) {
     this.#options = options;
@@ -125,6 +118,10 @@
       tally: this.tally,
       outliers: this.outliers,
       runReportsHeard: options.runReportsHeard,
+      limitReports: () => options.limitReports.since(0),
+      limitReportsHeard: (reports, from) => {
+        this.#reports.limitsHeard(reports, from);
+      },
       instance: options.instance,
       mayBeFollowed: () => this.#choice.mayBeFollowed,
       isRoutable: options.isRoutable,
@@ -140,11 +137,11 @@
       candidates: () => this.membership.candidates,
       readerOf: member => this.#readerOf(member),
     });
-    this.#reports = new ReportExchange({
-      source: options.runReports,
-      addresses: () => this.#neighbours(),
-      send: (address, reports) => this.#sendReports(address, reports),
-      log,
+    this.#reports = new SharedReports({
+      ...options,
+      links: this.#links,
+      neighbours: () => this.#neighbours(),
+      addressOf: name => this.membership.get(name)?.address,
     });
   }
 
@@ -224,7 +221,12 @@
 
   /** Tells other entry hosts of new run reports. */
   shareRunReports(): void {
-    this.#reports.flush();
+    this.#reports.shareRuns();
+  }
+
+  /** Tells other entry hosts of new limits that hosts have named. */
+  shareLimits(): void {
+    this.#reports.shareLimits();
   }
 
   /** Closes all links. */
@@ -282,14 +284,6 @@
     return [...new Set(addresses)].filter(address => address !== self.address);
   }
 
-  async #sendReports(address: string, reports: readonly RunReport[]): Promise<RunReportsReply> {
-    const request: RunReportsRequest = { reports };
-    const link = this.#links.to(address);
-    return readRunReportsReply(
-      await link.request<unknown>(PEER_REQUESTS.runReports, request, REQUEST_TIMEOUT_MS),
-    );
-  }
-
   #passOn(request: SuspectRequest): void {
     const { self, orderGiver, suspected, counters } = this.#options;
     const giver = orderGiver();
@@ -330,7 +324,8 @@
         await Promise.all(this.#firstReachable().map(member => this.#askTally(member)));
       }
       // There may be other neighbours now, who have not heard of them.
-      this.#reports.flush();
+      this.#reports.shareRuns();
+      this.#reports.shareLimits();
     }
   }
 
--- a/packages/entry/src/peers/read-messages.test.ts
+++ b/packages/entry/src/peers/read-messages.test.ts
@@ -2,18 +2,28 @@
 import { expect } from 'chai';
 import fc from 'fast-check';
 
+import type { LimitReport } from '../rate-limits/limit-report.js';
 import { OBJECT_KINDS } from '../store/object-store.js';
 import type { ReadReply, ReadRequest } from './peer-messages.js';
 import {
   PeerMessageError,
+  readLimitReports,
   readReplyOf,
+  readReportsReply,
   readRequestOf,
   readRunReports,
-  readRunReportsReply,
   readSuspicion,
   readTallyReply,
 } from './read-messages.js';
 
+const LIMIT: LimitReport = {
+  host: { id: 'h', startedAt: 1 },
+  perSecond: 1.5,
+  askedAgeMs: 30,
+  heardAgeMs: 20,
+  confirmedAgeMs: 20,
+  turn: 0,
+};
 const REQUEST: ReadRequest = {
   kind: OBJECT_KINDS.hosts,
   revision: 5,
@@ -99,8 +109,17 @@
     const suspicion = { service: 'lm', report: OUTLIER, hops: 2 };
     expect(readSuspicion(suspicion)).to.deep.equal(suspicion);
     expect(readRunReports({ reports: [CRASH] })).to.deep.equal([CRASH]);
+    expect(readLimitReports({ reports: [LIMIT] })).to.deep.equal([LIMIT]);
+    expect(
+      readLimitReports({
+        reports: [
+          { ...LIMIT, perSecond: -1 },
+          { ...LIMIT, turn: 0.5 },
+        ],
+      }),
+    ).to.deep.equal([]);
     expect(readTallyReply({ tally: REPLY.tally })).to.deep.equal(REPLY.tally);
-    expect(readRunReportsReply({ instance: 'x' })).to.deep.equal({ instance: 'x' });
+    expect(readReportsReply({ instance: 'x' })).to.deep.equal({ instance: 'x' });
   });
 
   it('are refused or read, whatever they hold', () => {
@@ -108,8 +127,9 @@
     readsOrRefuses(readReplyOf, REPLY);
     readsOrRefuses(readSuspicion, { service: 'lm', report: OUTLIER, hops: 2 });
     readsOrRefuses(readRunReports, { reports: [CRASH, CRASH] });
+    readsOrRefuses(readLimitReports, { reports: [LIMIT, LIMIT] });
     readsOrRefuses(readTallyReply, { tally: REPLY.tally });
-    readsOrRefuses(readRunReportsReply, { instance: 'x' });
+    readsOrRefuses(readReportsReply, { instance: 'x' });
   });
 
   it('lose only the entries of lists that can not be read', () => {
--- a/packages/entry/src/peers/read-messages.ts
+++ b/packages/entry/src/peers/read-messages.ts
@@ -3,6 +3,7 @@
  * send anything. What is wrong as a whole is refused; of lists, entries that can not be read are left out.
  */
 import type { RunReport } from '../quarantine/run-report.js';
+import type { LimitReport } from '../rate-limits/limit-report.js';
 import type { OutlierReport } from '../routing/outlier-reports.js';
 import type { KindAnswer } from '../store/kind-reader.js';
 import type { ObjectChange, StoredObject } from '../store/object-store.js';
@@ -11,7 +12,7 @@
   Counts,
   ReadReply,
   ReadRequest,
-  RunReportsReply,
+  ReportsReply,
   SuspectRequest,
   Tally,
 } from './peer-messages.js';
@@ -84,9 +85,14 @@
   return listOf(fieldsOf(value, 'run reports')['reports']).filter(isRunReport);
 }
 
-/** Reads the answer to run reports. */
-export function readRunReportsReply(value: unknown): RunReportsReply {
-  const { instance } = fieldsOf(value, 'answer to run reports');
+/** Reads reports of limits. */
+export function readLimitReports(value: unknown): readonly LimitReport[] {
+  return listOf(fieldsOf(value, 'limit reports')['reports']).filter(isLimitReport);
+}
+
+/** Reads the answer to reports. */
+export function readReportsReply(value: unknown): ReportsReply {
+  const { instance } = fieldsOf(value, 'answer to reports');
   return { instance: isText(instance) ? instance : '' };
 }
 
@@ -165,6 +171,17 @@
   return kind === 'completed' || (kind === 'crashed' && isCrash);
 }
 
+function isLimitReport(value: unknown): value is LimitReport {
+  const fields = (value ?? {}) as Fields;
+  const { host, turn } = fields;
+  const isTurn = Number.isSafeInteger(turn) && isAge(turn);
+  const isKnown = ['heardAgeMs', 'confirmedAgeMs'].every(name => isAge(fields[name]));
+  const isOptional = (name: string): boolean => fields[name] === undefined || isAge(fields[name]);
+  return (
+    isText(hostIdOf(host)) && isTurn && isKnown && ['perSecond', 'askedAgeMs'].every(isOptional)
+  );
+}
+
 function hostIdOf(host: unknown): unknown {
   return ((host ?? {}) as Fields)['id'];
 }
--- a/packages/entry/src/peers/report-exchange.test.ts
+++ b/packages/entry/src/peers/report-exchange.test.ts
@@ -38,7 +38,7 @@
   let source: CrashEvidence;
   let receivers: Map<string, Receiver>;
   let addresses: string[];
-  let exchange: ReportExchange;
+  let exchange: ReportExchange<RunReport>;
 
   beforeEach(() => {
     source = new CrashEvidence();
@@ -48,6 +48,7 @@
     ]);
     addresses = ['a'];
     exchange = new ReportExchange({
+      about: 'lost runs',
       source,
       addresses: () => addresses,
       send: (address, reports) => receiverAt(address).take(reports),
--- a/packages/entry/src/peers/report-exchange.ts
+++ b/packages/entry/src/peers/report-exchange.ts
@@ -1,26 +1,27 @@
 /**
- * Tells neighbouring entry hosts what this one knows of lost runs: those it follows, those that follow it, and
- * those it exchanges tallies with. Each passes on what is new to it, so a report reaches all in a few messages.
+ * Tells neighbouring entry hosts what this one has learned, such as of lost runs: those it follows, those that follow
+ * it, and those it exchanges tallies with. Each passes on what is new to it, so a report reaches all in a few messages.
  */
-import type { RunReport } from '../quarantine/run-report.js';
 import { FailureSeries } from '../server/failure-series.js';
 import type { Log } from '../server/log.js';
 import { sleep } from '../server/time.js';
-import type { RunReportsReply } from './peer-messages.js';
+import type { ReportsReply } from './peer-messages.js';
 
 /** Reports of this host, in the order in which it learned them. */
-export type ReportSource = {
+export type ReportSource<T> = {
   /** Number of the newest report. */
   readonly sequence: number;
-  readonly since: (sequence: number) => readonly RunReport[];
+  readonly since: (sequence: number) => readonly T[];
 };
 
 /** Options of an exchange. */
-export type ReportExchangeOptions = {
-  readonly source: ReportSource;
+export type ReportExchangeOptions<T> = {
+  /** What the reports are about, for the log. */
+  readonly about: string;
+  readonly source: ReportSource<T>;
   /** Addresses of the entry hosts to tell. */
   readonly addresses: () => readonly string[];
-  readonly send: (address: string, reports: readonly RunReport[]) => Promise<RunReportsReply>;
+  readonly send: (address: string, reports: readonly T[]) => Promise<ReportsReply>;
   readonly log: Log;
 };
 
@@ -33,16 +34,16 @@
 const MOST_RETRIES = 25;
 
 /** Tells reports until they have arrived. */
-export class ReportExchange {
-  readonly #options: ReportExchangeOptions;
+export class ReportExchange<T> {
+  readonly #options: ReportExchangeOptions<T>;
   readonly #told = new Map<string, Told>();
   readonly #failures: FailureSeries;
   readonly #abort = new AbortController();
   #isRunning = false;
 
-  constructor(options: ReportExchangeOptions) {
+  constructor(options: ReportExchangeOptions<T>) {
     this.#options = options;
-    this.#failures = new FailureSeries(options.log, 'tell other entry hosts of lost runs');
+    this.#failures = new FailureSeries(options.log, `tell other entry hosts of ${options.about}`);
   }
 
   /** There are new reports, or other entry hosts to tell. */
--- a/packages/entry/src/rate-limits/limit-word.test.ts
+++ b/packages/entry/src/rate-limits/limit-word.test.ts
@@ -24,6 +24,13 @@
     expect(holdingWord(weak, strict)).to.equal(strict);
   });
 
+  it('that say the same, the later times hold', () => {
+    const one = word(1, -Infinity, 300);
+    const other = word(1, 100, 200);
+    expect(holdingWord(one, other)).to.deep.equal(word(1, 100, 300));
+    expect(holdingWord(other, one)).to.deep.equal(word(1, 100, 300));
+  });
+
   it('a stricter one gives way to the first that is certainly newer, although answers overlap all the time', () => {
     let held = word(1, 0, 100);
     for (let at = 50; at < 200; at += 10) {
--- a/packages/entry/src/rate-limits/limit-word.ts
+++ b/packages/entry/src/rate-limits/limit-word.ts
@@ -4,7 +4,7 @@
 export type LimitWord = {
   /** Requests a second from all entry hosts together; Infinity: as many as come. */
   readonly perSecond: number;
-  /** When the request was sent, in monotonic milliseconds of this process. */
+  /** When the request was sent, in monotonic milliseconds of this process; -Infinity where that is not known. */
   readonly askedAt: number;
   /** When its answer began to arrive. */
   readonly heardAt: number;
@@ -21,6 +21,10 @@
   if (known.askedAt > next.heardAt) {
     return known;
   }
+  if (next.perSecond === known.perSecond) {
+    const askedAt = Math.max(known.askedAt, next.askedAt);
+    return { ...next, askedAt, heardAt: Math.max(known.heardAt, next.heardAt) };
+  }
   // A weaker word does not extend the time of a stricter one, which else would hold for as long as answers overlap.
-  return next.perSecond <= known.perSecond ? next : known;
+  return next.perSecond < known.perSecond ? next : known;
 }
--- a/packages/entry/src/rate-limits/paced-sends.ts
+++ b/packages/entry/src/rate-limits/paced-sends.ts
@@ -1,13 +1,14 @@
 /**
- * Paces this entry host's requests to upstream hosts that take few. Needs no agreement and no messages: which entry
- * hosts own a share of such a host's rate follows from the list of members (the entry hosts).
+ * Paces this entry host's requests to upstream hosts that take few. Which entry hosts own a share of such a host's
+ * rate follows from the list of members (the entry hosts), without agreement and without messages.
  *
  * The allowance is a token bucket that starts empty and holds one request at most, so that neither a
  * restart of this process nor an idle period allows more than one request in an interval.
  */
 import type { HostEntry } from '../hosts/host-entry.js';
 import type { MemberView } from '../peers/membership.js';
-import { isAmongTop } from '../routing/rendezvous.js';
+import type { PacedVerdict, SendPaceFacts } from '../routing/eligibility.js';
+import { isInTurn } from '../routing/rendezvous.js';
 import type { RateLimit, RateShare } from './rate-share.js';
 import { rateShare, sendIntervalMs, wholeShare } from './rate-share.js';
 
@@ -17,10 +18,16 @@
   readonly since: number;
   readonly until: number;
   readonly limit: RateLimit;
+  /** Which owners may send, by their turns in the rendezvous order; left out: the first. */
+  readonly turn?: number;
+  /** True while it is not known whether the limit still holds: one owner asks once in a window. */
+  readonly isProbing?: boolean;
 };
 
 /** Options of the paced sends. */
 export type PacedSendsOptions = {
+  /** Why a host that has a bound may not be sent a request at the moment. */
+  readonly verdict: PacedVerdict;
   /** Name of this entry host among the members. */
   readonly self: string;
   /**
@@ -42,14 +49,20 @@
   readonly intervalMs: number;
 };
 
+/** The last send of an allowance, and from when it has room for the next one, in monotonic milliseconds. */
+type LastSend = { readonly at: number; readonly nextAt: number };
+
 /** What this entry host may send to one host. */
 type Allowance = {
   readonly bound: SendBound;
   readonly view: MemberView;
   /** Infinity for a host that this one may send nothing. */
   readonly intervalMs: number;
-  /** Monotonic milliseconds from which one request may be sent. */
-  readonly nextAt: number;
+  readonly last: LastSend;
+  /** Requests for which it was used and that are not written yet. */
+  readonly claims: number;
+  /** As `last` was before these. */
+  readonly written: LastSend;
 };
 
 /**
@@ -63,11 +76,13 @@
 const MANY_ALLOWANCES = 200;
 
 /** Limits the sends to hosts with a bound. */
-export class PacedSends {
+export class PacedSends implements SendPaceFacts {
+  readonly verdict: PacedVerdict;
   readonly #options: PacedSendsOptions;
   readonly #allowances = new Map<string, Allowance>();
 
   constructor(options: PacedSendsOptions) {
+    this.verdict = options.verdict;
     this.#options = options;
   }
 
@@ -80,30 +95,79 @@
     if (allowance === undefined) {
       return true;
     }
-    if (allowance.nextAt > now) {
+    if (allowance.last.nextAt > now) {
       return false;
     }
-    this.#allowances.set(host.id, { ...allowance, nextAt: now + allowance.intervalMs });
+    const { claims, last, written } = allowance;
+    this.#allowances.set(host.id, {
+      ...allowance,
+      last: sendAt(now, allowance),
+      claims: claims + 1,
+      written: claims === 0 ? last : written,
+    });
     this.#options.taken(host);
     return true;
   };
 
+  /**
+   * The request is about to be written, which may be some hundred milliseconds after {@link take}: the interval to the
+   * next one begins now. False: it was chosen before the bound was known, and there is no allowance for it.
+   */
+  readonly write = (host: HostEntry, now: number): boolean => {
+    const allowance = this.#allowanceOf(host, now);
+    if (allowance === undefined) {
+      return true;
+    }
+    if (allowance.claims === 0 && !this.take(host, now)) {
+      return false;
+    }
+    const last = sendAt(now, allowance);
+    const claims = Math.max(0, allowance.claims - 1);
+    this.#allowances.set(host.id, { ...allowance, last, claims, written: last });
+    return true;
+  };
+
+  /** A request for which the allowance was used will not be written. */
+  readonly giveBack = ({ id }: HostEntry): void => {
+    const allowance = this.#allowances.get(id);
+    if (allowance === undefined || allowance.claims === 0) {
+      return;
+    }
+    const claims = allowance.claims - 1;
+    const last = claims === 0 ? allowance.written : allowance.last;
+    this.#allowances.set(id, { ...allowance, claims, last });
+  };
+
   /** Milliseconds until a request may be sent to the host; Infinity where it never may. */
   nextRoomInMs(host: HostEntry, now: number): number {
     const allowance = this.#allowanceOf(host, now);
-    return allowance === undefined ? 0 : Math.max(0, allowance.nextAt - now);
+    return allowance === undefined ? 0 : Math.max(0, allowance.last.nextAt - now);
   }
 
   /** When requests may be sent to a host with a bound; undefined where none may, and without a bound. */
   readonly paceOf = (host: HostEntry, now: number): SendPace | undefined => {
     const allowance = this.#allowanceOf(host, now);
-    if (allowance === undefined || allowance.nextAt === Infinity) {
+    if (allowance === undefined || allowance.intervalMs === Infinity) {
       return undefined;
     }
-    const { nextAt, intervalMs } = allowance;
-    return { nextInMs: Math.max(0, nextAt - now), intervalMs };
+    const { last, intervalMs } = allowance;
+    return { nextInMs: Math.max(0, last.nextAt - now), intervalMs };
   };
 
+  /**
+   * Milliseconds until the host takes one more request of anybody: of this entry host where it owns a share, else the
+   * mean time between two requests of all others. 0 without a bound.
+   */
+  placeInMs(host: HostEntry, now: number): number {
+    const allowance = this.#allowanceOf(host, now);
+    if (allowance === undefined) {
+      return 0;
+    }
+    const { windowMs, perWindow } = allowance.bound.limit;
+    const nextInMs = Math.max(0, allowance.last.nextAt - now);
+    return allowance.intervalMs === Infinity ? windowMs / perWindow : nextInMs;
+  }
+
   #allowanceOf(host: HostEntry, now: number): Allowance | undefined {
     const bound = this.#options.boundOf(host, now);
     if (bound === undefined) {
@@ -111,25 +175,26 @@
     }
     const view = this.#options.members?.() ?? NO_MEMBERS;
     const before = this.#allowances.get(host.id);
-    if (before?.bound.since === bound.since && before.view === view) {
+    if (before !== undefined && before.view === view && isSame(before.bound, bound)) {
       return before;
     }
-    const intervalMs = sendIntervalMs(this.#shareOf(host, bound.limit, view), bound.limit);
-    const nextAt = firstSendAt(bound, view, intervalMs, before);
-    const allowance = { bound, view, intervalMs, nextAt };
+    const intervalMs = sendIntervalMs(this.#shareOf(host, bound, view), bound.limit);
+    const allowance = changed(before, { bound, view, intervalMs }, now);
     this.#forgetOld(now);
     this.#allowances.set(host.id, allowance);
     return allowance;
   }
 
-  #shareOf(host: HostEntry, limit: RateLimit, { names }: MemberView): RateShare {
+  #shareOf(host: HostEntry, bound: SendBound, { names }: MemberView): RateShare {
     const { self, members } = this.#options;
+    const { limit, turn = 0, isProbing: firstOnly = false } = bound;
     if (members === undefined) {
       return wholeShare(limit);
     }
-    const share = rateShare(limit, names.length);
-    const isOwner = names.length > 0 && isAmongTop(self, names, host.id, share.owners);
-    return isOwner ? share : { owners: share.owners, perWindow: 0 };
+    const { owners, perWindow } = rateShare(limit, names.length);
+    const isOwner = isInTurn(self, names, host.id, { size: owners, turn, firstOnly });
+    const most = firstOnly ? Math.min(1, limit.perWindow) : perWindow;
+    return { owners, perWindow: isOwner ? most : 0 };
   }
 
   #forgetOld(now: number): void {
@@ -144,18 +209,48 @@
   }
 }
 
-// A new bound and a new view both start a new interval; a new owner waits for the former ones first.
+function isSame(one: SendBound, other: SendBound): boolean {
+  return (
+    one.since === other.since &&
+    one.turn === other.turn &&
+    one.isProbing === other.isProbing &&
+    one.limit.perWindow === other.limit.perWindow &&
+    one.limit.mostPerWindow === other.limit.mostPerWindow
+  );
+}
+
+function sendAt(now: number, { intervalMs }: Pick<Allowance, 'intervalMs'>): LastSend {
+  return { at: now, nextAt: now + intervalMs };
+}
+
+// Requests that are not written yet stay claimed as long as it is the same bound, by whatever figure.
+function changed(
+  before: Allowance | undefined,
+  next: Pick<Allowance, 'bound' | 'view' | 'intervalMs'>,
+  now: number,
+): Allowance {
+  const isSameBound = before?.bound.since === next.bound.since;
+  const at = before?.last.at ?? -Infinity;
+  const last = { at, nextAt: firstSendAt(next, before, now) };
+  return { ...next, last, claims: isSameBound ? before.claims : 0, written: last };
+}
+
+// A new bound and a new view both start a new interval; a new owner waits for the former ones first. Where only the
+// figure of the limit has changed, an owner counts the new interval from its last send.
 function firstSendAt(
-  { since }: SendBound,
-  view: MemberView,
-  intervalMs: number,
+  { bound, view, intervalMs }: Pick<Allowance, 'bound' | 'view' | 'intervalMs'>,
   before: Allowance | undefined,
+  now: number,
 ): number {
   if (intervalMs === Infinity) {
     return Infinity;
   }
-  const wasOwner = before !== undefined && before.nextAt !== Infinity;
+  const wasOwner = before !== undefined && before.intervalMs !== Infinity;
+  const isOtherFigure = before?.bound.since === bound.since && before.view === view;
+  if (isOtherFigure) {
+    return (wasOwner ? Math.max(bound.since, view.since, before.last.at) : now) + intervalMs;
+  }
   const settled = wasOwner ? view.since : view.since + MEMBERS_SETTLE_MS;
-  const from = Math.max(since, settled);
-  return Math.max(from + intervalMs, wasOwner ? before.nextAt : -Infinity);
+  const from = Math.max(bound.since, settled);
+  return Math.max(from + intervalMs, wasOwner ? before.last.nextAt : -Infinity);
 }
--- a/packages/entry/src/rate-limits/rate-share.ts
+++ b/packages/entry/src/rate-limits/rate-share.ts
@@ -14,6 +14,8 @@
   readonly perWindow: number;
   /** Arrivals that are allowed in any one window. */
   readonly mostPerWindow: number;
+  /** Members that a view may lack while the bound still holds for certain; left out: {@link TOLERATED_LAG}. */
+  readonly toleratedLag?: number;
 };
 
 /** What one owner may send. */
@@ -25,8 +27,8 @@
 };
 
 /**
- * Members that a view may lack while the bound still holds for certain. Registrations are never removed
- * from the store, so a view can only lack members: the few that were added while a link was down.
+ * Members that a view usually may lack. Registrations are never removed from the store, so a view can only lack
+ * members: the few that were added while a link was down.
  */
 export const TOLERATED_LAG = 4;
 /** Part of the rate from which a division is good enough: larger shares would then mean fewer owners. */
@@ -45,7 +47,7 @@
  */
 export function rateShare(limit: RateLimit, members: number): RateShare {
   const { perWindow: rate } = limit;
-  let best = leastShare(limit);
+  let best = singleShare(limit, members);
   for (let perWindow = 1; perWindow <= rate; perWindow += 1) {
     const owners = Math.min(
       members,
@@ -82,17 +84,23 @@
 // Bounds the sum of all shares: owners with a view that lags send beside those with a newer view, and a
 // view of more members may have more owners, with smaller shares.
 function mostOwners(
-  { perWindow: rate, mostPerWindow }: RateLimit,
+  { perWindow: rate, mostPerWindow, toleratedLag: lag = TOLERATED_LAG }: RateLimit,
   members: number,
   perWindow: number,
 ): number {
-  const withLag = Math.floor(mostPerWindow / perWindow) - TOLERATED_LAG;
-  const mostAtAll = Math.floor(Math.min(rate, mostPerWindow - TOLERATED_LAG));
+  const withLag = Math.floor(mostPerWindow / perWindow) - lag;
+  const mostAtAll = Math.floor(Math.min(rate, mostPerWindow - lag));
   const behind = Math.max(0, Math.min(members, mostAtAll)) * (perWindow - 1);
-  return Math.min(withLag, Math.floor(mostPerWindow - TOLERATED_LAG * perWindow - behind));
+  return Math.min(withLag, Math.floor(mostPerWindow - lag * perWindow - behind));
 }
 
-// Where the bound has no room for views that lag: one owner, with at most one request in a window.
-function leastShare({ perWindow, mostPerWindow }: RateLimit): RateShare {
-  return mostPerWindow >= 1 ? { owners: 1, perWindow: Math.min(1, perWindow) } : NO_SHARE;
+// At most one request in a window for each owner, less where that would add up to more than a rate that is no whole
+// number. Where the bound has no room for views that lag: one owner.
+function singleShare(limit: RateLimit, members: number): RateShare {
+  const { perWindow: rate, mostPerWindow } = limit;
+  if (mostPerWindow < 1) {
+    return NO_SHARE;
+  }
+  const owners = Math.max(1, Math.min(members, Math.ceil(rate), mostOwners(limit, members, 1)));
+  return { owners, perWindow: Math.min(1, rate / owners) };
 }
--- a/packages/entry/src/requests/claim-target.ts
+++ b/packages/entry/src/requests/claim-target.ts
@@ -1,11 +1,12 @@
-/** Chooses a target and claims the right to send to it, as one step. */
+/** Chooses a target and claims the right to send to it, as one step; and gives the claim back. */
 import type { Target, TargetQuery } from '../routing/target-chooser.js';
 import { monotonicMs } from '../server/time.js';
+import type { NoTarget } from './await-target.js';
 import type { RelayServices } from './relay-services.js';
 
 /**
  * The target to which the request must be sent at once, without an `await` in between: a host may stop
- * being eligible at any moment, and the allowance of a cold host is used up. Undefined while there is none.
+ * being eligible at any moment, and the allowance of a host that takes few is used up. Undefined while there is none.
  */
 export function claimTarget(
   { chooser, eligibility }: RelayServices,
@@ -18,3 +19,10 @@
   const verdict = eligibility.take(target.host, query.homeRegions, monotonicMs());
   return verdict === 'eligible' ? target : undefined;
 }
+
+/** The target, if it is one, will not be sent the request after all. */
+export function giveBackClaim({ eligibility }: RelayServices, target: Target | NoTarget): void {
+  if ('host' in target) {
+    eligibility.giveBack(target.host);
+  }
+}
--- a/packages/entry/src/requests/exchange.test.ts
+++ b/packages/entry/src/requests/exchange.test.ts
@@ -46,6 +46,7 @@
         connects,
         mayWrite,
         requestId: 'r',
+        unwritten: () => undefined,
         heard: () => undefined,
       },
       { head: () => undefined, data: () => undefined, ended: resolve },
--- a/packages/entry/src/requests/exchange.ts
+++ b/packages/entry/src/requests/exchange.ts
@@ -23,6 +23,8 @@
   readonly connects: ConnectTimes;
   /** Asked right before the request is written to a connection; false: it must not be. */
   readonly mayWrite: () => boolean;
+  /** Called once where the request ends without having been written. */
+  readonly unwritten: () => void;
   readonly requestId: string;
   /** Called with the head of each answer of the host, whatever becomes of the request. */
   readonly heard: HostAnswerListener;
@@ -98,6 +100,9 @@
     }
     ended = true;
     clearTimeout(connectTimer);
+    if (!connected) {
+      call.unwritten();
+    }
     if (how !== 'whole') {
       // Where a kept connection was reset or got no answer, other idle ones to the host may be broken too.
       const isDoubtful = how === 'stale' || (how === 'cancelled' && answer === undefined);
--- a/packages/entry/src/requests/may-write.ts
+++ b/packages/entry/src/requests/may-write.ts
@@ -6,21 +6,13 @@
 
 /**
  * True while the request may be written. Between the choice of the host and the connection lie up to some hundred
- * milliseconds, in which the host may have asked for no requests, begun to leave or been evacuated.
+ * milliseconds, in which the host may have asked for fewer or no requests, begun to leave or been evacuated.
  */
 export function mayWriteTo(
-  {
-    registry,
-    eligibility,
-    namedLimits,
-  }: Pick<RelayServices, 'registry' | 'eligibility' | 'namedLimits'>,
+  { registry, eligibility }: Pick<RelayServices, 'registry' | 'eligibility'>,
   { homes }: Pick<RequestContext, 'homes'>,
   chosen: HostEntry,
 ): boolean {
   const host = registry.latestOf(chosen);
-  const mayWrite = eligibility.stillMay(host, homes.inForce(), monotonicMs());
-  if (mayWrite) {
-    namedLimits.noteSend(host);
-  }
-  return mayWrite;
+  return eligibility.stillMay(host, homes.inForce(), monotonicMs());
 }
--- a/packages/entry/src/requests/plain-relay.ts
+++ b/packages/entry/src/requests/plain-relay.ts
@@ -3,10 +3,10 @@
 
 import { kindOf } from '../routing/host-activity.js';
 import type { Target, TargetQuery } from '../routing/target-chooser.js';
-import type { TargetOutlook } from '../routing/target-outlook.js';
 import { monotonicMs } from '../server/time.js';
 import { AttemptLog } from './attempt-log.js';
 import { awaitTarget, isTarget } from './await-target.js';
+import { giveBackClaim } from './claim-target.js';
 import { connectionsFor } from './connection-choice.js';
 import type { ExchangeEnd } from './exchange.js';
 import { isBroken, startExchange } from './exchange.js';
@@ -18,7 +18,12 @@
 import type { RelayServices } from './relay-services.js';
 import type { RequestContext } from './request-context.js';
 import { mayRepeat } from './request-context.js';
-import { needsOperator, RETRY_AFTER_MS, RETRY_AFTER_NO_HOST_MS } from './retry-after.js';
+import {
+  needsOperator,
+  RETRY_AFTER_MS,
+  RETRY_AFTER_NO_HOST_MS,
+  retryAfterMs,
+} from './retry-after.js';
 import type { StandingAtSend } from './standing-at-send.js';
 import { standingAtSend } from './standing-at-send.js';
 import { upstreamHeaders } from './upstream-request.js';
@@ -77,6 +82,7 @@
       const target = await awaitTarget(this.#services, this.#context, query);
       // The caller may have left while the call was held: then it must not reach a host any more.
       if (this.#context.gone.aborted) {
+        giveBackClaim(this.#services, target);
         return;
       }
       if (!isTarget(target)) {
@@ -147,6 +153,9 @@
           connections: connectionsFor(this.#services, this.#context),
           connects: activities.connects,
           mayWrite: () => mayWriteTo(this.#services, this.#context, target.host),
+          unwritten: () => {
+            this.#services.eligibility.giveBack(target.host);
+          },
           requestId: this.#context.id,
           heard: noticeListener(this.#services.headers, this.#services),
         },
@@ -288,19 +297,14 @@
     giveFinalAnswer(response, answer);
   }
 
-  // Of a later send of the request, which may go to the hosts that this one was sent to.
-  #anyHostOutlook(): TargetOutlook {
-    return this.#services.chooser.outlook({ ...this.#query(), exclude: new Set() });
-  }
-
   #finalAnswer(reason: GiveUpReason): FinalAnswer {
     if (reason === 'quarantined') {
       return quarantinedAnswer(this.#log.mayHaveRun);
     }
     if (!this.#log.mayHaveRun) {
       const usualMs = needsOperator(reason) ? RETRY_AFTER_NO_HOST_MS : RETRY_AFTER_MS;
-      const retryAfterMs = this.#anyHostOutlook().backoffMs ?? usualMs;
-      return { status: 503, reason, retryAfterMs };
+      const waitMs = retryAfterMs(this.#services, this.#query(), usualMs);
+      return { status: 503, reason, retryAfterMs: waitMs };
     }
     const late = this.#context.deadline - monotonicMs() < 2 * DEADLINE_MARGIN_MS;
     return late
--- a/packages/entry/src/requests/stream-attempt.ts
+++ b/packages/entry/src/requests/stream-attempt.ts
@@ -106,6 +106,9 @@
           connections: connectionsFor(this.#services, this.#context),
           connects: activities.connects,
           mayWrite: () => mayWriteTo(this.#services, this.#context, host),
+          unwritten: () => {
+            this.#services.eligibility.giveBack(host);
+          },
           requestId: this.#context.id,
           heard: noticeListener(this.#services.headers, this.#services),
         },
--- a/packages/entry/src/requests/stream-relay.ts
+++ b/packages/entry/src/requests/stream-relay.ts
@@ -10,14 +10,14 @@
 import { monotonicMs, sleep } from '../server/time.js';
 import { AttemptLog } from './attempt-log.js';
 import { awaitTarget, isTarget } from './await-target.js';
-import { claimTarget } from './claim-target.js';
+import { claimTarget, giveBackClaim } from './claim-target.js';
 import { EventForwarder } from './event-forwarder.js';
 import type { FinalAnswer } from './final-answer.js';
 import { giveFinalAnswer, quarantinedAnswer } from './final-answer.js';
 import { endToEndHeaders } from './relay-headers.js';
 import type { RelayServices } from './relay-services.js';
 import type { RequestContext } from './request-context.js';
-import { RETRY_AFTER_MS, RETRY_AFTER_NO_HOST_MS } from './retry-after.js';
+import { RETRY_AFTER_MS, RETRY_AFTER_NO_HOST_MS, retryAfterMs } from './retry-after.js';
 import type { StreamAttemptEnd } from './stream-attempt.js';
 import { StreamAttempt } from './stream-attempt.js';
 import type { NoTargetReason } from './wait-for-target.js';
@@ -92,6 +92,7 @@
       const query = (): TargetQuery => this.#query();
       const target = await awaitTarget(this.#services, this.#context, query);
       if (gone.aborted) {
+        giveBackClaim(this.#services, target);
         return;
       }
       if (!isTarget(target)) {
@@ -171,10 +172,15 @@
       return;
     }
     const target = claimTarget(this.#services, query);
-    if (target !== undefined && this.#log.takeRetry(reason)) {
-      counters.count('retries_total', { service: 'engine', after: 'stalled' });
-      this.#start(target);
+    if (target === undefined) {
+      return;
+    }
+    if (!this.#log.takeRetry(reason)) {
+      giveBackClaim(this.#services, target);
+      return;
     }
+    counters.count('retries_total', { service: 'engine', after: 'stalled' });
+    this.#start(target);
   }
 
   // A host that shuts down may still send a part of an event; only a whole event makes its attempt the
@@ -327,10 +333,10 @@
     }
     if (!this.#log.mayHaveRun) {
       const anyHost = { ...this.#query(), exclude: new Set<string>() };
-      const { chooser } = this.#services;
-      const usualMs = chooser.hasSound(anyHost) ? RETRY_AFTER_MS : RETRY_AFTER_NO_HOST_MS;
-      const retryAfterMs = chooser.outlook(anyHost).backoffMs ?? usualMs;
-      return { status: 503, reason, retryAfterMs };
+      const isAnySound = this.#services.chooser.hasSound(anyHost);
+      const usualMs = isAnySound ? RETRY_AFTER_MS : RETRY_AFTER_NO_HOST_MS;
+      const waitMs = retryAfterMs(this.#services, anyHost, usualMs);
+      return { status: 503, reason, retryAfterMs: waitMs };
     }
     const late = this.#context.deadline - monotonicMs() < 3 * DEADLINE_MARGIN_MS;
     return late
--- a/packages/entry/src/requests/wait-for-target.ts
+++ b/packages/entry/src/requests/wait-for-target.ts
@@ -4,10 +4,11 @@
  * A caller whose request waits and is then refused has lost time, while one that is refused at once may
  * succeed with a retry at another entry host. So a request waits only for what is expected in time: a
  * group that is forming, the end of a time in which a host wants no requests, or a change that has not reached this
- * entry host yet. (Waiting for the rate limit of cold hosts is decided in `paced-wait.ts`.) A stream that has delivered
+ * entry host yet. (Waiting for a turn at hosts that take few is decided in `paced-wait.ts`.) A stream that has delivered
  * events waits up to its deadline, since failing it would lose them.
  */
 import type { Eligibility } from '../routing/eligibility.js';
+import { isPaced } from '../routing/eligibility.js';
 import type { TargetOutlook } from '../routing/target-outlook.js';
 import type { TargetStanding } from '../routing/target-standings.js';
 
@@ -77,7 +78,7 @@
   }
   // Where it was sent to all there are, news are no reason to wait: the refusal's `Retry-After` tells when
   // to retry.
-  const isNewsAwaited = !allTried && !isForbidden(standings) && !isColdOnly(standings);
+  const isNewsAwaited = !allTried && !isForbidden(standings) && !isPacedOnly(standings);
   return isNewsAwaited && lackingMs < NEWS_LAG_MS;
 }
 
@@ -85,6 +86,7 @@
 export function noTargetReason({ standings }: TargetOutlook): NoTargetReason {
   const reasons: readonly Exclude<NoTargetReason, 'no-target' | 'quarantined'>[] = [
     'cold-limit',
+    'rate-limit',
     'evacuations-unknown',
     'evacuated',
     'outside-home-regions',
@@ -94,10 +96,12 @@
   return told ?? 'no-target';
 }
 
-// True where only the allowance of cold hosts is lacking; `paced-wait.ts` decides about that wait.
-function isColdOnly(standings: readonly TargetStanding[]): boolean {
-  const isCold = standings.includes('cold-limit');
-  return isCold && standings.every(standing => standing === 'cold-limit' || standing === 'tried');
+// True where only the allowance of hosts that take few is lacking; `paced-wait.ts` decides about that wait.
+function isPacedOnly(standings: readonly TargetStanding[]): boolean {
+  return (
+    standings.some(isPaced) &&
+    standings.every(standing => isPaced(standing) || standing === 'tried')
+  );
 }
 
 // True where evacuations or home regions exclude hosts: these last, so there is no change to wait for.
--- a/packages/entry/src/routing/backoff-days.test.ts
+++ b/packages/entry/src/routing/backoff-days.test.ts
@@ -107,7 +107,7 @@
     const startedAt = this.#without === 'start' ? 1 : undefined;
     return {
       evacuations: { isKnown: true, isEvacuated: () => false },
-      coldSends: { hasRoom: () => true, take: () => true },
+      paces: [],
       regionOf: () => undefined,
       backoffs: {
         backoffLeftMs: (host, now) =>
--- a/packages/entry/src/routing/eligibility.ts
+++ b/packages/entry/src/routing/eligibility.ts
@@ -21,7 +21,12 @@
   /** The host has asked this entry host for no requests for a time, which has not passed yet. */
   | 'backing-off'
   /** The host is cold, and this entry host may not send it more at this moment. */
-  | 'cold-limit';
+  | 'cold-limit'
+  /** The host has named a limit of requests a second, and this entry host may not send it more at this moment. */
+  | 'rate-limit';
+
+/** Verdicts that pass with this entry host's next turn at the host, if it has turns there. */
+export type PacedVerdict = 'cold-limit' | 'rate-limit';
 
 /** What is known of evacuations. */
 export type EvacuationFacts = {
@@ -30,12 +35,18 @@
   readonly isEvacuated: (failureDomain: string) => boolean;
 };
 
-/** The rate limit of cold hosts, as this entry host may use it. */
-export type ColdSendFacts = {
-  /** True when a request may be sent to the host now; `now` in monotonic milliseconds. */
+/** A limit on the requests a second that hosts get, as this entry host may use it; times in monotonic milliseconds. */
+export type SendPaceFacts = {
+  /** Why a host may not receive a request where the allowance is used up. */
+  readonly verdict: PacedVerdict;
+  /** True when a request may be sent to the host now. */
   readonly hasRoom: (host: HostEntry, now: number) => boolean;
   /** Uses the allowance for one request; false when there is none. */
   readonly take: (host: HostEntry, now: number) => boolean;
+  /** A request is about to be written; false: the allowance was not used for it, and there is none. */
+  readonly write: (host: HostEntry, now: number) => boolean;
+  /** A request for which the allowance was used will not be written. */
+  readonly giveBack: (host: HostEntry) => void;
 };
 
 /** What hosts have asked of this entry host. */
@@ -48,7 +59,8 @@
 export type EligibilityFacts = {
   readonly evacuations: EvacuationFacts;
   readonly backoffs: BackoffFacts;
-  readonly coldSends: ColdSendFacts;
+  /** All of them hold: the least allowance decides. */
+  readonly paces: readonly SendPaceFacts[];
   /** Region of a failure domain; undefined where none is declared. */
   readonly regionOf: (failureDomain: string) => string | undefined;
 };
@@ -70,31 +82,50 @@
   if (verdict !== 'eligible') {
     return verdict;
   }
-  return facts.coldSends.hasRoom(host, now) ? 'eligible' : 'cold-limit';
+  return facts.paces.find(pace => !pace.hasRoom(host, now))?.verdict ?? 'eligible';
 }
 
 /**
- * Whether the host may receive a request now, asked at the moment of the send: where the answer is
- * `eligible`, it has used the allowance of a cold host.
+ * Whether the host may receive a request now, asked when the host is claimed for it: where the answer is
+ * `eligible`, it has used the allowances of a host that takes few.
  */
 export function takeEligibility(
   host: HostEntry,
   homeRegions: HomeRegions,
   facts: EligibilityFacts,
   now: number,
+): Eligibility {
+  const verdict = eligibilityOf(host, homeRegions, facts, now);
+  if (verdict === 'eligible') {
+    facts.paces.forEach(pace => pace.take(host, now));
+  }
+  return verdict;
+}
+
+/**
+ * Whether a request that has been claimed for the host may be written to a connection now: it may have waited for
+ * one, and what is known of the host may have changed meanwhile.
+ */
+export function eligibilityAtWrite(
+  host: HostEntry,
+  homeRegions: HomeRegions,
+  facts: EligibilityFacts,
+  now: number,
 ): Eligibility {
   const verdict = unlimitedEligibility(host, homeRegions, facts, now);
   if (verdict !== 'eligible') {
     return verdict;
   }
-  return facts.coldSends.take(host, now) ? 'eligible' : 'cold-limit';
+  return facts.paces.find(pace => !pace.write(host, now))?.verdict ?? 'eligible';
 }
 
-/**
- * Whether the host may receive a request now, but for the rate limit of cold hosts, which the others ask last since
- * `take` uses it up. Asked once more when a request that has been claimed for a host is written to its connection.
- */
-export function unlimitedEligibility(
+/** True for verdicts that pass with this entry host's next turn at the host. */
+export function isPaced(verdict: string): verdict is PacedVerdict {
+  return verdict === 'cold-limit' || verdict === 'rate-limit';
+}
+
+// All but the limits on the rate, which are asked last: they are used up by the question.
+function unlimitedEligibility(
   host: HostEntry,
   homeRegions: HomeRegions,
   { evacuations, backoffs, regionOf }: EligibilityFacts,
--- /dev/null
+++ b/packages/entry/src/routing/limited-choice.test.ts
@@ -0,0 +1,90 @@
+/** Choice among hosts of which some have named limits. */
+import { expect } from 'chai';
+
+import type { Service } from '../configuration/serving-configuration.js';
+import type { HostEntry } from '../hosts/host-entry.js';
+import { HostRegistry } from '../hosts/host-registry.js';
+import { silentLog } from '../server/log.js';
+import { readTestHost } from '../testing/groups.js';
+import type { Eligibility } from './eligibility.js';
+import { eligibilityOf, takeEligibility } from './eligibility.js';
+import { HostActivities } from './host-activity.js';
+import type { ChooserOptions, TargetQuery } from './target-chooser.js';
+import { TargetChooser } from './target-chooser.js';
+
+const SERVICE: Service = { name: 's', maxConnections: 10, slowStart: undefined, engine: undefined };
+const QUERY: TargetQuery = {
+  service: SERVICE,
+  model: undefined,
+  homeRegions: [],
+  exclude: new Set(),
+};
+const NAMES = Array.from({ length: 30 }, (_, index) => `h${index}`);
+
+function chooserOf(options: Partial<ChooserOptions>, names = NAMES): TargetChooser {
+  const registry = new HostRegistry(
+    (id, value) => readTestHost({ ...(value as HostEntry), id }),
+    silentLog(),
+  );
+  const value = { service: 's', ip: '127.0.0.1', port: 1, accepting: true, failureDomain: 'a' };
+  registry.takeList({
+    objects: names.map(name => ({ name, revision: 1, value })),
+    revision: 1,
+  });
+  return new TargetChooser(registry, new HostActivities(), {
+    failureDomain: 'a',
+    eligibility: () => 'eligible',
+    othersAt: () => 0,
+    ...options,
+  });
+}
+
+describe('hosts that have named limits', () => {
+  it('are chosen at the turn of this entry host, so that none is lost', () => {
+    const chooser = chooserOf({ ownsShare: ({ id }) => id === 'h7' });
+    const chosen = Array.from({ length: 50 }, () => chooser.choose(QUERY)?.host.id);
+    expect(chosen.filter(id => id === 'h7').length).to.be.at.least(45);
+  });
+
+  it('are passed over at their turn while they have much more to do than others', () => {
+    const chooser = chooserOf({
+      ownsShare: ({ id }) => id === 'h7',
+      othersAt: id => (id === 'h7' ? 40 : 0),
+    });
+    const chosen = Array.from({ length: 50 }, () => chooser.choose(QUERY)?.host.id);
+    expect(chosen).to.not.include('h7');
+  });
+
+  it('tell when the first of them has a place, where there are no others', () => {
+    const placeInMs = ({ id }: HostEntry): number => (id === 'h0' ? 900 : 400);
+    const options = { eligibility: (): Eligibility => 'rate-limit', placeInMs };
+    expect(chooserOf(options, ['h0', 'h1']).placeInMs(QUERY)).to.equal(400);
+    const others = (host: HostEntry): Eligibility => (host.id === 'h0' ? 'eligible' : 'rate-limit');
+    const chooser = chooserOf({ ...options, eligibility: others }, ['h0', 'h1']);
+    expect(chooser.placeInMs(QUERY)).to.equal(undefined);
+  });
+
+  it('get no more than the least of several limits allows, and none is used up by another', () => {
+    const host = { id: 'h', accepting: true, failureDomain: 'a' } as HostEntry;
+    const used: string[] = [];
+    const pace = (verdict: 'cold-limit' | 'rate-limit', room: boolean) => ({
+      verdict,
+      hasRoom: () => room,
+      take: () => used.push(verdict) > 0,
+      write: () => room,
+      giveBack: () => undefined,
+    });
+    const facts = {
+      evacuations: { isKnown: true, isEvacuated: () => false },
+      backoffs: { backoffLeftMs: () => 0 },
+      regionOf: () => undefined,
+    };
+    const both = { ...facts, paces: [pace('cold-limit', true), pace('rate-limit', false)] };
+    expect(eligibilityOf(host, [], both, 0)).to.equal('rate-limit');
+    expect(takeEligibility(host, [], both, 0)).to.equal('rate-limit');
+    expect(used).to.deep.equal([]);
+    const free = { ...facts, paces: [pace('cold-limit', true), pace('rate-limit', true)] };
+    expect(takeEligibility(host, [], free, 0)).to.equal('eligible');
+    expect(used).to.deep.equal(['cold-limit', 'rate-limit']);
+  });
+});
--- a/packages/entry/src/routing/rendezvous.ts
+++ b/packages/entry/src/routing/rendezvous.ts
@@ -44,9 +44,7 @@
   const own = rendezvousWeight(member, key);
   let ahead = 0;
   for (const other of members) {
-    const weight = rendezvousWeight(other, key);
-    const isAhead = weight > own || (weight === own && other < member);
-    ahead += Number(isAhead);
+    ahead += Number(isAhead(other, rendezvousWeight(other, key), member, own));
     if (ahead >= count) {
       return false;
     }
@@ -54,6 +52,45 @@
   return count > 0;
 }
 
+/** Some members that take turns for a key with the others. */
+export type MemberTurn = {
+  /** Members of a turn. */
+  readonly size: number;
+  /** Number of the turn, from 0. */
+  readonly turn: number;
+  /** True where only the first member of the turn is asked for. */
+  readonly firstOnly: boolean;
+};
+
+/**
+ * True for the members whose turn it is, by their places in the order for the key; also for one that is not in the
+ * list. Behind the last place the turns begin anew, one place later each time, so that each member is first once.
+ */
+export function isInTurn(
+  member: string,
+  members: readonly string[],
+  key: string,
+  { size, turn, firstOnly }: MemberTurn,
+): boolean {
+  const count = members.length;
+  if (count === 0 || size === 0) {
+    return false;
+  }
+  const behind = turn * size;
+  const start = (behind + Math.floor(behind / count)) % count;
+  const offset = (membersAhead(member, members, key) - start + count) % count;
+  return offset < (firstOnly ? 1 : size);
+}
+
+function membersAhead(member: string, members: readonly string[], key: string): number {
+  const own = rendezvousWeight(member, key);
+  return members.filter(other => isAhead(other, rendezvousWeight(other, key), member, own)).length;
+}
+
+function isAhead(other: string, weight: number, member: string, own: number): boolean {
+  return weight > own || (weight === own && other < member);
+}
+
 function hashOf(start: number, text: string): number {
   let hash = start;
   for (let at = 0; at < text.length; at += 1) {
--- a/packages/entry/src/routing/send-rules.ts
+++ b/packages/entry/src/routing/send-rules.ts
@@ -1,9 +1,11 @@
-/** Wires together what decides where this entry host may send: evacuations, slow start and regions. */
+/** Wires together what decides where this entry host may send: evacuations, slow start, limits of hosts and regions. */
 import type { SlowStart } from '../configuration/serving-configuration.js';
 import { EvacuatedDomains } from '../evacuation/evacuated-domains.js';
 import type { HostIncarnation } from '../hosts/host-entry.js';
 import type { MemberView } from '../peers/membership.js';
+import { combinedPace, combinedPlaceInMs } from '../rate-limits/combined-pace.js';
 import { NamedLimits } from '../rate-limits/named-limits.js';
+import { PacedSends } from '../rate-limits/paced-sends.js';
 import type { EntrySettings } from '../server/entry-settings.js';
 import type { Log } from '../server/log.js';
 import type { Metrics } from '../server/metrics.js';
@@ -12,6 +14,7 @@
 import type { EligibilityFacts } from './eligibility.js';
 import { HostNotices } from './host-notices.js';
 import { SendEligibility } from './send-eligibility.js';
+import type { SendChoiceFacts } from './target-chooser.js';
 
 /** Options of the rules. */
 export type SendRulesOptions = {
@@ -22,24 +25,35 @@
   readonly slowStartOf: (service: string) => SlowStart | undefined;
   /** Called when a host says for the first time that it is shutting down. */
   readonly leaves: (host: HostIncarnation) => void;
+  /** Called when there is something to tell other entry hosts of the limits that hosts have named. */
+  readonly limitsReported: () => void;
   readonly log: Log;
   readonly metrics: Metrics;
 };
 
-/** Evacuations, slow start and eligibility of one entry host. */
+/** Evacuations, slow start, limits of hosts, and eligibility of one entry host. */
 export class SendRules {
   readonly evacuated: EvacuatedDomains;
   readonly slowStart: SlowStartLimits;
   readonly eligibility: SendEligibility;
   readonly notices: HostNotices;
   readonly namedLimits: NamedLimits;
+  /** What the choice of a target asks. */
+  readonly choice: SendChoiceFacts;
 
   constructor(options: SendRulesOptions) {
-    const { settings, members, slowStartOf, leaves, log, metrics } = options;
+    const { settings, members, slowStartOf, leaves, limitsReported, log, metrics } = options;
     const { name, bounds, regions } = settings();
     const { counters, gauges } = metrics;
     this.notices = new HostNotices({ leaves, log, counters, gauges, now: monotonicMs });
-    this.namedLimits = new NamedLimits({ log, counters, gauges, now: monotonicMs });
+    this.namedLimits = new NamedLimits({
+      bounds: () => settings().bounds,
+      reported: limitsReported,
+      log,
+      counters,
+      gauges,
+      now: monotonicMs,
+    });
     this.slowStart = new SlowStartLimits({
       self: name,
       members,
@@ -57,12 +71,27 @@
     });
     const regionOf = (domain: string): string | undefined =>
       regions.find(({ failureDomain }) => failureDomain === domain)?.region;
+    const limitedSends = new PacedSends({
+      verdict: 'rate-limit',
+      self: name,
+      members,
+      boundOf: this.namedLimits.boundOf,
+      taken: this.namedLimits.noteSend,
+    });
+    const paces = [this.slowStart.sends, limitedSends];
     const facts: EligibilityFacts = {
       evacuations: this.evacuated,
       backoffs: this.notices,
-      coldSends: this.slowStart.sends,
+      paces,
       regionOf,
     };
     this.eligibility = new SendEligibility(facts, counters);
+    this.choice = {
+      eligibility: (host, homes, now) => this.eligibility.of(host, homes, now),
+      backoffLeftMs: (host, now) => this.notices.backoffLeftMs(host, now),
+      paceOf: (host, now) => combinedPace(paces, host, now),
+      ownsShare: (host, now) => limitedSends.paceOf(host, now) !== undefined,
+      placeInMs: (host, now) => combinedPlaceInMs(paces, host, now),
+    };
   }
 }
--- a/packages/entry/src/routing/target-chooser.ts
+++ b/packages/entry/src/routing/target-chooser.ts
@@ -8,12 +8,14 @@
 import type { SendPace } from '../rate-limits/paced-sends.js';
 import { monotonicMs } from '../server/time.js';
 import type { Eligibility, HomeRegions } from './eligibility.js';
+import { isPaced } from './eligibility.js';
 import type { HostActivities } from './host-activity.js';
 import { kindOf } from './host-activity.js';
 import type { OutlierVerdict } from './outlier-reports.js';
 import type { SubsetChoice } from './subset-choice.js';
 import type { TargetOutlook } from './target-outlook.js';
 import { formingMs } from './target-outlook.js';
+import { sampleOf, withoutOutliers } from './target-sample.js';
 import type { TargetStanding } from './target-standings.js';
 
 /** A host that may take a request. */
@@ -39,17 +41,25 @@
 /** A host that serves a request's service and model, and whether it may receive the request. */
 type JudgedHost = { readonly host: HostEntry; readonly verdict: Eligibility };
 
-/** What a chooser knows beside the hosts. */
-export type ChooserOptions = {
-  readonly failureDomain: string;
-  /** Requests of other entry hosts in progress at a host. */
-  readonly othersAt: (hostId: string) => number;
-  /** Whether the host may receive such a request; `now` in monotonic milliseconds. */
+/** What decides where this entry host may send; `now` in monotonic milliseconds. */
+export type SendChoiceFacts = {
+  /** Whether the host may receive such a request. */
   readonly eligibility: (host: HostEntry, homeRegions: HomeRegions, now: number) => Eligibility;
   /** For how much longer a host has asked for no requests, in milliseconds; left out: none ever asks. */
   readonly backoffLeftMs?: (host: HostEntry, now: number) => number;
   /** When requests may be sent to a host that takes few; undefined where none may, and for any other host. */
   readonly paceOf?: (host: HostEntry, now: number) => SendPace | undefined;
+  /** True for a host that has named a limit, of which this entry host owns a share; left out: there are none. */
+  readonly ownsShare?: (host: HostEntry, now: number) => boolean;
+  /** Milliseconds until a host that takes few has a place for a request of any entry host; left out: at once. */
+  readonly placeInMs?: (host: HostEntry, now: number) => number;
+};
+
+/** What a chooser knows beside the hosts. */
+export type ChooserOptions = SendChoiceFacts & {
+  readonly failureDomain: string;
+  /** Requests of other entry hosts in progress at a host. */
+  readonly othersAt: (hostId: string) => number;
   /** True when a member has left the group (see `lacking-groups.ts`). */
   readonly lacksMember?: (group: ReplicaGroup) => boolean;
   /** What entry hosts report of the target; `now` in monotonic milliseconds. */
@@ -70,18 +80,17 @@
 const SPREAD = 0.1;
 /** Factor on the cost of hosts to which no idle connection is open: a new one costs a round trip. */
 const UNCONNECTED_FACTOR = 1.1;
+/**
+ * Factor on the cost of a host that has named a limit, at the turn of this entry host: a turn that is not used at once
+ * delays all later ones. Such a host is passed over where others are expected to be twice as quick.
+ */
+const TURN_FACTOR = 0.5;
 /**
  * Cost of the best target of the subset, as a multiple of that of one outside, from which the one outside
  * is taken. Differences below it may be chance, since loads of other entry hosts are some hundred
  * milliseconds old.
  */
 const MOST_OVER_OUTSIDE = 1.5;
-/**
- * Greatest part of the targets that is excluded for being slow, 0 to 1, those with most reports first.
- * With as much as a half, a burst of traffic makes the remaining targets slow in turn.
- */
-const MOST_SLOW_PART = 0.2;
-
 /** Chooses targets by what this entry host has seen of them. */
 export class TargetChooser {
   readonly #registry: HostRegistry;
@@ -109,11 +118,14 @@
     const now = monotonicMs();
     const usable = this.#eligible(query, now).filter(({ host }) => !isExcluded(host, query));
     const sound = usable.filter(target => this.#isSound(target, now));
-    const from = this.#withoutOutliers(sound.length > 0 ? sound : usable, now);
+    const from = withoutOutliers(sound.length > 0 ? sound : usable, target =>
+      this.#options.outlier?.(target, now),
+    );
     const { service, model } = query;
     const typicalMs = this.#activities.typicalFirstMs(kindOf(service.name, model));
     const near = this.#subsetOf(query, from, now);
-    const best = this.#cheapest(sampleOf(near, SAMPLE), typicalMs, now);
+    const sample = [...sampleOf(near, SAMPLE), ...this.#atTheirTurn(from, now)];
+    const best = this.#cheapest(sample, typicalMs, now);
     if (near.length === from.length || best === undefined) {
       return best?.target;
     }
@@ -172,8 +184,7 @@
     const standings = judged.map(({ host, verdict }): TargetStanding =>
       isExcluded(host, query) ? 'tried' : verdict,
     );
-    const isOpenTo = (head: HostEntry): boolean =>
-      ['eligible', 'cold-limit'].includes(verdictOf(head));
+    const isOpenTo = (head: HostEntry): boolean => isOpen(verdictOf(head));
     const { engine } = service;
     const groups = engine === undefined ? [] : this.groupsOf(service.name);
     return {
@@ -198,7 +209,7 @@
   paceOf(query: TargetQuery): SendPace | undefined {
     const now = monotonicMs();
     const paces = this.#candidates(query).flatMap(({ host }) => {
-      const mayHave = ['eligible', 'cold-limit'].includes(this.#verdict(host, query, now));
+      const mayHave = isOpen(this.#verdict(host, query, now));
       const pace = mayHave && !isExcluded(host, query) && this.#options.paceOf?.(host, now);
       return pace ? [pace] : [];
     });
@@ -209,6 +220,24 @@
     return { nextInMs: Math.min(...paces.map(pace => pace.nextInMs)), intervalMs: 1 / perMs };
   }
 
+  /**
+   * Milliseconds until the first of the hosts that take few has a place for such a request, here or at another entry
+   * host; undefined where there are none, or where another host may receive it.
+   */
+  placeInMs(query: TargetQuery): number | undefined {
+    const now = monotonicMs();
+    const judged = this.#candidates(query).map(({ host }) => ({
+      host,
+      verdict: this.#verdict(host, query, now),
+    }));
+    const paced = judged.filter(({ verdict }) => isPaced(verdict));
+    const isAnyEligible = judged.some(({ verdict }) => verdict === 'eligible');
+    if (paced.length === 0 || isAnyEligible) {
+      return undefined;
+    }
+    return Math.min(...paced.map(({ host }) => this.#options.placeInMs?.(host, now) ?? 0));
+  }
+
   /** Groups of a service, by the entries of their members. */
   groupsOf(service: string): readonly ReplicaGroup[] {
     this.#forgetOlderVersion();
@@ -239,7 +268,7 @@
     const { eligibility, paceOf } = this.#options;
     const verdict = eligibility(host, homeRegions, now);
     const isLeft = leavesPaced === true && verdict === 'eligible';
-    return isLeft && paceOf?.(host, now) !== undefined ? 'cold-limit' : verdict;
+    return isLeft && paceOf?.(host, now) !== undefined ? 'rate-limit' : verdict;
   }
 
   #candidates(query: TargetQuery): readonly Target[] {
@@ -295,6 +324,11 @@
     return [...from].sort((a, b) => rankOf(a) - rankOf(b)).slice(0, size);
   }
 
+  // Hosts that have named a limit are eligible seldom, and at few entry hosts: a turn that is not used is lost for all.
+  #atTheirTurn(eligible: readonly Target[], now: number): readonly Target[] {
+    return eligible.filter(({ host }) => this.#options.ownsShare?.(host, now) === true);
+  }
+
   #cheapest(
     targets: readonly Target[],
     typicalMs: number | undefined,
@@ -310,29 +344,6 @@
     );
   }
 
-  // Excludes some slow targets only: when many are slow at once the fleet is overloaded, and without them
-  // the others would be overloaded even more.
-  #withoutOutliers(targets: readonly Target[], now: number): readonly Target[] {
-    const verdicts = new Map<Target, OutlierVerdict>();
-    for (const target of targets) {
-      const verdict = this.#options.outlier?.(target, now);
-      if (verdict !== undefined) {
-        verdicts.set(target, verdict);
-      }
-    }
-    if (verdicts.size === 0) {
-      return targets;
-    }
-    const reachable = targets.filter(target => verdicts.get(target)?.isUnreachable !== true);
-    const reportersOf = (target: Target): number => verdicts.get(target)?.reporters ?? 0;
-    const slowest = reachable
-      .filter(target => verdicts.has(target))
-      .sort((a, b) => reportersOf(b) - reportersOf(a))
-      .slice(0, Math.ceil(targets.length * MOST_SLOW_PART));
-    const kept = reachable.filter(target => !slowest.includes(target));
-    return [kept, reachable, targets].find(list => list.length > 0) ?? [];
-  }
-
   // The head of a group that lacks a member still accepts requests, but none of them progresses.
   #isSound({ host, group }: Target, now: number): boolean {
     if (group !== undefined && this.#options.lacksMember?.(group) === true) {
@@ -354,10 +365,16 @@
     const remote = host.failureDomain === this.#options.failureDomain ? 1 : REMOTE_FACTOR;
     const unconnected = this.#options.subsets?.isConnected(host) === false;
     const connection = unconnected ? UNCONNECTED_FACTOR : 1;
-    return first * queue * remote * connection * (1 + SPREAD * Math.random());
+    const turn = this.#options.ownsShare?.(host, now) === true ? TURN_FACTOR : 1;
+    return first * queue * remote * connection * turn * (1 + SPREAD * Math.random());
   }
 }
 
+// Hosts that may receive the request now, or at their next turn.
+function isOpen(verdict: Eligibility): boolean {
+  return verdict === 'eligible' || isPaced(verdict);
+}
+
 function isExcluded(host: HostEntry, { exclude }: TargetQuery): boolean {
   return exclude.has(incarnationOf(host));
 }
@@ -365,15 +382,3 @@
 function without(targets: readonly Target[], others: readonly Target[]): readonly Target[] {
   return targets.filter(target => !others.includes(target));
 }
-
-// A uniform random sample.
-function sampleOf(targets: readonly Target[], count: number): readonly Target[] {
-  if (targets.length <= count) {
-    return targets;
-  }
-  const rest = [...targets];
-  return Array.from({ length: count }, () => {
-    const [taken] = rest.splice(Math.floor(Math.random() * rest.length), 1);
-    return taken as Target;
-  });
-}
--- a/packages/entry/src/server/entry-settings.ts
+++ b/packages/entry/src/server/entry-settings.ts
@@ -31,6 +31,12 @@
   readonly coldOvershoot: number;
   /** Arrivals in a second at a cold host that are allowed in addition. */
   readonly coldSlack: number;
+  /** Window in which arrivals at a host that has named a limit of requests a second are counted. */
+  readonly limitWindowMs: number;
+  /** Arrivals in such a window that are allowed, as a multiple of what the limit gives. */
+  readonly limitOvershoot: number;
+  /** Arrivals in such a window that are allowed in addition. */
+  readonly limitSlack: number;
 };
 
 /** How entry hosts reach each other. */
@@ -113,6 +119,9 @@
         : undefined,
       coldOvershoot: reader.number('bounds', 'cold-overshoot', 1),
       coldSlack: reader.number('bounds', 'cold-slack', 0),
+      limitWindowMs: reader.positive('bounds', 'limit-window-ms', 4_000),
+      limitOvershoot: reader.number('bounds', 'limit-overshoot', 1),
+      limitSlack: reader.number('bounds', 'limit-slack', 1),
     },
   };
   if (reader.findings.length > 0) {
@@ -180,6 +189,14 @@
     return parsed;
   }
 
+  positive(section: string, key: string, whenAbsent: number): number {
+    const value = this.number(section, key, whenAbsent);
+    if (value === 0) {
+      this.#find(section, key, 'must be greater than 0');
+    }
+    return value;
+  }
+
   flag(section: string, key: string, whenAbsent: boolean): boolean {
     const value = this.#value(section, key);
     if (value === undefined) {
--- a/packages/entry/src/server/settings-change.ts
+++ b/packages/entry/src/server/settings-change.ts
@@ -18,6 +18,9 @@
   'retrySlack',
   'coldOvershoot',
   'coldSlack',
+  'limitWindowMs',
+  'limitOvershoot',
+  'limitSlack',
 ]);
 
 /** Compares the settings in force with new ones. */
--- a/packages/entry/src/slow-start/cold-sends.ts
+++ b/packages/entry/src/slow-start/cold-sends.ts
@@ -31,7 +31,7 @@
     const taken = ({ service }: HostEntry): void => {
       counters.count('cold_sends_total', { service });
     };
-    super({ self, members, boundOf, taken });
+    super({ verdict: 'cold-limit', self, members, boundOf, taken });
   }
 }
 
