That a host leaves is told to all entry hosts

Callers' requests went to hosts that had already said that they leave: with three entry hosts, of which one was told, 2 requests of the others came later than 2 s after it.

Cause, the class of limits for all: a word that binds all was kept by the entry host that heard it. Ruled out: the host's entry, which still says ready, and its report, which has no such word. Change: whoever hears it tells its neighbours, by the exchange of lost runs; kept by start of the host, and never taken back, so that nothing has to be ordered.

--- a/packages/entry/src/entry-host.ts
+++ b/packages/entry/src/entry-host.ts
@@ -99,6 +99,7 @@
         this.#hostLeaves(host);
       },
       limitsReported: () => this.#peers?.shareLimits(),
+      leavingReported: () => this.#peers?.shareLeaving(),
       slowStartOf: service => this.#holder.table?.service(service)?.slowStart,
       log,
       metrics: this.#metrics,
@@ -268,8 +269,9 @@
         this.#quarantine.take(reports);
       },
       limitReports: this.#rules.namedLimits,
-      limitReportsHeard: (reports, requestedAt) =>
-        this.#rules.namedLimits.take(reports, requestedAt),
+      limitReportsHeard: this.#rules.namedLimits.take,
+      leavingHosts: this.#rules.notices,
+      leavingHeard: this.#rules.notices.takeLeaving,
       instance: this.#instance,
       log,
       counters: this.#counters,
--- a/packages/entry/src/peers/peer-messages.ts
+++ b/packages/entry/src/peers/peer-messages.ts
@@ -1,5 +1,4 @@
 /** Messages between entry hosts, on links. */
-import type { RunReport } from '../quarantine/run-report.js';
 import type { LimitReport } from '../rate-limits/limit-report.js';
 import type { OutlierReport } from '../routing/outlier-reports.js';
 import type { KindAnswer, KindView } from '../store/kind-reader.js';
@@ -19,6 +18,8 @@
   limitReports: 'limit-reports',
   /** All that the asked one knows of such limits. */
   askLimits: 'ask-limits',
+  /** Hosts that are shutting down. */
+  leavingHosts: 'leaving-hosts',
 } as const;
 
 /** Numbers by key. */
@@ -67,7 +68,7 @@
 export type TallyReply = { readonly tally: Tally };
 
 /** Reports for an entry host that this one follows, that follows it, or that it exchanges tallies with. */
-export type ReportsRequest<T extends RunReport | LimitReport> = { readonly reports: readonly T[] };
+export type ReportsRequest<T> = { readonly reports: readonly T[] };
 
 /** Answer to a question for limits. */
 export type LimitsReply = { readonly reports: readonly LimitReport[] };
--- a/packages/entry/src/peers/peer-server.test.ts
+++ b/packages/entry/src/peers/peer-server.test.ts
@@ -53,6 +53,7 @@
     runReportsHeard: () => undefined,
     limitReportsHeard: () => undefined,
     limitReports: () => [],
+    leavingHeard: () => undefined,
     instance: 'first',
     mayBeFollowed: () => true,
     suspected: () => undefined,
--- a/packages/entry/src/peers/peer-server.ts
+++ b/packages/entry/src/peers/peer-server.ts
@@ -2,6 +2,7 @@
 import type { LinkIdentity } from '@hingescale/link';
 import { LinkServer } from '@hingescale/link';
 
+import type { HostIncarnation } from '../hosts/host-entry.js';
 import type { RunReport } from '../quarantine/run-report.js';
 import type { LimitReport } from '../rate-limits/limit-report.js';
 import type { OutlierReports } from '../routing/outlier-reports.js';
@@ -22,7 +23,13 @@
   TallyReply,
 } from './peer-messages.js';
 import { PEER_REQUESTS } from './peer-messages.js';
-import { readLimitReports, readRequestOf, readRunReports, readSuspicion } from './read-messages.js';
+import {
+  readLeavingHosts,
+  readLimitReports,
+  readRequestOf,
+  readRunReports,
+  readSuspicion,
+} from './read-messages.js';
 import type { SharedTally } from './shared-tally.js';
 
 /** Options of a peer server. */
@@ -39,6 +46,8 @@
   readonly runReportsHeard: (reports: readonly RunReport[]) => void;
   /** A peer has told of limits that hosts have named. */
   readonly limitReportsHeard: (reports: readonly LimitReport[], from: string) => void;
+  /** A peer has told of hosts that are shutting down. */
+  readonly leavingHeard: (hosts: readonly HostIncarnation[]) => void;
   /** The limits that are known here. */
   readonly limitReports: () => readonly LimitReport[];
   /** Names this start of the process. */
@@ -95,6 +104,10 @@
         options.limitReportsHeard(readLimitReports(request), peer.name);
         return { instance: options.instance };
       },
+      [PEER_REQUESTS.leavingHosts]: (request: unknown): ReportsReply => {
+        options.leavingHeard(readLeavingHosts(request));
+        return { instance: options.instance };
+      },
       [PEER_REQUESTS.askLimits]: (): LimitsReply => ({ reports: options.limitReports() }),
     },
   });
--- a/packages/entry/src/peers/peers.test.ts
+++ b/packages/entry/src/peers/peers.test.ts
@@ -47,6 +47,8 @@
     limitReports: { sequence: 0, since: () => [] },
     runReportsHeard: () => undefined,
     limitReportsHeard: () => false,
+    leavingHosts: { sequence: 0, since: () => [] },
+    leavingHeard: () => undefined,
     instance: self.name,
     isRoutable: () => true,
     lackingGroups: () => [],
--- a/packages/entry/src/peers/peers.ts
+++ b/packages/entry/src/peers/peers.ts
@@ -5,6 +5,7 @@
 import type { LinkServer } from '@hingescale/link';
 import { LinkPool } from '@hingescale/link';
 
+import type { HostIncarnation } from '../hosts/host-entry.js';
 import type { RunReport } from '../quarantine/run-report.js';
 import type { OutlierReport } from '../routing/outlier-reports.js';
 import { OutlierReports } from '../routing/outlier-reports.js';
@@ -57,6 +58,8 @@
   readonly ejected: () => void;
   /** Other entry hosts have told of lost runs. */
   readonly runReportsHeard: (reports: readonly RunReport[]) => void;
+  /** Other entry hosts have told of hosts that are shutting down. */
+  readonly leavingHeard: (hosts: readonly HostIncarnation[]) => void;
   /** Names this start of the process. */
   readonly instance: string;
   readonly log: Log;
@@ -119,6 +122,7 @@
       outliers: this.outliers,
       runReportsHeard: options.runReportsHeard,
       limitReports: () => options.limitReports.since(0),
+      leavingHeard: options.leavingHeard,
       limitReportsHeard: (reports, from) => {
         this.#reports.limitsHeard(reports, from);
       },
@@ -229,6 +233,11 @@
     this.#reports.shareLimits();
   }
 
+  /** Tells other entry hosts of hosts that have said that they are shutting down. */
+  shareLeaving(): void {
+    this.#reports.shareLeaving();
+  }
+
   /** Closes all links. */
   end(): void {
     this.#abort.abort();
@@ -324,8 +333,7 @@
         await Promise.all(this.#firstReachable().map(member => this.#askTally(member)));
       }
       // There may be other neighbours now, who have not heard of them.
-      this.#reports.shareRuns();
-      this.#reports.shareLimits();
+      this.#reports.shareAll();
     }
   }
 
--- a/packages/entry/src/peers/read-messages.test.ts
+++ b/packages/entry/src/peers/read-messages.test.ts
@@ -7,6 +7,7 @@
 import type { ReadReply, ReadRequest } from './peer-messages.js';
 import {
   PeerMessageError,
+  readLeavingHosts,
   readLimitReports,
   readReplyOf,
   readReportsReply,
@@ -118,6 +119,7 @@
         ],
       }),
     ).to.deep.equal([]);
+    expect(readLeavingHosts({ reports: [LIMIT.host, { id: 3 }] })).to.deep.equal([LIMIT.host]);
     expect(readTallyReply({ tally: REPLY.tally })).to.deep.equal(REPLY.tally);
     expect(readReportsReply({ instance: 'x' })).to.deep.equal({ instance: 'x' });
   });
@@ -128,6 +130,7 @@
     readsOrRefuses(readSuspicion, { service: 'lm', report: OUTLIER, hops: 2 });
     readsOrRefuses(readRunReports, { reports: [CRASH, CRASH] });
     readsOrRefuses(readLimitReports, { reports: [LIMIT, LIMIT] });
+    readsOrRefuses(readLeavingHosts, { reports: [LIMIT.host] });
     readsOrRefuses(readTallyReply, { tally: REPLY.tally });
     readsOrRefuses(readReportsReply, { instance: 'x' });
   });
--- a/packages/entry/src/peers/read-messages.ts
+++ b/packages/entry/src/peers/read-messages.ts
@@ -2,6 +2,7 @@
  * Reads messages of peers, whatever they hold: a peer may be of another version, and whoever reaches the port may
  * send anything. What is wrong as a whole is refused; of lists, entries that can not be read are left out.
  */
+import type { HostIncarnation } from '../hosts/host-entry.js';
 import type { RunReport } from '../quarantine/run-report.js';
 import type { LimitReport } from '../rate-limits/limit-report.js';
 import type { OutlierReport } from '../routing/outlier-reports.js';
@@ -90,6 +91,11 @@
   return listOf(fieldsOf(value, 'limit reports')['reports']).filter(isLimitReport);
 }
 
+/** Reads the hosts that are shutting down. */
+export function readLeavingHosts(value: unknown): readonly HostIncarnation[] {
+  return listOf(fieldsOf(value, 'leaving hosts')['reports']).filter(isIncarnation);
+}
+
 /** Reads the answer to reports. */
 export function readReportsReply(value: unknown): ReportsReply {
   const { instance } = fieldsOf(value, 'answer to reports');
@@ -182,6 +188,11 @@
   );
 }
 
+function isIncarnation(value: unknown): value is HostIncarnation {
+  const { startedAt } = (value ?? {}) as Fields;
+  return isText(hostIdOf(value)) && (startedAt === undefined || isNumber(startedAt));
+}
+
 function hostIdOf(host: unknown): unknown {
   return ((host ?? {}) as Fields)['id'];
 }
--- a/packages/entry/src/peers/shared-reports.ts
+++ b/packages/entry/src/peers/shared-reports.ts
@@ -1,6 +1,7 @@
-/** Exchanges reports with neighbouring entry hosts: of lost runs, and of limits that hosts have named. */
+/** Exchanges reports with neighbouring entry hosts: of lost runs, and of what hosts have said that binds all of them. */
 import type { LinkPool } from '@hingescale/link';
 
+import type { HostIncarnation } from '../hosts/host-entry.js';
 import type { RunReport } from '../quarantine/run-report.js';
 import type { LimitReport } from '../rate-limits/limit-report.js';
 import { FailureSeries } from '../server/failure-series.js';
@@ -23,6 +24,8 @@
    * it should be asked.
    */
   readonly limitReportsHeard: (reports: readonly LimitReport[], requestedAt?: number) => boolean;
+  /** Hosts that have said that they are shutting down. */
+  readonly leavingHosts: ReportSource<HostIncarnation>;
 };
 
 /** Options of the reports. */
@@ -42,14 +45,16 @@
   readonly #options: SharedReportsOptions;
   readonly #runs: ReportExchange<RunReport>;
   readonly #limits: ReportExchange<LimitReport>;
+  readonly #leaving: ReportExchange<HostIncarnation>;
   readonly #askFailures: FailureSeries;
 
   constructor(options: SharedReportsOptions) {
     this.#options = options;
-    const { runReports, limitReports, log } = options;
+    const { runReports, limitReports, leavingHosts, log } = options;
     this.#askFailures = new FailureSeries(log, 'ask an entry host for limits');
     this.#runs = this.#exchangeOf('lost runs', PEER_REQUESTS.runReports, runReports);
     this.#limits = this.#exchangeOf('limits', PEER_REQUESTS.limitReports, limitReports);
+    this.#leaving = this.#exchangeOf('leaving hosts', PEER_REQUESTS.leavingHosts, leavingHosts);
   }
 
   /** There are new reports of lost runs, or other entry hosts to tell. */
@@ -62,6 +67,18 @@
     this.#limits.flush();
   }
 
+  /** The same for hosts that are shutting down. */
+  shareLeaving(): void {
+    this.#leaving.flush();
+  }
+
+  /** There may be other entry hosts to tell. */
+  shareAll(): void {
+    this.shareRuns();
+    this.shareLimits();
+    this.shareLeaving();
+  }
+
   /** Another entry host has told of limits, unasked. */
   limitsHeard(reports: readonly LimitReport[], from: string): void {
     if (this.#options.limitReportsHeard(reports)) {
@@ -73,6 +90,7 @@
   stop(): void {
     this.#runs.stop();
     this.#limits.stop();
+    this.#leaving.stop();
   }
 
   async #askLimits(name: string): Promise<void> {
@@ -92,11 +110,7 @@
     }
   }
 
-  #exchangeOf<T extends RunReport | LimitReport>(
-    about: string,
-    message: string,
-    source: ReportSource<T>,
-  ): ReportExchange<T> {
+  #exchangeOf<T>(about: string, message: string, source: ReportSource<T>): ReportExchange<T> {
     const { links, neighbours, log } = this.#options;
     const send = async (address: string, reports: readonly T[]): Promise<ReportsReply> => {
       const request: ReportsRequest<T> = { reports };
--- a/packages/entry/src/rate-limits/named-limits.ts
+++ b/packages/entry/src/rate-limits/named-limits.ts
@@ -7,6 +7,7 @@
  */
 import type { HostIncarnation } from '../hosts/host-entry.js';
 import { StartMemory } from '../hosts/start-memory.js';
+import type { WordSource } from '../requests/host-notice.js';
 import type { LimitNotice } from '../requests/limit-notice.js';
 import type { Log } from '../server/log.js';
 import type { Counters, Gauges } from '../server/metrics.js';
@@ -46,9 +47,6 @@
   readonly sent: number;
 };
 
-/** Where a word was heard. */
-type Source = 'own-answer' | 'other-entry-host';
-
 /**
  * Time after which it is told again that a limit still holds, in milliseconds: a third of the time after which others
  * take the owners for gone.
@@ -118,7 +116,7 @@
    * Another entry host has told of limits, unasked where `requestedAt` is left out. True: it should be asked, since what
    * came unasked may be too old to be believed.
    */
-  take(reports: readonly LimitReport[], requestedAt?: number): boolean {
+  readonly take = (reports: readonly LimitReport[], requestedAt?: number): boolean => {
     let isWorthIt = false;
     for (const report of reports) {
       const before = this.#kept.get(report.host);
@@ -128,7 +126,7 @@
       this.#keep(before, known, 'other-entry-host');
     }
     return isWorthIt && requestedAt === undefined;
-  }
+  };
 
   /** The bound on what all entry hosts together may send the host; undefined where it takes what comes. */
   readonly boundOf = (host: HostIncarnation, now: number): SendBound | undefined => {
@@ -160,7 +158,7 @@
     return { now: now(), random };
   }
 
-  #keep(before: Kept | undefined, known: KnownLimit | undefined, source: Source): void {
+  #keep(before: Kept | undefined, known: KnownLimit | undefined, source: WordSource): void {
     if (known === undefined) {
       return;
     }
@@ -176,7 +174,7 @@
   }
 
   // True when the host begins or ends to be limited.
-  #logChange(before: Kept | undefined, known: KnownLimit, source: Source): boolean {
+  #logChange(before: Kept | undefined, known: KnownLimit, source: WordSource): boolean {
     const { log, now } = this.#options;
     const isLimited = isLimiting(known.word);
     const wasLimited = before !== undefined && isLimiting(before.known.word);
--- a/packages/entry/src/requests/host-notice.ts
+++ b/packages/entry/src/requests/host-notice.ts
@@ -14,6 +14,9 @@
   readonly isLeaving: boolean;
 };
 
+/** Where a word of a host was heard. */
+export type WordSource = 'own-answer' | 'other-entry-host';
+
 /** Names of the headers that a notice is read from. */
 export type NoticeHeaders = Pick<RelayHeaders, 'notExecuted' | 'hostLeaving'>;
 
--- a/packages/entry/src/routing/backoff-days.test.ts
+++ b/packages/entry/src/routing/backoff-days.test.ts
@@ -86,6 +86,7 @@
           this.#registry.noteLeaving(host);
         }
       },
+      reported: () => undefined,
       log: silentLog(),
       counters: this.#counters,
       gauges,
--- a/packages/entry/src/routing/host-notices.test.ts
+++ b/packages/entry/src/routing/host-notices.test.ts
@@ -17,6 +17,7 @@
   constructor(random: () => number = () => 0) {
     this.notices = new HostNotices({
       leaves: ({ id }) => this.left.push(id),
+      reported: () => undefined,
       log: silentLog(),
       counters: this.counters,
       gauges: new Gauges(),
@@ -99,4 +100,16 @@
     };
     fc.assert(fc.property(asks, fc.double({ min: 0, max: 0.999, noNaN: true }), check));
   });
+
+  it('that they leave, is told to other entry hosts once, and heard from them as from the host', () => {
+    const [told, other] = [new Subject(), new Subject()];
+    told.notices.hear(HOST, { backoffMs: 0, isLeaving: true });
+    expect(told.notices.since(0)).to.deep.equal([HOST]);
+    expect(told.notices.since(told.notices.sequence)).to.deep.equal([]);
+    other.notices.takeLeaving(told.notices.since(0));
+    other.notices.takeLeaving(told.notices.since(0));
+    expect(other.left).to.deep.equal(['h']);
+    told.now = 700_000;
+    expect(told.notices.since(0)).to.deep.equal([]);
+  });
 });
--- a/packages/entry/src/routing/send-rules.ts
+++ b/packages/entry/src/routing/send-rules.ts
@@ -25,6 +25,8 @@
   readonly slowStartOf: (service: string) => SlowStart | undefined;
   /** Called when a host says for the first time that it is shutting down. */
   readonly leaves: (host: HostIncarnation) => void;
+  /** Called when other entry hosts should be told that a host is shutting down. */
+  readonly leavingReported: () => void;
   /** Called when there is something to tell other entry hosts of the limits that hosts have named. */
   readonly limitsReported: () => void;
   readonly log: Log;
@@ -42,13 +44,14 @@
   readonly choice: SendChoiceFacts;
 
   constructor(options: SendRulesOptions) {
-    const { settings, members, slowStartOf, leaves, limitsReported, log, metrics } = options;
+    const { settings, members, slowStartOf, leaves, log, metrics } = options;
     const { name, bounds, regions } = settings();
     const { counters, gauges } = metrics;
-    this.notices = new HostNotices({ leaves, log, counters, gauges, now: monotonicMs });
+    const reported = options.leavingReported;
+    this.notices = new HostNotices({ leaves, reported, log, counters, gauges, now: monotonicMs });
     this.namedLimits = new NamedLimits({
       bounds: () => settings().bounds,
-      reported: limitsReported,
+      reported: options.limitsReported,
       log,
       counters,
       gauges,
--- a/packages/entry/src/testing/relay.ts
+++ b/packages/entry/src/testing/relay.ts
@@ -106,6 +106,7 @@
     activities: new HostActivities(),
     notices: new HostNotices({
       leaves: () => undefined,
+      reported: () => undefined,
       log,
       counters,
       gauges: new Gauges(),
