Comments without figures or stories of values

As agreed with the users, a comment gives the reason and no figure of a measurement. No change of behaviour.

--- a/packages/entry/src/groups/formation-plan.ts
+++ b/packages/entry/src/groups/formation-plan.ts
@@ -28,8 +28,8 @@
 export const FREE_LOADS: FormationLoads = 'free';
 
 /**
- * Worth of a group that still needs a load, against one that serves at once. Measured with 0.2 and
- * 0.5 (docs/DECISION-ROUNDS.md): both keep large models served, 0.2 costs the others nothing.
+ * Worth of a group that still needs a load, against one that serves at once, 0 to 1. Above 0, so that a large model
+ * that nobody has staged is formed at all; low, so that it takes no hosts from groups that serve at once.
  */
 const WAIT_WORTH = 0.2;
 
--- a/packages/entry/src/groups/rearrangement-plan.ts
+++ b/packages/entry/src/groups/rearrangement-plan.ts
@@ -13,9 +13,8 @@
 import { fillDomains, NO_LOADS } from './formation-plan.js';
 
 /**
- * Part by which the cost has to fall for each dissolved group, which costs its streams and two to
- * three seconds. Chosen by hand; dissolutions usually gain 0.1 to 0.45 (`gain` of the log line `group
- * dissolved for another`).
+ * Part by which the cost has to fall for each dissolved group, 0 to 1: it costs its streams and two to three
+ * seconds. The log line `group dissolved for another` tells the `gain` of each.
  */
 const LEAST_GAIN = 0.08;
 
--- a/packages/entry/src/groups/staging-plan.ts
+++ b/packages/entry/src/groups/staging-plan.ts
@@ -26,13 +26,13 @@
  */
 const LOSS_CHANCE = 0.1;
 /**
- * Worth of each further replacement of one model in a domain against the one before: it is needed
- * only if a second loss strikes the same domain first. Chosen by hand, not measured apart.
+ * Worth of each further replacement of one model in a domain against the one before, 0 to 1: it is needed
+ * only if a second loss strikes the same domain first.
  */
 const NEXT_REPLACEMENT = 0.35;
 /**
  * What it costs to evict a staged copy that others may need, in loads of the model: most of the
- * time it has to be loaded again. Chosen by hand, not measured apart.
+ * time it has to be loaded again.
  */
 const RESTAGE_FACTOR = 1.5;
 
--- a/packages/entry/src/quarantine/request-fingerprint.ts
+++ b/packages/entry/src/quarantine/request-fingerprint.ts
@@ -26,8 +26,8 @@
 const DIGITS = 32;
 
 /**
- * The fingerprint of a request. Costs 2 µs, and 0.7 ms for each megabyte of body (measured with Node 20 on one
- * core), so it is only made for requests that were lost, and while there is something to compare it with.
+ * The fingerprint of a request. All of its body is hashed, so it is only made for requests that were lost, and while
+ * there is something to compare it with.
  */
 export function fingerprintOf(content: RequestContent): RequestFingerprint {
   const { method, host, url, workspace, body } = content;
--- a/packages/entry/src/requests/wait-for-target.ts
+++ b/packages/entry/src/requests/wait-for-target.ts
@@ -47,9 +47,7 @@
 /**
  * Greatest part of the time left for which a request waits until hosts that have asked for none take requests again,
  * 0 to 1. Where all hosts of a service ask, a request that is refused with the true time most often comes back to
- * another entry host that they have asked too, and is lost. In a model of such minutes (`backoff-wait.test.ts`) callers
- * get 0.60 of what their requests are worth when refused at once and 0.71 with a half; with the whole time 0.73, which
- * leaves nothing for a host that asks again.
+ * another entry host that they have asked too, and is lost. What is left then is for a host that asks again.
  */
 const MOST_BACKOFF_PART = 0.5;
 
--- a/packages/entry/src/server/elapsed-time.ts
+++ b/packages/entry/src/server/elapsed-time.ts
@@ -7,8 +7,8 @@
  * the steady clock is taken for a suspension. That may be wrong: the time of day can also be set. Then what was
  * known is confirmed anew, which takes a few milliseconds; the other error would honour what has lapsed. (The
  * uptime of the operating system would tell them apart, but not where programs share a machine's uptime under
- * clocks of their own, and 2 µs a call against 0.1 µs here, measured.) A step of the time of day back by just the
- * length of a suspension hides it.
+ * clocks of their own, and is asked for by a system call.) A step of the time of day back by just the length of a
+ * suspension hides it.
  */
 import { monotonicMs } from './time.js';
 
