The claim of a target knows nothing of waits

The give-back that came with limits of hosts made a circle of imports of the claim, the wait for a target and the wait for a turn. It stands in the relays now, which know whether a wait has given a target; circles: 1, then none. No change of behaviour; tests of requests pass.

--- a/packages/entry/src/requests/claim-target.ts
+++ b/packages/entry/src/requests/claim-target.ts
@@ -1,7 +1,6 @@
 /** Chooses a target and claims the right to send to it, as one step; and gives the claim back. */
 import type { Target, TargetQuery } from '../routing/target-chooser.js';
 import { monotonicMs } from '../server/time.js';
-import type { NoTarget } from './await-target.js';
 import type { RelayServices } from './relay-services.js';
 
 /**
@@ -19,10 +18,3 @@
   const verdict = eligibility.take(target.host, query.homeRegions, monotonicMs());
   return verdict === 'eligible' ? target : undefined;
 }
-
-/** The target, if it is one, will not be sent the request after all. */
-export function giveBackClaim({ eligibility }: RelayServices, target: Target | NoTarget): void {
-  if ('host' in target) {
-    eligibility.giveBack(target.host);
-  }
-}
--- a/packages/entry/src/requests/plain-relay.ts
+++ b/packages/entry/src/requests/plain-relay.ts
@@ -5,8 +5,8 @@
 import type { Target, TargetQuery } from '../routing/target-chooser.js';
 import { monotonicMs } from '../server/time.js';
 import { AttemptLog } from './attempt-log.js';
+import type { NoTarget } from './await-target.js';
 import { awaitTarget, isTarget } from './await-target.js';
-import { giveBackClaim } from './claim-target.js';
 import { connectionsFor } from './connection-choice.js';
 import type { ExchangeEnd } from './exchange.js';
 import { isBroken, startExchange } from './exchange.js';
@@ -82,7 +82,7 @@
       const target = await awaitTarget(this.#services, this.#context, query);
       // The caller may have left while the call was held: then it must not reach a host any more.
       if (this.#context.gone.aborted) {
-        giveBackClaim(this.#services, target);
+        this.#giveBack(target);
         return;
       }
       if (!isTarget(target)) {
@@ -111,6 +111,12 @@
     }
   }
 
+  #giveBack(target: Target | NoTarget): void {
+    if (isTarget(target)) {
+      this.#services.eligibility.giveBack(target.host);
+    }
+  }
+
   #query(): TargetQuery {
     const { service, homes } = this.#context;
     const homeRegions = homes.inForce();
--- a/packages/entry/src/requests/stream-relay.ts
+++ b/packages/entry/src/requests/stream-relay.ts
@@ -9,8 +9,9 @@
 import type { Target, TargetQuery } from '../routing/target-chooser.js';
 import { monotonicMs, sleep } from '../server/time.js';
 import { AttemptLog } from './attempt-log.js';
+import type { NoTarget } from './await-target.js';
 import { awaitTarget, isTarget } from './await-target.js';
-import { claimTarget, giveBackClaim } from './claim-target.js';
+import { claimTarget } from './claim-target.js';
 import { EventForwarder } from './event-forwarder.js';
 import type { FinalAnswer } from './final-answer.js';
 import { giveFinalAnswer, quarantinedAnswer } from './final-answer.js';
@@ -92,7 +93,7 @@
       const query = (): TargetQuery => this.#query();
       const target = await awaitTarget(this.#services, this.#context, query);
       if (gone.aborted) {
-        giveBackClaim(this.#services, target);
+        this.#giveBack(target);
         return;
       }
       if (!isTarget(target)) {
@@ -131,6 +132,13 @@
     return true;
   }
 
+  // A claimed target will not be sent the stream after all.
+  #giveBack(target: Target | NoTarget): void {
+    if (isTarget(target)) {
+      this.#services.eligibility.giveBack(target.host);
+    }
+  }
+
   #query(): TargetQuery {
     const { service, model, homes } = this.#context;
     return { service, model, homeRegions: homes.inForce(), exclude: this.#log.tried };
@@ -176,7 +184,7 @@
       return;
     }
     if (!this.#log.takeRetry(reason)) {
-      giveBackClaim(this.#services, target);
+      this.#giveBack(target);
       return;
     }
     counters.count('retries_total', { service: 'engine', after: 'stalled' });
