--- a/packages/proofs/src/deployment/child.ts
+++ b/packages/proofs/src/deployment/child.ts
@@ -39,7 +39,11 @@
   #exit: Promise<number> = Promise.resolve(0);
   #waiting: (() => void)[] = [];
 
-  constructor(program: 'gateway' | 'controller', name: string, settings: SettingsValues) {
+  constructor(
+    program: 'gateway' | 'controller' | 'stand-ins',
+    name: string,
+    settings: SettingsValues,
+  ) {
     this.#path = binaryPath(program);
     this.#file = join(mkdtempSync(join(tmpdir(), 'hingescale-')), `${name}.ini`);
     writeFileSync(this.#file, iniText(settings));
--- a/packages/proofs/src/deployment/deployment.ts
+++ b/packages/proofs/src/deployment/deployment.ts
@@ -25,6 +25,8 @@
 } from './profile.js';
 import type { ProcessPlan } from './settings-text.js';
 import { controllerSettings, FAST_TIMING, gatewaySettings } from './settings-text.js';
+import type { StandInsProcess } from './stand-ins-process.js';
+import { startStandInsProcess } from './stand-ins-process.js';
 
 /** What a proof asks for; the rest has small defaults. */
 export type DeploymentOptions = {
@@ -48,6 +50,8 @@
   readonly limits?: Readonly<Record<string, number>>;
   /** Address by which a process reaches the platform; for cuts. */
   readonly platformFor?: (process: string, platform: string) => string;
+  /** Platform, engine hosts and services run in a process of their own, which can be suspended. */
+  readonly standInsApart?: boolean;
   /** Addresses by which a process reaches controllers; for cuts. */
   readonly controllersFor?: (process: string, controllers: readonly string[]) => readonly string[];
 };
@@ -98,6 +102,8 @@
   engine!: EngineStandIn;
   services: ServiceStandIn[] = [];
   client!: PlatformClient;
+  /** The process of the stand-ins, where they run apart; then none of them can be reached as objects. */
+  standIns: StandInsProcess | undefined;
   readonly #options: DeploymentOptions;
 
   constructor(options: DeploymentOptions = {}) {
@@ -128,6 +134,11 @@
   /** Starts the platform, the engine hosts and a service runner per failure domain. */
   async startStandIns(): Promise<void> {
     const listen = '127.0.0.1:0';
+    if (this.#options.standInsApart === true) {
+      this.standIns = await this.#startStandInsApart();
+      this.client = this.#connect();
+      return;
+    }
     const limits = {
       writesPerSecond: 1_000,
       readsPerSecond: 10_000,
@@ -145,8 +156,7 @@
     });
     this.listHosts();
     this.services = await Promise.all(this.domains.map(() => startService(listen)));
-    const url = `http://${this.platform.address}`;
-    this.client = new PlatformClient({ url, timeoutMs: 500, log: silentLog() });
+    this.client = this.#connect();
   }
 
   /** Puts the hosts on the platform's list, some of them leaving. */
@@ -179,9 +189,8 @@
 
   /** The configuration of this deployment as INI text. */
   configurationText(change: Partial<ConfigurationOptions> = {}): string {
-    const runners = this.services.map(
-      (service, index) => `${this.domains[index]}@http://${service.address}`,
-    );
+    const services = this.standIns?.services ?? this.services.map(service => service.address);
+    const runners = services.map((address, index) => `${this.domains[index]}@http://${address}`);
     const [model] = this.domains;
     return configurationText(
       {
@@ -277,9 +286,33 @@
     await Promise.all([...this.gateways, ...this.controllers].map(({ child }) => child.kill()));
     await this.caller.close();
     await this.client.close();
+    if (this.standIns !== undefined) {
+      await this.standIns.child.kill();
+      return;
+    }
     await Promise.all([this.engine, this.platform, ...this.services].map(item => item.stop()));
   }
 
+  get #platformUrl(): string {
+    return `http://${this.standIns?.platform ?? this.platform.address}`;
+  }
+
+  #connect(): PlatformClient {
+    return new PlatformClient({ url: this.#platformUrl, timeoutMs: 500, log: silentLog() });
+  }
+
+  #startStandInsApart(): Promise<StandInsProcess> {
+    const count = this.#options.hostsPerDomain ?? 4;
+    return startStandInsProcess({
+      engineHosts: this.domains.flatMap(domain => hostNames(domain, count)),
+      services: this.domains.length,
+      listHosts: addressOf => {
+        const hosts = profileHosts(this.profile, count, addressOf);
+        return hosts.filter(host => this.domains.includes(host.failureDomain));
+      },
+    });
+  }
+
   async #ownsKeys({ address }: DeployedGateway): Promise<boolean> {
     const call = { address, key: this.key(), path: '/v1/idempotency-keys', body: {} };
     return (await this.caller.send(call)).status === 201;
@@ -337,7 +370,7 @@
     remoteControllers: readonly string[],
   ): ProcessPlan {
     const { platformFor, controllersFor, timing, logLevel } = this.#options;
-    const platform = `http://${this.platform.address}`;
+    const platform = this.#platformUrl;
     return {
       name,
       failureDomain,
--- a/packages/proofs/src/deployment/load.ts
+++ b/packages/proofs/src/deployment/load.ts
@@ -1,5 +1,6 @@
 /** Callers that keep sending requests while failures are injected, and remember what they got. */
 import { sleep } from '@hingescale/runtime';
+import type { RunRecord } from '@hingescale/stand-ins';
 import { fingerprintOf } from '@hingescale/stand-ins';
 
 import type { CallerAnswer } from './caller.js';
@@ -98,7 +99,12 @@
 
 /** Ids of the requests that engines ran, as callers chose them. */
 export function requestIdsRun(deployment: Deployment): Set<string> {
-  return new Set(deployment.engine.runs.map(run => run.requestId.split('.')[0]));
+  return callersIds(deployment.engine.runs);
+}
+
+/** Request ids of runs, as callers chose them. */
+export function callersIds(runs: readonly RunRecord[]): Set<string> {
+  return new Set(runs.map(run => run.requestId.split('.')[0]));
 }
 
 /** Deliveries that break a promise about answers: cut, foreign, or falsely called not run. */
--- a/packages/proofs/src/deployment/profile.ts
+++ b/packages/proofs/src/deployment/profile.ts
@@ -39,6 +39,8 @@
 
 /** Values of a configuration that proofs vary. */
 export type ConfigurationOptions = {
+  /** Version of the model; left out: 1. */
+  readonly version?: string;
   readonly hostsPerGroup: number;
   readonly replicas: number;
   readonly slots: number;
@@ -76,7 +78,7 @@
 checks-fence = ${options.checksFence ? 'yes' : 'no'}
 
 [model ${profile.model}]
-version = 1
+version = ${options.version ?? '1'}
 hosts = ${options.hostsPerGroup}
 replicas = ${options.replicas}
 gigabytes-per-host = 0.01
--- a/packages/stand-ins/src/bin-stand-ins.ts
+++ b/packages/stand-ins/src/bin-stand-ins.ts
@@ -11,7 +11,7 @@
   yesNoField,
 } from '@hingescale/core';
 import type { RunningServer, SettingsOf } from '@hingescale/runtime';
-import { runServer } from '@hingescale/runtime';
+import { createLog, runServer } from '@hingescale/runtime';
 import { z } from 'zod';
 
 import { ENGINE_DEFAULTS, startEngine } from './engine/app.js';
@@ -75,7 +75,7 @@
   for (const listen of service.listen) {
     started.push(await startService(listen));
   }
-  process.stdout.write('ready\n');
+  createLog({ process: 'stand-ins', level: 'info', format: 'json' }).info('stand-ins started');
   const stop = async (): Promise<void> => {
     await Promise.all(started.map(server => server.stop()));
   };
