A silence of the observer, or of all hosts at once, is not the loss of hosts

Callers got 503 "no group of the model is ready" while all groups were sound. While they return one by one a group could be given up to complete another, which resets a sound group with its weights.

Ruled out: members that were late (each answered within a probe's period), a change of the lease (it was held throughout), slow polls (the gateways' own questions were answered meanwhile).

Change: a host is missing only where it could have answered: this process ran (EventLoopWatch, which also logs and counts its interruptions) and heard some other host, both for the life of a certificate. A silence that says nothing suspends, ends and dissolves no group; and while the hosts of a fabric domain return, its groups are not given up. The entry host's rule for domains that lost most of their hosts at once moved to core; both use it. Certificates are issued as before: only on answers of all members.

--- a/packages/bench/src/groups/decision.test.ts
+++ b/packages/bench/src/groups/decision.test.ts
@@ -136,11 +136,10 @@
     { ...base, kind: 'form', content, members },
     { ...base, kind: 'move', state: 'ready' },
   ]);
+  const silence = { silentMs: silentMs ?? 0, isMissing: (silentMs ?? 0) > 0, mayReturn: false };
   const facts = hosts
     .slice(0, 4)
-    .map(
-      host => [host.id, { host, report: undefined, silentMs: silentMs ?? 0, losses: 0 }] as const,
-    );
+    .map(host => [host.id, { host, report: undefined, ...silence, losses: 0 }] as const);
   const input: DecisionInput = {
     failureDomain: first.failureDomain,
     configuration,
--- a/packages/bench/src/groups/fleet.ts
+++ b/packages/bench/src/groups/fleet.ts
@@ -331,7 +331,10 @@
         const quiet = host.alive ? 0 : this.#now - host.silentSince;
         const silentMs = quiet >= SILENT_AFTER_S ? quiet * 1000 : 0;
         const recent = host.losses.filter(at => at > this.#now - LOSS_MEMORY_S);
-        facts.set(id, { host: host.host, report: host.report, silentMs, losses: recent.length });
+        const isMissing = silentMs > 0;
+        const { report } = host;
+        const losses = recent.length;
+        facts.set(id, { host: host.host, report, silentMs, isMissing, mayReturn: false, losses });
       }
     }
     return facts;
--- a/packages/controller/src/controller.ts
+++ b/packages/controller/src/controller.ts
@@ -17,6 +17,7 @@
 import {
   createLog,
   DEFAULT_HTTP_LIMITS,
+  EventLoopWatch,
   listenHttp,
   Metrics,
   newUuid,
@@ -62,6 +63,7 @@
   readonly #remotes = new RemoteDomains();
   readonly #roster: GatewayRoster;
   readonly #peers: PeerTask;
+  readonly #loop: EventLoopWatch;
   #address = '';
   #admin: HttpServer | undefined;
   #server: LinkServer | undefined;
@@ -77,6 +79,7 @@
     const { process: self, platform, timing, links } = settings;
     this.#instance = `${self.name}/${newUuid()}`;
     this.#log = createLog({ process: self.name, ...settings.log });
+    this.#loop = new EventLoopWatch({ log: this.#log, metrics: this.#metrics });
     this.#client = connectPlatform(platform, this.#log, this.#metrics);
     this.#hostClient = new HostClient({
       timeoutMs: timing['certificate-ms'],
@@ -122,6 +125,7 @@
   /** Starts all tasks. */
   async start(): Promise<void> {
     const { links } = this.#settings;
+    this.#loop.start();
     this.#server = new LinkServer({
       listen: links.listen,
       key: links.key,
@@ -159,6 +163,7 @@
   /** Ends all tasks. */
   async stop(): Promise<void> {
     const tasks = [
+      this.#loop,
       this.#groups,
       this.#keyOwners,
       this.#lease,
@@ -293,7 +298,10 @@
       hosts: this.#hosts,
       ledgers: this.#ledgers,
       prober: this.#prober,
-      memory: new HostMemory(timing['certificate-ms']),
+      memory: new HostMemory({
+        silentAfterMs: timing['certificate-ms'],
+        resumedAt: () => this.#loop.resumedAt(),
+      }),
       times: {
         certificateMs: timing['certificate-ms'],
         drainMs: timing['drain-ms'],
--- a/packages/core/src/decision/broken-groups.ts
+++ b/packages/core/src/decision/broken-groups.ts
@@ -11,7 +11,7 @@
 import type { HostId } from '../hosts/host.js';
 import { downRate, loadMs, strandedRate } from './costs.js';
 import type { HostFact } from './decision-input.js';
-import { ageOf, answers, FLAPPING_LOSSES, isLeaving } from './decision-input.js';
+import { ageOf, answers, FLAPPING_LOSSES, isLeaving, isUnheard } from './decision-input.js';
 import { canForm } from './formation.js';
 import { hostLossAnswer } from './host-loss.js';
 import type { Alternative } from './ledger-order.js';
@@ -23,6 +23,8 @@
   readonly missing: readonly HostId[];
   /** True when a missing member will not come back. */
   readonly gone: boolean;
+  /** True while a missing member may be back within moments: then nothing is decided. */
+  readonly mayReturn: boolean;
   readonly waitedMs: number;
   /** Milliseconds of waiting after which acting is the better bet. */
   readonly patienceMs: number;
@@ -39,7 +41,9 @@
     .filter(({ group }) => group.state === 'suspended')
     .map(placed => assess(plan, placed))
     .sort((a, b) => urgency(plan, b) - urgency(plan, a));
-  const impatient = broken.filter(entry => entry.gone || entry.waitedMs >= entry.patienceMs);
+  const impatient = broken.filter(
+    entry => !entry.mayReturn && (entry.gone || entry.waitedMs >= entry.patienceMs),
+  );
   const open: Broken[] = [];
   for (const entry of impatient) {
     if (entry.giveUp) {
@@ -61,20 +65,21 @@
   const model = plan.model(group.content.model);
   const facts = new Map(group.members.map(member => [member, input.hosts.get(member)]));
   const missing = group.members.filter(member => isMissing(ledger, facts.get(member)));
+  const mayReturn = [...facts.values()].some(fact => isUnheard(fact) || fact?.mayReturn === true);
   const gone = missing.some(member => isGone(ledger, facts.get(member)));
   const waitedMs = ageOf(input, group);
   if (model === undefined) {
     const unwanted = { model: UNDECLARED, patienceMs: 0, giveUp: true };
-    return { ...placed, ...unwanted, missing, gone, waitedMs };
+    return { ...placed, ...unwanted, missing, gone, mayReturn, waitedMs };
   }
   const repairMs = loadMs(input, model, Math.max(1, missing.length));
   const answer = policyAnswer(plan, placed, model, missing.length, waitedMs, repairMs);
   const patienceMs = answer === 'wait' ? Infinity : answer === 'default' ? repairMs * PATIENCE : 0;
   if (missing.length === 0) {
-    return { ...placed, model, missing, gone, waitedMs, patienceMs: 0, giveUp: false };
+    return { ...placed, model, missing, gone, mayReturn, waitedMs, patienceMs: 0, giveUp: false };
   }
   const giveUp = answer === 'dissolve';
-  return { ...placed, model, missing, gone, waitedMs, patienceMs, giveUp };
+  return { ...placed, model, missing, gone, mayReturn, waitedMs, patienceMs, giveUp };
 }
 
 function policyAnswer(
--- a/packages/core/src/decision/decision-input.ts
+++ b/packages/core/src/decision/decision-input.ts
@@ -11,6 +11,13 @@
   readonly report: HostStateReport | undefined;
   /** Milliseconds since it last answered; 0 while it answers. */
   readonly silentMs: number;
+  /**
+   * True when it is silent although it could have answered: the observer ran and heard other hosts. A silence of all
+   * hosts at once says more of the observer or the network than of any host.
+   */
+  readonly isMissing: boolean;
+  /** True while it is silent and may answer within moments, since its fabric domain or the observer is just back. */
+  readonly mayReturn: boolean;
   /** Times it fell silent or restarted within the memory of the observer; damps flapping. */
   readonly losses: number;
 };
@@ -65,6 +72,11 @@
   return fact !== undefined && fact.report !== undefined && fact.silentMs === 0;
 }
 
+/** True when a host neither answers nor is known to be missing, so that nothing may be concluded about it. */
+export function isUnheard(fact: HostFact | undefined): boolean {
+  return fact !== undefined && !fact.isMissing && !answers(fact);
+}
+
 /** True when a member answers for its group's present epoch with everything loaded. */
 export function memberIsLoaded(group: Group, fact: HostFact | undefined): boolean {
   return (
--- a/packages/core/src/decision/drains.ts
+++ b/packages/core/src/decision/drains.ts
@@ -8,6 +8,7 @@
   domainsOf,
   hasOutdatedAdapters,
   isLeaving,
+  isUnheard,
   memberIsLoaded,
   wantedReplicas,
 } from './decision-input.js';
@@ -83,6 +84,9 @@
 export function isDrained(input: DecisionInput, group: Group): boolean {
   const age = ageOf(input, group);
   const leader = input.hosts.get(group.members[0]);
+  if (isUnheard(leader)) {
+    return age >= input.times.drainMs;
+  }
   const running = memberIsLoaded(group, leader) ? (leader?.report?.running ?? 0) : 0;
   // Gateways may send work until their certificates of before the drain have lapsed.
   return (age >= input.times.certificateMs && running === 0) || age >= input.times.drainMs;
--- a/packages/core/src/decision/reconcile.ts
+++ b/packages/core/src/decision/reconcile.ts
@@ -10,6 +10,7 @@
   answers,
   hasOutdatedAdapters,
   isLeaving,
+  isUnheard,
   memberIsLoaded,
 } from './decision-input.js';
 import type { LedgerAction, LedgerOrder } from './ledger-order.js';
@@ -123,7 +124,9 @@
   );
   const waiting = group.members.filter(
     (member, index) =>
-      !group.fenced.includes(member) && !confirmed.includes(member) && answers(facts[index]),
+      !group.fenced.includes(member) &&
+      !confirmed.includes(member) &&
+      (answers(facts[index]) || isUnheard(facts[index])),
   );
   if (waiting.length === 0 && ageOf(input, group) >= input.times.certificateMs) {
     orders.push(
@@ -150,11 +153,11 @@
 
 // A host that this observer has not heard yet is not known to be missing.
 function isMissing(group: Group, fact: HostFact | undefined): boolean {
-  return isLost(fact) || (fact?.report !== undefined && !memberIsLoaded(group, fact));
+  return isLost(fact) || (answers(fact) && !memberIsLoaded(group, fact));
 }
 
 function isLost(fact: HostFact | undefined): boolean {
-  return fact === undefined || fact.silentMs > 0;
+  return fact === undefined || fact.isMissing;
 }
 
 function move(state: Group['state']): LedgerAction {
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -14,6 +14,7 @@
 export * from './hosts/evacuation.js';
 export * from './hosts/host.js';
 export * from './hosts/host-protocol.js';
+export * from './hosts/lapsed-domains.js';
 export * from './policies/program.js';
 export * from './requests/burn.js';
 export * from './requests/completion.js';
--- a/packages/entry/src/groups/group-task.ts
+++ b/packages/entry/src/groups/group-task.ts
@@ -4,6 +4,8 @@
  * It keeps no record of its own in the store: groups are what the hosts tell of themselves, names
  * are never used twice, and epochs rise with the lease's term.
  */
+import { LapsedDomains } from '@hingescale/core';
+
 import type { EngineProfile } from '../configuration/serving-configuration.js';
 import type { DepartedHost, HostEntry } from '../hosts/host-entry.js';
 import type { HostRegistry } from '../hosts/host-registry.js';
@@ -14,6 +16,7 @@
 import { CapacityLog } from './capacity-log.js';
 import { DomainUses } from './domain-use.js';
 import { planIdleFormations, planIdleStagings } from './evacuated-plan.js';
+import { domainHosts } from './fabric-domain.js';
 import { fleetViewOf } from './fleet-picture.js';
 import type { FleetView } from './fleet-view.js';
 import type { PlannedFormation } from './formation-plan.js';
@@ -23,7 +26,6 @@
 import { GroupObserver } from './group-observer.js';
 import { releaseOf, repairOf } from './group-repair.js';
 import type { HostOrder, OrderOutcome } from './host-orders.js';
-import { LapsedDomains } from './lapsed-domains.js';
 import { LoadBudget } from './load-budget.js';
 import type { MemberProber } from './member-prober.js';
 import type { GuardView } from './order-guard.js';
@@ -197,7 +199,7 @@
       unlisted: prober.unlisted,
       beingAsked: this.#beingAsked(now),
       entriesMayReturn: (this.#options.inTouchForMs() ?? 0) < ENTRIES_RETURN_MS,
-      lapsedDomains: this.#lapsed.observe(hosts, this.#departed(), now),
+      lapsedDomains: this.#lapsed.observe(domainHosts(hosts, this.#departed(), now), now),
       ...this.#domainUses.observe(hosts, now),
       busy: sender.busy,
       loadsLeft: this.#loads.left(now, byRate, profile.loadsAtOnce + EXTRA_LOADS, running),
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -2,6 +2,7 @@
 export * from './address.js';
 export * from './binary.js';
 export * from './clock.js';
+export * from './event-loop-watch.js';
 export * from './http-server.js';
 export * from './identity.js';
 export * from './log.js';
