A collected answer waits for the late certificate of its only group, as a stream does

Callers without a stream got 502 "upstream-lost" ("ended from here") when the certificate of the group that ran their request lapsed and was renewed a moment later. Cause: only a request whose tokens have gone out waited for the renewal; another one left the group at once to run elsewhere, and failed where no other group was usable, as when all certificates lapse together. One that may not be repeated failed in any case, although its engine ran on.

Change: the wait is for the group that runs the request, and ends as soon as another group may start a repeatable one; a non-repeatable one waits as a stream does. Its unit test fails without the change.

--- a/packages/gateway/src/requests/completion-run.test.ts
+++ b/packages/gateway/src/requests/completion-run.test.ts
@@ -102,7 +102,7 @@
   }
 }
 
-function runOf(engine: FakeEngine, directory: FakeDirectory): Promise<RunResult> {
+function runOf(engine: FakeEngine, directory: FakeDirectory, streaming = true): Promise<RunResult> {
   const services: RunServices = {
     directory: directory as unknown as GroupDirectory,
     router: {
@@ -129,7 +129,7 @@
       gone: new AbortController().signal,
     },
     {
-      streaming: true,
+      streaming,
       accepted: () => undefined,
       token: () => undefined,
       reset: () => undefined,
@@ -183,6 +183,18 @@
     expect(engine.offsets).to.deep.equal([2]);
   });
 
+  it('goes on as well when its answer is collected and no other group may run it', async () => {
+    const directory = new FakeDirectory();
+    const lapse = (): void => {
+      void directory.lapse();
+      setTimeout(() => void directory.certify(), 50);
+    };
+    const engine = new FakeEngine([{ tokens: 2, end: CUT, before: lapse }, rest]);
+    const result = await runOf(engine, directory, false);
+    expect(result.tokens).to.equal(TOKENS);
+    expect(engine.offsets).to.deep.equal([2]);
+  });
+
   it('is not attached to while its group is not certified', async () => {
     const directory = new FakeDirectory();
     const lapse = (): void => void directory.lapse();
--- a/packages/gateway/src/requests/completion-run.ts
+++ b/packages/gateway/src/requests/completion-run.ts
@@ -1,5 +1,5 @@
 /** Runs one completion: attempts, resumes, retries, and a truthful end. */
-import type { CompletionRequest, GroupView } from '@hingescale/core';
+import type { CompletionRequest, GroupId, GroupView } from '@hingescale/core';
 import { ProblemError } from '@hingescale/core';
 import type { Metrics } from '@hingescale/runtime';
 import { monotonicMs, newUuid, sleep } from '@hingescale/runtime';
@@ -71,7 +71,7 @@
   readonly #services: RunServices;
   readonly #admitted: AdmittedRequest;
   readonly #sink: AnswerSink;
-  readonly #tried = new Set<string>();
+  readonly #tried = new Set<GroupId>();
   #tokens = 0;
   #startedAt = 0;
   #sentAt = 0;
@@ -139,7 +139,7 @@
     }
   }
 
-  #pick(): GroupView | undefined {
+  #pick(exclude: readonly GroupId[] = []): GroupView | undefined {
     const { request, workspace } = this.#admitted;
     const { model, adapter, prompt } = request;
     return this.#services.router.pick({
@@ -147,7 +147,7 @@
       adapter,
       prompt,
       workspace,
-      exclude: this.#tried,
+      exclude: new Set([...this.#tried, ...exclude]),
     });
   }
 
@@ -235,14 +235,14 @@
   // certified in time.
   async #certifiedAgain({ group }: GroupView): Promise<boolean> {
     const { directory } = this.#services;
-    const waitMs = this.life.state === 'streaming' ? RECERTIFY_MS : 0;
-    const limit = Math.min(this.#admitted.deadline, monotonicMs() + waitMs);
+    const limit = Math.min(this.#admitted.deadline, monotonicMs() + RECERTIFY_MS);
     while (this.#wanted) {
       if (directory.certified(group.id, group.epoch)) {
         return true;
       }
       const leftMs = limit - monotonicMs();
-      if (leftMs <= 0 || !directory.mayServe(group.id, group.epoch)) {
+      const isOver = leftMs <= 0 || !directory.mayServe(group.id, group.epoch);
+      if (isOver || this.#mayRunElsewhere(group.id)) {
         return false;
       }
       const timeout = AbortSignal.timeout(Math.ceil(leftMs));
@@ -251,6 +251,12 @@
     return false;
   }
 
+  // Tokens that have gone out can't be taken back, and a request that may run once has begun.
+  #mayRunElsewhere(present: GroupId): boolean {
+    const mayStartAnew = this.#admitted.repeatable && this.life.state !== 'streaming';
+    return mayStartAnew && this.#pick([present]) !== undefined;
+  }
+
   #token(attempt: Attempt, data: string): Promise<void> | undefined {
     const { metrics } = this.#services;
     const now = monotonicMs();
--- a/packages/proofs/src/suspensions/suspensions.test.ts
+++ b/packages/proofs/src/suspensions/suspensions.test.ts
@@ -6,7 +6,7 @@
 
 const SEED = 1;
 const ROUNDS = 3;
-const TESTED = ['all controllers', 'all entry processes'];
+const TESTED = ['all controllers', 'all entry processes', 'engines and platform, long'];
 
 describe('processes suspended by signals', () => {
   for (const suspension of SUSPENSION_CASES.filter(({ name }) => TESTED.includes(name))) {
