Tasks that are woken early leave no timers or abort listeners behind

A controller warned of a leak of abort listeners (MaxListenersExceededWarning): each wait between two turns that was ended early by news left its sleep and its listener on the task's signal for the rest of the period, many where hosts answer something new at once. WakeableSleep clears both; the group, lease and poll tasks share it in place of three copies of the race.

--- a/packages/controller/src/groups/group-task.ts
+++ b/packages/controller/src/groups/group-task.ts
@@ -26,7 +26,7 @@
   StoredObject,
 } from '@hingescale/object-store';
 import type { Log, Metrics } from '@hingescale/runtime';
-import { monotonicMs, newUuid, sleep, Task } from '@hingescale/runtime';
+import { monotonicMs, newUuid, Task, WakeableSleep } from '@hingescale/runtime';
 import type { HostClient, MemberProber } from '@hingescale/upstream';
 
 import type { HostMemory } from './host-memory.js';
@@ -66,11 +66,11 @@
 /** Decides and acts for one failure domain, while the lease is held. */
 export class GroupTask extends Task<GroupMessages> {
   readonly history = new OrderHistory();
+  readonly #pauses = new WakeableSleep();
   readonly #options: GroupTaskOptions;
   readonly #stateSince = new Map<string, number>();
   readonly #orderSentAt = new Map<string, number>();
   #held = false;
-  #wake: (() => void) | undefined;
 
   constructor(options: GroupTaskOptions) {
     super();
@@ -82,18 +82,13 @@
     const { prober, ledgers, hosts, periodMs } = this.#options;
     for (const source of [prober.messages, ledgers.messages, hosts.messages]) {
       source.on('changed', () => {
-        this.#wake?.();
+        this.#pauses.wake();
       });
     }
     this.run(async () => {
       while (!this.stopped) {
         await this.#turn();
-        await Promise.race([
-          sleep(periodMs, this.signal),
-          new Promise<void>(resolve => {
-            this.#wake = resolve;
-          }),
-        ]);
+        await this.#pauses.sleep(periodMs, this.signal);
       }
     });
   }
--- a/packages/controller/src/lease/lease-task.ts
+++ b/packages/controller/src/lease/lease-task.ts
@@ -3,7 +3,7 @@
 import { emptyKeyTable, holderDeadline, mayTakeOver } from '@hingescale/core';
 import type { PlatformClient, PlatformError, StoredObject } from '@hingescale/object-store';
 import type { Log, Metrics } from '@hingescale/runtime';
-import { monotonicMs, newUuid, sleep, Task } from '@hingescale/runtime';
+import { monotonicMs, newUuid, Task, WakeableSleep } from '@hingescale/runtime';
 import type { Result } from 'true-myth';
 
 /** Options of the lease task. */
@@ -32,6 +32,7 @@
 
 /** Owns the lease object of one failure domain. */
 export class LeaseTask extends Task<LeaseMessages> {
+  readonly #pauses = new WakeableSleep();
   readonly #options: LeaseTaskOptions;
   #stored: StoredObject<Lease> | undefined;
   #observation: LeaseObservation | undefined;
@@ -39,7 +40,6 @@
   #confirmedAt = -Infinity;
   #holding = false;
   #wantedKeys: ((table: KeyOwnerTable) => KeyOwnerTable) | undefined;
-  #wake: (() => void) | undefined;
 
   constructor(options: LeaseTaskOptions) {
     super();
@@ -80,7 +80,7 @@
   changeKeys(change: (table: KeyOwnerTable) => KeyOwnerTable): void {
     const before = this.#wantedKeys;
     this.#wantedKeys = table => change(before?.(table) ?? table);
-    this.#wake?.();
+    this.#pauses.wake();
   }
 
   /** Gives the lease up, so that a candidate may take it at once. */
@@ -106,13 +106,7 @@
   async #pause(): Promise<void> {
     const { durationMs } = this.#options;
     const ms = Math.max(MIN_PAUSE_MS, durationMs / RENEWALS_PER_LEASE);
-    await Promise.race([
-      sleep(ms, this.signal),
-      new Promise<void>(resolve => {
-        this.#wake = resolve;
-      }),
-    ]);
-    this.#wake = undefined;
+    await this.#pauses.sleep(ms, this.signal);
   }
 
   async #renew(): Promise<void> {
--- a/packages/gateway/src/domain/controller-task.ts
+++ b/packages/gateway/src/domain/controller-task.ts
@@ -3,7 +3,7 @@
 import { LINK_REQUESTS } from '@hingescale/link';
 import type { ConfigurationHolder } from '@hingescale/object-store';
 import type { Log, Metrics } from '@hingescale/runtime';
-import { monotonicMs, sleep, Task } from '@hingescale/runtime';
+import { monotonicMs, Task, WakeableSleep } from '@hingescale/runtime';
 
 import type { GroupDirectory } from './group-directory.js';
 
@@ -36,11 +36,11 @@
 
 /** Polls one controller at a time, the one that vouches. */
 export class ControllerTask extends Task<ControllerMessages> {
+  readonly #pauses = new WakeableSleep();
   readonly #options: ControllerTaskOptions;
   #current: string;
   #vouchedAt = -Infinity;
   #sendConfiguration = false;
-  #wake: (() => void) | undefined;
 
   constructor(options: ControllerTaskOptions) {
     super();
@@ -68,19 +68,14 @@
         if (!keep) {
           this.#next();
         }
-        await Promise.race([
-          sleep(this.#options.periodMs, this.signal),
-          new Promise<void>(resolve => {
-            this.#wake = resolve;
-          }),
-        ]);
+        await this.#pauses.sleep(this.#options.periodMs, this.signal);
       }
     });
   }
 
   /** Polls again at once, for news that should not wait for the next period. */
   pollNow(): void {
-    this.#wake?.();
+    this.#pauses.wake();
   }
 
   // True when the present controller is the one to ask next time.
--- a/packages/runtime/src/clock.ts
+++ b/packages/runtime/src/clock.ts
@@ -17,3 +17,31 @@
     }
   }
 }
+
+/** Waits for some time, or until it is woken; leaves nothing behind when it is woken early. */
+export class WakeableSleep {
+  #wake: (() => void) | undefined;
+
+  /** Waits; ends early when woken or when the signal is raised. */
+  async sleep(ms: number, signal: AbortSignal): Promise<void> {
+    const early = new AbortController();
+    this.#wake = () => {
+      early.abort();
+    };
+    const onStop = this.#wake;
+    signal.addEventListener('abort', onStop);
+    try {
+      if (!signal.aborted) {
+        await sleep(ms, early.signal);
+      }
+    } finally {
+      signal.removeEventListener('abort', onStop);
+      this.#wake = undefined;
+    }
+  }
+
+  /** Ends the present wait, if there is one. */
+  wake(): void {
+    this.#wake?.();
+  }
+}
