A certificate that is over counts as renewed late before its timer has run

Callers got 503 "no group of the model is ready" or "held back before it was sent" in the milliseconds after a gateway had been late. Evidence: all certificates lapsed and were renewed within 3 and 55 ms of the wake, and the refusals fell between.

Change: the question for how long a renewal is expected looks at the clock, not at what timers have noted. A unit test that blocks the event loop fails without it.

--- a/packages/gateway/src/domain/group-directory.ts
+++ b/packages/gateway/src/domain/group-directory.ts
@@ -164,7 +164,10 @@
    */
   renewalLeftMs(model: string): number {
     const now = monotonicMs();
-    const left = [...this.#lapsed].map(([id, { epoch, at }]) => {
+    // After a late turn of the event loop some certificates are over whose timer has not run yet.
+    const over = [...this.#certificates].filter(([, { expiresAt }]) => expiresAt <= now);
+    const lapsed = over.map(([id, { epoch }]) => [id, { epoch, at: now }] as const);
+    const left = [...this.#lapsed, ...lapsed].map(([id, { epoch, at }]) => {
       const view = this.#groups.get(id);
       const isReady = view?.group.state === 'ready' && view.group.epoch === epoch;
       const isOfModel = view?.group.content.model === model;
