An operator's drain waits for an active controller, and for its turn to write

The command line's drain ended with "no active controller knows host", and the administration API with 409 or 503, when it came while the holder of the lease was a moment late with its renewal, or while a decision wrote the same ledger. Cause: the order was tried once.

Change: the command asks again for ten seconds while no controller is active, which changes nothing where the drain has been taken; the known holder of the lease waits for its own renewal, one lease at most; a conflict with a decision is read and written again. An unknown host is refused at once, as before.

--- a/packages/cli/src/admin-client.ts
+++ b/packages/cli/src/admin-client.ts
@@ -7,11 +7,13 @@
   Evacuation,
   Finding,
 } from '@hingescale/core';
+import { monotonicMs, sleep } from '@hingescale/runtime';
 import { request } from 'undici';
 
 /** Why a call failed, as the command line tells it. */
 export class AdminError extends Error {
-  readonly reason: 'unreachable' | 'conflict' | 'findings' | 'refused' | 'unknown';
+  /** `inactive`: no controller holds the lease at this moment, and one will. */
+  readonly reason: 'unreachable' | 'conflict' | 'findings' | 'refused' | 'unknown' | 'inactive';
   readonly findings: readonly Finding[];
 
   constructor(reason: AdminError['reason'], detail: string, findings: readonly Finding[] = []) {
@@ -26,6 +28,12 @@
 export type AdminOptions = { readonly urls: readonly string[]; readonly key: string };
 
 const TIMEOUT_MS = 5_000;
+/** Time for which a drain waits for an active controller, in milliseconds; the lease may just change hands. */
+const ACTIVE_WITHIN_MS = 10_000;
+const ASK_AGAIN_MS = 250;
+
+/** Reasons that pass by themselves. */
+const PASSING: readonly AdminError['reason'][] = ['inactive', 'unknown', 'unreachable'];
 
 type Method = 'GET' | 'POST' | 'PUT' | 'DELETE';
 
@@ -107,16 +115,35 @@
     return reports.filter(report => report.gateways.length + report.silent.length > 0);
   }
 
-  /** Drains a host, or takes that back, at the controller that is active for it. */
+  /**
+   * Drains a host, or takes that back, at the controller that is active for it; waits for one while the lease changes
+   * hands. Asked twice, a drain is the same.
+   */
   async drain(host: string, draining: boolean): Promise<void> {
+    const until = monotonicMs() + ACTIVE_WITHIN_MS;
+    for (;;) {
+      try {
+        await this.#drainOnce(host, draining);
+        return;
+      } catch (error) {
+        const isPassing = error instanceof AdminError && PASSING.includes(error.reason);
+        if (!isPassing || monotonicMs() > until) {
+          throw error;
+        }
+        await sleep(ASK_AGAIN_MS);
+      }
+    }
+  }
+
+  async #drainOnce(host: string, draining: boolean): Promise<void> {
     const method = draining ? 'PUT' : 'DELETE';
     const path = `/v1/hosts/${encodeURIComponent(host)}/drain`;
     const statuses = await this.statuses();
-    const owner = statuses.find(
-      status => status.active && status.hosts.some(entry => entry.host === host),
-    );
+    const knowing = statuses.filter(status => status.hosts.some(entry => entry.host === host));
+    const owner = knowing.find(status => status.active);
     if (owner === undefined) {
-      throw new AdminError('refused', `no active controller knows host ${host}`);
+      const reason = knowing.length === 0 ? 'refused' : 'inactive';
+      throw new AdminError(reason, `no active controller knows host ${host}`);
     }
     checked(await this.#send(owner.lease?.adminAddress ?? '', method, path));
   }
@@ -194,6 +221,16 @@
   if (problem.code === 'platform-unavailable') {
     throw new AdminError('unreachable', problem.detail ?? 'the platform does not answer');
   }
-  const reason = problem.code === 'write-outcome-unknown' ? 'unknown' : 'refused';
-  throw new AdminError(reason, problem.detail ?? `status ${status}`);
+  throw new AdminError(reasonOf(problem.code), problem.detail ?? `status ${status}`);
+}
+
+function reasonOf(code: string | undefined): AdminError['reason'] {
+  switch (code) {
+    case 'write-outcome-unknown':
+      return 'unknown';
+    case 'not-active':
+      return 'inactive';
+    default:
+      return 'refused';
+  }
 }
--- a/packages/cli/src/bin-hingescale.ts
+++ b/packages/cli/src/bin-hingescale.ts
@@ -26,6 +26,7 @@
 const LIST_WORD = 'list';
 
 const FAILURE_CODES: Readonly<Record<AdminError['reason'], number>> = {
+  inactive: EXIT_CODES.unreachable,
   findings: EXIT_CODES.findings,
   conflict: EXIT_CODES.conflict,
   unreachable: EXIT_CODES.unreachable,
--- a/packages/cli/src/output.ts
+++ b/packages/cli/src/output.ts
@@ -12,12 +12,16 @@
   print(JSON.stringify(value, undefined, 2));
 }
 
-/** Status of failure domains as text: groups, hosts, processes, revisions. */
+/** Status of failure domains as text, one from each active controller or, where there is none, from another one. */
 export function statusText(statuses: readonly ControllerStatus[]): string {
-  return statuses
-    .filter(status => status.active)
-    .map(domainText)
-    .join('\n\n');
+  const byDomain = new Map<string, ControllerStatus>();
+  for (const status of statuses) {
+    const known = byDomain.get(status.failureDomain);
+    if (known === undefined || (status.active && !known.active)) {
+      byDomain.set(status.failureDomain, status);
+    }
+  }
+  return [...byDomain.values()].map(domainText).join('\n\n');
 }
 
 /** The changes of a configuration, newest first. */
@@ -75,7 +79,7 @@
   });
   const idle = status.hosts.filter(host => host.group === '');
   const processes = [
-    `  controller ${status.controller}  revision ${status.revision}  active`,
+    `  controller ${status.controller}  revision ${status.revision}  ${status.active ? 'active' : 'not active'}`,
     ...status.controllers
       .filter(peer => peer.controller !== '')
       .map(peer => `  controller ${peer.controller}  revision ${peer.revision}`),
--- a/packages/controller/src/controller.ts
+++ b/packages/controller/src/controller.ts
@@ -373,6 +373,7 @@
 
   async #setCordon(host: string, cordoned: boolean): Promise<void> {
     const groups = this.#groups;
+    await this.#lease?.awaitRenewal();
     if (groups === undefined || !(this.#lease?.holds() ?? false)) {
       const address = this.#lease?.lease?.adminAddress ?? 'unknown';
       const detail = `this controller is not active; ask ${address}`;
--- a/packages/controller/src/groups/group-task.ts
+++ b/packages/controller/src/groups/group-task.ts
@@ -23,11 +23,13 @@
   HostWatcher,
   ObjectWatcher,
   PlatformClient,
+  PlatformError,
   StoredObject,
 } from '@hingescale/object-store';
 import type { Log, Metrics } from '@hingescale/runtime';
 import { monotonicMs, newUuid, Task, WakeableSleep } from '@hingescale/runtime';
 import type { HostClient, MemberProber } from '@hingescale/upstream';
+import type { Result } from 'true-myth';
 
 import type { HostMemory } from './host-memory.js';
 import type { AddressedOrder } from './host-orders.js';
@@ -60,6 +62,9 @@
   readonly metrics: Metrics;
 };
 
+/** Attempts to write an operator's mark on a host; more conflicts in a row than decisions make. */
+const MOST_CORDON_WRITES = 5;
+
 /** What the group task tells. */
 export type GroupMessages = { written: Ledger };
 
@@ -125,32 +130,42 @@
 
   /** Marks a host as drained by an operator, or takes the mark back. */
   async setCordon(host: HostId, cordoned: boolean): Promise<void> {
-    const { client, ledgers, hosts } = this.#options;
+    for (let attempt = 1; ; attempt++) {
+      const written = await this.#writeCordon(host, cordoned);
+      if (written.isOk) {
+        await this.#options.ledgers.take([written.value]);
+        return;
+      }
+      const { reason, message } = written.error;
+      // Decisions write the ledger too; what they changed is taken in before the next attempt.
+      if (reason !== 'conflict' || attempt === MOST_CORDON_WRITES) {
+        throw notWritten(reason, message);
+      }
+      const read = await this.#options.client.read<Ledger>('ledger', this.#ledgerOf(host).name);
+      if (read.isOk) {
+        await this.#options.ledgers.take([read.value]);
+      }
+    }
+  }
+
+  #ledgerOf(host: HostId): StoredObject<Ledger> {
+    const { hosts } = this.#options;
     const fabricDomain = hosts.hosts.find(candidate => candidate.id === host)?.fabricDomain;
     const stored = this.ownLedgers().find(entry => entry.value.fabricDomain === fabricDomain);
     if (stored === undefined) {
       const detail = `no host ${host} is listed in this failure domain`;
       throw new ProblemError({ status: 404, code: 'unknown-object', detail });
     }
-    const value = {
-      ...setCordon(stored.value, host, cordoned),
-      lastOperation: newUuid(),
-    };
-    const written = await client.update('ledger', stored.name, stored.version, value);
-    if (written.isErr) {
-      const detail = `the ledger was not written: ${written.error.message}`;
-      const execution = written.error.reason === 'unknown' ? 'unknown' : 'not-run';
-      const retryAfter = 1;
-      const options = {
-        status: 503,
-        code: 'platform-unavailable',
-        detail,
-        execution,
-        retryAfter,
-      } as const;
-      throw new ProblemError(options);
-    }
-    await ledgers.take([written.value]);
+    return stored;
+  }
+
+  #writeCordon(
+    host: HostId,
+    cordoned: boolean,
+  ): Promise<Result<StoredObject<Ledger>, PlatformError>> {
+    const stored = this.#ledgerOf(host);
+    const value = { ...setCordon(stored.value, host, cordoned), lastOperation: newUuid() };
+    return this.#options.client.update('ledger', stored.name, stored.version, value);
   }
 
   async #turn(): Promise<void> {
@@ -311,3 +326,13 @@
     }
   }
 }
+
+function notWritten(reason: PlatformError['reason'], message: string): ProblemError {
+  return new ProblemError({
+    status: 503,
+    code: 'platform-unavailable',
+    detail: `the ledger was not written: ${message}`,
+    execution: reason === 'unknown' ? 'unknown' : 'not-run',
+    retryAfter: 1,
+  });
+}
--- a/packages/controller/src/lease/lease-task.ts
+++ b/packages/controller/src/lease/lease-task.ts
@@ -3,7 +3,7 @@
 import { emptyKeyTable, holderDeadline, mayTakeOver } from '@hingescale/core';
 import type { PlatformClient, PlatformError, StoredObject } from '@hingescale/object-store';
 import type { Log, Metrics } from '@hingescale/runtime';
-import { monotonicMs, newUuid, Task, WakeableSleep } from '@hingescale/runtime';
+import { monotonicMs, newUuid, sleep, Task, WakeableSleep } from '@hingescale/runtime';
 import type { Result } from 'true-myth';
 
 /** Options of the lease task. */
@@ -29,6 +29,8 @@
 
 const RENEWALS_PER_LEASE = 3;
 const MIN_PAUSE_MS = 20;
+/** Time between two looks at a lease that is about to be renewed, in milliseconds. */
+const RENEWAL_CHECK_MS = 20;
 
 /** Owns the lease object of one failure domain. */
 export class LeaseTask extends Task<LeaseMessages> {
@@ -83,6 +85,18 @@
     this.#pauses.wake();
   }
 
+  /**
+   * Waits, while this process is the last known holder and late with a renewal, until the lease is held again or the
+   * time of one lease is over.
+   */
+  async awaitRenewal(): Promise<void> {
+    const { holder, durationMs } = this.#options;
+    const until = monotonicMs() + durationMs;
+    while (this.lease?.holder === holder && !this.holds() && monotonicMs() < until) {
+      await sleep(RENEWAL_CHECK_MS, this.signal);
+    }
+  }
+
   /** Gives the lease up, so that a candidate may take it at once. */
   async release(): Promise<void> {
     this.#options.metrics.gauge('lease_held', 0);
