Tests can keep what their processes log

PROOF_LOGS names a folder in which each process that a test starts leaves its log, so that a run that failed once can be traced.

--- a/packages/proofs/src/deployment/child.ts
+++ b/packages/proofs/src/deployment/child.ts
@@ -1,10 +1,10 @@
 /** A process of the system, started by a proof or the quickstart, with its log lines. */
 import type { ChildProcess } from 'node:child_process';
 import { spawn } from 'node:child_process';
-import { mkdtempSync, writeFileSync } from 'node:fs';
+import { appendFileSync, mkdtempSync, writeFileSync } from 'node:fs';
 import { createRequire } from 'node:module';
 import { tmpdir } from 'node:os';
-import { dirname, join } from 'node:path';
+import { basename, dirname, join } from 'node:path';
 
 import type { SettingsValues } from './settings-text.js';
 import { iniText } from './settings-text.js';
@@ -64,11 +64,15 @@
         this.#wake();
       });
     });
+    const logFile = logFileOf(this.#file, child.pid);
     let rest = '';
     child.stderr?.setEncoding('utf8').on('data', (text: string) => {
       const lines = (rest + text).split('\n');
       rest = lines.pop() ?? '';
       lines.forEach(line => {
+        if (logFile !== undefined) {
+          appendFileSync(logFile, `${line}\n`);
+        }
         this.#take(line);
       });
     });
@@ -131,6 +135,12 @@
   }
 }
 
+// For traces: a folder that keeps what the processes of a test have logged.
+function logFileOf(settingsFile: string, pid: number | undefined): string | undefined {
+  const folder = process.env.PROOF_LOGS;
+  return folder === undefined ? undefined : join(folder, `${basename(settingsFile)}.${pid}.log`);
+}
+
 // For profiles: options for the node of each process, separated by spaces.
 function nodeOptions(): string[] {
   const options = process.env.HINGESCALE_NODE_OPTIONS ?? '';
