--- a/packages/entry/src/entry-host.ts
+++ b/packages/entry/src/entry-host.ts
@@ -191,8 +191,12 @@
     this.#stopping = true;
     this.#callers.drain();
     this.#coordinator.stop();
-    await this.#lease.stop();
-    await finishRequests(this.#callers, this.#intake, this.#settings.bounds.graceMs);
+    const { graceMs } = this.#settings.bounds;
+    // The lease is given back meanwhile: a store that does not answer must not take from the grace time.
+    await Promise.all([
+      this.#lease.stop(),
+      finishRequests({ callers: this.#callers, requests: this.#intake, graceMs }),
+    ]);
     log.info('entry host stopped', { open: this.#intake.open });
     this.end();
   }
