A request that finds all connections to a host in use says nothing about the host

Cause: one end of an exchange, never-sent, for two facts: no connection was accepted, and none was free in this process. Evidence: by test, a host with one connection that is busy for 600 ms is avoided and suspected by the second request on the code before.

Change: an end of its own, crowded; the request goes elsewhere as before, and neither the host's health nor its group's is judged.

--- /dev/null
+++ b/packages/entry/src/requests/crowded-host.test.ts
@@ -0,0 +1,51 @@
+/** Guards against a busy host that is taken for one out of reach, and its sound group for lost. */
+import { expect } from 'chai';
+
+import { MOST_CONNECT_MS } from '../routing/connect-times.js';
+import { monotonicMs } from '../server/time.js';
+import { relayServices, requestContext, UpstreamStandIn } from '../testing/relay.js';
+import { PlainRelay } from './plain-relay.js';
+import { StreamRelay } from './stream-relay.js';
+import { UpstreamConnections } from './upstream-connections.js';
+
+const HEAD = { 'x-request-id': 'r', 'x-stamp': 's' };
+const BUSY_MS = MOST_CONNECT_MS + 300;
+const RELAYS = [
+  { Relay: PlainRelay, route: { kind: 'idempotent', resumable: false, objectiveMs: 5_000 } },
+  { Relay: StreamRelay, route: { kind: 'stream', resumable: true, objectiveMs: 5_000 } },
+] as const;
+
+describe('a host to which all connections are in use', () => {
+  for (const { Relay, route } of RELAYS) {
+    it(`gets no ${route.kind} request more, and is not taken for one out of reach`, async () => {
+      const busy = new UpstreamStandIn(response => {
+        setTimeout(() => response.writeHead(200, HEAD).end('id: 1\ndata: 1\n\n'), BUSY_MS);
+      });
+      const other = new UpstreamStandIn(response => {
+        response.writeHead(200, HEAD).end('id: 1\ndata: 1\n\n');
+      });
+      const crowded = await busy.listen('h0');
+      const queue = [crowded, crowded, await other.listen('h1')];
+      const services = relayServices(() => queue.shift());
+      const connections = new UpstreamConnections(1);
+      let suspected = 0;
+      Object.assign(services, {
+        connectionsOf: () => connections,
+        suspect: () => (suspected += 1),
+      });
+      const first = requestContext('r', { ...route, maxAttempts: 2 });
+      const second = requestContext('r', { ...route, maxAttempts: 2 });
+      await Promise.all([
+        new Relay(first.context, services).run(),
+        new Relay(second.context, services).run(),
+      ]);
+      expect([first.answer.status, second.answer.status]).to.deep.equal([200, 200]);
+      expect([busy.seen.length, other.seen.length]).to.deep.equal([1, 1]);
+      expect(services.activities.isAvoided('h0', monotonicMs())).to.equal(false);
+      expect(suspected).to.equal(0);
+      connections.destroy();
+      busy.close();
+      other.close();
+    });
+  }
+});
--- a/packages/entry/src/requests/exchange.ts
+++ b/packages/entry/src/requests/exchange.ts
@@ -40,8 +40,13 @@
 export type ExchangeEnd =
   /** The whole answer has come. */
   | 'whole'
-  /** Nothing has left this process: there was no connection. */
+  /** Nothing has left this process: the host took no connection. */
   | 'never-sent'
+  /**
+   * Nothing has left this process: all connections that may be open to the host were in use. This tells of this
+   * process's own requests, not of the host.
+   */
+  | 'crowded'
   /** Nothing has left this process: the host might not receive the request any more when there was a connection. */
   | 'withheld'
   /**
@@ -56,11 +61,19 @@
   /** Cancelled by the caller of {@link startExchange}. */
   | 'cancelled';
 
+/** True where nothing of the request has left this process. */
+export function isUnsent(end: string): end is UnsentEnd {
+  return end === 'never-sent' || end === 'crowded' || end === 'withheld';
+}
+
 /** True when the connection ended after the request was sent and before its answer was whole. */
 export function isBroken(end: string): boolean {
   return end === 'lost' || end === 'broken';
 }
 
+/** The ends of requests of which nothing has left this process. */
+export type UnsentEnd = Extract<ExchangeEnd, 'never-sent' | 'crowded' | 'withheld'>;
+
 /** Receives what an exchange brings; `ended` comes once, last. */
 export type ExchangeObserver = {
   readonly head: (answer: IncomingMessage) => void;
@@ -134,7 +147,9 @@
     }
   };
   // The agent may queue the request for a free connection first; the connect timeout proper starts below.
-  let connectTimer = afterTurn(failUnlessConnected, MOST_CONNECT_MS);
+  let connectTimer = afterTurn(() => {
+    end('crowded');
+  }, MOST_CONNECT_MS);
   sent.on('socket', (socket: Socket) => {
     clearTimeout(connectTimer);
     sentAt = monotonicMs();
--- a/packages/entry/src/requests/plain-relay.ts
+++ b/packages/entry/src/requests/plain-relay.ts
@@ -8,8 +8,8 @@
 import type { NoTarget } from './await-target.js';
 import { awaitTarget, isTarget } from './await-target.js';
 import { connectionsFor } from './connection-choice.js';
-import type { ExchangeEnd } from './exchange.js';
-import { isBroken, startExchange } from './exchange.js';
+import type { ExchangeEnd, UnsentEnd } from './exchange.js';
+import { isBroken, isUnsent, startExchange } from './exchange.js';
 import type { FinalAnswer } from './final-answer.js';
 import { giveFinalAnswer, quarantinedAnswer } from './final-answer.js';
 import { mayWriteTo } from './may-write.js';
@@ -43,9 +43,8 @@
   | { readonly kind: 'answered'; readonly answer: WholeAnswer }
   /** The host has not run it. */
   | { readonly kind: 'not-run' }
-  | { readonly kind: 'never-sent' }
-  /** The host might not receive it any more when it was to be written. */
-  | { readonly kind: 'withheld' }
+  /** Nothing of it has left this process. */
+  | { readonly kind: UnsentEnd }
   /** It may have run; there is no answer that can be passed on. */
   | { readonly kind: 'lost'; readonly detail: string }
   /** The kept connection that it went on was closed or reset; it may have run. */
@@ -198,7 +197,7 @@
 
   #judge(end: ExchangeEnd, head: IncomingMessage | undefined, body: Buffer): AttemptEnd {
     const names = this.#services.headers;
-    if (end === 'never-sent' || end === 'withheld') {
+    if (isUnsent(end)) {
       return { kind: end };
     }
     if (this.#context.gone.aborted) {
@@ -237,14 +236,14 @@
     } else if (end.kind === 'stale' || (end.kind === 'lost' && isBroken(end.detail))) {
       quarantine.runLost(this.#context, target.host, ms);
     }
-    if (end.kind === 'never-sent' || end.kind === 'withheld') {
+    if (isUnsent(end.kind)) {
       this.#log.noteNeverSent();
     }
     if (end.kind === 'answered' && (end.answer.head.statusCode ?? 0) < 500) {
       activities.noteProgress(target.host);
       const kind = kindOf(this.#context.service.name, undefined);
       activities.noteFirst(target.host.id, ms, kind);
-    } else if (end.kind !== 'gone' && end.kind !== 'withheld') {
+    } else if (!['gone', 'withheld', 'crowded'].includes(end.kind)) {
       if (end.kind === 'never-sent') {
         activities.noteUnreachable(target.host);
       } else if (end.kind !== 'stale') {
--- a/packages/entry/src/requests/stream-attempt.ts
+++ b/packages/entry/src/requests/stream-attempt.ts
@@ -5,8 +5,8 @@
 import type { Target } from '../routing/target-chooser.js';
 import { monotonicMs } from '../server/time.js';
 import { connectionsFor } from './connection-choice.js';
-import type { Exchange, ExchangeEnd } from './exchange.js';
-import { isBroken, startExchange } from './exchange.js';
+import type { Exchange, ExchangeEnd, UnsentEnd } from './exchange.js';
+import { isBroken, isUnsent, startExchange } from './exchange.js';
 import { mayWriteTo } from './may-write.js';
 import { noticeListener } from './notice-listener.js';
 import { isFramed, saysNotRun } from './plain-relay.js';
@@ -22,9 +22,8 @@
 export type StreamAttemptEnd =
   | { readonly kind: 'complete' }
   | { readonly kind: 'not-run' }
-  | { readonly kind: 'never-sent' }
-  /** The host might not receive it any more when it was to be written. */
-  | { readonly kind: 'withheld' }
+  /** Nothing of it has left this process. */
+  | { readonly kind: UnsentEnd }
   /** The host answered with a failure of its own. */
   | { readonly kind: 'failed'; readonly head: IncomingMessage; readonly body: Buffer }
   /** Another attempt went on instead. */
@@ -259,7 +258,7 @@
 
   #judge(how: ExchangeEnd): StreamAttemptEnd {
     const head = this.#head;
-    if (how === 'never-sent' || how === 'withheld') {
+    if (isUnsent(how)) {
       return { kind: how };
     }
     if (
@@ -302,7 +301,8 @@
     const { activities, counters, log, headers: names } = this.#services;
     counters.count('attempts_total', { kind: 'stream', end: end.kind });
     this.#tellQuarantine(end);
-    if (end.kind === 'complete' || end.kind === 'withheld' || this.#context.gone.aborted) {
+    const saysNothing = ['complete', 'withheld', 'crowded'].includes(end.kind);
+    if (saysNothing || this.#context.gone.aborted) {
       return;
     }
     // A stalled run has been noted already, when it was suspected.
--- a/packages/entry/src/requests/stream-relay.ts
+++ b/packages/entry/src/requests/stream-relay.ts
@@ -13,6 +13,7 @@
 import { awaitTarget, isTarget } from './await-target.js';
 import { claimTarget } from './claim-target.js';
 import { EventForwarder } from './event-forwarder.js';
+import { isUnsent } from './exchange.js';
 import type { FinalAnswer } from './final-answer.js';
 import { giveFinalAnswer, quarantinedAnswer } from './final-answer.js';
 import { endToEndHeaders } from './relay-headers.js';
@@ -255,7 +256,7 @@
   }
 
   #note(end: StreamAttemptEnd): void {
-    if (end.kind === 'never-sent' || end.kind === 'withheld') {
+    if (isUnsent(end.kind)) {
       this.#log.noteNeverSent();
     } else if (end.kind === 'not-run') {
       this.#log.noteRejected();
