A controller that was suspended does not take keys from gateways it could not hear

A holder of the lease that was suspended for 2.0 to 3.0 s still holds it, finds the last poll of every gateway older than the 2 s after which one counts as gone, and makes the first gateway that polls again the only owner of keys; the others come back in a second change. Each change hands records over, and keys are uncertain meanwhile (503). Failure domains that were not heard during an own suspension longer than `absent-ms` would be taken over in the same way.

Change: gateways count as gone only where this process ran, heard some other one, and for as long as a gateway may be silent; failure domains as absent only for time in which this process ran. ScopeSilence serves both the groups and the roster. Not shown on running processes.

--- a/packages/controller/src/controller.ts
+++ b/packages/controller/src/controller.ts
@@ -91,7 +91,10 @@
     this.#evacuations = new ObjectWatcher(this.#client, 'evacuation', platform['watch-wait-ms']);
     this.#prober = new MemberProber(this.#hostClient, timing['probe-ms']);
     this.#collector = new LoadCollector(this.#hostClient, timing['heartbeat-ms']);
-    this.#roster = new GatewayRoster(timing['heartbeat-ms'] * MISSED_HEARTBEATS);
+    this.#roster = new GatewayRoster({
+      silentAfterMs: timing['heartbeat-ms'] * MISSED_HEARTBEATS,
+      resumedAt: () => this.#loop.resumedAt(),
+    });
     const failureDomain = self['failure-domain'];
     const identity = {
       role: 'controller',
@@ -326,7 +329,8 @@
 
   #absent(): FailureDomainId[] {
     const domains = this.#holder.configuration?.deployment['failure-domains'] ?? [];
-    return this.#remotes.absent(domains, this.#settings.timing['absent-ms']);
+    const { timing } = this.#settings;
+    return this.#remotes.absent(domains, timing['absent-ms'], this.#loop.resumedAt());
   }
 
   #status(): ControllerStatus {
--- a/packages/controller/src/groups/host-memory.ts
+++ b/packages/controller/src/groups/host-memory.ts
@@ -3,7 +3,7 @@
 import { LapsedDomains } from '@hingescale/core';
 import type { HostObservation } from '@hingescale/upstream';
 
-import { ScopeSilence } from './scope-silence.js';
+import { ScopeSilence } from '../silence/scope-silence.js';
 
 /** How long a loss of a host counts against it. */
 export const LOSS_MEMORY_MS = 600_000;
--- a/packages/controller/src/groups/scope-silence.ts
+++ b/packages/controller/src/silence/scope-silence.ts
@@ -1,12 +1,12 @@
 /**
- * Tells whether a set of hosts is silent as a whole, and when it was last heard again after that. Pure but for what it
+ * Tells whether a set of peers is silent as a whole, and when it was last heard again after that. Pure but for what it
  * remembers.
  *
- * All hosts silent at once say more of the observer or of the network than of any host. When one is heard again, the
- * others deserve the time to answer that it had.
+ * All of them silent at once say more of the observer or of the network than of any one. When one is heard again, the
+ * others deserve the time to be heard that it had.
  */
 
-/** Remembers the silence of one set of hosts; times are monotonic milliseconds. */
+/** Remembers the silence of one set of peers; times are monotonic milliseconds. */
 export class ScopeSilence {
   readonly #silentAfterMs: number;
   #newestAt = -Infinity;
@@ -21,7 +21,7 @@
     return this.#heardAgainAt;
   }
 
-  /** Takes the time at which the newest answered probe of the set was sent; -Infinity: none was answered. */
+  /** Takes the time of the newest message of the set, or of the probe that it answers; -Infinity: there is none. */
   observe(newestAt: number, now: number): void {
     if (newestAt - this.#newestAt > this.#silentAfterMs) {
       this.#heardAgainAt = now;
@@ -29,7 +29,7 @@
     this.#newestAt = Math.max(this.#newestAt, newestAt);
   }
 
-  /** True while no host of the set answers. */
+  /** True while none of the set is heard. */
   isSilent(now: number): boolean {
     return now - this.#newestAt > this.#silentAfterMs;
   }
--- a/packages/controller/src/views/gateway-roster.ts
+++ b/packages/controller/src/views/gateway-roster.ts
@@ -3,6 +3,8 @@
 import type { PollRequest, WorkspaceUsage } from '@hingescale/link';
 import { monotonicMs } from '@hingescale/runtime';
 
+import { ScopeSilence } from '../silence/scope-silence.js';
+
 type Entry = {
   readonly owner: KeyOwner;
   readonly revision: number;
@@ -20,26 +22,37 @@
   readonly silentMs: number;
 };
 
+/** Options of the roster. */
+export type GatewayRosterOptions = {
+  /** Time without a poll after which a gateway counts as gone, in milliseconds. */
+  readonly silentAfterMs: number;
+  /** When this process ran again after an interruption, in monotonic milliseconds; -Infinity: never interrupted. */
+  readonly resumedAt: () => number;
+  readonly now?: () => number;
+};
+
 /** Remembers gateways by instance. */
 export class GatewayRoster {
   readonly #silentAfterMs: number;
+  readonly #resumedAt: () => number;
+  readonly #now: () => number;
+  readonly #all: ScopeSilence;
   readonly #entries = new Map<string, Entry>();
 
-  constructor(silentAfterMs: number) {
+  constructor({ silentAfterMs, resumedAt, now = monotonicMs }: GatewayRosterOptions) {
     this.#silentAfterMs = silentAfterMs;
+    this.#resumedAt = resumedAt;
+    this.#now = now;
+    this.#all = new ScopeSilence(silentAfterMs);
   }
 
   /** Takes a poll of a gateway. */
   take(poll: PollRequest): void {
     const { instance, address, failureDomain, revision, leaving, usage } = poll;
     const owner = { instance, address, failureDomain };
-    this.#entries.set(instance, {
-      owner,
-      revision,
-      leaving,
-      usage,
-      heardAt: monotonicMs(),
-    });
+    const heardAt = this.#now();
+    this.#all.observe(heardAt, heardAt);
+    this.#entries.set(instance, { owner, revision, leaving, usage, heardAt });
   }
 
   /** Gateways that may own keys now; undefined while too little is known after a start. */
@@ -66,7 +79,7 @@
 
   /** All gateways heard of lately. */
   status(): GatewayStatus[] {
-    const now = monotonicMs();
+    const now = this.#now();
     return this.#present().map(({ owner, revision, leaving, heardAt }) => ({
       instance: owner.instance,
       address: owner.address,
@@ -77,9 +90,11 @@
   }
 
   #present(): Entry[] {
-    const since = monotonicMs() - this.#silentAfterMs;
+    const now = this.#now();
+    const listenedSince = Math.max(this.#resumedAt(), this.#all.heardAgainAt);
+    const hadTime = !this.#all.isSilent(now) && now - listenedSince > this.#silentAfterMs;
     for (const [instance, entry] of this.#entries) {
-      if (entry.heardAt < since) {
+      if (hadTime && now - entry.heardAt > this.#silentAfterMs) {
         this.#entries.delete(instance);
       }
     }
--- a/packages/controller/src/views/remote-domains.ts
+++ b/packages/controller/src/views/remote-domains.ts
@@ -61,11 +61,15 @@
     );
   }
 
-  /** Failure domains among `all` that were heard once and then fell silent for long. */
-  absent(all: readonly FailureDomainId[], silentMs: number): FailureDomainId[] {
+  /**
+   * Failure domains among `all` that were heard once and then fell silent for long, while this process listened:
+   * since `resumedAt`, in monotonic milliseconds.
+   */
+  absent(all: readonly FailureDomainId[], silentMs: number, resumedAt: number): FailureDomainId[] {
+    const listenedMs = monotonicMs() - resumedAt;
     return all.filter(domain => {
       const remote = this.#remotes.get(domain);
-      return remote !== undefined && age(remote) > silentMs;
+      return remote !== undefined && Math.min(age(remote), listenedMs) > silentMs;
     });
   }
 
