Gateways tell how late they ran themselves when a certificate lapses

A lapsed certificate did not show which process was late: members, the holder that asks them, the gateway's own questions, or its own event loop. The line has lateMs (the timer's own delay) and answeredMsAgo (the newest answer of a controller or member) now, and the gateway logs and counts its interruptions as controllers do. Large lateMs: this process; small lateMs and large answeredMsAgo: the way to the controllers; both small: members, or the holder's questions to them, see its own interruptions. No change of behaviour.

--- a/packages/gateway/src/domain/group-directory.ts
+++ b/packages/gateway/src/domain/group-directory.ts
@@ -43,6 +43,8 @@
   readonly #lapsed = new Map<GroupId, Lapsed>();
   readonly #leaving = new Map<string, ReadonlySet<string>>();
   readonly #evacuated: EvacuatedDomains;
+  /** When the newest answered question for certificates was sent. */
+  #answeredAt = monotonicMs();
   #timer: NodeJS.Timeout | undefined;
 
   constructor(log: Log, metrics: Metrics) {
@@ -94,6 +96,7 @@
 
   /** Takes certificates; what is left of each counts from when they were asked for. */
   takeCertificates(certificates: readonly Certificate[], sentAt: number): void {
+    this.#answeredAt = Math.max(this.#answeredAt, sentAt);
     for (const { group, epoch, remainingMs } of certificates) {
       const expiresAt = sentAt + remainingMs;
       const known = this.#certificates.get(group);
@@ -199,9 +202,13 @@
   #lapse(id: GroupId, certificate: Certified): void {
     this.#certificates.delete(id);
     this.#metrics.count('certificates_lapsed_total');
+    const now = monotonicMs();
+    // Own lateness, a silent controller and silent members call for different measures.
     this.#log.warn('group certificate lapsed', {
       group: id,
       epoch: certificate.epoch,
+      lateMs: Math.max(0, Math.round(now - certificate.expiresAt)),
+      answeredMsAgo: Math.round(now - this.#answeredAt),
     });
     void this.messages.emit('lapsed', { group: id, epoch: certificate.epoch });
     void this.messages.emit('changed');
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -9,6 +9,7 @@
 import type { HttpServer, Log, RunningServer } from '@hingescale/runtime';
 import {
   createLog,
+  EventLoopWatch,
   listenHttp,
   loadHash,
   Metrics,
@@ -62,6 +63,7 @@
   readonly #burn = new BurnRecorder();
   readonly #admission: Admission;
   readonly #router: Router;
+  readonly #loop: EventLoopWatch;
   #keys: KeyTask | undefined;
   #controllers: ControllerTask | undefined;
   #fallback: FallbackTask | undefined;
@@ -76,6 +78,7 @@
     const { process: self, platform, timing, links, limits } = settings;
     this.#instance = `${self.name}-${newUuid()}`;
     this.#log = createLog({ process: self.name, ...settings.log });
+    this.#loop = new EventLoopWatch({ log: this.#log, metrics: this.#metrics });
     this.#client = connectPlatform(platform, this.#log, this.#metrics);
     this.#hostClient = new HostClient({
       timeoutMs: timing['certificate-ms'],
@@ -129,6 +132,7 @@
 
   /** Starts all tasks and listens for callers. */
   async start(): Promise<void> {
+    this.#loop.start();
     await this.#startKeys();
     this.#controllers = this.#makeControllers();
     this.#holder.messages.on('applied', () => {
@@ -163,7 +167,14 @@
   /** Ends all tasks. */
   async stop(): Promise<void> {
     this.#directory.close();
-    const tasks = [this.#controllers, this.#fallback, this.#keys, this.#server, this.#http];
+    const tasks = [
+      this.#loop,
+      this.#controllers,
+      this.#fallback,
+      this.#keys,
+      this.#server,
+      this.#http,
+    ];
     this.#links.close();
     await Promise.all(tasks.map(task => task?.stop()));
     await Promise.all(
