Time limits are judged after what waits in the sockets has been read

After a suspension a process runs its timers before it reads its sockets: calls to the platform and to hosts, polls, orders, and the deadlines of requests ended as unanswered although the answers lay there.

Cause, by test: a process stopped in its wait for sockets continues with the timers (the wait is interrupted), and AbortSignal.timeout or setTimeout ends the call. An answer that is not there yet ends a call as before, a turn later.

--- a/packages/cli/src/admin-client.ts
+++ b/packages/cli/src/admin-client.ts
@@ -7,7 +7,7 @@
   Evacuation,
   Finding,
 } from '@hingescale/core';
-import { monotonicMs, sleep } from '@hingescale/runtime';
+import { monotonicMs, sleep, timeoutSignal } from '@hingescale/runtime';
 import { request } from 'undici';
 
 /** Why a call failed, as the command line tells it. */
@@ -188,7 +188,7 @@
           'content-type': 'application/json',
         },
         body: body === undefined ? undefined : JSON.stringify(body),
-        signal: AbortSignal.timeout(TIMEOUT_MS),
+        signal: timeoutSignal(TIMEOUT_MS),
       });
       return { status: response.statusCode, body: JSON.parse(await response.body.text()) };
     } catch (error) {
--- a/packages/entry/src/entry-host.ts
+++ b/packages/entry/src/entry-host.ts
@@ -192,11 +192,8 @@
     this.#callers.drain();
     this.#coordinator.stop();
     const { graceMs } = this.#settings.bounds;
-    // The lease is given back meanwhile: a store that does not answer must not take from the grace time.
-    await Promise.all([
-      this.#lease.stop(),
-      finishRequests({ callers: this.#callers, requests: this.#intake, graceMs }),
-    ]);
+    const finished = finishRequests({ callers: this.#callers, requests: this.#intake, graceMs });
+    await Promise.all([this.#lease.stop(), finished]);
     log.info('entry host stopped', { open: this.#intake.open });
     this.end();
   }
--- a/packages/entry/src/quarantine/host-probe.ts
+++ b/packages/entry/src/quarantine/host-probe.ts
@@ -2,6 +2,7 @@
 import { connect } from 'node:net';
 
 import type { HostEntry } from '../hosts/host-entry.js';
+import { afterTurn } from '../server/time.js';
 
 /**
  * `ended`: the port is closed, nothing listens there; `alive`: a connection was made; `unknown`: no answer, as
@@ -17,11 +18,13 @@
   return new Promise(resolve => {
     const socket = connect({ host: ip, port });
     const finish = (outcome: ProbeOutcome): void => {
-      clearTimeout(timer);
+      limit.cancel();
       socket.destroy();
       resolve(outcome);
     };
-    const timer = setTimeout(finish, limitMs, 'unknown');
+    const limit = afterTurn(() => {
+      finish('unknown');
+    }, limitMs);
     socket.once('connect', () => {
       finish('alive');
     });
--- a/packages/entry/src/requests/exchange.ts
+++ b/packages/entry/src/requests/exchange.ts
@@ -7,7 +7,7 @@
 import type { HostEntry } from '../hosts/host-entry.js';
 import type { ConnectTimes } from '../routing/connect-times.js';
 import { MOST_CONNECT_MS } from '../routing/connect-times.js';
-import { monotonicMs } from '../server/time.js';
+import { afterTurn, monotonicMs } from '../server/time.js';
 import type { RawHeaders } from './relay-headers.js';
 import type { UpstreamConnections } from './upstream-connections.js';
 
@@ -112,7 +112,7 @@
       return;
     }
     ended = true;
-    clearTimeout(connectTimer);
+    connectTimer.cancel();
     if (!connected) {
       call.unwritten();
     }
@@ -151,7 +151,7 @@
     end('crowded');
   }, MOST_CONNECT_MS);
   sent.on('socket', (socket: Socket) => {
-    clearTimeout(connectTimer);
+    connectTimer.cancel();
     sentAt = monotonicMs();
     isReused = !socket.connecting;
     if (isReused) {
@@ -171,7 +171,7 @@
     }, connects.limitMs(host.failureDomain));
     // Heard before the client's own listener, which then writes the request.
     socket.once('connect', () => {
-      clearTimeout(connectTimer);
+      connectTimer.cancel();
       noteTime();
       withholdUnlessAllowed();
       connected = true;
@@ -205,11 +205,3 @@
     resume: () => answer?.resume(),
   };
 }
-
-// When the event loop was blocked, the connection may be established already: its event is handled before
-// the callback.
-function afterTurn(call: () => void, ms: number): NodeJS.Timeout {
-  return setTimeout(() => {
-    setImmediate(call);
-  }, ms);
-}
--- a/packages/entry/src/requests/plain-relay.ts
+++ b/packages/entry/src/requests/plain-relay.ts
@@ -3,7 +3,7 @@
 
 import { kindOf } from '../routing/host-activity.js';
 import type { Target, TargetQuery } from '../routing/target-chooser.js';
-import { monotonicMs } from '../server/time.js';
+import { afterTurn, monotonicMs } from '../server/time.js';
 import { AttemptLog } from './attempt-log.js';
 import type { NoTarget } from './await-target.js';
 import { awaitTarget, isTarget } from './await-target.js';
@@ -141,7 +141,7 @@
     activities.enter(target.host.id);
     return new Promise(resolve => {
       const finish = (end: AttemptEnd): void => {
-        clearTimeout(timer);
+        limit.cancel();
         unguard();
         gone.removeEventListener('abort', onGone);
         activities.leave(target.host.id, false);
@@ -184,7 +184,7 @@
       };
       gone.addEventListener('abort', onGone);
       const unguard = this.#services.quarantine.guard(this.#context, onGone);
-      const timer = setTimeout(onGone, this.#attemptLimitMs(deadline));
+      const limit = afterTurn(onGone, this.#attemptLimitMs(deadline));
     });
   }
 
--- a/packages/entry/src/requests/stream-relay.ts
+++ b/packages/entry/src/requests/stream-relay.ts
@@ -7,7 +7,7 @@
 import { isRefused } from '../routing/overload-guard.js';
 import type { RepeatReason } from '../routing/retry-budget.js';
 import type { Target, TargetQuery } from '../routing/target-chooser.js';
-import { monotonicMs, sleep } from '../server/time.js';
+import { afterTurn, monotonicMs, sleep } from '../server/time.js';
 import { AttemptLog } from './attempt-log.js';
 import type { NoTarget } from './await-target.js';
 import { awaitTarget, isTarget } from './await-target.js';
@@ -73,11 +73,11 @@
     };
     gone.addEventListener('abort', cancel);
     const unguard = this.#services.quarantine.guard(this.#context, cancel);
-    const timer = setTimeout(cancel, Math.max(1, deadline - DEADLINE_MARGIN_MS - monotonicMs()));
+    const limit = afterTurn(cancel, Math.max(1, deadline - DEADLINE_MARGIN_MS - monotonicMs()));
     try {
       await this.#attempts();
     } finally {
-      clearTimeout(timer);
+      limit.cancel();
       unguard();
       gone.removeEventListener('abort', cancel);
     }
--- a/packages/entry/src/server/planned-stop.ts
+++ b/packages/entry/src/server/planned-stop.ts
@@ -21,7 +21,10 @@
   readonly now?: () => number;
 };
 
-/** Waits until no request is in progress, but not longer than the grace time allows. Begins at the signal. */
+/**
+ * Waits until no request is in progress, but not longer than the grace time allows. Called at the
+ * signal: whatever may wait for others, such as giving a lease back to a silent store, goes on beside it.
+ */
 export async function finishRequests(stop: PlannedStop): Promise<void> {
   const { callers, requests, graceMs, now = elapsedMs } = stop;
   const startedAt = now();
--- a/packages/entry/src/server/time.ts
+++ b/packages/entry/src/server/time.ts
@@ -22,3 +22,23 @@
     signal?.addEventListener('abort', done);
   });
 }
+
+/** A time limit that can be taken back. */
+export type TimeLimit = { readonly cancel: () => void };
+
+/**
+ * Calls back after a time and one more turn of the event loop. After a time in which this process did not run, what
+ * has arrived meanwhile is read first: an answer that waits in a socket is not late because its reader was.
+ */
+export function afterTurn(call: () => void, ms: number): TimeLimit {
+  let immediate: NodeJS.Immediate | undefined;
+  const timer = setTimeout(() => {
+    immediate = setImmediate(call);
+  }, ms);
+  return {
+    cancel: () => {
+      clearTimeout(timer);
+      clearImmediate(immediate);
+    },
+  };
+}
--- a/packages/gateway/src/requests/completion-run.ts
+++ b/packages/gateway/src/requests/completion-run.ts
@@ -2,7 +2,7 @@
 import type { CompletionRequest, GroupId, GroupView } from '@hingescale/core';
 import { ProblemError } from '@hingescale/core';
 import type { Metrics } from '@hingescale/runtime';
-import { monotonicMs, newUuid, sleep } from '@hingescale/runtime';
+import { afterTurn, monotonicMs, newUuid, sleep } from '@hingescale/runtime';
 
 import type { GroupDirectory } from '../domain/group-directory.js';
 import type { Route, Router } from '../routing/router.js';
@@ -288,11 +288,11 @@
       }
     });
     gone.addEventListener('abort', abort);
-    const timer = setTimeout(abort, Math.max(0, deadline - monotonicMs()));
+    const limit = afterTurn(abort, Math.max(0, deadline - monotonicMs()));
     const dispose = (): void => {
       off();
       gone.removeEventListener('abort', abort);
-      clearTimeout(timer);
+      limit.cancel();
     };
     return { signal: controller.signal, dispose };
   }
--- a/packages/gateway/src/requests/engine-client.ts
+++ b/packages/gateway/src/requests/engine-client.ts
@@ -14,6 +14,7 @@
   SseReader,
 } from '@hingescale/core';
 import type { Log } from '@hingescale/runtime';
+import { timeoutSignal } from '@hingescale/runtime';
 import { Agent, request } from 'undici';
 
 import type { ExchangeEnd, ExchangeObserver, ExchangeRequest } from './exchange.js';
@@ -117,7 +118,7 @@
 
   /** Tells the engine that nobody wants the stream any more. */
   cancel(attempt: Attempt): void {
-    const signal = AbortSignal.timeout(CANCEL_TIMEOUT_MS);
+    const signal = timeoutSignal(CANCEL_TIMEOUT_MS);
     this.#log.message('engine', 'DELETE /v1/streams');
     request(streamUrl(attempt), { method: 'DELETE', dispatcher: this.#agent, signal }).then(
       response => response.body.dump(),
--- a/packages/gateway/src/requests/service-client.ts
+++ b/packages/gateway/src/requests/service-client.ts
@@ -3,6 +3,7 @@
 
 import { REQUEST_ID_HEADER } from '@hingescale/core';
 import type { Log } from '@hingescale/runtime';
+import { timeoutSignal } from '@hingescale/runtime';
 import type { Dispatcher } from 'undici';
 import { Agent } from 'undici';
 
@@ -52,7 +53,7 @@
     const { url, method, body, timeoutMs, freshConnection } = call;
     const agent = freshConnection ? this.#freshAgent : this.#agent;
     const reading = new AnswerReading(call.requestId);
-    const signal = AbortSignal.timeout(timeoutMs);
+    const signal = timeoutSignal(timeoutMs);
     const request = { url, method, headers: headersOf(call), body };
     return reading.judge(await exchange(agent, request, reading, signal));
   }
--- a/packages/link/src/link-client.ts
+++ b/packages/link/src/link-client.ts
@@ -3,7 +3,7 @@
 import { connect } from 'node:net';
 
 import type { Log } from '@hingescale/runtime';
-import { splitAddress } from '@hingescale/runtime';
+import { afterTurn, splitAddress } from '@hingescale/runtime';
 
 import { encodeFrame, FrameReader } from './frames.js';
 import type { Challenge, Greeting, LinkIdentity } from './handshake.js';
@@ -61,18 +61,18 @@
     this.#options.log?.message('link', type);
     const id = this.#nextId++;
     return new Promise<T>((resolve, reject) => {
-      const timer = setTimeout(() => {
+      const limit = afterTurn(() => {
         this.#timeOut(id, socket);
       }, timeoutMs);
       this.#pending.set(id, {
         socket,
         sentAt: performance.now(),
         resolve: value => {
-          clearTimeout(timer);
+          limit.cancel();
           resolve(value as T);
         },
         reject: error => {
-          clearTimeout(timer);
+          limit.cancel();
           reject(error);
         },
       });
--- a/packages/object-store/src/platform-client.ts
+++ b/packages/object-store/src/platform-client.ts
@@ -1,6 +1,7 @@
 /** Client of the platform's object API: versions, conditional updates, long-poll watches. */
 import type { HostList } from '@hingescale/core';
 import type { Log, Metrics } from '@hingescale/runtime';
+import { timeoutSignal } from '@hingescale/runtime';
 import { Result } from 'true-myth';
 import { Agent, request } from 'undici';
 
@@ -151,7 +152,7 @@
   }
 
   async #send<T>(call: Call): Promise<Result<T, PlatformError>> {
-    const timeout = AbortSignal.timeout(this.#options.timeoutMs + (call.extraMs ?? 0));
+    const timeout = timeoutSignal(this.#options.timeoutMs + (call.extraMs ?? 0));
     const signal = call.signal === undefined ? timeout : AbortSignal.any([timeout, call.signal]);
     try {
       const response = await request(this.#options.url + call.path, {
--- a/packages/runtime/src/clock.ts
+++ b/packages/runtime/src/clock.ts
@@ -18,6 +18,38 @@
   }
 }
 
+/** A time limit that can be taken back. */
+export type TimeLimit = { readonly cancel: () => void };
+
+/**
+ * Calls back after a time and one more turn of the event loop. After a time in which this process did not run, what
+ * has arrived meanwhile is read first: an answer that waits in a socket is not late because its reader was.
+ */
+export function afterTurn(call: () => void, ms: number): TimeLimit {
+  let immediate: NodeJS.Immediate | undefined;
+  const timer = setTimeout(() => {
+    immediate = setImmediate(call);
+  }, ms);
+  return {
+    cancel: () => {
+      clearTimeout(timer);
+      clearImmediate(immediate);
+    },
+  };
+}
+
+/** A signal that is raised like that, for calls whose libraries take one. */
+export function timeoutSignal(ms: number): AbortSignal {
+  const controller = new AbortController();
+  const timer = setTimeout(() => {
+    setImmediate(() => {
+      controller.abort(new DOMException('no answer in time', 'TimeoutError'));
+    });
+  }, ms);
+  timer.unref();
+  return controller.signal;
+}
+
 /** Waits for some time, or until it is woken; leaves nothing behind when it is woken early. */
 export class WakeableSleep {
   #wake: (() => void) | undefined;
--- a/packages/upstream/src/host-client.ts
+++ b/packages/upstream/src/host-client.ts
@@ -1,6 +1,7 @@
 /** Client of model-engine hosts: state, orders, load reports, cache events. */
 import type { CacheEvents, EngineLoad, HostOrder, HostStateReport } from '@hingescale/core';
 import type { Log } from '@hingescale/runtime';
+import { timeoutSignal } from '@hingescale/runtime';
 import { Result } from 'true-myth';
 import type { Dispatcher } from 'undici';
 import { Agent, request } from 'undici';
@@ -95,7 +96,7 @@
         dispatcher: this.#agent,
         headers: { 'content-type': 'application/json' },
         body: body === undefined ? undefined : JSON.stringify(body),
-        signal: AbortSignal.timeout(this.#options.timeoutMs),
+        signal: timeoutSignal(this.#options.timeoutMs),
       });
       const text = await response.body.text();
       if (response.statusCode === HTTP_CONFLICT) {
