An operator's drain of the only group that serves begins once its replacement is ready

Callers got 503 "no group of the model is ready" while an operator drained a host of the only group of its model: the group stopped taking requests in the same moment in which its replacement began to load. The load takes 0.1 s in our tests, but some 10 s of a real model, and longer where the holder of the lease is late.

Change: the last group of a model that serves, here and in other failure domains, is drained for an operator only when another one is ready; until then it counts as not held, so that its replacement is formed and is not one too many. It is drained at once, as before, where nothing can replace it, the load takes longer than a drain may, or the platform reclaims the host. Left: of two groups, the one that stays is not asked for a young certificate.

--- a/packages/core/src/decision/drains.ts
+++ b/packages/core/src/decision/drains.ts
@@ -1,7 +1,7 @@
 /** Which groups finish their work and end: reclaimed hosts, excess replicas, old versions. */
 import type { Model } from '../configuration/objects.js';
 import type { Group } from '../groups/ledger.js';
-import type { FailureDomainId } from '../hosts/host.js';
+import type { FailureDomainId, HostId } from '../hosts/host.js';
 import type { DecisionInput } from './decision-input.js';
 import {
   ageOf,
@@ -15,14 +15,21 @@
 import { canForm, formOne } from './formation.js';
 import type { PlacedGroup, Plan } from './plan.js';
 
-/** Drains groups with a member that leaves; their replacement is formed in the same plan. */
+/**
+ * Drains groups with a member that leaves; their replacement is formed in the same plan. The last group of a model that
+ * serves is drained for an operator only once its replacement is ready.
+ */
 export function drainLeaving(plan: Plan): void {
   for (const { ledger, group } of plan.groups()) {
     const leaving = group.members.filter(member => {
       const fact = plan.input.hosts.get(member);
       return fact !== undefined && isLeaving(ledger, fact);
     });
-    if (leaving.length > 0 && (group.state === 'ready' || group.state === 'loading')) {
+    if (
+      leaving.length > 0 &&
+      !mayWaitForReplacement(plan, group, leaving) &&
+      (group.state === 'ready' || group.state === 'loading')
+    ) {
       drain(plan, { ledger, group }, `leaving: ${leaving.join(', ')}`);
     }
   }
@@ -137,6 +144,51 @@
   return here + elsewhere > 1;
 }
 
+function mayWaitForReplacement(plan: Plan, group: Group, leaving: readonly HostId[]): boolean {
+  const isReclaimed = leaving.some(
+    member => plan.input.hosts.get(member)?.host.state === 'leaving',
+  );
+  const mayWait = group.state === 'ready' && !isReclaimed;
+  return mayWait && isLastServing(plan, group) && replacementComes(plan, group);
+}
+
+// No other group of the model serves that is to stay.
+function isLastServing(plan: Plan, { id, content }: Group): boolean {
+  const others = plan.groups().filter(({ ledger, group }) => {
+    const isOther = group.id !== id && group.content.model === content.model;
+    const isToStay = !group.members.some(member => {
+      const fact = plan.input.hosts.get(member);
+      return fact === undefined || isLeaving(ledger, fact);
+    });
+    return isOther && group.state === 'ready' && isToStay;
+  });
+  const elsewhere = plan.input.remote.filter(
+    group => group.content.model === content.model && group.state === 'ready',
+  );
+  return others.length + elsewhere.length === 0;
+}
+
+// A load that takes longer than a drain may is not waited for.
+function replacementComes(plan: Plan, { content }: Group): boolean {
+  const { input } = plan;
+  const model = plan.model(content.model);
+  if (model === undefined) {
+    return false;
+  }
+  const isLoading = plan
+    .groups()
+    .some(
+      ({ group }) =>
+        group.content.model === content.model &&
+        group.state === 'loading' &&
+        ageOf(input, group) < input.times.drainMs,
+    );
+  const isWanted = plan.held(content.model) < wantedReplicas(input, model);
+  // Of hosts that are not heard for the moment it is not known whether they are free.
+  const mayBeFree = [...input.hosts.values()].some(fact => isUnheard(fact));
+  return isLoading || (isWanted && (mayBeFree || canForm(plan, model)));
+}
+
 // Suspended ones first, then old versions, then the youngest, which has the least in its cache.
 function leastUseful(plan: Plan, name: string): PlacedGroup | undefined {
   const model = plan.model(name);
--- a/packages/core/src/decision/plan.ts
+++ b/packages/core/src/decision/plan.ts
@@ -73,11 +73,14 @@
       .sort((a, b) => flapRank(a) - flapRank(b) || a.host.id.localeCompare(b.host.id));
   }
 
-  /** Replicas of a model that count towards the wanted number: not draining, not being undone. */
+  /** Replicas of a model that count towards the wanted number: not draining or about to, not being undone. */
   held(model: string): number {
     return this.groups().filter(
-      ({ group }) =>
-        group.content.model === model && group.state !== 'draining' && group.state !== 'fencing',
+      placed =>
+        placed.group.content.model === model &&
+        placed.group.state !== 'draining' &&
+        placed.group.state !== 'fencing' &&
+        !isToDrain(placed),
     ).length;
   }
 
@@ -87,6 +90,11 @@
   }
 }
 
+/** True for a ready group with a host that an operator drains. */
+function isToDrain({ ledger, group }: PlacedGroup): boolean {
+  return group.state === 'ready' && group.members.some(host => ledger.cordoned.includes(host));
+}
+
 // Among steady hosts the number of losses does not matter, so that choices stay put.
 function flapRank(fact: HostFact): number {
   return fact.losses >= FLAPPING_LOSSES ? fact.losses : 0;
