Time in which a gateway did not run is not time waited for a renewal

Callers got 503 "no group of the model is ready" after 1.5 s of waiting of which the gateway itself was suspended for the larger part: the renewal could not reach it. Change: the wait of requests, streams and the admission's queue counts from the last time the process resumed (EventLoopWatch), so that one place knows how late the loop ran. The deadline of the caller still ends it. A unit test fails without the change.

--- a/packages/gateway/src/domain/group-directory.test.ts
+++ b/packages/gateway/src/domain/group-directory.test.ts
@@ -18,10 +18,12 @@
 
 describe('groups whose certificates run out', () => {
   let directory: GroupDirectory;
+  let resumedAt: number;
 
   beforeEach(() => {
     const log = { info: () => undefined, warn: () => undefined } as unknown as Log;
-    directory = new GroupDirectory(log, new Metrics());
+    resumedAt = -Infinity;
+    directory = new GroupDirectory(log, new Metrics(), () => resumedAt);
     directory.takeView(VIEW);
     directory.takeEvacuations([]);
     const certificate = { group: 'g1', epoch: 1, remainingMs: CERTIFICATE_MS };
@@ -46,4 +48,11 @@
     expect(directory.usable('m')).to.deep.equal([]);
     expect(directory.renewalLeftMs('m')).to.be.greaterThan(1_000);
   });
+
+  it('are not waited for longer than a moment, in which this process has run', () => {
+    const since = monotonicMs() - 2_000;
+    expect(directory.renewalLeftSince(since)).to.be.below(0);
+    resumedAt = monotonicMs();
+    expect(directory.renewalLeftSince(since)).to.be.greaterThan(1_000);
+  });
 });
--- a/packages/gateway/src/domain/group-directory.ts
+++ b/packages/gateway/src/domain/group-directory.ts
@@ -37,6 +37,7 @@
   readonly messages = new Emittery<DirectoryMessages>();
   readonly #log: Log;
   readonly #metrics: Metrics;
+  readonly #resumedAt: () => number;
   readonly #views = new Map<FailureDomainId, DomainView>();
   readonly #groups = new Map<GroupId, GroupView>();
   readonly #certificates = new Map<GroupId, Certified>();
@@ -47,9 +48,11 @@
   #answeredAt = monotonicMs();
   #timer: NodeJS.Timeout | undefined;
 
-  constructor(log: Log, metrics: Metrics) {
+  /** `resumedAt`: when this process ran again after an interruption, in monotonic milliseconds. */
+  constructor(log: Log, metrics: Metrics, resumedAt: () => number) {
     this.#log = log;
     this.#metrics = metrics;
+    this.#resumedAt = resumedAt;
     this.#evacuated = new EvacuatedDomains(log);
   }
 
@@ -174,11 +177,19 @@
       const view = this.#groups.get(id);
       const isReady = view?.group.state === 'ready' && view.group.epoch === epoch;
       const isOfModel = view?.group.content.model === model;
-      return isReady && isOfModel && this.#mayUse(view) ? at + RENEWED_WITHIN_MS - now : 0;
+      return isReady && isOfModel && this.#mayUse(view) ? this.renewalLeftSince(at) : 0;
     });
     return Math.max(0, ...left);
   }
 
+  /**
+   * The same for a certificate that has been waited for since a moment, in monotonic milliseconds. Time in which this
+   * process did not run does not count: no renewal could reach it.
+   */
+  renewalLeftSince(since: number): number {
+    return Math.max(since, this.#resumedAt()) + RENEWED_WITHIN_MS - monotonicMs();
+  }
+
   /** True when the platform lists the host at an address as leaving. */
   isLeaving(address: string): boolean {
     return [...this.#leaving.values()].some(addresses => addresses.has(address));
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -85,7 +85,7 @@
       log: this.#log,
     });
     this.#holder = new ConfigurationHolder(this.#log, this.#metrics);
-    this.#directory = new GroupDirectory(this.#log, this.#metrics);
+    this.#directory = new GroupDirectory(this.#log, this.#metrics, () => this.#loop.resumedAt());
     const failureDomain = self['failure-domain'];
     const identity = {
       role: 'gateway',
--- a/packages/gateway/src/limits/admission.ts
+++ b/packages/gateway/src/limits/admission.ts
@@ -160,12 +160,15 @@
     }
   }
 
-  // Nothing changes when an expected return does not come.
+  // Nothing changes when an expected return does not come. It may be expected for longer by then.
   #refreshAfterReturn(model: string): void {
     const leftMs = this.#options.returnLeftMs(model);
     if (leftMs > 0 && this.#options.capacity(model) <= 0) {
       setTimeout(() => {
         this.refresh();
+        if (this.#state(model).queue.size > 0) {
+          this.#refreshAfterReturn(model);
+        }
       }, leftMs + 1).unref();
     }
   }
--- a/packages/gateway/src/requests/completion-run.test.ts
+++ b/packages/gateway/src/requests/completion-run.test.ts
@@ -14,6 +14,7 @@
 
 const TOKENS = 12;
 const DEADLINE_MS = 5_000;
+const RENEWED_WITHIN_MS = 1_500;
 
 const TARGET = {
   group: { id: 'g1', epoch: 3, content: { model: 'm' } },
@@ -44,6 +45,10 @@
     return this.isServing;
   }
 
+  renewalLeftSince(since: number): number {
+    return since + RENEWED_WITHIN_MS - monotonicMs();
+  }
+
   renewalLeftMs(): number {
     return this.renewableMs;
   }
--- a/packages/gateway/src/requests/completion-run.ts
+++ b/packages/gateway/src/requests/completion-run.ts
@@ -55,12 +55,6 @@
 
 const MAX_ATTEMPTS = 4;
 const MAX_RESUMES = 5;
-/**
- * Longest wait, in milliseconds, for the certificate of a broken stream's group to be renewed. One
- * life of a certificate by default (`certificate-ms`): a late renewal has come by then, or the
- * group has lost a member.
- */
-const RECERTIFY_MS = 1_500;
 /** Pause after a lost resume, in milliseconds: a broken connection shows within one round trip. */
 const RESUME_PAUSE_MS = 20;
 const RETRY_AFTER_LOST_S = 1;
@@ -235,12 +229,13 @@
   // certified in time.
   async #certifiedAgain({ group }: GroupView): Promise<boolean> {
     const { directory } = this.#services;
-    const limit = Math.min(this.#admitted.deadline, monotonicMs() + RECERTIFY_MS);
+    const since = monotonicMs();
     while (this.#wanted) {
       if (directory.certified(group.id, group.epoch)) {
         return true;
       }
-      const leftMs = limit - monotonicMs();
+      const leftToCallerMs = this.#admitted.deadline - monotonicMs();
+      const leftMs = Math.min(leftToCallerMs, directory.renewalLeftSince(since));
       const isOver = leftMs <= 0 || !directory.mayServe(group.id, group.epoch);
       if (isOver || this.#mayRunElsewhere(group.id)) {
         return false;
