Suspensions of unchanged tests begin when the deployment stands

Before that the only process is the test's own, whose client asks the platform stand-in in the same process: a suspension longer than the client's time limit ends the test in its setup ("configuration was not accepted"), which says nothing about gateways or controllers.

--- a/packages/proofs/src/bin-suspended-test.ts
+++ b/packages/proofs/src/bin-suspended-test.ts
@@ -17,6 +17,8 @@
 /** Part of the suspensions that strike all processes of a run at once, 0 to 1. */
 const ALL_AT_ONCE_PART = 0.3;
 const SHOWN_LINES = 25;
+/** The test, a controller and a gateway. */
+const LEAST_PROCESSES = 3;
 
 const options = await yargs(hideBin(process.argv))
   .command('$0 <file>', 'run a test file under suspensions', command =>
@@ -79,6 +81,10 @@
   while (!over.aborted) {
     await sleep(draw() * MOST_PAUSE_MS, over);
     const running = descendants(root);
+    // Until the deployment stands, the test's own calls to its platform are all that there is.
+    if (running.length < LEAST_PROCESSES) {
+      continue;
+    }
     const isAll = draw() < ALL_AT_ONCE_PART;
     const one = running[Math.floor(draw() * running.length)];
     const struck = isAll || one === undefined ? running : [one];
