The roster shows gateways by when they polled; only key owners outlast a silence of all

Cause: no poll of anybody counted as a silence of all.

Change: status, usage and reports go by the time of the poll, as before; only owners are counted from the begin of a silence of all, until the others had the time to poll; nothing is remembered for longer than ten minutes.

--- a/packages/controller/src/controller.ts
+++ b/packages/controller/src/controller.ts
@@ -93,7 +93,6 @@
     this.#collector = new LoadCollector(this.#hostClient, timing['heartbeat-ms']);
     this.#roster = new GatewayRoster({
       silentAfterMs: timing['heartbeat-ms'] * MISSED_HEARTBEATS,
-      resumedAt: () => this.#loop.resumedAt(),
     });
     const failureDomain = self['failure-domain'];
     const identity = {
--- a/packages/controller/src/silence/scope-silence.ts
+++ b/packages/controller/src/silence/scope-silence.ts
@@ -11,6 +11,7 @@
   readonly #silentAfterMs: number;
   #newestAt = -Infinity;
   #heardAgainAt = -Infinity;
+  #newestBeforeAt = -Infinity;
 
   constructor(silentAfterMs: number) {
     this.#silentAfterMs = silentAfterMs;
@@ -21,10 +22,23 @@
     return this.#heardAgainAt;
   }
 
+  /**
+   * Since when one of the set has to have been heard so as not to count as gone: as long ago as it may be silent,
+   * counted back from the begin of a silence of all while that lasts, and until the others had the time to be heard.
+   */
+  countsSince(now: number): number {
+    if (this.isSilent(now)) {
+      return this.#newestAt - this.#silentAfterMs;
+    }
+    const isJustBack = now - this.#heardAgainAt <= this.#silentAfterMs;
+    return (isJustBack ? Math.min(this.#newestBeforeAt, now) : now) - this.#silentAfterMs;
+  }
+
   /** Takes the time of the newest message of the set, or of the probe that it answers; -Infinity: there is none. */
   observe(newestAt: number, now: number): void {
     if (newestAt - this.#newestAt > this.#silentAfterMs) {
       this.#heardAgainAt = now;
+      this.#newestBeforeAt = this.#newestAt;
     }
     this.#newestAt = Math.max(this.#newestAt, newestAt);
   }
--- a/packages/controller/src/views/gateway-roster.ts
+++ b/packages/controller/src/views/gateway-roster.ts
@@ -22,26 +22,25 @@
   readonly silentMs: number;
 };
 
+/** Time after which nothing is remembered of a gateway, in milliseconds. */
+const FORGOTTEN_MS = 600_000;
+
 /** Options of the roster. */
 export type GatewayRosterOptions = {
   /** Time without a poll after which a gateway counts as gone, in milliseconds. */
   readonly silentAfterMs: number;
-  /** When this process ran again after an interruption, in monotonic milliseconds; -Infinity: never interrupted. */
-  readonly resumedAt: () => number;
   readonly now?: () => number;
 };
 
 /** Remembers gateways by instance. */
 export class GatewayRoster {
   readonly #silentAfterMs: number;
-  readonly #resumedAt: () => number;
   readonly #now: () => number;
   readonly #all: ScopeSilence;
   readonly #entries = new Map<string, Entry>();
 
-  constructor({ silentAfterMs, resumedAt, now = monotonicMs }: GatewayRosterOptions) {
+  constructor({ silentAfterMs, now = monotonicMs }: GatewayRosterOptions) {
     this.#silentAfterMs = silentAfterMs;
-    this.#resumedAt = resumedAt;
     this.#now = now;
     this.#all = new ScopeSilence(silentAfterMs);
   }
@@ -52,12 +51,16 @@
     const owner = { instance, address, failureDomain };
     const heardAt = this.#now();
     this.#all.observe(heardAt, heardAt);
+    this.#forget();
     this.#entries.set(instance, { owner, revision, leaving, usage, heardAt });
   }
 
   /** Gateways that may own keys now; undefined while too little is known after a start. */
   owners(): KeyOwner[] {
-    return this.#present()
+    // While no gateway can be heard, none of them gives its keys up.
+    const since = this.#all.countsSince(this.#now());
+    return [...this.#entries.values()]
+      .filter(entry => entry.heardAt >= since)
       .filter(entry => !entry.leaving && entry.owner.address !== '')
       .map(entry => entry.owner)
       .sort((a, b) => a.instance.localeCompare(b.instance));
@@ -90,14 +93,16 @@
   }
 
   #present(): Entry[] {
-    const now = this.#now();
-    const listenedSince = Math.max(this.#resumedAt(), this.#all.heardAgainAt);
-    const hadTime = !this.#all.isSilent(now) && now - listenedSince > this.#silentAfterMs;
+    const since = this.#now() - this.#silentAfterMs;
+    return [...this.#entries.values()].filter(entry => entry.heardAt >= since);
+  }
+
+  #forget(): void {
+    const since = this.#now() - FORGOTTEN_MS;
     for (const [instance, entry] of this.#entries) {
-      if (hadTime && now - entry.heardAt > this.#silentAfterMs) {
+      if (entry.heardAt < since) {
         this.#entries.delete(instance);
       }
     }
-    return [...this.#entries.values()];
   }
 }
