--- a/packages/entry/src/server/time.ts
+++ b/packages/entry/src/server/time.ts
@@ -1,6 +1,9 @@
 /** Monotonic time and waiting. The time of day jumps on some hosts, so nothing here uses it. */
 import { performance } from 'node:perf_hooks';
 
+export type { TimeLimit } from '@hingescale/runtime/clock';
+export { afterTurn } from '@hingescale/runtime/clock';
+
 /** Milliseconds of the steady clock; only differences within one process mean anything. */
 export function monotonicMs(): number {
   return performance.now();
@@ -22,23 +25,3 @@
     signal?.addEventListener('abort', done);
   });
 }
-
-/** A time limit that can be taken back. */
-export type TimeLimit = { readonly cancel: () => void };
-
-/**
- * Calls back after a time and one more turn of the event loop. After a time in which this process did not run, what
- * has arrived meanwhile is read first: an answer that waits in a socket is not late because its reader was.
- */
-export function afterTurn(call: () => void, ms: number): TimeLimit {
-  let immediate: NodeJS.Immediate | undefined;
-  const timer = setTimeout(() => {
-    immediate = setImmediate(call);
-  }, ms);
-  return {
-    cancel: () => {
-      clearTimeout(timer);
-      clearImmediate(immediate);
-    },
-  };
-}
