A drained group has no work left only by an answer from after the last request could be sent

Streams of a group that drains were cut ("ended from here", 502 for collected answers) when its controller or engines had been late. Cause: the group counts as drained one certificate after the drain began and with no work running, but the answer that says so may be as old as a certificate: from before gateways, which may still hold theirs, sent their last requests. The old answer fences the group, and its reset cuts what runs.

Change: the decision knows how old each answer is; the answer that ends a drain is to a probe sent one certificate after the drain began, or later. Certificates end by then, so that it tells of all work. The test of the decision fails without it.

--- a/packages/bench/src/groups/decision.test.ts
+++ b/packages/bench/src/groups/decision.test.ts
@@ -136,7 +136,12 @@
     { ...base, kind: 'form', content, members },
     { ...base, kind: 'move', state: 'ready' },
   ]);
-  const silence = { silentMs: silentMs ?? 0, isMissing: (silentMs ?? 0) > 0, mayReturn: false };
+  const silence = {
+    answerAgeMs: 0,
+    silentMs: silentMs ?? 0,
+    isMissing: (silentMs ?? 0) > 0,
+    mayReturn: false,
+  };
   const facts = hosts
     .slice(0, 4)
     .map(host => [host.id, { host, report: undefined, ...silence, losses: 0 }] as const);
--- a/packages/bench/src/groups/fleet.ts
+++ b/packages/bench/src/groups/fleet.ts
@@ -334,7 +334,8 @@
         const isMissing = silentMs > 0;
         const { report } = host;
         const losses = recent.length;
-        facts.set(id, { host: host.host, report, silentMs, isMissing, mayReturn: false, losses });
+        const silence = { answerAgeMs: 0, silentMs, isMissing, mayReturn: false };
+        facts.set(id, { host: host.host, report, ...silence, losses });
       }
     }
     return facts;
--- a/packages/bench/src/groups/operator-drain.test.ts
+++ b/packages/bench/src/groups/operator-drain.test.ts
@@ -44,6 +44,7 @@
       {
         host: { ...host, state },
         report: report as unknown as HostStateReport,
+        answerAgeMs: 0,
         silentMs: 0,
         isMissing: false,
         mayReturn: false,
--- a/packages/bench/src/groups/silent-hosts.test.ts
+++ b/packages/bench/src/groups/silent-hosts.test.ts
@@ -16,15 +16,21 @@
   .slice(0, 2 * GROUP_SIZE)
   .map(host => host.id);
 
-type Answering = Pick<HostFact, 'silentMs' | 'isMissing' | 'mayReturn'>;
+type Answering = Pick<HostFact, 'silentMs' | 'isMissing' | 'mayReturn'> & {
+  readonly answerAgeMs?: number;
+};
 
 const ANSWERS: Answering = { silentMs: 0, isMissing: false, mayReturn: false };
 const UNHEARD: Answering = { silentMs: 2_000, isMissing: false, mayReturn: true };
 const RETURNING: Answering = { silentMs: 20_000, isMissing: true, mayReturn: true };
 const MISSING: Answering = { silentMs: 20_000, isMissing: true, mayReturn: false };
 
-/** Two groups in a state, with what is known of each of their members in turn. */
-function inputOf(state: GroupState, answering: readonly Answering[]): DecisionInput {
+/** Two groups in a state for some time, with what is known of each of their members in turn. */
+function inputOf(
+  state: GroupState,
+  answering: readonly Answering[],
+  ageMs = LONG_MS,
+): DecisionInput {
   const base = { fabricDomain, reason: '', alternatives: [] };
   const ledger = applyOrders(
     emptyLedger(fabricDomain, failureDomain),
@@ -43,14 +49,15 @@
   const facts = members.map((id, index): [string, HostFact] => {
     const host = hosts.find(candidate => candidate.id === id) as (typeof hosts)[number];
     const group = ledger.groups[Math.floor(index / GROUP_SIZE)];
-    return [id, { host, report: reportOf(id, group), losses: 0, ...answering[index] }];
+    const report = reportOf(id, group);
+    return [id, { host, report, losses: 0, answerAgeMs: 0, ...answering[index] }];
   });
   return {
     failureDomain,
     configuration,
     hosts: new Map(facts),
     ledgers: [ledger],
-    ages: new Map(ledger.groups.map(group => [ageKey(group), LONG_MS])),
+    ages: new Map(ledger.groups.map(group => [ageKey(group), ageMs])),
     times: { certificateMs: 1_500, drainMs: 2 * LONG_MS },
     remote: [],
     absent: [],
@@ -89,6 +96,13 @@
     expect(movesOf(inputOf('suspended', facts))).to.deep.equal([]);
   });
 
+  it('have no work left only by an answer from after the last request could be sent to them', () => {
+    const before = times(8, { ...ANSWERS, answerAgeMs: 400 });
+    expect(movesOf(inputOf('draining', before, 1_600))).to.deep.equal([]);
+    const after = times(8, { ...ANSWERS, answerAgeMs: 50 });
+    expect(movesOf(inputOf('draining', after, 1_600))).to.deep.equal(['a fencing', 'b fencing']);
+  });
+
   it('are given up for each other when their members stay away', () => {
     const facts = [...times(3, ANSWERS), MISSING, ...times(3, ANSWERS), MISSING];
     expect(movesOf(inputOf('suspended', facts))).to.deep.equal(['b fencing']);
--- a/packages/controller/src/groups/host-memory.ts
+++ b/packages/controller/src/groups/host-memory.ts
@@ -76,7 +76,16 @@
       const report = observations.get(host.id)?.report;
       const losses = this.#noteLosses(host.id, report?.incarnation, isMissing, now);
       const mayReturn = silentMs > 0 && (!hadTime || lapsed.has(host.fabricDomain));
-      facts.set(host.id, { host, report, silentMs, isMissing, mayReturn, losses });
+      const answerAgeMs = now - (observations.get(host.id)?.probeSentAt ?? now);
+      facts.set(host.id, {
+        host,
+        report,
+        answerAgeMs,
+        silentMs,
+        isMissing,
+        mayReturn,
+        losses,
+      });
     }
     this.#dropUnlisted(facts);
     return facts;
--- a/packages/core/src/decision/decision-input.ts
+++ b/packages/core/src/decision/decision-input.ts
@@ -9,6 +9,8 @@
   readonly host: Host;
   /** Last answer, or undefined when it never answered this observer. */
   readonly report: HostStateReport | undefined;
+  /** Milliseconds since the probe was sent that the last answer belongs to: what it says is as old. */
+  readonly answerAgeMs: number;
   /** Milliseconds since it last answered; 0 while it answers. */
   readonly silentMs: number;
   /**
--- a/packages/core/src/decision/drains.ts
+++ b/packages/core/src/decision/drains.ts
@@ -95,8 +95,10 @@
     return age >= input.times.drainMs;
   }
   const running = memberIsLoaded(group, leader) ? (leader?.report?.running ?? 0) : 0;
-  // Gateways may send work until their certificates of before the drain have lapsed.
-  return (age >= input.times.certificateMs && running === 0) || age >= input.times.drainMs;
+  // Gateways may send work until their certificates of before the drain have lapsed; only an answer to a probe that was
+  // sent after that tells of all of it.
+  const ageAtAnswer = age - (leader?.answerAgeMs ?? 0);
+  return (ageAtAnswer >= input.times.certificateMs && running === 0) || age >= input.times.drainMs;
 }
 
 function isCurrent(group: Group, model: Model): boolean {
