--- a/packages/entry/src/requests/claim-target.ts
+++ b/packages/entry/src/requests/claim-target.ts
@@ -1,4 +1,4 @@
-/** Chooses a target and claims the right to send to it, as one step; and gives the claim back. */
+/** Chooses a target and claims the right to send to it, as one step. */
 import type { Target, TargetQuery } from '../routing/target-chooser.js';
 import { monotonicMs } from '../server/time.js';
 import type { RelayServices } from './relay-services.js';
