--- a/packages/entry/src/server/planned-stop.ts
+++ b/packages/entry/src/server/planned-stop.ts
@@ -17,7 +17,7 @@
   readonly requests: { readonly open: number };
   /** Time from the signal until the platform kills the process, in milliseconds. */
   readonly graceMs: number;
-  /** Clock that also counts while the process is suspended, in milliseconds: the platform's time does not stand still. */
+  /** Clock in milliseconds that also counts while the process is suspended, as the platform's does. */
   readonly now?: () => number;
 };
 
