The loop watch measures its own timer only; interruptions are asked about once a decision

The delay is recorded by the watch's own ticks now, and the memory asks once and passes the answer on. The command that suspends tests built a list to drop its first word. What counts as an interruption and what is concluded from it are unchanged.

--- a/packages/controller/src/groups/host-memory.ts
+++ b/packages/controller/src/groups/host-memory.ts
@@ -60,8 +60,14 @@
     now: number,
   ): Map<HostId, HostFact> {
     this.#observeScopes(hosts, observations, now);
+    const listenedSince = Math.max(this.#options.resumedAt(), this.#all.heardAgainAt);
+    const isConclusive =
+      !this.#all.isSilent(now) && now - listenedSince > this.#options.silentAfterMs;
     const silences = new Map(
-      hosts.map(host => [host.id, this.#silence(host, observations.get(host.id), now)]),
+      hosts.map(host => [
+        host.id,
+        this.#silence(host, observations.get(host.id), isConclusive, now),
+      ]),
     );
     const lapsed = this.#lapsed.observe(
       hosts.map(({ id, fabricDomain }) => {
@@ -107,15 +113,18 @@
     this.#all.observe(Math.max(...newest.values()), now);
   }
 
-  #silence(host: Host, observation: HostObservation | undefined, now: number): Silence {
-    const { silentAfterMs, resumedAt } = this.#options;
+  // `isConclusive`: this process ran and heard some host for long enough, so that the others could have answered.
+  #silence(
+    host: Host,
+    observation: HostObservation | undefined,
+    isConclusive: boolean,
+    now: number,
+  ): Silence {
+    const { silentAfterMs } = this.#options;
     const firstSeen = this.#firstSeen.get(host.id) ?? now;
     this.#firstSeen.set(host.id, firstSeen);
     const quietMs = now - (observation?.probeSentAt ?? firstSeen);
     const isSilent = quietMs > silentAfterMs;
-    const isConclusive =
-      !this.#all.isSilent(now) &&
-      now - Math.max(resumedAt(), this.#all.heardAgainAt) > silentAfterMs;
     const wasMissing = this.#memories.get(host.id)?.missing ?? false;
     const domainHeardAt = this.#fabric(host.fabricDomain).heardAgainAt;
     return {
--- a/packages/proofs/src/bin-suspended-test.ts
+++ b/packages/proofs/src/bin-suspended-test.ts
@@ -52,10 +52,13 @@
 
 async function runSuspended(seed: number): Promise<{ code: number; output: string }> {
   const generator = xoroshiro128plus(seed);
-  const words = ['mocha', '--no-config', '--exit', '--timeout', String(TEST_TIMEOUT_MS), file];
   const child = spawn(process.execPath, [
     'node_modules/mocha/bin/mocha.js',
-    ...words.slice(1),
+    '--no-config',
+    '--exit',
+    '--timeout',
+    String(TEST_TIMEOUT_MS),
+    file,
     ...(options.title === '' ? [] : ['--fgrep', options.title]),
   ]);
   let output = '';
--- a/packages/runtime/src/event-loop-watch.ts
+++ b/packages/runtime/src/event-loop-watch.ts
@@ -39,8 +39,11 @@
   start(): void {
     this.run(async () => {
       while (!this.stopped) {
-        this.#look();
+        const startedAt = this.#now();
         await sleep(TICK_MS, this.signal);
+        const lateMs = Math.max(0, this.#now() - startedAt - TICK_MS);
+        this.#metrics.histogram('event_loop_late').record(lateMs);
+        this.#look();
       }
     });
   }
@@ -58,7 +61,6 @@
     const now = this.#now();
     const lateMs = now - this.#lookedAt - TICK_MS;
     this.#lookedAt = now;
-    this.#metrics.histogram('event_loop_late').record(Math.max(0, lateMs));
     if (lateMs >= LEAST_INTERRUPTION_MS) {
       this.#resumedAt = now;
       this.#metrics.count('interruptions_total');
