Sight: answers that are older than what is known have a line and a counter; each kind shows the age of its confirmation

Now the first of a row of such answers is logged with both revisions and the reader, and counted by kind; the age of the last confirmation of each kind is a gauge. No logic changes. Tests of the store folder pass.

--- a/packages/entry/src/entry-host.ts
+++ b/packages/entry/src/entry-host.ts
@@ -323,6 +323,7 @@
       peersKnown: () => this.#peers?.membership.known() ?? Promise.resolve(),
       givesOrders: () => this.#lease.term !== undefined,
       log: this.#options.log,
+      metrics: this.#metrics,
     });
   }
 
--- a/packages/entry/src/store/followed-kinds.ts
+++ b/packages/entry/src/store/followed-kinds.ts
@@ -1,5 +1,7 @@
 /** The kinds that an entry host follows, and how closely. */
+import { elapsedMs } from '../server/elapsed-time.js';
 import type { Log } from '../server/log.js';
+import type { GaugeReading, Metrics } from '../server/metrics.js';
 import { runTask } from '../server/run-task.js';
 import type { KindReader, KindView } from './kind-reader.js';
 import type { ObjectKind } from './object-store.js';
@@ -22,6 +24,7 @@
   /** True while this host gives orders. */
   readonly givesOrders: () => boolean;
   readonly log: Log;
+  readonly metrics: Metrics;
 };
 
 /** How closely a kind is followed; all in milliseconds. */
@@ -40,6 +43,8 @@
   readonly staleMs: number;
 };
 
+const MS_PER_S = 1_000;
+
 const CONFIGURATION_TIMING: Timing = {
   storeWaitMs: 700,
   peerWaitMs: 500,
@@ -116,6 +121,7 @@
         this.#watches.set(kind, watchOf(kind, observer, timing, options));
       }
     }
+    options.metrics.gauges.follow('confirmation_age_seconds', () => this.#ages());
   }
 
   /** The watch of a kind, if it is followed. */
@@ -143,6 +149,17 @@
     });
   }
 
+  // A kind that was never confirmed has no age.
+  #ages(): readonly GaugeReading[] {
+    const now = elapsedMs();
+    return [...this.#watches]
+      .filter(([, { cache }]) => cache.confirmedAt > -Infinity)
+      .map(([kind, { cache }]) => ({
+        labels: { kind },
+        value: (now - cache.confirmedAt) / MS_PER_S,
+      }));
+  }
+
   /** Ends all watches. */
   stop(): void {
     this.#watches.forEach(watch => {
@@ -165,7 +182,15 @@
   kind: ObjectKind,
   observer: KindObserver,
   timing: Timing,
-  { readers, followsStore, firstReader, hostsView, givesOrders, log }: FollowedKindsOptions,
+  {
+    readers,
+    followsStore,
+    firstReader,
+    hostsView,
+    givesOrders,
+    log,
+    metrics,
+  }: FollowedKindsOptions,
 ): WatchedKind {
   return new WatchedKind({
     readers,
@@ -177,5 +202,6 @@
     staleMs: timing.staleMs,
     observer,
     log,
+    counters: metrics.counters,
   });
 }
--- a/packages/entry/src/store/watched-kind.ts
+++ b/packages/entry/src/store/watched-kind.ts
@@ -6,6 +6,7 @@
  */
 import { elapsedMs } from '../server/elapsed-time.js';
 import type { Log } from '../server/log.js';
+import type { Counters } from '../server/metrics.js';
 import { sleep } from '../server/time.js';
 import { KindCache } from './kind-cache.js';
 import type { KindReader, KindReading, KindView } from './kind-reader.js';
@@ -56,6 +57,7 @@
   readonly pauseMs: () => number;
   readonly observer: KindObserver;
   readonly log: Log;
+  readonly counters?: Counters;
   /** Uniform in [0, 1); spreads the retries of many hosts. */
   readonly random?: () => number;
 };
@@ -79,6 +81,8 @@
   #failures = 0;
   #inTouchSince: number | undefined;
   #view: KindView = 'full';
+  /** Answers in a row that were older than what is known. */
+  #olderAnswers = 0;
   /** Whom the last answer came from. */
   #lastReader: KindReader | undefined;
 
@@ -201,10 +205,13 @@
           observer.listed(answer.list);
         });
       }
+      this.#noteAge(changed, answer.list.revision, reader);
       // An older list than what is known was not taken; its sender needs a moment to catch up.
       changed = true;
-    } else if (this.cache.takeChanges(answer.changes, answer.revision)) {
-      changed = answer.changes.length > 0;
+    } else {
+      const isTaken = this.cache.takeChanges(answer.changes, answer.revision);
+      this.#noteAge(isTaken, answer.revision, reader);
+      changed = isTaken && answer.changes.length > 0;
       if (changed) {
         this.#tell(() => {
           observer.changed(answer.changes);
@@ -215,6 +222,20 @@
     return changed;
   }
 
+  #noteAge(isTaken: boolean, revision: number, reader: KindReader): void {
+    const { log, kind, counters } = this.#options;
+    if (isTaken) {
+      this.#olderAnswers = 0;
+      return;
+    }
+    counters?.count('older_answers_total', { kind });
+    this.#olderAnswers += 1;
+    if (this.#olderAnswers === 1) {
+      const known = this.cache.revision;
+      log.warn('answer older than what is known', { kind, from: reader.name, revision, known });
+    }
+  }
+
   // What this host can not deal with is not the reader's failure: any other reader would bring the same, and
   // one after the other would be avoided.
   #tell(call: () => void): void {
