Revisions carry the store's era: what is written after it comes back from an older copy is newer, and what is known to be later than the copy stands

Cause: every keeper of the newest state (cache, watch, configuration, hosts) compared bare revision numbers. The store came back with lower ones, so its answers counted as older until its counter had passed what was known, and changes under numbers given out twice were never seen.

Changes of a later era than the watch's are no continuation: the kind is listed. Against that list stands for 4 s what is known to be later (objects that the copy lacks or has in an earlier state, removals), then the kind is listed anew. Where objects tell their order themselves that decides: the version of a configuration, the start of a host and that it shuts down.

--- a/packages/entry/src/configuration/configuration-holder.ts
+++ b/packages/entry/src/configuration/configuration-holder.ts
@@ -2,6 +2,7 @@
 import { elapsedMs } from '../server/elapsed-time.js';
 import type { Log } from '../server/log.js';
 import type { ObjectChange, ObjectList, StoredObject } from '../store/object-store.js';
+import type { StateOrder } from '../store/restored-list.js';
 import { RouteTable } from './route-table.js';
 import type { ServingConfiguration } from './serving-configuration.js';
 
@@ -74,8 +75,27 @@
     this.#confirmedAt = Math.max(this.#confirmedAt, sentAt);
   }
 
+  /** True where a state of the configuration's object has at least the version of another; for `WatchedKind`. */
+  readonly isLater: StateOrder = (listed, known) => {
+    if (listed.name !== this.#options.objectName) {
+      return undefined;
+    }
+    const [version, knownVersion] = [this.#versionOf(listed), this.#versionOf(known)];
+    const isReadable = version !== undefined && knownVersion !== undefined;
+    return isReadable ? version >= knownVersion : undefined;
+  };
+
+  #versionOf(object: StoredObject): number | undefined {
+    try {
+      return this.#options.read(object.value).version;
+    } catch {
+      // Logged where it is applied.
+      return undefined;
+    }
+  }
+
   #apply(object: StoredObject): void {
-    if (object.revision <= this.#revision) {
+    if (object.revision === this.#revision) {
       return;
     }
     const { read, log } = this.#options;
@@ -87,6 +107,10 @@
       return;
     }
     const before = this.#table?.version;
+    if (before === table.version) {
+      this.#revision = object.revision;
+      return;
+    }
     if (before !== undefined && table.version < before) {
       log.warn('older configuration ignored', { version: table.version, inForce: before });
       return;
--- a/packages/entry/src/entry-host.ts
+++ b/packages/entry/src/entry-host.ts
@@ -300,7 +300,6 @@
 
   #makeKinds(): FollowedKinds {
     const store = storeReader(this.#options.store);
-    const { bounds } = this.#settings;
     const members = this.#peers?.membership.observer;
     return new FollowedKinds({
       readers: this.#peers?.readers ?? onlyReader(store),
@@ -313,7 +312,7 @@
         }),
         ...(members === undefined ? {} : { [OBJECT_KINDS.members]: members }),
         [OBJECT_KINDS.quarantine]: this.#quarantine.observer,
-        ...(bounds.evacuationMs === undefined
+        ...(this.#settings.bounds.evacuationMs === undefined
           ? {}
           : { [OBJECT_KINDS.evacuations]: this.#rules.evacuated.observer }),
       },
--- a/packages/entry/src/hosts/host-registry.ts
+++ b/packages/entry/src/hosts/host-registry.ts
@@ -5,6 +5,7 @@
 import type { Counters } from '../server/metrics.js';
 import { monotonicMs } from '../server/time.js';
 import type { ObjectChange, ObjectList, StoredObject } from '../store/object-store.js';
+import type { StateOrder } from '../store/restored-list.js';
 import type { DepartedHost, HostEntry, HostIncarnation, HostReading } from './host-entry.js';
 import { incarnationOf, isSameStart } from './host-entry.js';
 import { StartMemory } from './start-memory.js';
@@ -116,6 +117,26 @@
     }
   }
 
+  /**
+   * Which of two entries of a host is later; for `WatchedKind`. A start is later than those before it, and that a host shuts
+   * down is the last that it says.
+   */
+  readonly isLater: StateOrder = (listed, known) => {
+    const [reading, knownReading] = [listed, known].map(({ name, value }) =>
+      this.#read(name, value),
+    );
+    if (reading?.kind !== 'host' || knownReading?.kind !== 'host') {
+      return undefined;
+    }
+    const { entry } = reading;
+    const start = entry.startedAt ?? 0;
+    const knownStart = knownReading.entry.startedAt ?? 0;
+    if (start !== knownStart) {
+      return start > knownStart;
+    }
+    return entry.accepting ? undefined : true;
+  };
+
   /** Takes the whole list; hosts not in it are gone. */
   takeList(list: ObjectList): void {
     const present = new Set(list.objects.map(object => object.name));
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -12,3 +12,4 @@
 export * from './server/log.js';
 export * from './server/time.js';
 export * from './store/object-store.js';
+export * from './store/revision.js';
--- a/packages/entry/src/store/kind-cache.ts
+++ b/packages/entry/src/store/kind-cache.ts
@@ -4,6 +4,7 @@
  */
 import type { KindAnswer } from './kind-reader.js';
 import type { ObjectChange, ObjectList, StoredObject } from './object-store.js';
+import type { Revision } from './revision.js';
 
 /** Answers whose changes are kept. */
 const MAX_BATCHES = 256;
@@ -25,6 +26,24 @@
     return this.#revision;
   }
 
+  /** The objects by name. */
+  get objects(): ReadonlyMap<string, StoredObject> {
+    return this.#objects;
+  }
+
+  /** Objects that were removed in the changes that are kept, with the revision of their removal. */
+  get removed(): ReadonlyMap<string, Revision> {
+    const removed = new Map<string, Revision>();
+    for (const { object, deleted } of this.#batches.flatMap(batch => batch.changes)) {
+      if (deleted) {
+        removed.set(object.name, object.revision);
+      } else {
+        removed.delete(object.name);
+      }
+    }
+    return removed;
+  }
+
   /** When the store was last asked a question that confirmed the objects, in milliseconds that count suspensions. */
   get confirmedAt(): number {
     return this.#confirmedAt;
--- a/packages/entry/src/store/kind-observers.ts
+++ b/packages/entry/src/store/kind-observers.ts
@@ -20,6 +20,7 @@
     confirmed: askedAt => {
       holder.confirm(askedAt);
     },
+    isLater: holder.isLater,
   };
 }
 
@@ -34,5 +35,6 @@
       registry.takeChanges(changes);
     },
     confirmed: () => undefined,
+    isLater: registry.isLater,
   };
 }
--- a/packages/entry/src/store/kind-reader.ts
+++ b/packages/entry/src/store/kind-reader.ts
@@ -1,6 +1,7 @@
 /** Reading the objects of a kind, from the store itself or from a peer that follows it. */
 import { elapsedMs } from '../server/elapsed-time.js';
 import type { ObjectChange, ObjectKind, ObjectList, ObjectStore } from './object-store.js';
+import { eraOf } from './revision.js';
 
 /** What a reading brings. */
 export type KindAnswer =
@@ -59,7 +60,9 @@
         return { answer: { kind: 'list', list }, confirmedAt, inTouch: true };
       }
       const answer = await store.watch(kind, revision, waitMs);
-      return { answer, confirmedAt, inTouch: true };
+      // Changes of a later era don't say what became different from the copy on.
+      const goesOn = answer.kind === 'changes' && eraOf(answer.revision) === eraOf(revision);
+      return { answer: goesOn ? answer : { kind: 'expired' }, confirmedAt, inTouch: true };
     },
   };
 }
--- /dev/null
+++ b/packages/entry/src/store/restored-list.ts
@@ -0,0 +1,73 @@
+/**
+ * What is known of a kind once the store has come back from an older copy.
+ *
+ * The list that it gives then lacks what was written since the copy, and shows again what was removed since. Operators and hosts
+ * write theirs again within moments; until then what is known to be later stands.
+ */
+import type { ObjectList, StoredObject } from './object-store.js';
+import type { Revision } from './revision.js';
+import { isLostFromStore, numberInEra } from './revision.js';
+
+/**
+ * Whether a listed state of an object is later than the known one, where the objects themselves tell; undefined where
+ * only their revisions do.
+ */
+export type StateOrder = (listed: StoredObject, known: StoredObject) => boolean | undefined;
+
+/** What was known before the list. */
+export type KnownObjects = {
+  readonly objects: Iterable<StoredObject>;
+  /** Removed objects by name, with the revision of their removal. */
+  readonly removed: ReadonlyMap<string, Revision>;
+};
+
+/** The list with what is known to be later than its objects. */
+export function restoredList(
+  list: ObjectList,
+  known: KnownObjects,
+  isLater: StateOrder,
+): ObjectList {
+  const objects = new Map<string, StoredObject>();
+  for (const object of list.objects) {
+    const removedAt = known.removed.get(object.name);
+    if (removedAt === undefined || !isCopied(object, removedAt)) {
+      objects.set(object.name, object);
+    }
+  }
+  for (const object of known.objects) {
+    const listed = objects.get(object.name);
+    const mayBeLater = isLostFromStore(object, list.revision);
+    if (mayBeLater && (listed === undefined || !isNews(listed, object, isLater))) {
+      objects.set(object.name, object);
+    }
+  }
+  return { objects: [...objects.values()], revision: list.revision };
+}
+
+/** The list with what the objects themselves tell to be later than its own. */
+export function latestList(
+  list: ObjectList,
+  known: ReadonlyMap<string, StoredObject>,
+  isLater: StateOrder,
+): ObjectList {
+  const objects = list.objects.map(listed => latestState(listed, known.get(listed.name), isLater));
+  return { objects, revision: list.revision };
+}
+
+/** The later of two states of an object, where the objects themselves tell; else the listed one. */
+export function latestState(
+  listed: StoredObject,
+  known: StoredObject | undefined,
+  isLater: StateOrder,
+): StoredObject {
+  return known !== undefined && isLater(listed, known) === false ? known : listed;
+}
+
+function isNews(listed: StoredObject, known: StoredObject, isLater: StateOrder): boolean {
+  return isLater(listed, known) ?? !isCopied(listed, known.revision);
+}
+
+// Whatever the copy holds has a number up to that of the copy, and so up to that of any later change.
+function isCopied(listed: StoredObject, later: Revision): boolean {
+  return numberInEra(listed.revision) <= numberInEra(later);
+}
--- /dev/null
+++ b/packages/entry/src/store/revision.ts
@@ -0,0 +1,42 @@
+/**
+ * Points of the store's history.
+ *
+ * A store that comes back from an older copy gives revision numbers out again, and says so by counting an era up. A
+ * {@link Revision} is both in one number, the era in its high part: of two revisions the later one is the greater, so
+ * that whatever keeps the newest of something compares them as numbers.
+ */
+import type { StoredObject } from './object-store.js';
+import { StoreError } from './object-store.js';
+
+/** A point of the store's history; see {@link revisionIn}. */
+export type Revision = number;
+
+/** Numbers of one era: more than a thousand years of a hundred changes a second. */
+const NUMBERS_PER_ERA = 2 ** 42;
+/** Eras that fit into exact whole numbers above the numbers of each. */
+const MOST_ERAS = 2 ** 11;
+
+/** The revision with a number of an era; throws a {@link StoreError} where one of them is out of bounds. */
+export function revisionIn(era: number, number: number): Revision {
+  const isEra = Number.isInteger(era) && era >= 0 && era < MOST_ERAS;
+  const isNumber = Number.isInteger(number) && number >= 0 && number < NUMBERS_PER_ERA;
+  if (!isEra || !isNumber) {
+    throw new StoreError('unreadable', `no revision: ${number} of era ${era}`);
+  }
+  return era * NUMBERS_PER_ERA + number;
+}
+
+/** How often the store had come back from an older copy, at a revision. */
+export function eraOf(revision: Revision): number {
+  return Math.floor(revision / NUMBERS_PER_ERA);
+}
+
+/** The number by which the store itself knows a revision, within its era. */
+export function numberInEra(revision: Revision): number {
+  return revision % NUMBERS_PER_ERA;
+}
+
+/** True for an object that the store has lost: it is known from before the era of the list that holds it. */
+export function isLostFromStore(object: StoredObject, listRevision: Revision): boolean {
+  return eraOf(object.revision) < eraOf(listRevision);
+}
--- a/packages/entry/src/store/watched-kind.ts
+++ b/packages/entry/src/store/watched-kind.ts
@@ -11,15 +11,24 @@
 import { KindCache } from './kind-cache.js';
 import type { KindReader, KindReading, KindView } from './kind-reader.js';
 import type { ObjectChange, ObjectKind, ObjectList } from './object-store.js';
+import type { StateOrder } from './restored-list.js';
+import { latestList, restoredList } from './restored-list.js';
+import type { Revision } from './revision.js';
+import { eraOf } from './revision.js';
 
 /** Receives what a watch brings. */
 export type KindObserver = {
-  /** The whole list; objects not in it are gone. */
+  /**
+   * The whole list; objects not in it are gone. One of an earlier era than the list is not in the store any more, which has
+   * come back from an older copy, and holds until it is written again.
+   */
   readonly listed: (list: ObjectList) => void;
   /** The changes of one answer, in the order in which they were made; never empty. */
   readonly changed: (changes: readonly ObjectChange[]) => void;
   /** The store answered; the question was sent at `askedAt` (milliseconds that count suspensions) or later. */
   readonly confirmed: (askedAt: number) => void;
+  /** Which of two states of an object is later, where the objects tell it themselves. */
+  readonly isLater?: StateOrder;
 };
 
 /** How a reading ended: `stale` when what it brought was confirmed too long ago. */
@@ -56,6 +65,8 @@
   /** Pause after each answer that brought changes, so that bursts cost few calls. */
   readonly pauseMs: () => number;
   readonly observer: KindObserver;
+  /** For how long what is known stands against an older copy; for tests, else {@link RESTORE_MS}. */
+  readonly restoreMs?: number;
   readonly log: Log;
   readonly counters?: Counters;
   /** Uniform in [0, 1); spreads the retries of many hosts. */
@@ -71,6 +82,13 @@
 /** Short, since a host that has just started knows nothing until the store is back. */
 const MAX_RETRY_MS = 300;
 
+/**
+ * Time after the store's return from an older copy in which operators and hosts have written theirs again, in milliseconds:
+ * three heartbeats of a host, after which the entries of those that are gone go too.
+ */
+const RESTORE_MS = 4_000;
+const BY_REVISION: StateOrder = () => undefined;
+
 /** A running watch. */
 export class WatchedKind {
   /** What is known of the kind. */
@@ -83,6 +101,11 @@
   #view: KindView = 'full';
   /** Answers in a row that were older than what is known. */
   #olderAnswers = 0;
+  /** Until when what is known stands against an older copy; undefined: the store has all that is known. */
+  #restoresUntil: number | undefined;
+  /** What had been removed when the store came back from an older copy. */
+  #removedBefore: ReadonlyMap<string, Revision> = new Map();
+  #isListedByPeer = false;
   /** Whom the last answer came from. */
   #lastReader: KindReader | undefined;
 
@@ -166,11 +189,14 @@
 
   async #step(reader: KindReader): Promise<boolean> {
     const { kind, waitMs, staleMs, readers } = this.#options;
+    if (this.#restoresUntil !== undefined && !this.#isRestoring()) {
+      this.#expired = true;
+    }
     const view = reader.hasViews ? (this.#options.view?.() ?? 'full') : 'full';
     // Another peer does not know which routable hosts this one has heard of, so that it would not tell
     // when one of them is none any more.
     const isKnown = view === 'full' || reader === this.#lastReader;
-    const goesOn = !this.#expired && view === this.#view && isKnown;
+    const goesOn = !this.#expired && view === this.#view && isKnown && !this.#mayKnowMore(reader);
     const revision = goesOn ? this.cache.revision : undefined;
     // After a loss the first answer is wanted at once: it confirms what is known.
     const wait = this.#failures > 0 ? 0 : revision === undefined ? LIST_WAIT_MS : waitMs();
@@ -188,6 +214,12 @@
     return changed;
   }
 
+  // A process that has started since the store came back from an older copy may have read that copy, while peers
+  // know what was written later: one of them tells it all once.
+  #mayKnowMore(reader: KindReader): boolean {
+    return this.#options.isUrgent === true && reader.hasViews && !this.#isListedByPeer;
+  }
+
   #take({ answer, confirmedAt }: KindReading, view: KindView, reader: KindReader): boolean {
     const { observer } = this.#options;
     if (answer.kind === 'expired') {
@@ -197,24 +229,27 @@
     let changed = false;
     if (answer.kind === 'list') {
       this.#expired = false;
-      changed = this.cache.takeList(answer.list);
+      const list = this.#latestOf(answer.list, reader);
+      changed = this.cache.takeList(list);
       if (changed) {
         this.#view = view;
         this.#lastReader = reader;
+        this.#isListedByPeer ||= reader.hasViews;
         this.#tell(() => {
-          observer.listed(answer.list);
+          observer.listed(list);
         });
       }
       this.#noteAge(changed, answer.list.revision, reader);
       // An older list than what is known was not taken; its sender needs a moment to catch up.
       changed = true;
     } else {
-      const isTaken = this.cache.takeChanges(answer.changes, answer.revision);
+      const changes = answer.changes.filter(change => !this.#isSuperseded(change));
+      const isTaken = this.cache.takeChanges(changes, answer.revision);
       this.#noteAge(isTaken, answer.revision, reader);
-      changed = isTaken && answer.changes.length > 0;
+      changed = isTaken && changes.length > 0;
       if (changed) {
         this.#tell(() => {
-          observer.changed(answer.changes);
+          observer.changed(changes);
         });
       }
     }
@@ -222,6 +257,57 @@
     return changed;
   }
 
+  // An object may be written again in a state that is older than the known one, where a store has lost both.
+  #isSuperseded({ object, deleted }: ObjectChange): boolean {
+    const known = this.cache.objects.get(object.name);
+    const { isLater = BY_REVISION } = this.#options.observer;
+    return !deleted && known !== undefined && isLater(object, known) === false;
+  }
+
+  #latestOf(list: ObjectList, reader: KindReader): ObjectList {
+    const { cache } = this;
+    const { isLater = BY_REVISION } = this.#options.observer;
+    if (cache.revision !== undefined && eraOf(list.revision) > eraOf(cache.revision)) {
+      this.#beginRestoring(list, reader);
+    }
+    if (this.#isRestoring()) {
+      const known = { objects: cache.objects.values(), removed: this.#removedBefore };
+      return restoredList(list, known, isLater);
+    }
+    this.#endRestoring();
+    return latestList(list, cache.objects, isLater);
+  }
+
+  #beginRestoring(list: ObjectList, reader: KindReader): void {
+    const { restoreMs = RESTORE_MS } = this.#options;
+    this.#noteOlderCopy(list, reader);
+    this.#restoresUntil = elapsedMs() + restoreMs;
+    this.#removedBefore = new Map([...this.#removedBefore, ...this.cache.removed]);
+  }
+
+  #isRestoring(): boolean {
+    return this.#restoresUntil !== undefined && elapsedMs() < this.#restoresUntil;
+  }
+
+  #endRestoring(): void {
+    this.#restoresUntil = undefined;
+    this.#removedBefore = new Map();
+  }
+
+  #noteOlderCopy(list: ObjectList, reader: KindReader): void {
+    const { log, kind, counters } = this.#options;
+    counters?.count('older_copies_total', { kind });
+    log.warn('store came back from an older copy', {
+      kind,
+      era: eraOf(list.revision),
+      from: reader.name,
+      listed: list.objects.length,
+      known: this.cache.objects.size,
+    });
+    // Nobody may be taken for gone because of it, as after an outage.
+    this.#inTouchSince = undefined;
+  }
+
   #noteAge(isTaken: boolean, revision: number, reader: KindReader): void {
     const { log, kind, counters } = this.#options;
     if (isTaken) {
