What the system itself wrote is written again after an older copy; an entry host that starts hears from peers what the copy lacks

What callers saw: an entry host that started after the store had come back honoured a key that had been taken away; entry hosts that registered since the copy stayed unknown to those that start.

Cause: what the system writes is written once. Registrations and quarantined requests counted as kept by the store; a process that starts has its first configuration from the store, and goes on from that revision with a peer that knows better.

Change: an object that is known from before the era of a list is lost from the store: a registration is written again, spread over 3 s, a quarantined request by the holder of the lease. Urgent kinds wait for the first list of peers as hosts do, and are listed once from a peer where the store was read first. Left: the first host in the order of all has nobody above it to ask.

--- a/packages/entry/src/peers/membership.ts
+++ b/packages/entry/src/peers/membership.ts
@@ -1,9 +1,11 @@
 /** Registers this entry host in the store, and knows the others that did. */
 import { FailureSeries } from '../server/failure-series.js';
 import type { Log } from '../server/log.js';
+import { runTask } from '../server/run-task.js';
 import { monotonicMs, sleep } from '../server/time.js';
 import type { ObjectChange, ObjectList, ObjectStore, StoredObject } from '../store/object-store.js';
 import { OBJECT_KINDS } from '../store/object-store.js';
+import { isLostFromStore } from '../store/revision.js';
 import type { KindObserver } from '../store/watched-kind.js';
 import type { Candidates, Member } from './member.js';
 import { candidatesOf, readMember, remoteHeads } from './member.js';
@@ -26,6 +28,8 @@
 
 const NOBODY: readonly string[] = [];
 const RETRY_MS = 1_000;
+/** Time over which all entry hosts register again after an older copy, in milliseconds: a hundred writes a second of three hundred hosts. */
+const REGISTER_SPREAD_MS = 3_000;
 /**
  * Longest wait for the first list of members before this host registers, in milliseconds. The store
  * answers in milliseconds; without it registering would fail as well.
@@ -58,6 +62,7 @@
         });
         this.#noteView();
         this.#noteKnown();
+        this.#checkRegistration(list);
       },
       changed: (changes: readonly ObjectChange[]): void => {
         changes.forEach(change => {
@@ -107,11 +112,16 @@
 
   /** Registers until it is done; a process that starts again finds its host registered. */
   async register(): Promise<void> {
-    const { log, self } = this.#options;
+    const { self } = this.#options;
     await this.known();
     if (isSame(this.#members.get(self.name), self)) {
       return;
     }
+    await this.#registerUntilDone();
+  }
+
+  async #registerUntilDone(): Promise<void> {
+    const { log, self } = this.#options;
     const failures = new FailureSeries(log, 'register this host');
     while (!this.#abort.signal.aborted) {
       try {
@@ -130,6 +140,18 @@
     this.#abort.abort();
   }
 
+  #checkRegistration({ objects, revision }: ObjectList): void {
+    const own = objects.find(({ name }) => name === this.#options.self.name);
+    if (own !== undefined && isLostFromStore(own, revision)) {
+      runTask(this.#options.log, 'register again', this.#registerAgain());
+    }
+  }
+
+  async #registerAgain(): Promise<void> {
+    await sleep(REGISTER_SPREAD_MS * Math.random(), this.#abort.signal);
+    await this.#registerUntilDone();
+  }
+
   async #registerOnce(): Promise<void> {
     const { store, self } = this.#options;
     const { name, ...value } = self;
--- a/packages/entry/src/quarantine/quarantined-requests.ts
+++ b/packages/entry/src/quarantine/quarantined-requests.ts
@@ -5,6 +5,7 @@
 import type { Log } from '../server/log.js';
 import type { Metrics } from '../server/metrics.js';
 import type { ObjectChange, ObjectList, StoredObject } from '../store/object-store.js';
+import { isLostFromStore } from '../store/revision.js';
 import type { KindObserver } from '../store/watched-kind.js';
 import type { CrashVerdict } from './crash-evidence.js';
 import type { QuarantinedRequest } from './quarantined-request.js';
@@ -111,10 +112,22 @@
       }
     }
     objects.forEach(object => {
-      this.#takeObject(object);
+      if (isLostFromStore(object, revision)) {
+        this.#noteLostFromStore(object.name);
+      } else {
+        this.#takeObject(object);
+      }
     });
   }
 
+  // To be written again; see `QuarantineKeeper`.
+  #noteLostFromStore(fingerprint: RequestFingerprint): void {
+    const request = this.#requests.get(fingerprint);
+    if (request !== undefined) {
+      this.#requests.set(fingerprint, { ...request, revision: undefined });
+    }
+  }
+
   #takeChanges(changes: readonly ObjectChange[]): void {
     for (const { object, deleted } of changes) {
       if (!deleted) {
--- a/packages/entry/src/store/followed-kinds.ts
+++ b/packages/entry/src/store/followed-kinds.ts
@@ -17,7 +17,7 @@
   readonly followsStore: () => boolean;
   /** How much of the hosts this host needs. */
   readonly hostsView: () => KindView;
-  /** Resolves when the peers are known, from whom hosts are then read, or after a moment. */
+  /** Resolves when the peers are known, from whom hosts and urgent kinds are then read, or after a moment. */
   readonly peersKnown: () => Promise<void>;
   /** Whom the first list of hosts comes from, where that is not whom `readers` chooses. */
   readonly firstReader?: () => KindReader | undefined;
@@ -133,7 +133,8 @@
   start(): void {
     const { log, peersKnown } = this.#options;
     for (const [kind, watch] of this.#watches) {
-      const before = kind === OBJECT_KINDS.hosts ? peersKnown() : Promise.resolve();
+      const waits = kind === OBJECT_KINDS.hosts || isUrgent(kind);
+      const before = waits ? peersKnown() : Promise.resolve();
       runTask(
         log,
         kind,
