One holder of the lease, and epochs that only rise, across an older copy of the store

Cause: the lease in the copy is that of an earlier holder, an earlier renewal or none, and whoever read it took it for the present one; a lost renewal was taken for an answer lost some seconds ago. Epochs came from a revision that can be given out twice.

Change: the lease names the era in which it was written. One of an earlier era says nothing about who holds it: others wait until the last holder's time is over, the holder itself writes over it while its time lasts. A lease that was known and is missing is waited for alike. Epochs are made of the revision of the last renewal, the era in the high part; weighed against a look at the hosts' own epochs (not complete: hosts keep epochs of groups that nobody shows any more).

Not closed: a process that has never seen the lease, within 2.6 s of a copy from before it was first written.

--- a/packages/entry/src/groups/coordinator.ts
+++ b/packages/entry/src/groups/coordinator.ts
@@ -136,7 +136,7 @@
     }
     this.#prober.recheck(id => registry.get(id));
     for (const task of this.#groupTasks.values()) {
-      task.step(lease.term);
+      task.step(lease.term, lease.renewedAt);
     }
   }
 }
--- a/packages/entry/src/groups/group-task.ts
+++ b/packages/entry/src/groups/group-task.ts
@@ -2,7 +2,7 @@
  * Gives orders to the hosts of one engine service while this process holds the lease.
  *
  * It keeps no record of its own in the store: groups are what the hosts tell of themselves, names
- * are never used twice, and epochs rise with the lease's term.
+ * are never used twice, and epochs rise with the lease's renewals.
  */
 import { LapsedDomains } from '@hingescale/core';
 
@@ -12,9 +12,11 @@
 import type { Log } from '../server/log.js';
 import type { Counters } from '../server/metrics.js';
 import { monotonicMs } from '../server/time.js';
+import type { Revision } from '../store/revision.js';
 import { AcceptedOrders } from './accepted-orders.js';
 import { CapacityLog } from './capacity-log.js';
 import { DomainUses } from './domain-use.js';
+import { EpochSeries } from './epoch-series.js';
 import { planIdleFormations, planIdleStagings } from './evacuated-plan.js';
 import { domainHosts } from './fabric-domain.js';
 import { fleetViewOf } from './fleet-picture.js';
@@ -58,12 +60,6 @@
   readonly counters: Counters;
 };
 
-/**
- * Groups that one term of the lease may form: epochs are `term * EPOCHS_PER_TERM + n`. A term may last for months, and
- * one fleet of 3,000 hosts is a thousand groups: with as few epochs, those of the next term would be ones that hosts
- * have seen, and refuse. Terms below 40,000 stay within 32 bits.
- */
-const EPOCHS_PER_TERM = 100_000;
 /** Time a formation has beyond what its loads should take, in milliseconds. */
 const FORMATION_SLACK_MS = 4_000;
 /** Time after an outage of the store in which entries that went meanwhile are back. */
@@ -89,8 +85,9 @@
   readonly #lapsed = new LapsedDomains();
   readonly #domainUses: DomainUses;
   readonly #capacityLog: CapacityLog;
-  #term = 0;
-  #formed = 0;
+  #term: Revision = 0;
+  #renewedAt: Revision = 0;
+  readonly #epochs = new EpochSeries();
   /** True when no host had anything loaded or staged at the first plan; undefined before. */
   #beganBlank: boolean | undefined;
 
@@ -108,13 +105,17 @@
     });
   }
 
-  /** Looks at the hosts and gives the orders that are due. Cheap when nothing is. */
-  step(term: number): void {
+  /**
+   * Looks at the hosts and gives the orders that are due, in a term of the lease that was last renewed at a revision. Cheap when
+   * nothing is.
+   */
+  step(term: Revision, renewedAt: Revision = term): void {
     const profile = this.#options.profile();
     if (profile === undefined || profile.models.length === 0) {
       return;
     }
     this.#beginTerm(term);
+    this.#renewedAt = renewedAt;
     const now = monotonicMs();
     const hosts = this.#options.registry.ofService(this.#options.service);
     const groups = replicaGroups(hosts);
@@ -136,12 +137,11 @@
     };
   }
 
-  #beginTerm(term: number): void {
+  #beginTerm(term: Revision): void {
     if (term === this.#term) {
       return;
     }
     this.#term = term;
-    this.#formed = 0;
     this.#formations.clear();
     this.#rearrangement.clear();
     this.#stagings.clear();
@@ -287,8 +287,11 @@
 
   #begin(planned: PlannedFormation, view: GuardView, now: number): void {
     const { service, log } = this.#options;
-    this.#formed += 1;
-    const epoch = this.#term * EPOCHS_PER_TERM + this.#formed;
+    const epoch = this.#epochs.next(this.#renewedAt);
+    if (epoch === undefined) {
+      log.warn('no epoch left until the lease is renewed', { revision: this.#renewedAt });
+      return;
+    }
     const group = `${service}-${epoch}`;
     const members = planned.hosts.map(host => host.id);
     const { loads, fabricDomain } = planned;
--- a/packages/entry/src/lease/lease-task.ts
+++ b/packages/entry/src/lease/lease-task.ts
@@ -2,8 +2,12 @@
  * The lease of the one entry host that gives orders.
  *
  * It is one object in the store, changed only under its revision. The revision of the change that
- * took the lease is the term; epochs of groups are derived from it, so those of a later holder are
- * always higher, and hosts refuse what an earlier holder sent late.
+ * took the lease is the term; epochs of groups are derived from the revisions of its renewals, so those of a later
+ * holder are always higher, and hosts refuse what an earlier holder sent late.
+ *
+ * A store that comes back from an older copy shows an earlier holder, or none, while the last one still acts. The object tells in
+ * which era of the store it was written: while that is an earlier one, it says nothing about who holds the lease, and
+ * others than the last holder wait until that one's time is over.
  */
 import Emittery from 'emittery';
 
@@ -14,6 +18,8 @@
 import { sleep } from '../server/time.js';
 import type { ObjectStore, StoredObject } from '../store/object-store.js';
 import { OBJECT_KINDS } from '../store/object-store.js';
+import type { Revision } from '../store/revision.js';
+import { eraOf } from '../store/revision.js';
 
 /** Messages of the lease. */
 export type LeaseMessages = {
@@ -51,7 +57,12 @@
 const LEASE_NAME = 'order-giver';
 const NOBODY = '';
 
-type LeaseValue = { readonly holder: string; readonly host: string };
+type LeaseValue = {
+  readonly holder: string;
+  readonly host: string;
+  /** Era of the store in which it was written; absent: the first. */
+  readonly era?: number;
+};
 
 /** Competes for the lease, and renews it while held. */
 export class LeaseTask {
@@ -64,8 +75,10 @@
   #wake = new AbortController();
   #seen: StoredObject | undefined;
   #seenAt = 0;
-  #term: number | undefined;
+  #term: Revision | undefined;
   #heldUntil = 0;
+  /** Since when the object has been missing although it was there before. */
+  #missingSince: number | undefined;
 
   constructor(options: LeaseOptions) {
     this.#options = options;
@@ -74,10 +87,15 @@
   }
 
   /** Term of the lease while it is held for sure. */
-  get term(): number | undefined {
+  get term(): Revision | undefined {
     return this.#clock.now() < this.#heldUntil ? this.#term : undefined;
   }
 
+  /** Revision of the last renewal while the lease is held for sure; that of the term at first. */
+  get renewedAt(): Revision | undefined {
+    return this.term === undefined ? undefined : this.#seen?.revision;
+  }
+
   /** Host that held the lease when it was last looked at. */
   get holderHost(): string | undefined {
     return (this.#seen?.value as LeaseValue | null | undefined)?.host;
@@ -124,7 +142,8 @@
     }
     this.#lose('stopping');
     try {
-      const value: LeaseValue = { holder: NOBODY, host: this.#options.host };
+      const era = eraOf(seen.revision);
+      const value: LeaseValue = { holder: NOBODY, host: this.#options.host, era };
       await this.#options.store.replace(OBJECT_KINDS.leases, LEASE_NAME, value, seen.revision);
     } catch (error) {
       this.#options.log.warn('lease not given back, it lapses by itself', { cause: String(error) });
@@ -143,16 +162,26 @@
     // An old answer only delays a take-over: it is written under the revision that was read.
     const found = await store.read(OBJECT_KINDS.leases, LEASE_NAME, this.#seen !== undefined);
     if (found === undefined) {
-      await this.#create();
+      await this.#createOnceFree();
       return;
     }
     this.#note(found);
-    const free = holderOf(found) === NOBODY || this.#isOwn(found) || this.#isEarlierStart(found);
-    if (free || this.#clock.now() - this.#seenAt >= timing.expiryMs) {
+    const isLeft = holderOf(found) === NOBODY || this.#isOwn(found) || this.#isEarlierStart(found);
+    const isFree = isLeft && isOfItsEra(found);
+    if (isFree || this.#clock.now() - this.#seenAt >= timing.expiryMs) {
       await this.#write(this.#seen?.revision ?? found.revision);
     }
   }
 
+  // A lease that was there is missing where the store has come back from a copy of before: its holder may still act.
+  async #createOnceFree(): Promise<void> {
+    const now = this.#clock.now();
+    this.#missingSince ??= now;
+    if (this.#seen === undefined || now - this.#missingSince >= this.#options.timing.expiryMs) {
+      await this.#create();
+    }
+  }
+
   // It has lapsed here, by a suspension or an outage, and nobody has taken it since. Whoever writes under its
   // revision first has it.
   #isOwn(object: StoredObject): boolean {
@@ -176,30 +205,38 @@
     }
   }
 
-  async #write(revision: number): Promise<void> {
+  async #write(revision: Revision, isRepeated = false): Promise<void> {
     const { store, host, instance } = this.#options;
     const sentAt = this.#clock.now();
     // A changing field makes each renewal a change of the object.
-    const value = { holder: instance, host, renewal: Math.round(sentAt) };
+    const value = { holder: instance, host, era: eraOf(revision), renewal: Math.round(sentAt) };
     const answer = await store.replace(OBJECT_KINDS.leases, LEASE_NAME, value, revision);
     if (answer.kind === 'written') {
       this.#hold(answer.object, sentAt);
       return;
     }
-    if (answer.object === undefined) {
-      this.#lose('gone');
-    } else if (holderOf(answer.object) === instance) {
-      // An earlier write of ours was done although its answer was lost.
-      this.#hold(answer.object, this.#seenAt);
-    } else {
-      this.#lose('taken');
-      this.#note(answer.object);
+    const { object } = answer;
+    const isRenewal = this.term !== undefined;
+    if (object !== undefined && !isRepeated && this.#mayWriteOver(object, isRenewal)) {
+      this.#take(object);
+      await this.#write(object.revision, true);
+      return;
+    }
+    this.#lose(object === undefined ? 'gone' : 'taken');
+    if (object !== undefined) {
+      this.#take(object);
     }
   }
 
+  // An earlier write of this process was done although its answer was lost; or the store has lost the last writes, and
+  // nobody can have taken the lease since while this process still holds it.
+  #mayWriteOver(object: StoredObject, isRenewal: boolean): boolean {
+    return isOfItsEra(object) ? this.#isOwn(object) : isRenewal;
+  }
+
   #hold(object: StoredObject, sentAt: number): void {
     const { timing, log, instance } = this.#options;
-    this.#note(object);
+    this.#take(object);
     this.#heldUntil = sentAt + timing.holdMs;
     if (this.#term === undefined) {
       this.#term = object.revision;
@@ -208,11 +245,19 @@
     }
   }
 
+  // An answer that may be old; see `step`.
   #note(object: StoredObject): void {
     if (this.#seen === undefined || this.#seen.revision < object.revision) {
-      this.#seen = object;
+      this.#take(object);
+    }
+  }
+
+  #take(object: StoredObject): void {
+    this.#missingSince = undefined;
+    if (this.#seen?.revision !== object.revision) {
       this.#seenAt = this.#clock.now();
     }
+    this.#seen = object;
   }
 
   #noteLapse(): void {
@@ -232,6 +277,12 @@
   }
 }
 
+// False for an object that the store shows from a copy, or that a write of an earlier era has replaced since.
+function isOfItsEra(object: StoredObject): boolean {
+  const era = (object.value as LeaseValue | null)?.era ?? 0;
+  return era === eraOf(object.revision);
+}
+
 function holderOf(object: StoredObject): string {
   return (object.value as LeaseValue | null)?.holder ?? NOBODY;
 }
