Gateways and controllers outlast a platform that comes back from an older copy: versions carry its era, and what it has lost is written again

What callers and operators saw, on processes: an accepted configuration was not stored any more, and the next one, given its number again, was in force nowhere; the ledger showed a group with a host that had been replaced, and its epochs were given out again; the next lease had an epoch that hosts had seen.

Cause: the same as at the entry hosts. The watchers kept the highest version and went on from it; each object was written once; the epoch of a lease was one more than that of whatever the object showed.

Change: the revision with its era moved to core, used by both clients. A watch of an earlier era asks for all; watches that wait when a later era is heard of are sent again. Watchers keep a later state under the version that the copy has, and name it as lost; the holder of the lease writes lost ledgers, evacuations and the configuration in force again. A lease of an earlier era says nothing about who holds it, the holder renews under the version that it has now, and epochs hold the era in their high part.

Left: a ledger that no running controller knows is that of the copy.

--- a/packages/controller/src/controller.ts
+++ b/packages/controller/src/controller.ts
@@ -1,5 +1,5 @@
 /** A controller: its tasks, wired together. */
-import type { Evacuation, FailureDomainId, Ledger } from '@hingescale/core';
+import type { ConfigurationHead, Evacuation, FailureDomainId, Ledger } from '@hingescale/core';
 import { ProblemError } from '@hingescale/core';
 import type { PollReply, PollRequest } from '@hingescale/link';
 import { LINK_REQUESTS, LinkPool, LinkServer } from '@hingescale/link';
@@ -34,6 +34,7 @@
 import { HostMemory } from './groups/host-memory.js';
 import type { ExplainedOrder } from './groups/order-history.js';
 import { LeaseTask } from './lease/lease-task.js';
+import { RestoreTask } from './restore/restore-task.js';
 import { DomainTask } from './views/domain-task.js';
 import { GatewayRoster } from './views/gateway-roster.js';
 import { KeyOwnerTask } from './views/key-owner-task.js';
@@ -71,7 +72,8 @@
   #groups: GroupTask | undefined;
   #domain: DomainTask | undefined;
   #keyOwners: KeyOwnerTask | undefined;
-  #configurationWatch: { readonly stop: () => Promise<void> } | undefined;
+  #configurationWatch: ObjectWatcher<ConfigurationHead> | undefined;
+  #restore: RestoreTask | undefined;
   #handler: PollHandler | undefined;
 
   constructor(settings: ControllerSettings) {
@@ -95,11 +97,7 @@
       silentAfterMs: timing['heartbeat-ms'] * MISSED_HEARTBEATS,
     });
     const failureDomain = self['failure-domain'];
-    const identity = {
-      role: 'controller',
-      name: self.name,
-      failureDomain,
-    } as const;
+    const identity = { role: 'controller', name: self.name, failureDomain } as const;
     this.#links = new LinkPool({ key: links.key, identity, log: this.#log });
     this.#peers = new PeerTask({
       instance: this.#instance,
@@ -157,6 +155,7 @@
   async drain(): Promise<void> {
     this.#log.info('controller stopping');
     await this.#groups?.stop();
+    await this.#restore?.stop();
     await this.#keyOwners?.stop();
     await this.#lease?.stop();
     await this.#lease?.release();
@@ -167,6 +166,7 @@
     const tasks = [
       this.#loop,
       this.#groups,
+      this.#restore,
       this.#keyOwners,
       this.#lease,
       this.#domain,
@@ -222,9 +222,7 @@
             : undefined,
         take: order => this.#evacuations.take([order]),
       },
-      offer: revision => {
-        this.#holder.offer(revision);
-      },
+      offer: revision => void this.#holder.offer(revision),
     });
     const tls = tlsFiles(admin['tls-certificate'], admin['tls-key']);
     this.#admin = await listenHttp(app, admin.listen, { ...DEFAULT_HTTP_LIMITS, tls });
@@ -272,12 +270,21 @@
     });
     domain.start();
     this.#domain = domain;
-    lease.messages.on('acquired', () => {
+    lease.messages.on(['acquired', 'lost'], () => {
       domain.rebuild();
     });
-    lease.messages.on('lost', () => {
-      domain.rebuild();
+    this.#restore = new RestoreTask({
+      client: this.#client,
+      failureDomain,
+      holds: () => lease.holds(),
+      holder: this.#holder,
+      configuration: () => this.#configurationWatch,
+      ledgers: this.#ledgers,
+      evacuations: this.#evacuations,
+      log: this.#log,
+      metrics: this.#metrics,
     });
+    this.#restore.start();
     this.#handler = new PollHandler({
       name: self.name,
       failureDomain,
--- a/packages/controller/src/lease/lease-task.ts
+++ b/packages/controller/src/lease/lease-task.ts
@@ -1,6 +1,13 @@
 /** The lease of the failure domain: takes it, renews it, and knows until when it is held. */
 import type { KeyOwnerTable, Lease, LeaseObservation } from '@hingescale/core';
-import { emptyKeyTable, holderDeadline, mayTakeOver } from '@hingescale/core';
+import {
+  emptyKeyTable,
+  eraOf,
+  holderDeadline,
+  isOfItsEra,
+  mayTakeOver,
+  nextEpoch,
+} from '@hingescale/core';
 import type { PlatformClient, PlatformError, StoredObject } from '@hingescale/object-store';
 import type { Log, Metrics } from '@hingescale/runtime';
 import { monotonicMs, newUuid, sleep, Task, WakeableSleep } from '@hingescale/runtime';
@@ -41,6 +48,8 @@
   #deadline = -Infinity;
   #confirmedAt = -Infinity;
   #holding = false;
+  /** Since when the lease has been missing. */
+  #missingSince: number | undefined;
   #wantedKeys: ((table: KeyOwnerTable) => KeyOwnerTable) | undefined;
 
   constructor(options: LeaseTaskOptions) {
@@ -132,7 +141,8 @@
     this.#wantedKeys = undefined;
     const sentAt = monotonicMs();
     const keys = change?.(stored.value.keys) ?? stored.value.keys;
-    const value = { ...stored.value, operation: newUuid(), keys };
+    const era = eraOf(stored.version);
+    const value = { ...stored.value, operation: newUuid(), keys, era };
     const written = await this.#options.client.update('lease', this.#name, stored.version, value);
     if (await this.#settle(written, value, sentAt)) {
       return;
@@ -154,14 +164,22 @@
     const read = await this.#options.client.read<Lease>('lease', this.#name);
     if (read.isOk) {
       await this.#consider(read.value);
-    } else if (read.error.reason === 'missing') {
+    } else if (read.error.reason === 'missing' && this.#mayCreate()) {
       await this.#take(undefined);
     }
   }
 
+  // A lease that was there is missing where the platform has come back from a copy of before: its holder may still act.
+  #mayCreate(): boolean {
+    const now = monotonicMs();
+    this.#missingSince ??= now;
+    return this.#stored === undefined || now - this.#missingSince >= this.#options.durationMs;
+  }
+
   async #consider(seen: StoredObject<Lease>): Promise<void> {
     const now = monotonicMs();
     this.#stored = seen;
+    this.#missingSince = undefined;
     if (this.#observation?.version !== seen.version) {
       const durationMs = seen.value.durationMs;
       this.#observation = {
@@ -170,7 +188,8 @@
         firstSeenAt: now,
       };
     }
-    if (seen.value.holder === '' || mayTakeOver(this.#observation, now)) {
+    const isReleased = seen.value.holder === '' && isOfItsEra(seen.value, seen.version);
+    if (isReleased || mayTakeOver(this.#observation, now)) {
       await this.#take(seen);
     }
   }
@@ -182,7 +201,8 @@
       holder,
       address,
       adminAddress,
-      epoch: (present?.value.epoch ?? 0) + 1,
+      epoch: nextEpoch(present?.value, client.era),
+      era: present === undefined ? client.era : eraOf(present.version),
       durationMs,
       operation: newUuid(),
       keys: present?.value.keys ?? emptyKeyTable(keyLeaseMs),
@@ -226,6 +246,9 @@
     if (read.value.value.epoch > value.epoch || read.value.value.holder !== value.holder) {
       this.#stored = read.value;
       this.#deadline = -Infinity;
+    } else if (this.#stored?.value.epoch === read.value.value.epoch) {
+      // The platform has lost renewals: the next one is written under the version that it has now.
+      this.#stored = { ...this.#stored, version: read.value.version };
     }
     return false;
   }
--- a/packages/core/src/contracts/lease.ts
+++ b/packages/core/src/contracts/lease.ts
@@ -6,6 +6,8 @@
  * their own monotonic clock.
  */
 import type { FailureDomainId } from '../hosts/host.js';
+import type { Revision } from '../store/revision.js';
+import { eraOf, revisionIn } from '../store/revision.js';
 import type { KeyOwnerTable } from './idempotency-key.js';
 
 /** The lease object as stored in the platform. */
@@ -19,6 +21,8 @@
   /** Fencing token: grows with every change of holder. */
   readonly epoch: number;
   readonly durationMs: number;
+  /** Era of the platform in which it was written; absent: the first. */
+  readonly era?: number;
   /** Operation id of the last write. */
   readonly operation: string;
   /** Who owns idempotency keys in the failure domain; each renewal confirms it. */
@@ -27,7 +31,7 @@
 
 /** What a candidate remembers of a lease it watches. */
 export type LeaseObservation = {
-  readonly version: number;
+  readonly version: Revision;
   readonly durationMs: number;
   /** When the candidate first saw this version, in its monotonic milliseconds. */
   readonly firstSeenAt: number;
@@ -41,6 +45,22 @@
   return sentAt + durationMs * (1 - LEASE_MARGIN_SHARE);
 }
 
+/**
+ * False for a lease that the platform shows from an older copy, at this version of its object: it says nothing about who
+ * holds the lease now.
+ */
+export function isOfItsEra(lease: Lease, version: Revision): boolean {
+  return (lease.era ?? 0) === eraOf(version);
+}
+
+/**
+ * Epoch of the next holder after the one that the lease shows, in an era of the platform: above all that a platform may have
+ * lost, since the era stands in its high part.
+ */
+export function nextEpoch(shown: Lease | undefined, era: number): number {
+  return Math.max(shown?.epoch ?? 0, revisionIn(era, 0)) + 1;
+}
+
 /** True when a candidate that made this observation may take the lease over. */
 export function mayTakeOver(observation: LeaseObservation, now: number): boolean {
   return now - observation.firstSeenAt >= observation.durationMs;
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -28,3 +28,4 @@
 export * from './decision/load-queue.js';
 export * from './decision/plan.js';
 export * from './decision/reconcile.js';
+export * from './store/revision.js';
--- a/packages/entry/src/store/revision.ts
+++ b/packages/core/src/store/revision.ts
@@ -5,9 +5,6 @@
  * {@link Revision} is both in one number, the era in its high part: of two revisions the later one is the greater, so
  * that whatever keeps the newest of something compares them as numbers.
  */
-import type { StoredObject } from './object-store.js';
-import { StoreError } from './object-store.js';
-
 /** A point of the store's history; see {@link revisionIn}. */
 export type Revision = number;
 
@@ -16,12 +13,22 @@
 /** Eras that fit into exact whole numbers above the numbers of each. */
 const MOST_ERAS = 2 ** 11;
 
-/** The revision with a number of an era; throws a {@link StoreError} where one of them is out of bounds. */
+/** A revision that can not be. */
+export class RevisionError extends Error {
+  readonly reason = 'out-of-bounds';
+
+  constructor(era: number, number: number) {
+    super(`no revision: ${number} of era ${era}`);
+    this.name = 'RevisionError';
+  }
+}
+
+/** The revision with a number of an era; throws a {@link RevisionError} where one of them is out of bounds. */
 export function revisionIn(era: number, number: number): Revision {
   const isEra = Number.isInteger(era) && era >= 0 && era < MOST_ERAS;
   const isNumber = Number.isInteger(number) && number >= 0 && number < NUMBERS_PER_ERA;
   if (!isEra || !isNumber) {
-    throw new StoreError('unreadable', `no revision: ${number} of era ${era}`);
+    throw new RevisionError(era, number);
   }
   return era * NUMBERS_PER_ERA + number;
 }
@@ -36,7 +43,7 @@
   return revision % NUMBERS_PER_ERA;
 }
 
-/** True for an object that the store has lost: it is known from before the era of the list that holds it. */
-export function isLostFromStore(object: StoredObject, listRevision: Revision): boolean {
-  return eraOf(object.revision) < eraOf(listRevision);
+/** True where the store has come back from an older copy between two revisions. */
+export function isOfEarlierEra(revision: Revision, other: Revision): boolean {
+  return eraOf(revision) < eraOf(other);
 }
--- a/packages/entry/src/groups/epoch-series.ts
+++ b/packages/entry/src/groups/epoch-series.ts
@@ -5,8 +5,8 @@
  * An epoch is made of the revision at which the lease was last renewed, which nobody else can have, and a counter below it. The era
  * of the revision stands in the high part.
  */
-import type { Revision } from '../store/revision.js';
-import { eraOf, numberInEra } from '../store/revision.js';
+import type { Revision } from '@hingescale/core';
+import { eraOf, numberInEra } from '@hingescale/core';
 
 /** Epochs that one renewal gives; the next renewal, a second later, gives as many. */
 const EPOCHS_PER_RENEWAL = 2 ** 12;
--- a/packages/entry/src/groups/group-task.ts
+++ b/packages/entry/src/groups/group-task.ts
@@ -4,6 +4,7 @@
  * It keeps no record of its own in the store: groups are what the hosts tell of themselves, names
  * are never used twice, and epochs rise with the lease's renewals.
  */
+import type { Revision } from '@hingescale/core';
 import { LapsedDomains } from '@hingescale/core';
 
 import type { EngineProfile } from '../configuration/serving-configuration.js';
@@ -12,7 +13,6 @@
 import type { Log } from '../server/log.js';
 import type { Counters } from '../server/metrics.js';
 import { monotonicMs } from '../server/time.js';
-import type { Revision } from '../store/revision.js';
 import { AcceptedOrders } from './accepted-orders.js';
 import { CapacityLog } from './capacity-log.js';
 import { DomainUses } from './domain-use.js';
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -12,4 +12,3 @@
 export * from './server/log.js';
 export * from './server/time.js';
 export * from './store/object-store.js';
-export * from './store/revision.js';
--- a/packages/entry/src/lease/lease-history.test.ts
+++ b/packages/entry/src/lease/lease-history.test.ts
@@ -2,6 +2,7 @@
  * The lease while the store comes back from older copies, at drawn moments, with writes whose answers are lost and writes that are done
  * late. Guards against two entry hosts that give orders at once, and against epochs that hosts have seen before.
  */
+import { eraOf, numberInEra, revisionIn } from '@hingescale/core';
 import { expect } from 'chai';
 import fc from 'fast-check';
 
@@ -9,7 +10,6 @@
 import { silentLog } from '../server/log.js';
 import type { ObjectStore, StoredObject, WriteAnswer } from '../store/object-store.js';
 import { StoreError } from '../store/object-store.js';
-import { eraOf, numberInEra, revisionIn } from '../store/revision.js';
 import type { LeaseTiming } from './lease-task.js';
 import { LeaseTask } from './lease-task.js';
 
--- a/packages/entry/src/lease/lease-task.ts
+++ b/packages/entry/src/lease/lease-task.ts
@@ -9,6 +9,8 @@
  * which era of the store it was written: while that is an earlier one, it says nothing about who holds the lease, and
  * others than the last holder wait until that one's time is over.
  */
+import type { Revision } from '@hingescale/core';
+import { eraOf } from '@hingescale/core';
 import Emittery from 'emittery';
 
 import type { ElapsedClock } from '../server/elapsed-time.js';
@@ -18,8 +20,6 @@
 import { sleep } from '../server/time.js';
 import type { ObjectStore, StoredObject } from '../store/object-store.js';
 import { OBJECT_KINDS } from '../store/object-store.js';
-import type { Revision } from '../store/revision.js';
-import { eraOf } from '../store/revision.js';
 
 /** Messages of the lease. */
 export type LeaseMessages = {
--- a/packages/entry/src/peers/membership.ts
+++ b/packages/entry/src/peers/membership.ts
@@ -1,11 +1,12 @@
 /** Registers this entry host in the store, and knows the others that did. */
+import { isOfEarlierEra } from '@hingescale/core';
+
 import { FailureSeries } from '../server/failure-series.js';
 import type { Log } from '../server/log.js';
 import { runTask } from '../server/run-task.js';
 import { monotonicMs, sleep } from '../server/time.js';
 import type { ObjectChange, ObjectList, ObjectStore, StoredObject } from '../store/object-store.js';
 import { OBJECT_KINDS } from '../store/object-store.js';
-import { isLostFromStore } from '../store/revision.js';
 import type { KindObserver } from '../store/watched-kind.js';
 import type { Candidates, Member } from './member.js';
 import { candidatesOf, readMember, remoteHeads } from './member.js';
@@ -142,7 +143,7 @@
 
   #checkRegistration({ objects, revision }: ObjectList): void {
     const own = objects.find(({ name }) => name === this.#options.self.name);
-    if (own !== undefined && isLostFromStore(own, revision)) {
+    if (own !== undefined && isOfEarlierEra(own.revision, revision)) {
       runTask(this.#options.log, 'register again', this.#registerAgain());
     }
   }
--- a/packages/entry/src/quarantine/quarantined-requests.ts
+++ b/packages/entry/src/quarantine/quarantined-requests.ts
@@ -2,10 +2,11 @@
  * The requests that are in quarantine, as this entry host knows them: from the evidence of all entry hosts,
  * and from the object store, where they outlast every process.
  */
+import { isOfEarlierEra } from '@hingescale/core';
+
 import type { Log } from '../server/log.js';
 import type { Metrics } from '../server/metrics.js';
 import type { ObjectChange, ObjectList, StoredObject } from '../store/object-store.js';
-import { isLostFromStore } from '../store/revision.js';
 import type { KindObserver } from '../store/watched-kind.js';
 import type { CrashVerdict } from './crash-evidence.js';
 import type { QuarantinedRequest } from './quarantined-request.js';
@@ -112,7 +113,7 @@
       }
     }
     objects.forEach(object => {
-      if (isLostFromStore(object, revision)) {
+      if (isOfEarlierEra(object.revision, revision)) {
         this.#noteLostFromStore(object.name);
       } else {
         this.#takeObject(object);
--- a/packages/entry/src/store/kind-cache.ts
+++ b/packages/entry/src/store/kind-cache.ts
@@ -2,9 +2,10 @@
  * All objects of one kind as of one revision of the store, with the latest changes, so that peers
  * can follow the kind here as they would at the store.
  */
+import type { Revision } from '@hingescale/core';
+
 import type { KindAnswer } from './kind-reader.js';
 import type { ObjectChange, ObjectList, StoredObject } from './object-store.js';
-import type { Revision } from './revision.js';
 
 /** Answers whose changes are kept. */
 const MAX_BATCHES = 256;
--- a/packages/entry/src/store/kind-reader.ts
+++ b/packages/entry/src/store/kind-reader.ts
@@ -1,7 +1,8 @@
 /** Reading the objects of a kind, from the store itself or from a peer that follows it. */
+import { eraOf } from '@hingescale/core';
+
 import { elapsedMs } from '../server/elapsed-time.js';
 import type { ObjectChange, ObjectKind, ObjectList, ObjectStore } from './object-store.js';
-import { eraOf } from './revision.js';
 
 /** What a reading brings. */
 export type KindAnswer =
--- a/packages/entry/src/store/restored-list.ts
+++ b/packages/entry/src/store/restored-list.ts
@@ -4,9 +4,10 @@
  * The list that it gives then lacks what was written since the copy, and shows again what was removed since. Operators and hosts
  * write theirs again within moments; until then what is known to be later stands.
  */
+import type { Revision } from '@hingescale/core';
+import { isOfEarlierEra, numberInEra } from '@hingescale/core';
+
 import type { ObjectList, StoredObject } from './object-store.js';
-import type { Revision } from './revision.js';
-import { isLostFromStore, numberInEra } from './revision.js';
 
 /**
  * Whether a listed state of an object is later than the known one, where the objects themselves tell; undefined where
@@ -36,7 +37,7 @@
   }
   for (const object of known.objects) {
     const listed = objects.get(object.name);
-    const mayBeLater = isLostFromStore(object, list.revision);
+    const mayBeLater = isOfEarlierEra(object.revision, list.revision);
     if (mayBeLater && (listed === undefined || !isNews(listed, object, isLater))) {
       objects.set(object.name, object);
     }
--- a/packages/entry/src/store/watched-kind.ts
+++ b/packages/entry/src/store/watched-kind.ts
@@ -4,6 +4,9 @@
  * What was read is kept in a cache that only moves forward, whichever reader it came from, so
  * that readers can be changed at any time.
  */
+import type { Revision } from '@hingescale/core';
+import { eraOf } from '@hingescale/core';
+
 import { elapsedMs } from '../server/elapsed-time.js';
 import type { Log } from '../server/log.js';
 import type { Counters } from '../server/metrics.js';
@@ -13,8 +16,6 @@
 import type { ObjectChange, ObjectKind, ObjectList } from './object-store.js';
 import type { StateOrder } from './restored-list.js';
 import { latestList, restoredList } from './restored-list.js';
-import type { Revision } from './revision.js';
-import { eraOf } from './revision.js';
 
 /** Receives what a watch brings. */
 export type KindObserver = {
--- a/packages/object-store/src/configuration-store.ts
+++ b/packages/object-store/src/configuration-store.ts
@@ -165,7 +165,8 @@
   return head;
 }
 
-async function writeParts(
+/** Writes the texts of a configuration as parts, named by their hashes. */
+export async function writeParts(
   client: PlatformClient,
   files: readonly ConfigurationFile[],
 ): Promise<Result<PartReference[], PlatformError>> {
--- a/packages/object-store/src/index.ts
+++ b/packages/object-store/src/index.ts
@@ -5,4 +5,5 @@
 export * from './evacuation-store.js';
 export * from './platform-client.js';
 export * from './platform-error.js';
+export * from './restore.js';
 export * from './watcher.js';
--- a/packages/object-store/src/platform-client.ts
+++ b/packages/object-store/src/platform-client.ts
@@ -1,5 +1,11 @@
-/** Client of the platform's object API: versions, conditional updates, long-poll watches. */
-import type { HostList } from '@hingescale/core';
+/**
+ * Client of the platform's object API: versions, conditional updates, long-poll watches.
+ *
+ * A platform that comes back from an older copy gives versions out again and counts its era up. Versions here are
+ * {@link Revision}s, which hold both: a later one is greater, whatever the platform has lost.
+ */
+import type { HostList, Revision } from '@hingescale/core';
+import { eraOf, numberInEra, revisionIn } from '@hingescale/core';
 import type { Log, Metrics } from '@hingescale/runtime';
 import { timeoutSignal } from '@hingescale/runtime';
 import { Result } from 'true-myth';
@@ -15,13 +21,13 @@
 export type StoredObject<T> = {
   readonly kind: ObjectKind;
   readonly name: string;
-  readonly version: number;
+  readonly version: Revision;
   readonly value: T;
 };
 
 /** Objects of a kind that changed after a version of the store. */
 export type WatchResult<T> = {
-  readonly version: number;
+  readonly version: Revision;
   readonly objects: readonly StoredObject<T>[];
 };
 
@@ -44,6 +50,11 @@
   readonly signal?: AbortSignal;
 };
 
+/** An answer's content as the platform sends it, with the era of the answer. */
+type Sent<T> = { readonly content: T; readonly era: number };
+
+const ERA_HEADER = 'store-era';
+const EVERYTHING: Revision = 0;
 const HTTP_NOT_FOUND = 404;
 const HTTP_CONFLICT = 412;
 const HTTP_TOO_MANY = 429;
@@ -52,6 +63,9 @@
 export class PlatformClient {
   readonly #options: PlatformClientOptions;
   readonly #agent: Agent;
+  #era = 0;
+  /** Ends watches that were sent in an earlier era: they wait for versions that may be given out much later. */
+  #eraEnd = new AbortController();
 
   constructor(options: PlatformClientOptions) {
     this.#options = options;
@@ -61,61 +75,93 @@
     });
   }
 
+  /** The latest era of the platform's answers. */
+  get era(): number {
+    return this.#era;
+  }
+
   /** Reads an object. */
-  read<T>(kind: ObjectKind, name: string): Promise<Result<StoredObject<T>, PlatformError>> {
-    return this.#call({
-      method: 'GET',
-      path: objectPath(kind, name),
-      kind: 'read',
-    });
+  async read<T>(kind: ObjectKind, name: string): Promise<Result<StoredObject<T>, PlatformError>> {
+    const path = objectPath(kind, name);
+    const sent = await this.#call<StoredObject<T>>({ method: 'GET', path, kind: 'read' });
+    return sent.map(objectIn);
   }
 
   /** Creates an object; fails with `conflict` when it is there. */
-  create<T>(
+  async create<T>(
     kind: ObjectKind,
     name: string,
     value: T,
   ): Promise<Result<StoredObject<T>, PlatformError>> {
-    return this.#write(kind, name, value, { 'if-none-match': '*' });
+    const sent = await this.#write(kind, name, value, { 'if-none-match': '*' });
+    return sent.map(objectIn);
   }
 
   /** Updates an object; fails with `conflict` when its version is another. */
-  update<T>(
+  async update<T>(
     kind: ObjectKind,
     name: string,
-    version: number,
+    version: Revision,
     value: T,
   ): Promise<Result<StoredObject<T>, PlatformError>> {
-    return this.#write(kind, name, value, { 'if-match': `"${version}"` });
+    const over = new PlatformError('conflict', 'the version is of an earlier era');
+    if (eraOf(version) < this.#era) {
+      return Result.err(over);
+    }
+    const condition = { 'if-match': `"${numberInEra(version)}"` };
+    const sent = await this.#write(kind, name, value, condition);
+    // In a later era another state of the object has this number, and that is what was replaced.
+    return sent.isOk && sent.value.era !== eraOf(version) ? Result.err(over) : sent.map(objectIn);
   }
 
   /** All objects of a kind that changed after a version; waits up to `waitMs` for one. */
   watch<T>(
     kind: ObjectKind,
-    after: number,
+    after: Revision,
     waitMs: number,
     signal?: AbortSignal,
   ): Promise<Result<WatchResult<T>, PlatformError>> {
-    const path = `/v1/watch/${kind}?after=${after}&wait=${waitMs}`;
-    return this.#call({
-      method: 'GET',
-      path,
-      kind: 'watch',
-      extraMs: waitMs,
-      signal,
-    });
+    return this.#follow<WatchResult<T>>(`/v1/watch/${kind}`, after, waitMs, signal).then(sent =>
+      sent.map(({ content, era }) => ({
+        version: revisionIn(era, content.version),
+        objects: content.objects.map(object => objectIn({ content: object, era })),
+      })),
+    );
   }
 
   /** The host list once it is newer than a version; waits up to `waitMs` for that. */
   watchHosts(
-    after: number,
+    after: Revision,
     waitMs: number,
     signal?: AbortSignal,
   ): Promise<Result<HostList, PlatformError>> {
-    const path = `/v1/hosts?after=${after}&wait=${waitMs}`;
+    return this.#follow<HostList>('/v1/hosts', after, waitMs, signal).then(sent =>
+      sent.map(({ content, era }) => ({ ...content, version: revisionIn(era, content.version) })),
+    );
+  }
+
+  // Changes of a later era don't say what became different from the copy on: all is asked for instead.
+  async #follow<T>(
+    path: string,
+    after: Revision,
+    waitMs: number,
+    signal: AbortSignal | undefined,
+  ): Promise<Result<Sent<T>, PlatformError>> {
+    const goesOn = after !== EVERYTHING && eraOf(after) === this.#era;
+    const sent = await this.#askAfter<T>(path, goesOn ? after : EVERYTHING, waitMs, signal);
+    const isOfLaterEra = goesOn && sent.isOk && sent.value.era !== eraOf(after);
+    return isOfLaterEra ? this.#askAfter<T>(path, EVERYTHING, 0, signal) : sent;
+  }
+
+  #askAfter<T>(
+    path: string,
+    after: Revision,
+    waitMs: number,
+    signal: AbortSignal | undefined,
+  ): Promise<Result<Sent<T>, PlatformError>> {
     return this.#call({
       method: 'GET',
-      path,
+      path: `${path}?after=${numberInEra(after)}&wait=${waitMs}`,
       kind: 'watch',
       extraMs: waitMs,
       signal,
@@ -132,7 +178,7 @@
     name: string,
     value: T,
     headers: Readonly<Record<string, string>>,
-  ): Promise<Result<StoredObject<T>, PlatformError>> {
+  ): Promise<Result<Sent<StoredObject<T>>, PlatformError>> {
     const body = JSON.stringify(value);
     return this.#call({
       method: 'PUT',
@@ -143,7 +189,7 @@
     });
   }
 
-  async #call<T>(call: Call): Promise<Result<T, PlatformError>> {
+  async #call<T>(call: Call): Promise<Result<Sent<T>, PlatformError>> {
     const result = await this.#send<T>(call);
     const outcome = result.isOk ? 'ok' : result.error.reason;
     this.#options.onCall?.(call.kind, outcome);
@@ -151,9 +197,25 @@
     return result;
   }
 
-  async #send<T>(call: Call): Promise<Result<T, PlatformError>> {
+  #signalOf(call: Call): AbortSignal {
     const timeout = timeoutSignal(this.#options.timeoutMs + (call.extraMs ?? 0));
-    const signal = call.signal === undefined ? timeout : AbortSignal.any([timeout, call.signal]);
+    const ends = call.kind === 'watch' ? [timeout, this.#eraEnd.signal] : [timeout];
+    return AbortSignal.any(call.signal === undefined ? ends : [...ends, call.signal]);
+  }
+
+  // An answer that names no era is of the latest one.
+  #eraIn(header: string | string[] | undefined): number {
+    const era = typeof header === 'string' && /^\d+$/.test(header) ? Number(header) : this.#era;
+    if (era > this.#era) {
+      this.#era = era;
+      this.#eraEnd.abort();
+      this.#eraEnd = new AbortController();
+    }
+    return era;
+  }
+
+  async #send<T>(call: Call): Promise<Result<Sent<T>, PlatformError>> {
+    const signal = this.#signalOf(call);
     try {
       const response = await request(this.#options.url + call.path, {
         method: call.method,
@@ -163,13 +225,18 @@
         signal,
       });
       const text = await response.body.text();
-      return readAnswer(response.statusCode, text);
+      const era = this.#eraIn(response.headers[ERA_HEADER]);
+      return readAnswer<T>(response.statusCode, text).map(content => ({ content, era }));
     } catch (error) {
       return Result.err(toPlatformError(error as Error));
     }
   }
 }
 
+function objectIn<T>({ content, era }: Sent<StoredObject<T>>): StoredObject<T> {
+  return { ...content, version: revisionIn(era, content.version) };
+}
+
 /** Settings of the platform that a process reads from its `[platform]` section. */
 export type PlatformSection = { readonly url: string; readonly 'timeout-ms': number };
 
--- a/packages/object-store/src/watcher.ts
+++ b/packages/object-store/src/watcher.ts
@@ -1,5 +1,6 @@
 /** Watches of one kind of object, and of the host list, as tasks that keep the newest state. */
-import type { Host } from '@hingescale/core';
+import type { Host, Revision } from '@hingescale/core';
+import { isOfEarlierEra, numberInEra } from '@hingescale/core';
 import { sleep, Task } from '@hingescale/runtime';
 import type { Result } from 'true-myth';
 
@@ -27,13 +28,18 @@
   }
 }
 
-/** Keeps the objects of a kind; never goes back to an older version of one. */
+/**
+ * Keeps the objects of a kind; never goes back to an older version of one, also where the platform does. What the platform
+ * has lost by coming back from an older copy is kept until somebody writes it again.
+ */
 export class ObjectWatcher<T> extends Task<WatcherMessages<T>> {
   readonly #client: PlatformClient;
   readonly #kind: ObjectKind;
   readonly #waitMs: number;
   readonly #objects = new Map<string, StoredObject<T>>();
-  #after = 0;
+  /** Objects that the platform has in an earlier state. */
+  readonly #reverted = new Set<string>();
+  #after: Revision = 0;
   #synced = false;
 
   constructor(client: PlatformClient, kind: ObjectKind, waitMs: number) {
@@ -53,6 +59,13 @@
     return this.#objects;
   }
 
+  /** Objects that the platform has lost, or has in an earlier state under the version given here. */
+  get lost(): readonly StoredObject<T>[] {
+    return [...this.#objects.values()].filter(
+      ({ name, version }) => this.#reverted.has(name) || isOfEarlierEra(version, this.#after),
+    );
+  }
+
   /** Starts watching. */
   start(): void {
     this.run(() =>
@@ -80,12 +93,28 @@
     const newer = objects.filter(
       object => object.version > (this.#objects.get(object.name)?.version ?? 0),
     );
-    for (const object of newer) {
+    const changed = newer.filter(object => !this.#keepsLater(object));
+    for (const object of changed) {
       this.#objects.set(object.name, object);
+      this.#reverted.delete(object.name);
+    }
+    if (changed.length > 0) {
+      await this.messages.emit('changed', changed);
+    }
+  }
+
+  // Whatever the copy holds has a number up to that of the copy, and so below that of any later change.
+  #keepsLater(object: StoredObject<T>): boolean {
+    const known = this.#objects.get(object.name);
+    if (known === undefined || !isOfEarlierEra(known.version, object.version)) {
+      return false;
     }
-    if (newer.length > 0) {
-      await this.messages.emit('changed', newer);
+    const isEarlierState = numberInEra(object.version) < numberInEra(known.version);
+    if (isEarlierState) {
+      this.#objects.set(object.name, { ...known, version: object.version });
+      this.#reverted.add(object.name);
     }
+    return isEarlierState;
   }
 }
 
@@ -97,7 +126,7 @@
   readonly #client: PlatformClient;
   readonly #waitMs: number;
   #hosts: readonly Host[] = [];
-  #version = 0;
+  #version: Revision = 0;
   #synced = false;
 
   constructor(client: PlatformClient, waitMs: number) {
--- a/packages/stand-ins/src/platform/app.ts
+++ b/packages/stand-ins/src/platform/app.ts
@@ -51,6 +51,7 @@
 };
 
 const BODY_LIMIT = '1mb';
+const ERA_HEADER = 'store-era';
 const HTTP_TOO_MANY = 429;
 
 /** Starts the platform stand-in. */
@@ -137,6 +138,7 @@
         response.status(HTTP_TOO_MANY).end();
         return;
       }
+      response.setHeader(ERA_HEADER, this.store.era);
       setTimeout(next, this.faults.delayMs);
     };
   }
@@ -197,7 +199,8 @@
     for (;;) {
       const objects = this.faults.staleReads ? [] : this.store.changedAfter(kind, after);
       const left = until - performance.now();
-      if (objects.length > 0 || left <= 0) {
+      const isCut = response.getHeader(ERA_HEADER) !== this.store.era;
+      if (objects.length > 0 || left <= 0 || isCut) {
         this.#answerWatch(request, response, {
           version: this.store.version,
           objects,
@@ -221,9 +224,10 @@
     });
   };
 
-  // A watch that waits while an outage begins gets no answer either.
+  // A watch that waits while an outage begins, or while the store comes back from a copy, gets no answer either.
   #answerWatch(request: Request, response: Response, body: object): void {
-    if (this.faults.outage) {
+    const isOfEarlierEra = response.getHeader(ERA_HEADER) !== this.store.era;
+    if (this.faults.outage || isOfEarlierEra) {
       request.socket.destroy();
     } else {
       response.json(body);
--- a/packages/stand-ins/src/platform/object-store.ts
+++ b/packages/stand-ins/src/platform/object-store.ts
@@ -17,14 +17,26 @@
 /** What a write demands of the present object: `absent`, a version, or nothing. */
 export type WriteCondition = 'absent' | number | 'any';
 
+/** What the store held at one moment. */
+export type StoreCopy = {
+  readonly objects: ReadonlyMap<string, StoredValue>;
+  readonly version: number;
+};
+
 const KEPT_HISTORY = 20_000;
 
 /** The store; waiting watches are woken by every write. */
 export class ObjectStore {
-  readonly #objects = new Map<string, StoredValue>();
+  #objects = new Map<string, StoredValue>();
   readonly #waiting = new Set<() => void>();
   readonly #history: StoredValue[] = [];
   #version = 0;
+  #era = 0;
+
+  /** Counts how often the store has come back from an older copy. */
+  get era(): number {
+    return this.#era;
+  }
 
   /** Version of the newest write. */
   get version(): number {
@@ -66,6 +78,19 @@
     return { ok: true, stored };
   }
 
+  /** Copies what the store holds now. */
+  copy(): StoreCopy {
+    return { objects: new Map(this.#objects), version: this.#version };
+  }
+
+  /** Comes back as it was at the copy: what was written since is gone, and versions are given out again. */
+  comeBackFrom({ objects, version }: StoreCopy): void {
+    this.#objects = new Map(objects);
+    this.#version = version;
+    this.#era += 1;
+    this.#wake();
+  }
+
   /** Counts a change that is not an object, such as one of the host list. */
   touch(): number {
     return this.#nextVersion();
@@ -86,9 +111,13 @@
 
   #nextVersion(): number {
     this.#version += 1;
+    this.#wake();
+    return this.#version;
+  }
+
+  #wake(): void {
     for (const wake of [...this.#waiting]) {
       wake();
     }
-    return this.#version;
   }
 }
