--- a/packages/entry/src/store/followed-kinds.ts
+++ b/packages/entry/src/store/followed-kinds.ts
@@ -7,7 +7,7 @@
 import type { ObjectKind } from './object-store.js';
 import { OBJECT_KINDS } from './object-store.js';
 import type { KindObserver, ReaderChoice } from './watched-kind.js';
-import { WatchedKind } from './watched-kind.js';
+import { RESTORE_MS, WatchedKind } from './watched-kind.js';
 
 /** Options of the followed kinds. */
 export type FollowedKindsOptions = {
@@ -41,6 +41,8 @@
    * has was confirmed up to two waits at the store ago.
    */
   readonly staleMs: number;
+  /** For how long what is known stands against an older copy of the store; {@link RESTORE_MS} where nothing is said. */
+  readonly restoreMs?: number;
 };
 
 const MS_PER_S = 1_000;
@@ -78,6 +80,8 @@
   pauseMs: 50,
   giverPauseMs: 50,
   staleMs: 4_500,
+  // A person may have to write it again, and requests must not go to the failure domain until then.
+  restoreMs: 15_000,
 };
 /**
  * Entry hosts know of a request in quarantine from each other; the store tells those that start. A long poll is
@@ -201,6 +205,7 @@
     waitMs: () => (followsStore() ? timing.storeWaitMs : timing.peerWaitMs),
     pauseMs: () => (givesOrders() ? timing.giverPauseMs : timing.pauseMs),
     staleMs: timing.staleMs,
+    restoreMs: timing.restoreMs ?? RESTORE_MS,
     observer,
     log,
     counters: metrics.counters,
--- a/packages/entry/src/store/watched-kind.ts
+++ b/packages/entry/src/store/watched-kind.ts
@@ -66,7 +66,7 @@
   /** Pause after each answer that brought changes, so that bursts cost few calls. */
   readonly pauseMs: () => number;
   readonly observer: KindObserver;
-  /** For how long what is known stands against an older copy; for tests, else {@link RESTORE_MS}. */
+  /** For how long what is known stands against an older copy of the store; {@link RESTORE_MS} where nothing is said. */
   readonly restoreMs?: number;
   readonly log: Log;
   readonly counters?: Counters;
@@ -87,7 +87,7 @@
  * Time after the store's return from an older copy in which operators and hosts have written theirs again, in milliseconds:
  * three heartbeats of a host, after which the entries of those that are gone go too.
  */
-const RESTORE_MS = 4_000;
+export const RESTORE_MS = 4_000;
 const BY_REVISION: StateOrder = () => undefined;
 
 /** A running watch. */
