Sight: what a request rested on when it was sent; traces show an older copy of the store

The line of a failed attempt has version and ages now, a counter tells of sends that rest on knowledge older than the bound of its kind, and hingescale trace prints the lines of older copies and older answers. A send costs two readings of the clock more.

--- a/packages/cli/src/trace.ts
+++ b/packages/cli/src/trace.ts
@@ -11,6 +11,7 @@
 
 /** Messages that tell what the order giver and the hosts believed. */
 const BELIEFS = new Set([
+  'answer older than what is known',
   'capacity changed',
   'configuration applied',
   'dependency lost',
@@ -25,6 +26,7 @@
   'lease lost',
   'lease taken',
   'order sent',
+  'store came back from an older copy',
 ]);
 /** Messages about evacuations: one from long before the request may explain why no host could take it. */
 const EVACUATIONS = new Set([
@@ -40,9 +42,11 @@
 ]);
 /** Messages that matter only from the processes that had the request. */
 const OF_ONE_PROCESS = new Set([
+  'answer older than what is known',
   'configuration applied',
   'dependency lost',
   'dependency regained',
+  'store came back from an older copy',
   ...EVACUATIONS,
 ]);
 /** Fields that stand at the beginning of each printed line. */
--- a/packages/entry/src/entry-host.ts
+++ b/packages/entry/src/entry-host.ts
@@ -40,7 +40,7 @@
 import { startSideServers } from './server/side-servers.js';
 import { monotonicMs } from './server/time.js';
 import { FollowedKinds, onlyReader } from './store/followed-kinds.js';
-import { configurationObserver, hostsObserver } from './store/kind-observers.js';
+import { configurationObserver, hostsObserver, knowledgeOf } from './store/kind-observers.js';
 import { storeReader } from './store/kind-reader.js';
 import { OBJECT_KINDS } from './store/object-store.js';
 
@@ -299,10 +299,9 @@
   }
 
   #makeKinds(): FollowedKinds {
-    const store = storeReader(this.#options.store);
     const members = this.#peers?.membership.observer;
     return new FollowedKinds({
-      readers: this.#peers?.readers ?? onlyReader(store),
+      readers: this.#peers?.readers ?? onlyReader(storeReader(this.#options.store)),
       observers: {
         [OBJECT_KINDS.configuration]: configurationObserver(this.#holder, () => {
           this.#applyConfiguration();
@@ -392,6 +391,7 @@
       },
       isUnreachable: target => this.#outlier(target, monotonicMs())?.isUnreachable ?? false,
       keysHold: () => this.#holder.keysHold(this.#settings.bounds),
+      knowledge: () => knowledgeOf(this.#holder, this.#kinds),
       log,
       counters: this.#counters,
       latencies: this.#metrics.latencies,
--- a/packages/entry/src/requests/relay-services.ts
+++ b/packages/entry/src/requests/relay-services.ts
@@ -14,6 +14,7 @@
 import type { PacedWaits } from './paced-waits.js';
 import type { RelayHeaders } from './relay-headers.js';
 import type { StallMonitor } from './stall-monitor.js';
+import type { KnowledgeAtSend } from './standing-at-send.js';
 import type { UpstreamConnections } from './upstream-connections.js';
 
 /** Shared by all requests. */
@@ -42,6 +43,8 @@
   readonly eligibility: SendEligibility;
   /** True while keys may be honoured. */
   readonly keysHold: () => boolean;
+  /** What is known now of configuration and hosts; noted with each send. */
+  readonly knowledge: () => KnowledgeAtSend;
   readonly log: Log;
   readonly counters: Counters;
   readonly latencies: Latencies;
--- a/packages/entry/src/requests/standing-at-send.ts
+++ b/packages/entry/src/requests/standing-at-send.ts
@@ -1,9 +1,18 @@
-/** What this entry host believed of a host when it sent a request there, for the log line of a failed attempt. */
+/** What this entry host believed when it sent a request to a host, for the log line of a failed attempt. */
 import type { HostEntry } from '../hosts/host-entry.js';
 import type { RelayServices } from './relay-services.js';
 
+/** What was known, and how recently the store had confirmed it. */
+export type KnowledgeAtSend = {
+  /** Of the configuration in force. */
+  readonly version: number | undefined;
+  /** Ages of the last confirmations, in milliseconds; undefined: there was none. */
+  readonly configurationAgeMs: number | undefined;
+  readonly hostsAgeMs: number | undefined;
+};
+
 /** Fields of a log line, times in milliseconds; left out where there is nothing to tell. */
-export type StandingAtSend = {
+export type StandingAtSend = KnowledgeAtSend & {
   /** For how much longer the host was to be avoided after failures. */
   readonly avoidedMs: number | undefined;
   /** For how much longer the host had asked for no requests. */
@@ -18,7 +27,8 @@
     activities,
     notices,
     namedLimits,
-  }: Pick<RelayServices, 'activities' | 'notices' | 'namedLimits'>,
+    knowledge,
+  }: Pick<RelayServices, 'activities' | 'notices' | 'namedLimits' | 'knowledge'>,
   host: HostEntry,
   now: number,
 ): StandingAtSend {
@@ -26,6 +36,7 @@
     avoidedMs: toldMs(activities.avoidedLeftMs(host.id, now)),
     backoffMs: toldMs(notices.backoffLeftMs(host, now)),
     limitPerS: namedLimits.perSecondOf(host),
+    ...knowledge(),
   };
 }
 
--- a/packages/entry/src/store/followed-kinds.test.ts
+++ b/packages/entry/src/store/followed-kinds.test.ts
@@ -1,10 +1,17 @@
 import { expect } from 'chai';
 
-import { KIND_TIMINGS } from './followed-kinds.js';
+import { elapsedMs } from '../server/elapsed-time.js';
+import { silentLog } from '../server/log.js';
+import { newMetrics } from '../server/metrics.js';
+import { FollowedKinds, KIND_TIMINGS, onlyReader } from './followed-kinds.js';
+import type { KindReader } from './kind-reader.js';
+import { OBJECT_KINDS } from './object-store.js';
 
 /** Time that answers take on the way, with room for a busy host, in milliseconds. */
 const TRANSIT_MS = 300;
 
+const ignore = (): void => undefined;
+
 describe('followed kinds', () => {
   for (const [kind, timing] of Object.entries(KIND_TIMINGS)) {
     it(`${kind} are not taken for stale while nothing changes`, () => {
@@ -12,4 +19,37 @@
       expect(timing.staleMs).to.be.at.least(oldest);
     });
   }
+
+  it('tell how old what they know is at a send, and count those that rest on old knowledge', async () => {
+    const metrics = newMetrics();
+    const askedMsAgo = KIND_TIMINGS[OBJECT_KINDS.configuration]?.staleMs ?? 0;
+    const reader: KindReader = {
+      name: 'peer',
+      hasViews: true,
+      read: () =>
+        Promise.resolve({
+          answer: { kind: 'list', list: { objects: [], revision: 1 } },
+          confirmedAt: elapsedMs() - askedMsAgo - 1,
+          inTouch: true,
+        }),
+    };
+    const observer = { listed: ignore, changed: ignore, confirmed: ignore };
+    const kinds = new FollowedKinds({
+      readers: onlyReader(reader),
+      observers: { [OBJECT_KINDS.configuration]: observer },
+      followsStore: () => false,
+      hostsView: () => 'full',
+      peersKnown: () => Promise.resolve(),
+      givesOrders: () => false,
+      log: silentLog(),
+      metrics,
+    });
+    expect(kinds.ageAtSendMs(OBJECT_KINDS.configuration)).to.equal(undefined);
+    kinds.start();
+    await new Promise(resolve => setTimeout(resolve, 20));
+    kinds.stop();
+    expect(kinds.ageAtSendMs(OBJECT_KINDS.configuration)).to.be.at.least(askedMsAgo);
+    const labels = { kind: OBJECT_KINDS.configuration };
+    expect(metrics.counters.value('sends_on_old_knowledge_total', labels)).to.equal(2);
+  });
 });
--- a/packages/entry/src/store/followed-kinds.ts
+++ b/packages/entry/src/store/followed-kinds.ts
@@ -154,15 +154,28 @@
     });
   }
 
-  // A kind that was never confirmed has no age.
+  /**
+   * How long ago the store was last asked a question that confirmed what is known of a kind, in milliseconds; undefined: never. A
+   * send that rests on an age beyond the kind's own bound is counted.
+   */
+  ageAtSendMs(kind: ObjectKind): number | undefined {
+    const ageMs = this.#ageMs(kind);
+    if ((ageMs ?? Infinity) > (KIND_TIMINGS[kind]?.staleMs ?? Infinity)) {
+      this.#options.metrics.counters.count('sends_on_old_knowledge_total', { kind });
+    }
+    return ageMs;
+  }
+
+  #ageMs(kind: ObjectKind): number | undefined {
+    const confirmedAt = this.#watches.get(kind)?.cache.confirmedAt ?? -Infinity;
+    return confirmedAt === -Infinity ? undefined : Math.round(elapsedMs() - confirmedAt);
+  }
+
   #ages(): readonly GaugeReading[] {
-    const now = elapsedMs();
-    return [...this.#watches]
-      .filter(([, { cache }]) => cache.confirmedAt > -Infinity)
-      .map(([kind, { cache }]) => ({
-        labels: { kind },
-        value: (now - cache.confirmedAt) / MS_PER_S,
-      }));
+    return [...this.#watches.keys()].flatMap(kind => {
+      const ageMs = this.#ageMs(kind);
+      return ageMs === undefined ? [] : [{ labels: { kind }, value: ageMs / MS_PER_S }];
+    });
   }
 
   /** Ends all watches. */
--- a/packages/entry/src/testing/relay.ts
+++ b/packages/entry/src/testing/relay.ts
@@ -136,6 +136,7 @@
       runCompleted: () => undefined,
     },
     keysHold: () => true,
+    knowledge: () => ({ version: 1, configurationAgeMs: 0, hostsAgeMs: 0 }),
     log,
     counters,
     latencies: new Latencies(),
