An unreadable version of the platform is a typed error; an entry host that the store has lost registers again whatever the list

Read once more: decoding a version out of bounds threw through the client, whose callers expect results, and would have ended a watch for good. And an entry host whose second registration failed was not in the list any more when the copy's time was over, so that it stayed unknown. Now the first is a failed call, and the second is tried whenever a registered host is not in a list.

--- a/packages/entry/src/peers/membership.ts
+++ b/packages/entry/src/peers/membership.ts
@@ -44,6 +44,8 @@
   readonly #abort = new AbortController();
   #candidates: Candidates | undefined;
   #view: MemberView | undefined;
+  /** Until the store has lost it by coming back from an older copy. */
+  #isRegistered = false;
   #noteKnown: () => void = () => undefined;
   readonly #known = new Promise<void>(resolve => {
     this.#noteKnown = resolve;
@@ -116,6 +118,7 @@
     const { self } = this.#options;
     await this.known();
     if (isSame(this.#members.get(self.name), self)) {
+      this.#isRegistered = true;
       return;
     }
     await this.#registerUntilDone();
@@ -127,6 +130,7 @@
     while (!this.#abort.signal.aborted) {
       try {
         await this.#registerOnce();
+        this.#isRegistered = true;
         log.info('entry host registered', { address: self.address, power: self.power });
         return;
       } catch (error) {
@@ -143,7 +147,9 @@
 
   #checkRegistration({ objects, revision }: ObjectList): void {
     const own = objects.find(({ name }) => name === this.#options.self.name);
-    if (own !== undefined && isOfEarlierEra(own.revision, revision)) {
+    const isLost = own === undefined || isOfEarlierEra(own.revision, revision);
+    if (this.#isRegistered && isLost) {
+      this.#isRegistered = false;
       runTask(this.#options.log, 'register again', this.#registerAgain());
     }
   }
--- a/packages/object-store/src/platform-client.ts
+++ b/packages/object-store/src/platform-client.ts
@@ -84,7 +84,7 @@
   async read<T>(kind: ObjectKind, name: string): Promise<Result<StoredObject<T>, PlatformError>> {
     const path = objectPath(kind, name);
     const sent = await this.#call<StoredObject<T>>({ method: 'GET', path, kind: 'read' });
-    return sent.map(objectIn);
+    return decoded(sent, objectIn);
   }
 
   /** Creates an object; fails with `conflict` when it is there. */
@@ -94,7 +94,7 @@
     value: T,
   ): Promise<Result<StoredObject<T>, PlatformError>> {
     const sent = await this.#write(kind, name, value, { 'if-none-match': '*' });
-    return sent.map(objectIn);
+    return decoded(sent, objectIn);
   }
 
   /** Updates an object; fails with `conflict` when its version is another. */
@@ -111,7 +111,8 @@
     const condition = { 'if-match': `"${numberInEra(version)}"` };
     const sent = await this.#write(kind, name, value, condition);
     // In a later era another state of the object has this number, and that is what was replaced.
-    return sent.isOk && sent.value.era !== eraOf(version) ? Result.err(over) : sent.map(objectIn);
+    const isOfLaterEra = sent.isOk && sent.value.era !== eraOf(version);
+    return isOfLaterEra ? Result.err(over) : decoded(sent, objectIn);
   }
 
   /** All objects of a kind that changed after a version; waits up to `waitMs` for one. */
@@ -122,7 +123,7 @@
     signal?: AbortSignal,
   ): Promise<Result<WatchResult<T>, PlatformError>> {
     return this.#follow<WatchResult<T>>(`/v1/watch/${kind}`, after, waitMs, signal).then(sent =>
-      sent.map(({ content, era }) => ({
+      decoded(sent, ({ content, era }) => ({
         version: revisionIn(era, content.version),
         objects: content.objects.map(object => objectIn({ content: object, era })),
       })),
@@ -136,7 +137,10 @@
     signal?: AbortSignal,
   ): Promise<Result<HostList, PlatformError>> {
     return this.#follow<HostList>('/v1/hosts', after, waitMs, signal).then(sent =>
-      sent.map(({ content, era }) => ({ ...content, version: revisionIn(era, content.version) })),
+      decoded(sent, ({ content, era }) => ({
+        ...content,
+        version: revisionIn(era, content.version),
+      })),
     );
   }
 
@@ -233,6 +237,18 @@
   }
 }
 
+// A version that can not be is an answer that can not be read.
+function decoded<T, R>(
+  sent: Result<Sent<T>, PlatformError>,
+  decode: (sent: Sent<T>) => R,
+): Result<R, PlatformError> {
+  try {
+    return sent.map(decode);
+  } catch (error) {
+    return Result.err(new PlatformError('unknown', (error as Error).message));
+  }
+}
+
 function objectIn<T>({ content, era }: Sent<StoredObject<T>>): StoredObject<T> {
   return { ...content, version: revisionIn(era, content.version) };
 }
