--- a/packages/controller/src/lease/lease-task.ts
+++ b/packages/controller/src/lease/lease-task.ts
@@ -169,7 +169,8 @@
     }
   }
 
-  // A lease that was there is missing where the platform has come back from a copy of before: its holder may still act.
+  // A lease that was there is missing where the platform has come back from a copy of before: its holder may still
+  // act.
   #mayCreate(): boolean {
     const now = monotonicMs();
     this.#missingSince ??= now;
--- a/packages/controller/src/restore/restore-task.ts
+++ b/packages/controller/src/restore/restore-task.ts
@@ -1,6 +1,6 @@
 /**
- * Writes again what the platform has lost by coming back from an older copy, on the controller that holds the lease: the ledgers and the
- * evacuation of its failure domain, and the configuration in force.
+ * Writes again what the platform has lost by coming back from an older copy, on the controller that holds the
+ * lease: the ledgers and the evacuation of its failure domain, and the configuration in force.
  */
 import type { ConfigurationHead, Evacuation, Ledger } from '@hingescale/core';
 import type { ConfigurationHolder, ObjectWatcher, PlatformClient } from '@hingescale/object-store';
--- a/packages/core/src/contracts/lease.ts
+++ b/packages/core/src/contracts/lease.ts
@@ -46,16 +46,16 @@
 }
 
 /**
- * False for a lease that the platform shows from an older copy, at this version of its object: it says nothing about who
- * holds the lease now.
+ * False for a lease that the platform shows from an older copy, at this version of its object: it says nothing
+ * about who holds the lease now.
  */
 export function isOfItsEra(lease: Lease, version: Revision): boolean {
   return (lease.era ?? 0) === eraOf(version);
 }
 
 /**
- * Epoch of the next holder after the one that the lease shows, in an era of the platform: above all that a platform may have
- * lost, since the era stands in its high part.
+ * Epoch of the next holder after the one that the lease shows, in an era of the platform: above all that a
+ * platform may have lost, since the era stands in its high part.
  */
 export function nextEpoch(shown: Lease | undefined, era: number): number {
   return Math.max(shown?.epoch ?? 0, revisionIn(era, 0)) + 1;
--- a/packages/core/src/store/revision.ts
+++ b/packages/core/src/store/revision.ts
@@ -1,10 +1,11 @@
 /**
  * Points of the store's history.
  *
- * A store that comes back from an older copy gives revision numbers out again, and says so by counting an era up. A
- * {@link Revision} is both in one number, the era in its high part: of two revisions the later one is the greater, so
- * that whatever keeps the newest of something compares them as numbers.
+ * A store that comes back from an older copy gives revision numbers out again, and says so by counting an era up.
+ * A {@link Revision} is both in one number, the era in its high part, so that the later of two revisions is the
+ * greater.
  */
+
 /** A point of the store's history; see {@link revisionIn}. */
 export type Revision = number;
 
@@ -43,6 +44,11 @@
   return revision % NUMBERS_PER_ERA;
 }
 
+/** True for a revision after another in the store's history. */
+export function isLaterRevision(revision: Revision, other: Revision): boolean {
+  return revision > other;
+}
+
 /** True where the store has come back from an older copy between two revisions. */
 export function isOfEarlierEra(revision: Revision, other: Revision): boolean {
   return eraOf(revision) < eraOf(other);
--- a/packages/entry/src/evacuation/evacuated-domains.ts
+++ b/packages/entry/src/evacuation/evacuated-domains.ts
@@ -5,6 +5,8 @@
  * hosts. What is known holds until a newer revision of the store says otherwise: an entry host that
  * reaches neither store nor peers goes on observing the evacuations that it knows.
  */
+import { isLaterRevision } from '@hingescale/core';
+
 import type { EvacuationFacts } from '../routing/eligibility.js';
 import type { Log } from '../server/log.js';
 import type { Gauges } from '../server/metrics.js';
@@ -107,7 +109,7 @@
   // the evacuation has not ended.
   #begin(failureDomain: string, revision: number): void {
     const known = this.#evacuations.get(failureDomain);
-    if (known !== undefined && known.revision >= revision) {
+    if (known !== undefined && !isLaterRevision(revision, known.revision)) {
       return;
     }
     this.#evacuations.set(failureDomain, { failureDomain, revision, since: monotonicMs() });
--- a/packages/entry/src/groups/group-task.ts
+++ b/packages/entry/src/groups/group-task.ts
@@ -106,8 +106,8 @@
   }
 
   /**
-   * Looks at the hosts and gives the orders that are due, in a term of the lease that was last renewed at a revision. Cheap when
-   * nothing is.
+   * Looks at the hosts and gives the orders that are due, in a term of the lease that was last renewed at a
+   * revision. Cheap when nothing is.
    */
   step(term: Revision, renewedAt: Revision = term): void {
     const profile = this.#options.profile();
--- a/packages/entry/src/hosts/host-registry.ts
+++ b/packages/entry/src/hosts/host-registry.ts
@@ -1,4 +1,5 @@
 /** What this entry host believes of all upstream hosts, fed by a watch of the object store. */
+import { isLaterRevision } from '@hingescale/core';
 import Emittery from 'emittery';
 
 import type { Log } from '../server/log.js';
@@ -118,8 +119,8 @@
   }
 
   /**
-   * Which of two entries of a host is later; for `WatchedKind`. A start is later than those before it, and that a host shuts
-   * down is the last that it says.
+   * Which of two entries of a host is later; for `WatchedKind`. A start is later than those before it, and that a
+   * host shuts down is the last that it says.
    */
   readonly isLater: StateOrder = (listed, known) => {
     const [reading, knownReading] = [listed, known].map(({ name, value }) =>
@@ -171,7 +172,7 @@
     const unreadable: Unreadable[] = [];
     for (const object of objects) {
       const known = this.#revisions.get(object.name);
-      if (known === undefined || known < object.revision) {
+      if (known === undefined || isLaterRevision(object.revision, known)) {
         const reading = this.#read(object.name, object.value);
         if (reading.kind === 'host') {
           taken.push(...this.#put(object, reading.entry, departed));
--- a/packages/entry/src/lease/lease-history.test.ts
+++ b/packages/entry/src/lease/lease-history.test.ts
@@ -1,6 +1,7 @@
 /**
- * The lease while the store comes back from older copies, at drawn moments, with writes whose answers are lost and writes that are done
- * late. Guards against two entry hosts that give orders at once, and against epochs that hosts have seen before.
+ * The lease while the store comes back from older copies, at drawn moments, with writes whose answers are lost and
+ * writes that are done late. Guards against two entry hosts that give orders at once, and against epochs that
+ * hosts have seen before.
  */
 import { eraOf, numberInEra, revisionIn } from '@hingescale/core';
 import { expect } from 'chai';
@@ -49,7 +50,8 @@
     this.#state = copy?.state ?? { number: 10, object: undefined };
   }
 
-  // As the platform's client does: a revision of an earlier era is not sent, and one that was sent before names the number only.
+  // As the platform's client does: a revision of an earlier era is not sent, and one that was sent before names
+  // the number only.
   async #replace(name: string, value: unknown, revision: number): Promise<WriteAnswer> {
     if (eraOf(revision) !== this.#era) {
       return { kind: 'conflict', object: this.#shown() };
--- a/packages/entry/src/lease/lease-task.ts
+++ b/packages/entry/src/lease/lease-task.ts
@@ -1,16 +1,16 @@
 /**
  * The lease of the one entry host that gives orders.
  *
- * It is one object in the store, changed only under its revision. The revision of the change that
- * took the lease is the term; epochs of groups are derived from the revisions of its renewals, so those of a later
- * holder are always higher, and hosts refuse what an earlier holder sent late.
+ * It is one object in the store, changed only under its revision. The revision of the change that took the lease
+ * is the term; epochs of groups are derived from the revisions of its renewals, so those of a later holder are
+ * always higher, and hosts refuse what an earlier holder sent late.
  *
- * A store that comes back from an older copy shows an earlier holder, or none, while the last one still acts. The object tells in
- * which era of the store it was written: while that is an earlier one, it says nothing about who holds the lease, and
- * others than the last holder wait until that one's time is over.
+ * A store that comes back from an older copy shows an earlier holder, or none, while the last one still acts. The
+ * object tells in which era of the store it was written: while that is an earlier one, it says nothing about who
+ * holds the lease, and others than the last holder wait until that one's time is over.
  */
 import type { Revision } from '@hingescale/core';
-import { eraOf } from '@hingescale/core';
+import { eraOf, isLaterRevision } from '@hingescale/core';
 import Emittery from 'emittery';
 
 import type { ElapsedClock } from '../server/elapsed-time.js';
@@ -228,7 +228,8 @@
     }
   }
 
-  // An earlier write of this process was done although its answer was lost; or the store has lost the last writes, and
+  // An earlier write of this process was done although its answer was lost; or the store has lost the last writes,
+  // and
   // nobody can have taken the lease since while this process still holds it.
   #mayWriteOver(object: StoredObject, isRenewal: boolean): boolean {
     return isOfItsEra(object) ? this.#isOwn(object) : isRenewal;
@@ -247,7 +248,7 @@
 
   // An answer that may be old; see `step`.
   #note(object: StoredObject): void {
-    if (this.#seen === undefined || this.#seen.revision < object.revision) {
+    if (this.#seen === undefined || isLaterRevision(object.revision, this.#seen.revision)) {
       this.#take(object);
     }
   }
--- a/packages/entry/src/peers/membership.ts
+++ b/packages/entry/src/peers/membership.ts
@@ -29,7 +29,10 @@
 
 const NOBODY: readonly string[] = [];
 const RETRY_MS = 1_000;
-/** Time over which all entry hosts register again after an older copy, in milliseconds: a hundred writes a second of three hundred hosts. */
+/**
+ * Time over which all entry hosts register again after an older copy, in milliseconds: a hundred writes a second
+ * of three hundred hosts.
+ */
 const REGISTER_SPREAD_MS = 3_000;
 /**
  * Longest wait for the first list of members before this host registers, in milliseconds. The store
--- a/packages/entry/src/quarantine/quarantined-requests.ts
+++ b/packages/entry/src/quarantine/quarantined-requests.ts
@@ -2,7 +2,8 @@
  * The requests that are in quarantine, as this entry host knows them: from the evidence of all entry hosts,
  * and from the object store, where they outlast every process.
  */
-import { isOfEarlierEra } from '@hingescale/core';
+import type { Revision } from '@hingescale/core';
+import { isLaterRevision, isOfEarlierEra } from '@hingescale/core';
 
 import type { Log } from '../server/log.js';
 import type { Metrics } from '../server/metrics.js';
@@ -107,7 +108,8 @@
   #takeList({ objects, revision }: ObjectList): void {
     const listed = new Set(objects.map(object => object.name));
     for (const request of this.all) {
-      const isOlder = (request.revision ?? Infinity) <= revision;
+      const isOlder =
+        request.revision !== undefined && !isLaterRevision(request.revision, revision);
       if (isOlder && !listed.has(request.fingerprint)) {
         this.lift(request.fingerprint, 'removed from the store');
       }
@@ -133,12 +135,17 @@
     for (const { object, deleted } of changes) {
       if (!deleted) {
         this.#takeObject(object);
-      } else if ((this.#requests.get(object.name)?.revision ?? 0) <= object.revision) {
+      } else if (!isLaterRevision(this.#revisionOf(object.name), object.revision)) {
         this.lift(object.name, 'removed from the store');
       }
     }
   }
 
+  // 0 while it is not in the store.
+  #revisionOf(fingerprint: RequestFingerprint): Revision {
+    return this.#requests.get(fingerprint)?.revision ?? 0;
+  }
+
   #takeObject(object: StoredObject): void {
     const request = readQuarantined(object);
     if (request === undefined) {
@@ -146,7 +153,7 @@
       this.#options.log.warn('quarantine entry can not be read', { name, revision });
       return;
     }
-    if ((this.#requests.get(object.name)?.revision ?? 0) < object.revision) {
+    if (isLaterRevision(object.revision, this.#revisionOf(object.name))) {
       this.#enter(request);
     }
   }
--- a/packages/entry/src/slow-start/cold-hosts.ts
+++ b/packages/entry/src/slow-start/cold-hosts.ts
@@ -8,6 +8,8 @@
  * ended and its entry is older than that; or all hosts of its service in the failure domain were gone, and
  * it is a new one there.
  */
+import { isLaterRevision } from '@hingescale/core';
+
 import type { SlowStart } from '../configuration/serving-configuration.js';
 import type { HostEntry } from '../hosts/host-entry.js';
 import type { HostBatch, TakenEntry } from '../hosts/host-registry.js';
@@ -156,7 +158,8 @@
   // Undefined for a host whose entry was written after the end: the entry itself says whether it is cold.
   #endedFor(host: HostEntry, known: KnownHost | undefined): number | undefined {
     const end = this.#ends.get(host.failureDomain);
-    const isNewer = end !== undefined && known !== undefined && known.revision > end.revision;
+    const isNewer =
+      end !== undefined && known !== undefined && isLaterRevision(known.revision, end.revision);
     return isNewer ? undefined : end?.at;
   }
 
--- a/packages/entry/src/store/followed-kinds.ts
+++ b/packages/entry/src/store/followed-kinds.ts
@@ -41,7 +41,10 @@
    * has was confirmed up to two waits at the store ago.
    */
   readonly staleMs: number;
-  /** For how long what is known stands against an older copy of the store; {@link RESTORE_MS} where nothing is said. */
+  /**
+   * For how long what is known stands against an older copy of the store; {@link RESTORE_MS} where nothing is
+   * said.
+   */
   readonly restoreMs?: number;
 };
 
@@ -104,8 +107,9 @@
 };
 
 /**
- * True for kinds whose changes have to arrive sooner than several failing readers in a row would allow. A configuration
- * has two seconds; with six silent peers in a row it took 5.6 s, from the store after two of them 1.7 s.
+ * True for kinds whose changes have to arrive sooner than several failing readers in a row would allow. A
+ * configuration has two seconds; with six silent peers in a row it took 5.6 s, from the store after two of them
+ * 1.7 s.
  */
 export function isUrgent(kind: ObjectKind): boolean {
   return kind === OBJECT_KINDS.evacuations || kind === OBJECT_KINDS.configuration;
@@ -155,8 +159,8 @@
   }
 
   /**
-   * How long ago the store was last asked a question that confirmed what is known of a kind, in milliseconds; undefined: never. A
-   * send that rests on an age beyond the kind's own bound is counted.
+   * How long ago the store was last asked a question that confirmed what is known of a kind, in milliseconds;
+   * undefined: never. A send that rests on an age beyond the kind's own bound is counted.
    */
   ageAtSendMs(kind: ObjectKind): number | undefined {
     const ageMs = this.#ageMs(kind);
--- a/packages/entry/src/store/kind-observers.ts
+++ b/packages/entry/src/store/kind-observers.ts
@@ -1,4 +1,7 @@
-/** Feeds what watches bring to the configuration's holder and to the registry of hosts; tells what is known of both. */
+/**
+ * Feeds what watches bring to the configuration's holder and to the registry of hosts; tells what is known of
+ * both.
+ */
 import type { ConfigurationHolder } from '../configuration/configuration-holder.js';
 import type { HostRegistry } from '../hosts/host-registry.js';
 import type { KnowledgeAtSend } from '../requests/standing-at-send.js';
--- a/packages/entry/src/store/restored-list.ts
+++ b/packages/entry/src/store/restored-list.ts
@@ -1,8 +1,8 @@
 /**
  * What is known of a kind once the store has come back from an older copy.
  *
- * The list that it gives then lacks what was written since the copy, and shows again what was removed since. Operators and hosts
- * write theirs again within moments; until then what is known to be later stands.
+ * The list that it gives then lacks what was written since the copy, and shows again what was removed since.
+ * Operators and hosts write theirs again within moments; until then what is known to be later stands.
  */
 import type { Revision } from '@hingescale/core';
 import { isOfEarlierEra, numberInEra } from '@hingescale/core';
--- a/packages/entry/src/store/watched-kind.ts
+++ b/packages/entry/src/store/watched-kind.ts
@@ -20,8 +20,8 @@
 /** Receives what a watch brings. */
 export type KindObserver = {
   /**
-   * The whole list; objects not in it are gone. One of an earlier era than the list is not in the store any more, which has
-   * come back from an older copy, and holds until it is written again.
+   * The whole list; objects not in it are gone. One of an earlier era than the list is not in the store any more,
+   * which has come back from an older copy, and holds until it is written again.
    */
   readonly listed: (list: ObjectList) => void;
   /** The changes of one answer, in the order in which they were made; never empty. */
@@ -66,7 +66,10 @@
   /** Pause after each answer that brought changes, so that bursts cost few calls. */
   readonly pauseMs: () => number;
   readonly observer: KindObserver;
-  /** For how long what is known stands against an older copy of the store; {@link RESTORE_MS} where nothing is said. */
+  /**
+   * For how long what is known stands against an older copy of the store; {@link RESTORE_MS} where nothing is
+   * said.
+   */
   readonly restoreMs?: number;
   readonly log: Log;
   readonly counters?: Counters;
@@ -84,8 +87,8 @@
 const MAX_RETRY_MS = 300;
 
 /**
- * Time after the store's return from an older copy in which operators and hosts have written theirs again, in milliseconds:
- * three heartbeats of a host, after which the entries of those that are gone go too.
+ * Time after the store's return from an older copy in which operators and hosts have written theirs again, in
+ * milliseconds: three heartbeats of a host, after which the entries of those that are gone go too.
  */
 export const RESTORE_MS = 4_000;
 const BY_REVISION: StateOrder = () => undefined;
--- a/packages/object-store/src/watcher.ts
+++ b/packages/object-store/src/watcher.ts
@@ -29,8 +29,8 @@
 }
 
 /**
- * Keeps the objects of a kind; never goes back to an older version of one, also where the platform does. What the platform
- * has lost by coming back from an older copy is kept until somebody writes it again.
+ * Keeps the objects of a kind; never goes back to an older version of one, also where the platform does. What the
+ * platform has lost by coming back from an older copy is kept until somebody writes it again.
  */
 export class ObjectWatcher<T> extends Task<WatcherMessages<T>> {
   readonly #client: PlatformClient;
