The era of an answer is read in one place, and one question tells a lease and a state of an earlier era

That a lease names the era of its object stood in core and at the entry host; the latter asks the former. Which state is older by its own order stood in the list and in the watch. Behaviour is the same.

--- a/packages/core/src/contracts/lease.ts
+++ b/packages/core/src/contracts/lease.ts
@@ -49,7 +49,7 @@
  * False for a lease that the platform shows from an older copy, at this version of its object: it says nothing
  * about who holds the lease now.
  */
-export function isOfItsEra(lease: Lease, version: Revision): boolean {
+export function isOfItsEra(lease: Pick<Lease, 'era'>, version: Revision): boolean {
   return (lease.era ?? 0) === eraOf(version);
 }
 
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -29,3 +29,4 @@
 export * from './decision/plan.js';
 export * from './decision/reconcile.js';
 export * from './store/revision.js';
+export * from './store/store-eras.js';
--- a/packages/entry/src/lease/lease-task.ts
+++ b/packages/entry/src/lease/lease-task.ts
@@ -10,7 +10,7 @@
  * holds the lease, and others than the last holder wait until that one's time is over.
  */
 import type { Revision } from '@hingescale/core';
-import { eraOf, isLaterRevision } from '@hingescale/core';
+import { eraOf, isLaterRevision, isOfItsEra as isLeaseOfItsEra } from '@hingescale/core';
 import Emittery from 'emittery';
 
 import type { ElapsedClock } from '../server/elapsed-time.js';
@@ -278,10 +278,8 @@
   }
 }
 
-// False for an object that the store shows from a copy, or that a write of an earlier era has replaced since.
-function isOfItsEra(object: StoredObject): boolean {
-  const era = (object.value as LeaseValue | null)?.era ?? 0;
-  return era === eraOf(object.revision);
+function isOfItsEra({ value, revision }: StoredObject): boolean {
+  return isLeaseOfItsEra((value as LeaseValue | null) ?? {}, revision);
 }
 
 function holderOf(object: StoredObject): string {
--- a/packages/entry/src/store/restored-list.ts
+++ b/packages/entry/src/store/restored-list.ts
@@ -51,17 +51,20 @@
   known: ReadonlyMap<string, StoredObject>,
   isLater: StateOrder,
 ): ObjectList {
-  const objects = list.objects.map(listed => latestState(listed, known.get(listed.name), isLater));
+  const objects = list.objects.map(listed => {
+    const before = known.get(listed.name);
+    return before !== undefined && isSuperseded(listed, before, isLater) ? before : listed;
+  });
   return { objects, revision: list.revision };
 }
 
-/** The later of two states of an object, where the objects themselves tell; else the listed one. */
-export function latestState(
+/** True where the objects themselves tell that the listed state is older than the known one. */
+export function isSuperseded(
   listed: StoredObject,
-  known: StoredObject | undefined,
+  known: StoredObject,
   isLater: StateOrder,
-): StoredObject {
-  return known !== undefined && isLater(listed, known) === false ? known : listed;
+): boolean {
+  return isLater(listed, known) === false;
 }
 
 function isNews(listed: StoredObject, known: StoredObject, isLater: StateOrder): boolean {
--- a/packages/entry/src/store/watched-kind.ts
+++ b/packages/entry/src/store/watched-kind.ts
@@ -15,7 +15,7 @@
 import type { KindReader, KindReading, KindView } from './kind-reader.js';
 import type { ObjectChange, ObjectKind, ObjectList } from './object-store.js';
 import type { StateOrder } from './restored-list.js';
-import { latestList, restoredList } from './restored-list.js';
+import { isSuperseded, latestList, restoredList } from './restored-list.js';
 
 /** Receives what a watch brings. */
 export type KindObserver = {
@@ -265,7 +265,7 @@
   #isSuperseded({ object, deleted }: ObjectChange): boolean {
     const known = this.cache.objects.get(object.name);
     const { isLater = BY_REVISION } = this.#options.observer;
-    return !deleted && known !== undefined && isLater(object, known) === false;
+    return !deleted && known !== undefined && isSuperseded(object, known, isLater);
   }
 
   #latestOf(list: ObjectList, reader: KindReader): ObjectList {
--- a/packages/object-store/src/platform-client.ts
+++ b/packages/object-store/src/platform-client.ts
@@ -5,7 +5,7 @@
  * {@link Revision}s, which hold both: a later one is greater, whatever the platform has lost.
  */
 import type { HostList, Revision } from '@hingescale/core';
-import { eraOf, numberInEra, revisionIn } from '@hingescale/core';
+import { eraOf, numberInEra, revisionIn, STORE_ERA_HEADER, StoreEras } from '@hingescale/core';
 import type { Log, Metrics } from '@hingescale/runtime';
 import { timeoutSignal } from '@hingescale/runtime';
 import { Result } from 'true-myth';
@@ -53,7 +53,6 @@
 /** An answer's content as the platform sends it, with the era of the answer. */
 type Sent<T> = { readonly content: T; readonly era: number };
 
-const ERA_HEADER = 'store-era';
 const EVERYTHING: Revision = 0;
 const HTTP_NOT_FOUND = 404;
 const HTTP_CONFLICT = 412;
@@ -63,7 +62,7 @@
 export class PlatformClient {
   readonly #options: PlatformClientOptions;
   readonly #agent: Agent;
-  #era = 0;
+  readonly #eras = new StoreEras();
   /** Ends watches that were sent in an earlier era: they wait for versions that may be given out much later. */
   #eraEnd = new AbortController();
 
@@ -77,7 +76,7 @@
 
   /** The latest era of the platform's answers. */
   get era(): number {
-    return this.#era;
+    return this.#eras.latest;
   }
 
   /** Reads an object. */
@@ -105,7 +104,7 @@
     value: T,
   ): Promise<Result<StoredObject<T>, PlatformError>> {
     const over = new PlatformError('conflict', 'the version is of an earlier era');
-    if (eraOf(version) < this.#era) {
+    if (this.#eras.isOver(version)) {
       return Result.err(over);
     }
     const condition = { 'if-match': `"${numberInEra(version)}"` };
@@ -151,7 +150,7 @@
     waitMs: number,
     signal: AbortSignal | undefined,
   ): Promise<Result<Sent<T>, PlatformError>> {
-    const goesOn = after !== EVERYTHING && eraOf(after) === this.#era;
+    const goesOn = after !== EVERYTHING && eraOf(after) === this.era;
     const sent = await this.#askAfter<T>(path, goesOn ? after : EVERYTHING, waitMs, signal);
     const isOfLaterEra = goesOn && sent.isOk && sent.value.era !== eraOf(after);
     return isOfLaterEra ? this.#askAfter<T>(path, EVERYTHING, 0, signal) : sent;
@@ -207,11 +206,10 @@
     return AbortSignal.any(call.signal === undefined ? ends : [...ends, call.signal]);
   }
 
-  // An answer that names no era is of the latest one.
   #eraIn(header: string | string[] | undefined): number {
-    const era = typeof header === 'string' && /^\d+$/.test(header) ? Number(header) : this.#era;
-    if (era > this.#era) {
-      this.#era = era;
+    const before = this.era;
+    const era = this.#eras.note(header);
+    if (this.era > before) {
       this.#eraEnd.abort();
       this.#eraEnd = new AbortController();
     }
@@ -229,7 +227,7 @@
         signal,
       });
       const text = await response.body.text();
-      const era = this.#eraIn(response.headers[ERA_HEADER]);
+      const era = this.#eraIn(response.headers[STORE_ERA_HEADER]);
       return readAnswer<T>(response.statusCode, text).map(content => ({ content, era }));
     } catch (error) {
       return Result.err(toPlatformError(error as Error));
