--- a/packages/entry/src/configuration/configuration-holder.ts
+++ b/packages/entry/src/configuration/configuration-holder.ts
@@ -34,6 +34,7 @@
   #table: RouteTable | undefined;
   #revision = -1;
   #confirmedAt = -Infinity;
+  #confirmedBy: string | undefined;
 
   constructor(options: ConfigurationHolderOptions) {
     this.#options = options;
@@ -71,9 +72,20 @@
     }
   }
 
-  /** Records that the store has answered a request sent at `sentAt` (ms, on a clock that includes suspensions). */
-  confirm(sentAt: number): void {
-    this.#confirmedAt = Math.max(this.#confirmedAt, sentAt);
+  /** Name of the reader (a peer or the store) that reported the latest confirmation; undefined before the first. */
+  get confirmedBy(): string | undefined {
+    return this.#confirmedBy;
+  }
+
+  /**
+   * Records that the store has answered a request sent at `sentAt` (ms, on a clock that includes suspensions), as
+   * reported by the reader `from`.
+   */
+  confirm(sentAt: number, from: string): void {
+    if (sentAt >= this.#confirmedAt) {
+      this.#confirmedAt = sentAt;
+      this.#confirmedBy = from;
+    }
   }
 
   /**
--- a/packages/entry/src/requests/request-intake.ts
+++ b/packages/entry/src/requests/request-intake.ts
@@ -202,6 +202,7 @@
       reason: answer.reason,
       version: this.#holder.table?.version,
       confirmedMsAgo: Math.round(this.#holder.confirmationAgeMs),
+      confirmedBy: this.#holder.confirmedBy,
     });
     sendFinalAnswer(response, answer);
   }
--- a/packages/entry/src/requests/service-limits.ts
+++ b/packages/entry/src/requests/service-limits.ts
@@ -3,6 +3,7 @@
 import type { HostEntry } from '../hosts/host-entry.js';
 import type { RetryBounds } from '../routing/retry-budget.js';
 import { RetryBudget } from '../routing/retry-budget.js';
+import { RetryRefusals } from '../routing/retry-refusals.js';
 import type { Log } from '../server/log.js';
 import type { Counters } from '../server/metrics.js';
 import { DEFAULT_IDLE_MS } from './connection-reuse.js';
@@ -44,7 +45,7 @@
   budgetOf(service: string): RetryBudget {
     let budget = this.#budgets.get(service);
     if (budget === undefined) {
-      budget = new RetryBudget(this.#options.retries, () => this.#entryHosts);
+      budget = this.#createBudget(service);
       this.#budgets.set(service, budget);
     }
     return budget;
@@ -64,6 +65,25 @@
     return connections;
   }
 
+  #createBudget(service: string): RetryBudget {
+    const { retries, log, counters } = this.#options;
+    const budget: RetryBudget = new RetryBudget(
+      retries,
+      () => this.#entryHosts,
+      () => {
+        refusals.note();
+      },
+    );
+    const refusals = new RetryRefusals({
+      service,
+      quietMs: retries.windowMs,
+      state: () => budget.state,
+      log,
+      counters,
+    });
+    return budget;
+  }
+
   get #entryHosts(): number {
     return this.#options.entryHosts() ?? ENTRY_HOSTS_WITHOUT_PEERS;
   }
--- a/packages/entry/src/routing/retry-budget.ts
+++ b/packages/entry/src/routing/retry-budget.ts
@@ -45,6 +45,17 @@
 /** Number of buckets that a sliding window is divided into. */
 const BUCKETS = 10;
 
+/** State of a budget at the moment at which it is exhausted or allows retries again. */
+export type RetryBudgetState = {
+  /** Retries in the window, and the number that is allowed in it. */
+  readonly used: number;
+  readonly allowed: number;
+  /** Requests of callers in the window. */
+  readonly requests: number;
+  /** Entry hosts among which the slack is divided. */
+  readonly entryHosts: number;
+};
+
 /** Reason for a further attempt: `lost`: a retry after a lost or rejected attempt; `beside`: a hedged attempt. */
 export type RetryReason = 'lost' | 'beside';
 
@@ -54,11 +65,16 @@
   readonly #hosts: () => number;
   readonly #requests: SlidingWindowCounter;
   readonly #retries: SlidingWindowCounter;
+  readonly #onRefused: (() => void) | undefined;
 
-  /** `hosts` returns the number of entry hosts; 0 while it is not known. */
-  constructor(bounds: RetryBounds, hosts: () => number) {
+  /**
+   * `hosts` returns the number of entry hosts; 0 while it is not known. `onRefused` is called each time that a retry is
+   * refused.
+   */
+  constructor(bounds: RetryBounds, hosts: () => number, onRefused?: () => void) {
     this.#bounds = bounds;
     this.#hosts = hosts;
+    this.#onRefused = onRefused;
     this.#requests = new SlidingWindowCounter(bounds.windowMs);
     this.#retries = new SlidingWindowCounter(bounds.windowMs);
   }
@@ -71,16 +87,34 @@
   /** True if a further attempt for this reason is allowed now. */
   hasAllowance(reason: RetryReason): boolean {
     const now = monotonicMs();
-    const { ratio, slack } = this.#bounds;
-    const hosts = this.#hosts() || ASSUMED_HOSTS;
-    const allowed = ratio * RATIO_PART * this.#requests.count(now) + (slack * SLACK_PART) / hosts;
     const part = reason === 'beside' ? HEDGED_PART : 1;
-    return this.#retries.count(now) + 1 <= allowed * part;
+    return this.#retries.count(now) + 1 <= this.#allowed(now) * part;
+  }
+
+  get #entryHosts(): number {
+    return this.#hosts() || ASSUMED_HOSTS;
+  }
+
+  #allowed(now: number): number {
+    const { ratio, slack } = this.#bounds;
+    return ratio * RATIO_PART * this.#requests.count(now) + (slack * SLACK_PART) / this.#entryHosts;
+  }
+
+  /** The present use of the budget. */
+  get state(): RetryBudgetState {
+    const now = monotonicMs();
+    return {
+      used: this.#retries.count(now),
+      allowed: this.#allowed(now),
+      requests: this.#requests.count(now),
+      entryHosts: this.#entryHosts,
+    };
   }
 
   /** Uses the allowance for one further attempt; returns false if there is none. */
   take(reason: RetryReason): boolean {
     if (!this.hasAllowance(reason)) {
+      this.#onRefused?.();
       return false;
     }
     this.#retries.add(monotonicMs());
--- a/packages/entry/src/store/kind-observers.ts
+++ b/packages/entry/src/store/kind-observers.ts
@@ -23,8 +23,8 @@
       holder.applyChanges(changes);
       onApplied();
     },
-    confirmed: askedAt => {
-      holder.confirm(askedAt);
+    confirmed: (askedAt, from) => {
+      holder.confirm(askedAt, from);
     },
     isLater: holder.isAtLeastAsNew,
   };
--- a/packages/entry/src/store/watched-kind.ts
+++ b/packages/entry/src/store/watched-kind.ts
@@ -27,8 +27,11 @@
   readonly listed: (list: ObjectList) => void;
   /** Receives the changes of one answer, in the order in which they were made; never empty. */
   readonly changed: (changes: readonly ObjectChange[]) => void;
-  /** The store answered a query sent at `askedAt` (milliseconds of a clock that counts suspensions) or later. */
-  readonly confirmed: (askedAt: number) => void;
+  /**
+   * The store answered a query sent at `askedAt` (milliseconds of a clock that counts suspensions) or later; `from` is
+   * the name of the reader that reported it.
+   */
+  readonly confirmed: (askedAt: number, from: string) => void;
   /** Which of two states of an object is later, if the objects themselves determine it. */
   readonly isLater?: StateOrder;
 };
@@ -265,7 +268,8 @@
         });
       }
     }
-    this.#confirm(answer.kind === 'list' ? answer.list.revision : answer.revision, confirmedAt);
+    const { revision } = answer.kind === 'list' ? answer.list : answer;
+    this.#confirm(revision, confirmedAt, reader);
     return changed;
   }
 
@@ -346,10 +350,14 @@
   }
 
   // An answer at an older revision than the cache does not confirm the cached objects.
-  #confirm(revision: number, confirmedAt: number): void {
+  #confirm(revision: number, confirmedAt: number, reader: KindReader): void {
+    const { observer, counters, kind } = this.#options;
+    if (confirmedAt > elapsedMs()) {
+      counters?.count('confirmations_in_future_total', { kind });
+    }
     if (revision >= (this.cache.revision ?? 0)) {
       this.cache.confirm(confirmedAt);
-      this.#options.observer.confirmed(confirmedAt);
+      observer.confirmed(confirmedAt, reader.name);
     }
   }
 
