--- a/packages/entry/src/requests/service-limits.ts
+++ b/packages/entry/src/requests/service-limits.ts
@@ -70,8 +70,10 @@
     const budget: RetryBudget = new RetryBudget(
       retries,
       () => this.#entryHosts,
-      () => {
-        refusals.note();
+      {
+        onRefused: () => {
+          refusals.note();
+        },
       },
     );
     const refusals = new RetryRefusals({
--- a/packages/entry/src/routing/retry-budget.ts
+++ b/packages/entry/src/routing/retry-budget.ts
@@ -45,6 +45,14 @@
 /** Number of buckets that a sliding window is divided into. */
 const BUCKETS = 10;
 
+/** Options of {@link RetryBudget}. */
+export type RetryBudgetOptions = {
+  /** Called each time that a retry is refused. */
+  readonly onRefused?: () => void;
+  /** Clock in monotonic milliseconds; replaced in tests. */
+  readonly now?: () => number;
+};
+
 /** State of a budget at the moment at which it is exhausted or allows retries again. */
 export type RetryBudgetState = {
   /** Retries in the window, and the number that is allowed in it. */
@@ -66,27 +74,27 @@
   readonly #requests: SlidingWindowCounter;
   readonly #retries: SlidingWindowCounter;
   readonly #onRefused: (() => void) | undefined;
+  readonly #now: () => number;
 
-  /**
-   * `hosts` returns the number of entry hosts; 0 while it is not known. `onRefused` is called each time that a retry is
-   * refused.
-   */
-  constructor(bounds: RetryBounds, hosts: () => number, onRefused?: () => void) {
+  /** `hosts` returns the number of entry hosts; 0 while it is not known. */
+  constructor(bounds: RetryBounds, hosts: () => number, options: RetryBudgetOptions = {}) {
+    const { onRefused, now = monotonicMs } = options;
     this.#bounds = bounds;
     this.#hosts = hosts;
     this.#onRefused = onRefused;
+    this.#now = now;
     this.#requests = new SlidingWindowCounter(bounds.windowMs);
     this.#retries = new SlidingWindowCounter(bounds.windowMs);
   }
 
   /** Counts a request of a caller, which raises the allowance. */
   noteRequest(): void {
-    this.#requests.add(monotonicMs());
+    this.#requests.add(this.#now());
   }
 
   /** True if a further attempt for this reason is allowed now. */
   hasAllowance(reason: RetryReason): boolean {
-    const now = monotonicMs();
+    const now = this.#now();
     const part = reason === 'beside' ? HEDGED_PART : 1;
     return this.#retries.count(now) + 1 <= this.#allowed(now) * part;
   }
@@ -102,7 +110,7 @@
 
   /** The present use of the budget. */
   get state(): RetryBudgetState {
-    const now = monotonicMs();
+    const now = this.#now();
     return {
       used: this.#retries.count(now),
       allowed: this.#allowed(now),
@@ -117,7 +125,7 @@
       this.#onRefused?.();
       return false;
     }
-    this.#retries.add(monotonicMs());
+    this.#retries.add(this.#now());
     return true;
   }
 }
