Retry budgets start empty, so that the bound holds over any number of restarts

Cause: the bound is one for all entry hosts and any window, but each process counted its own window from its start, so each start handed out the part of the slack, and what the requests of the window earn, anew.

Now a token bucket: requests and time fill it, retries take from it, it starts empty and its capacity is bounded. What a window can use is what the buckets held at its start plus what accrued in it, whoever restarts; hosts that are added start empty too, and the capacity counts only requests of the last window, so that callers who move to another entry host are not counted twice (proof by the parts: capacity and accrual add up to less than the bound).

Ways weighed: no slack in the first window of a process (the earned part alone exceeds the bound after two kills); counting starts or giving counts to peers (nobody is left who knows after all were killed, a write to the store for each start); a lower fixed part (breaks with one more kill).

Tests: budgets in tests of relays are made full first, their slack is the share that one process gets; checks are unchanged.

--- a/packages/entry/src/requests/service-limits.ts
+++ b/packages/entry/src/requests/service-limits.ts
@@ -67,15 +67,11 @@
 
   #createBudget(service: string): RetryBudget {
     const { retries, log, counters } = this.#options;
-    const budget: RetryBudget = new RetryBudget(
-      retries,
-      () => this.#entryHosts,
-      {
-        onRefused: () => {
-          refusals.note();
-        },
+    const budget: RetryBudget = new RetryBudget(retries, () => this.#entryHosts, {
+      onRefused: () => {
+        refusals.note();
       },
-    );
+    });
     const refusals = new RetryRefusals({
       service,
       quietMs: retries.windowMs,
--- a/packages/entry/src/routing/retry-budget.ts
+++ b/packages/entry/src/routing/retry-budget.ts
@@ -1,8 +1,10 @@
 /**
  * Limits the retries and hedged attempts for the requests of a service.
  *
- * The limit holds for all entry hosts together. Each of them may use a number in proportion to the requests that it
- * has received itself, and a fixed part of the slack, so that no messages between entry hosts are needed.
+ * The limit holds for all entry hosts together: in any window, `ratio` retries per request of that window or of the one
+ * before it, and `slack` more. Each entry host keeps a token bucket, so that no messages between entry hosts are needed.
+ * A bucket starts empty, since nothing is known of what an earlier process of the host has used; so the sum over any
+ * number of restarts stays within the limit.
  */
 import type { EntryBounds } from '../server/entry-settings.js';
 import { monotonicMs } from '../server/time.js';
@@ -32,16 +34,23 @@
 
 /** Number of entry hosts among which the slack is divided while their actual number is not known. */
 const ASSUMED_HOSTS = 64;
-/** Usable part of the slack (0 to 1); the rest is a reserve, since a restarted entry host has lost its counts. */
-const SLACK_PART = 0.6;
+/** Usable part of the slack (0 to 1); the rest is a reserve for entry hosts that others do not know yet. */
+const SLACK_PART = 0.95;
+/** Part of the usable slack that a full bucket holds (0 to 1); the rest accrues over each window. */
+const BURST_SLACK_PART = 0.5;
+/** Part of the ratio that each request adds to the bucket, 0 to 1. */
+const ACCRUED_RATIO_PART = 0.8;
 /**
- * Part of the allowance that hedged attempts may use, 0 to 1. The attempt that a hedged one runs beside may still
- * succeed, while a lost or rejected request fails without a retry: on a simulated day with many slow hosts, 140 of 180
- * failures were requests for which no retry was left.
+ * Part of the ratio by which the requests of the last window raise the capacity of the bucket, 0 to 1. Callers may move
+ * to other entry hosts within a window, so this is at most {@link ACCRUED_RATIO_PART}; both add up to less than 1.
  */
-const HEDGED_PART = 0.5;
-/** Usable part of the ratio (0 to 1), so that no position of the sliding window exceeds the full ratio. */
-const RATIO_PART = 0.8;
+const BURST_RATIO_PART = 0.15;
+/**
+ * Part of the capacity that hedged attempts leave, 0 to 1. The attempt that a hedged one runs beside may still succeed,
+ * while a lost or rejected request fails without a retry: on a simulated day with many slow hosts, 140 of 180 failures
+ * were requests for which no retry was left.
+ */
+const HEDGE_RESERVE_PART = 0.5;
 /** Number of buckets that a sliding window is divided into. */
 const BUCKETS = 10;
 
@@ -53,11 +62,11 @@
   readonly now?: () => number;
 };
 
-/** State of a budget at the moment at which it is exhausted or allows retries again. */
+/** State of a budget at the moment at which a retry is refused. */
 export type RetryBudgetState = {
-  /** Retries in the window, and the number that is allowed in it. */
-  readonly used: number;
-  readonly allowed: number;
+  /** Retries that are allowed now, and the most that can be saved up; fractions accrue. */
+  readonly tokens: number;
+  readonly capacity: number;
   /** Requests of callers in the window. */
   readonly requests: number;
   /** Entry hosts among which the slack is divided. */
@@ -72,9 +81,10 @@
   readonly #bounds: RetryBounds;
   readonly #hosts: () => number;
   readonly #requests: SlidingWindowCounter;
-  readonly #retries: SlidingWindowCounter;
   readonly #onRefused: (() => void) | undefined;
   readonly #now: () => number;
+  #tokens = 0;
+  #refilledAt: number;
 
   /** `hosts` returns the number of entry hosts; 0 while it is not known. */
   constructor(bounds: RetryBounds, hosts: () => number, options: RetryBudgetOptions = {}) {
@@ -84,49 +94,59 @@
     this.#onRefused = onRefused;
     this.#now = now;
     this.#requests = new SlidingWindowCounter(bounds.windowMs);
-    this.#retries = new SlidingWindowCounter(bounds.windowMs);
+    this.#refilledAt = now();
   }
 
   /** Counts a request of a caller, which raises the allowance. */
   noteRequest(): void {
     this.#requests.add(this.#now());
+    this.#tokens += this.#bounds.ratio * ACCRUED_RATIO_PART;
+    this.#refill();
   }
 
   /** True if a further attempt for this reason is allowed now. */
   hasAllowance(reason: RetryReason): boolean {
-    const now = this.#now();
-    const part = reason === 'beside' ? HEDGED_PART : 1;
-    return this.#retries.count(now) + 1 <= this.#allowed(now) * part;
-  }
-
-  get #entryHosts(): number {
-    return this.#hosts() || ASSUMED_HOSTS;
+    const capacity = this.#refill();
+    const reserve = reason === 'beside' ? capacity * HEDGE_RESERVE_PART : 0;
+    return this.#tokens >= 1 + reserve;
   }
 
-  #allowed(now: number): number {
-    const { ratio, slack } = this.#bounds;
-    return ratio * RATIO_PART * this.#requests.count(now) + (slack * SLACK_PART) / this.#entryHosts;
+  /** Uses the allowance for one further attempt; returns false if there is none. */
+  take(reason: RetryReason): boolean {
+    if (!this.hasAllowance(reason)) {
+      this.#onRefused?.();
+      return false;
+    }
+    this.#tokens -= 1;
+    return true;
   }
 
-  /** The present use of the budget. */
+  /** The present state of the budget. */
   get state(): RetryBudgetState {
-    const now = this.#now();
+    const capacity = this.#refill();
     return {
-      used: this.#retries.count(now),
-      allowed: this.#allowed(now),
-      requests: this.#requests.count(now),
+      tokens: this.#tokens,
+      capacity,
+      requests: this.#requests.count(this.#now()),
       entryHosts: this.#entryHosts,
     };
   }
 
-  /** Uses the allowance for one further attempt; returns false if there is none. */
-  take(reason: RetryReason): boolean {
-    if (!this.hasAllowance(reason)) {
-      this.#onRefused?.();
-      return false;
-    }
-    this.#retries.add(this.#now());
-    return true;
+  get #entryHosts(): number {
+    return this.#hosts() || ASSUMED_HOSTS;
+  }
+
+  // Adds the slack that has accrued since the last call, and returns the capacity.
+  #refill(): number {
+    const { ratio, slack, windowMs } = this.#bounds;
+    const now = this.#now();
+    const slackShare = (slack * SLACK_PART) / this.#entryHosts;
+    const capacity =
+      slackShare * BURST_SLACK_PART + ratio * BURST_RATIO_PART * this.#requests.count(now);
+    const accruedParts = ((now - this.#refilledAt) / windowMs) * (1 - BURST_SLACK_PART);
+    this.#tokens = Math.min(capacity, this.#tokens + slackShare * accruedParts);
+    this.#refilledAt = now;
+    return capacity;
   }
 }
 
@@ -144,8 +164,10 @@
     this.#buckets.set(bucket, (this.#buckets.get(bucket) ?? 0) + 1);
   }
 
+  // Counts the present bucket and as many before it as make up the window together with it, so never more than the
+  // events of one window.
   count(now: number): number {
-    const oldest = Math.floor(now / this.#bucketMs) - BUCKETS;
+    const oldest = Math.floor(now / this.#bucketMs) - BUCKETS + 1;
     let sum = 0;
     for (const [bucket, count] of this.#buckets) {
       if (bucket < oldest) {
--- a/packages/entry/src/testing/relay.ts
+++ b/packages/entry/src/testing/relay.ts
@@ -18,6 +18,7 @@
 import { silentLog } from '../server/log.js';
 import { Counters, Gauges, Latencies } from '../server/metrics.js';
 import { monotonicMs } from '../server/time.js';
+import { fullRetryBudget } from './full-retry-budget.js';
 
 /** Names of the relay headers in tests. */
 export const TEST_HEADERS = {
@@ -86,8 +87,10 @@
 export function relayServices(choose: TargetChooser['choose']): RelayServices {
   const log = silentLog();
   const counters = new Counters();
+  const retries = { ratio: 1, slack: 100, windowMs: 10_000 };
+  const budget = fullRetryBudget(retries, 1);
   const limits = new ServiceLimits({
-    retries: { ratio: 1, slack: 100, windowMs: 10_000 },
+    retries,
     entryHosts: () => 1,
     log,
     counters,
@@ -123,7 +126,7 @@
     }),
     registry: { latestOf: (host: HostEntry) => host },
     stalls: new StallMonitor(),
-    budgetOf: (service: string) => limits.budgetOf(service),
+    budgetOf: () => budget,
     connectionsOf: (service: Service) => limits.connectionsOf(service),
     reportSuspectedTarget: () => undefined,
     isUnreachable: () => false,
