The configuration is never older than it may be, whatever the followed entry host does

Callers saw: 404 for a route that had been acknowledged more than the allowed time before, at entry hosts that reached the store. Cause: ages were met by constants of the code, not by the bound of the settings (2 s on one deployment, 3 s on others). A peer was followed until what it told was 2.4 s old, a host that lost the store gave its call up after 1.6 s, and routes and keys were rejected by a configuration of up to 4 s. The sum of the steps was longer than the bound.

Now the bound is a setting (configuration-apply-ms), and follows through: - A guard beside the watch reads the store itself when the last confirmation reaches 0.65 of the bound, whatever the watch waits for. So an entry host that reaches the store has each change within 0.75 of the bound and one answer; readers that are silent or old in a row no longer add up. - A route or key is rejected as unknown only while the confirmation is younger than the bound; else 503 with a time to come back. - The waits of calls are parts of the bound, so that ages stay below the guard's limit while nothing changes (two waits at the store, one at each of two peers).

Ways weighed: only the limit of rejections (honest, but the change is as late as before); following no peer (each entry host calls the store); shorter limits of stale readers (each host leaves its reader after half the time in every outage).

--- a/packages/entry/src/configuration/configuration-holder.ts
+++ b/packages/entry/src/configuration/configuration-holder.ts
@@ -14,6 +14,8 @@
   readonly read: ConfigurationReader;
   /** Name of the configuration's object in the store. */
   readonly objectName: string;
+  /** Time after which an acknowledged configuration has to be in force, in milliseconds. */
+  readonly applyMs: number;
   readonly log: Log;
 };
 
@@ -50,6 +52,14 @@
     return elapsedMs() - this.#confirmedAt;
   }
 
+  /**
+   * True while every configuration that has to be in force by now is known, so that a route or key that the known one
+   * lacks may be rejected.
+   */
+  get isConfirmedInTime(): boolean {
+    return this.confirmationAgeMs <= this.#options.applyMs;
+  }
+
   /** True while the configuration is confirmed recently enough to accept the keys in it. */
   areKeysConfirmed({ keyRevocationMs, keysFailClosed }: KeyBounds): boolean {
     return !keysFailClosed || this.confirmationAgeMs < keyRevocationMs - KEY_MARGIN_MS;
--- a/packages/entry/src/entry-host.ts
+++ b/packages/entry/src/entry-host.ts
@@ -90,6 +90,7 @@
     this.#configuration = new ConfigurationHolder({
       read: options.readConfiguration,
       objectName: options.configurationName,
+      applyMs: settings.bounds.configurationApplyMs,
       log,
     });
     this.#rules = new SendRules({
@@ -216,11 +217,10 @@
 
   #createQuarantine(): RequestQuarantine {
     const { store, log } = this.#options;
-    const { connectTimes } = this.#activities;
     return new RequestQuarantine({
       store,
       holdsLease: () => this.#lease.term !== undefined,
-      probe: host => probeHost(host, connectTimes.timeoutMs(host.failureDomain)),
+      probe: host => probeHost(host, this.#activities.connectTimes.timeoutMs(host.failureDomain)),
       isAccepting: ({ id }) => this.#registry.get(id)?.accepting ?? false,
       lastProgressAt: id => this.#activities.of(id).lastProgressAt,
       hostEnded: host => {
@@ -302,6 +302,7 @@
     const members = this.#peers?.membership.observer;
     return new FollowedKinds({
       readers: this.#peers?.readers ?? singleReader(storeReader(this.#options.store)),
+      bounds: this.#options.settings.bounds,
       observers: {
         [OBJECT_KINDS.configuration]: configurationObserver(this.#configuration, () => {
           this.#applyConfiguration();
@@ -331,12 +332,11 @@
   }
 
   #applyConfiguration(): void {
-    const table = this.#configuration.table;
-    if (table === undefined) {
-      return;
+    const { table } = this.#configuration;
+    if (table !== undefined) {
+      this.#callers.applyLimits(table.limits);
+      this.#coordinator.manageServices(table.services);
     }
-    this.#callers.applyLimits(table.limits);
-    this.#coordinator.manageServices(table.services);
   }
 
   // On suspicion the lease holder queries the members itself and receives the same notice, so it forms the group
--- a/packages/entry/src/peers/peer-server.test.ts
+++ b/packages/entry/src/peers/peer-server.test.ts
@@ -32,6 +32,7 @@
       choose: () => reader,
       peek: () => reader,
       recordOutcome: () => undefined,
+      takeStore: () => undefined,
       usableInMs: () => 0,
     },
     kind: OBJECT_KINDS.configuration,
--- a/packages/entry/src/peers/reader-choice.ts
+++ b/packages/entry/src/peers/reader-choice.ts
@@ -8,7 +8,7 @@
  */
 import { monotonicMs } from '../server/time.js';
 import type { KindReader } from '../store/kind-reader.js';
-import type { ReaderSelector, ReadOutcome } from '../store/watched-kind.js';
+import type { ReaderSelector, ReadOutcome } from '../store/reader-selector.js';
 import type { Candidates, Member } from './member.js';
 
 export type PeerReaderChoiceOptions = {
@@ -91,6 +91,16 @@
     return reader;
   }
 
+  /** Returns the store for one read beside those of {@link choose}; undefined while it is avoided after a failure. */
+  takeStore(): KindReader | undefined {
+    const { store } = this.#options;
+    if (this.isBackingOff(store.name)) {
+      return undefined;
+    }
+    this.#reserveProbe();
+    return store;
+  }
+
   /** Returns the reader that {@link choose} would choose; changes no state. */
   peek(isUrgent = false): KindReader {
     return this.#skipsPeers(isUrgent) ? this.#options.store : this.#select().reader;
--- a/packages/entry/src/requests/request-intake.ts
+++ b/packages/entry/src/requests/request-intake.ts
@@ -18,11 +18,6 @@
 
 /** `Retry-After` of a request that this entry host can not admit at the moment, in milliseconds. */
 const UNAVAILABLE_RETRY_AFTER_MS = 500;
-/**
- * Greatest age of the configuration's last confirmation, in milliseconds, with which this entry host still rejects
- * unknown routes and keys.
- */
-const MAX_REJECTION_CONFIRMATION_AGE_MS = 4_000;
 /** Reason of the abort at the end of every request: without one, each abort would create an error with a stack. */
 const DISCONNECT_REASON = 'caller disconnected';
 const BEARER = /^bearer\s+(\S+)\s*$/i;
@@ -188,9 +183,9 @@
 
   // A route or key that this entry host does not know may be newer than its configuration.
   #rejectIfConfirmed(status: number, reason: AnswerReason): FinalAnswer {
-    return this.#holder.confirmationAgeMs > MAX_REJECTION_CONFIRMATION_AGE_MS
-      ? unavailable('configuration-unconfirmed')
-      : { status, reason };
+    return this.#holder.isConfirmedInTime
+      ? { status, reason }
+      : unavailable('configuration-unconfirmed');
   }
 
   #refuse(request: IncomingMessage, response: ServerResponse, answer: FinalAnswer): void {
--- a/packages/entry/src/server/entry-settings.ts
+++ b/packages/entry/src/server/entry-settings.ts
@@ -6,6 +6,8 @@
 
 /** Bounds that the system keeps. Fields whose names end in `Ms` are in milliseconds. */
 export type EntryBounds = {
+  /** Time after which an acknowledged configuration has to be in force. */
+  readonly configurationApplyMs: number;
   /** Longest time for which a revoked key is still honoured. */
   readonly keyRevocationMs: number;
   /** Whether requests with keys are refused while the configuration is not confirmed. */
@@ -107,6 +109,7 @@
     store: reader.address('store', 'address'),
     peers: reader.has('peers', 'listen') ? readPeers(reader) : undefined,
     bounds: {
+      configurationApplyMs: reader.positive('bounds', 'configuration-apply-ms', 2_000),
       keyRevocationMs: reader.number('bounds', 'key-revocation-ms', 5_000),
       keysFailClosed: reader.flag('bounds', 'keys-fail-closed', true),
       graceMs: reader.number('bounds', 'grace-s', 8) * MS_PER_S,
--- a/packages/entry/src/store/followed-kinds.test.ts
+++ b/packages/entry/src/store/followed-kinds.test.ts
@@ -3,17 +3,19 @@
 import { elapsedMs } from '../server/elapsed-time.js';
 import { silentLog } from '../server/log.js';
 import { createMetrics } from '../server/metrics.js';
-import { FollowedKinds, KIND_TIMINGS, singleReader } from './followed-kinds.js';
+import { FollowedKinds, singleReader } from './followed-kinds.js';
 import type { KindReader } from './kind-reader.js';
+import { kindTimings } from './kind-timings.js';
 import { OBJECT_KINDS } from './object-store.js';
 
+const BOUNDS = { configurationApplyMs: 2_000 };
 /** Transit time of answers in milliseconds, with a margin for a busy host. */
 const TRANSIT_MS = 300;
 
 const ignore = (): void => undefined;
 
 describe('followed kinds', () => {
-  for (const [kind, timing] of Object.entries(KIND_TIMINGS)) {
+  for (const [kind, timing] of Object.entries(kindTimings(BOUNDS))) {
     it(`${kind} are not treated as stale while nothing changes`, () => {
       const maxConfirmationAgeMs = 2 * timing.storeWaitMs + timing.peerWaitMs + TRANSIT_MS;
       expect(timing.staleMs).to.be.at.least(maxConfirmationAgeMs);
@@ -22,7 +24,7 @@
 
   it('report the age of the known objects at a send, and count sends based on old objects', async () => {
     const metrics = createMetrics();
-    const askedMsAgo = KIND_TIMINGS[OBJECT_KINDS.configuration]?.staleMs ?? 0;
+    const askedMsAgo = kindTimings(BOUNDS)[OBJECT_KINDS.configuration]?.staleMs ?? 0;
     const reader: KindReader = {
       name: 'peer',
       hasViews: true,
@@ -37,6 +39,7 @@
     const kinds = new FollowedKinds({
       readers: singleReader(reader),
       observers: { [OBJECT_KINDS.configuration]: observer },
+      bounds: BOUNDS,
       followsStore: () => false,
       hostsView: () => 'full',
       whenPeersKnown: () => Promise.resolve(),
--- a/packages/entry/src/store/followed-kinds.ts
+++ b/packages/entry/src/store/followed-kinds.ts
@@ -3,16 +3,22 @@
 import type { Log } from '../server/log.js';
 import type { GaugeReading, Metrics } from '../server/metrics.js';
 import { runTask } from '../server/run-task.js';
+import { FreshnessGuard } from './freshness-guard.js';
 import type { KindReader, KindView } from './kind-reader.js';
+import type { KindTiming, KindTimings, TimingBounds } from './kind-timings.js';
+import { kindTimings } from './kind-timings.js';
 import type { ObjectKind } from './object-store.js';
 import { OBJECT_KINDS } from './object-store.js';
-import type { KindObserver, ReaderSelector } from './watched-kind.js';
+import type { ReaderSelector } from './reader-selector.js';
+import type { KindObserver } from './watched-kind.js';
 import { RESTORE_MS, WatchedKind } from './watched-kind.js';
 
 /** Options of {@link FollowedKinds}. */
 export type FollowedKindsOptions = {
   readonly readers: ReaderSelector;
   readonly observers: Readonly<Partial<Record<ObjectKind, KindObserver>>>;
+  /** Bounds from which the timing of each kind is derived. */
+  readonly bounds: TimingBounds;
   /** True while this host reads from the store itself, not from a peer. */
   readonly followsStore: () => boolean;
   /** Part of the upstream hosts that this host needs. */
@@ -27,86 +33,8 @@
   readonly metrics: Metrics;
 };
 
-/** Timing by which a kind is followed; all in milliseconds. */
-export type KindTiming = {
-  /** Longest wait of one call to the store. */
-  readonly storeWaitMs: number;
-  /** Longest wait of one call to a peer. */
-  readonly peerWaitMs: number;
-  /** Pause after an answer with changes. */
-  readonly pauseMs: number;
-  /** The same pause at the lease holder. */
-  readonly leaseHolderPauseMs: number;
-  /**
-   * Age of a confirmation from which a reader counts as stale. While nothing changes, the last confirmation of a
-   * peer is up to two waitsForPeers at the store old.
-   */
-  readonly staleMs: number;
-  /**
-   * How long known objects take precedence over a store restored from an older copy; {@link RESTORE_MS} by
-   * default.
-   */
-  readonly restoreMs?: number;
-};
-
 const MS_PER_S = 1_000;
 
-const CONFIGURATION_TIMING: KindTiming = {
-  storeWaitMs: 700,
-  peerWaitMs: 500,
-  pauseMs: 250,
-  leaseHolderPauseMs: 250,
-  staleMs: 2_400,
-};
-/** Load figures are sent along with the calls for hosts, so these calls wait for less time. */
-const HOSTS_TIMING: KindTiming = {
-  storeWaitMs: 1_000,
-  peerWaitMs: 250,
-  pauseMs: 150,
-  leaseHolderPauseMs: 50,
-  staleMs: 2_800,
-};
-const MEMBERS_TIMING: KindTiming = {
-  storeWaitMs: 3_000,
-  peerWaitMs: 1_500,
-  pauseMs: 500,
-  leaseHolderPauseMs: 500,
-  staleMs: 9_000,
-};
-/**
- * Evacuations are rare, and a long poll is answered as soon as there is one, so long waitsForPeers save calls without
- * delay. But a reader that does not answer goes unnoticed for as long as the wait, and an evacuation has to take
- * effect within seconds.
- */
-const EVACUATIONS_TIMING: KindTiming = {
-  storeWaitMs: 1_500,
-  peerWaitMs: 1_000,
-  pauseMs: 50,
-  leaseHolderPauseMs: 50,
-  staleMs: 4_500,
-  // After a restore an operator may have to write it again; requests must not go to the failure domain until then.
-  restoreMs: 15_000,
-};
-/**
- * Entry hosts report requests in quarantine to each other; the store is needed only by those that start. A long
- * poll is answered as soon as there is one, so the waitsForPeers are as long as those for members.
- */
-const QUARANTINE_TIMING: KindTiming = {
-  storeWaitMs: 3_000,
-  peerWaitMs: 1_500,
-  pauseMs: 50,
-  leaseHolderPauseMs: 50,
-  staleMs: 9_000,
-};
-/** The timing of each kind that is followed. */
-export const KIND_TIMINGS: Readonly<Partial<Record<ObjectKind, KindTiming>>> = {
-  [OBJECT_KINDS.configuration]: CONFIGURATION_TIMING,
-  [OBJECT_KINDS.hosts]: HOSTS_TIMING,
-  [OBJECT_KINDS.members]: MEMBERS_TIMING,
-  [OBJECT_KINDS.evacuations]: EVACUATIONS_TIMING,
-  [OBJECT_KINDS.quarantine]: QUARANTINE_TIMING,
-};
-
 /**
  * True for kinds whose changes have to arrive sooner than several failing readers in a row would allow. A
  * configuration has to arrive within two seconds: after six peers in a row that did not answer it took 5.6 s, from
@@ -119,15 +47,20 @@
 /** Runs a watch for each kind that has an observer. */
 export class FollowedKinds {
   readonly #watches = new Map<ObjectKind, WatchedKind>();
+  readonly #guards: FreshnessGuard[] = [];
+  readonly #timings: KindTimings;
   readonly #options: FollowedKindsOptions;
 
   constructor(options: FollowedKindsOptions) {
     this.#options = options;
+    this.#timings = kindTimings(options.bounds);
     for (const [name, observer] of Object.entries(options.observers)) {
       const kind = name as ObjectKind;
-      const timing = KIND_TIMINGS[kind];
+      const timing = this.#timings[kind];
       if (timing !== undefined) {
-        this.#watches.set(kind, watchOf(kind, observer, timing, options));
+        const watch = watchOf(kind, observer, timing, options);
+        this.#watches.set(kind, watch);
+        this.#addGuard(kind, watch, timing.maxAgeMs);
       }
     }
     options.metrics.gauges.register('confirmation_age_seconds', () => this.#ageReadings());
@@ -150,6 +83,9 @@
         ready.then(() => watch.run()),
       );
     }
+    for (const guard of this.#guards) {
+      runTask(log, 'freshness guard', guard.run());
+    }
   }
 
   /** Confirms the known objects of all kinds by immediate reads. */
@@ -165,12 +101,29 @@
    */
   ageAtSendMs(kind: ObjectKind): number | undefined {
     const ageMs = this.#ageMs(kind);
-    if ((ageMs ?? Infinity) > (KIND_TIMINGS[kind]?.staleMs ?? Infinity)) {
+    if ((ageMs ?? Infinity) > (this.#timings[kind]?.staleMs ?? Infinity)) {
       this.#options.metrics.counters.count('sends_on_old_knowledge_total', { kind });
     }
     return ageMs;
   }
 
+  #addGuard(kind: ObjectKind, watch: WatchedKind, limitMs: number | undefined): void {
+    if (limitMs === undefined) {
+      return;
+    }
+    const { readers, log, metrics } = this.#options;
+    const guard = new FreshnessGuard({
+      kind,
+      readers,
+      ageMs: () => this.#ageMs(kind),
+      readNow: reader => watch.readNow(reader),
+      limitMs,
+      log,
+      counters: metrics.counters,
+    });
+    this.#guards.push(guard);
+  }
+
   #ageMs(kind: ObjectKind): number | undefined {
     const confirmedAt = this.#watches.get(kind)?.cache.confirmedAt ?? -Infinity;
     return confirmedAt === -Infinity ? undefined : Math.round(elapsedMs() - confirmedAt);
@@ -188,6 +141,9 @@
     this.#watches.forEach(watch => {
       watch.stop();
     });
+    this.#guards.forEach(guard => {
+      guard.stop();
+    });
   }
 }
 
@@ -197,6 +153,7 @@
     choose: () => reader,
     peek: () => reader,
     recordOutcome: () => undefined,
+    takeStore: () => reader,
     usableInMs: () => 0,
   };
 }
--- a/packages/entry/src/store/watched-kind.ts
+++ b/packages/entry/src/store/watched-kind.ts
@@ -15,6 +15,7 @@
 import { KindCache } from './kind-cache.js';
 import type { KindReader, KindReading, KindView } from './kind-reader.js';
 import type { ObjectChange, ObjectKind, ObjectList } from './object-store.js';
+import type { ReaderSelector } from './reader-selector.js';
 import type { StateOrder } from './restored-list.js';
 import { isSuperseded, mergeIntoRestoredList, mergeLaterStates } from './restored-list.js';
 
@@ -36,23 +37,6 @@
   readonly isLater?: StateOrder;
 };
 
-/** Outcome of a read: `stale` when its answer was confirmed too long ago. */
-export type ReadOutcome = 'fresh' | 'stale' | 'failed';
-
-/** Chooses the reader of each step, and records the outcome of its reads. */
-export type ReaderSelector = {
-  /**
-   * Returns a reader other than one that has just failed, as long as any other is usable. For an urgent kind it
-   * is the store itself once several peers in a row have failed.
-   */
-  readonly choose: (isUrgent?: boolean) => KindReader;
-  /** The reader that `choose` would return, without the side effects of choosing it. */
-  readonly peek: (isUrgent?: boolean) => KindReader;
-  readonly recordOutcome: (reader: KindReader, outcome: ReadOutcome) => void;
-  /** Milliseconds until some reader is usable; 0 when one is. */
-  readonly usableInMs: () => number;
-};
-
 /** Options of {@link WatchedKind}. */
 export type WatchOptions = {
   readonly readers: ReaderSelector;
@@ -175,17 +159,29 @@
     return this.#inTouchSince === undefined ? undefined : elapsedMs() - this.#inTouchSince;
   }
 
+  /**
+   * Reads the changes from a reader at once, beside a read that may be waiting for changes, or the list if the
+   * reader no longer keeps them; rejects if there is no answer.
+   */
+  async readNow(reader: KindReader): Promise<void> {
+    const { kind } = this.#options;
+    const view = reader.hasViews ? this.#view : 'full';
+    const reading = await reader.read(kind, this.cache.revision, 0, view);
+    this.#apply(reading, view, reader);
+    if (this.#expired) {
+      this.#apply(await reader.read(kind, undefined, 0, view), view, reader);
+    }
+  }
+
   /** Confirms the known objects by an immediate read, beside one that may be waiting for changes. */
   async confirmNow(): Promise<void> {
     const { kind, readers, isUrgent } = this.#options;
     const reader = readers.peek(isUrgent);
-    const { revision } = this.cache;
-    if (revision === undefined || this.#expired || reader !== this.#lastReader) {
+    if (this.cache.revision === undefined || this.#expired || reader !== this.#lastReader) {
       return;
     }
     try {
-      const reading = await reader.read(kind, revision, 0, this.#view);
-      this.#apply(reading, this.#view, reader);
+      await this.readNow(reader);
     } catch (error) {
       // The next step of the watch meets the same failure and handles it.
       this.#options.log.info('immediate confirmation failed', {
