Reports between entry hosts go on while the store is down

Callers saw (on the stand-ins): a request that crashes hosts crashed six of them while the store was down, five are allowed. Cause: a host that has lost the store may not be followed and is avoided for a moment as a reader, and for the same moment it got no reports of crashed runs, limits and leaving hosts, although it answers. Ruled out: the slack of the retry budget (failed with 160 and 16,000 alike), the age at which a reader counts as stale (failed with 1.2 s and 2.4 s alike). Now reports go to all peers that answer, stale or not, and to all that read from this host; only peers that did not answer are left out.

--- a/packages/entry/src/peers/peer-server.test.ts
+++ b/packages/entry/src/peers/peer-server.test.ts
@@ -60,6 +60,7 @@
     limitReports: () => [],
     leavingHostsReceived: () => undefined,
     instance: 'first',
+    readReceived: () => undefined,
     mayBeFollowed: () => true,
     suspicionReceived: () => undefined,
     isRoutable: () => true,
--- a/packages/entry/src/peers/peer-server.ts
+++ b/packages/entry/src/peers/peer-server.ts
@@ -53,6 +53,8 @@
   readonly limitReports: () => readonly LimitReport[];
   /** Identifies the incarnation of this entry host. */
   readonly instance: string;
+  /** Called with the name of each peer that reads hosts from this one. */
+  readonly readReceived: (from: string) => void;
   /** Returns false while peers must not follow this host. */
   readonly mayBeFollowed: () => boolean;
   /** Called with a report of a stalled group that a peer sent. */
@@ -126,6 +128,9 @@
   const arrivedAt = elapsedMs();
   const watch = watchOf(request.kind);
   const cache = watch?.cache;
+  if (request.tally !== undefined) {
+    options.readReceived(peer.name);
+  }
   // Otherwise two hosts that try each other in turn would repeatedly add each other's sums to their own.
   if (request.tally !== undefined && mayBeFollowed()) {
     tally.noteFollower(peer.name, peer.failureDomain, request.tally);
--- a/packages/entry/src/peers/peers.ts
+++ b/packages/entry/src/peers/peers.ts
@@ -74,6 +74,8 @@
 /** Period of a host that follows a peer and receives the tally of all hosts from it, in milliseconds. */
 const IDLE_EXCHANGE_PERIOD_MS = 1_000;
 const REQUEST_TIMEOUT_MS = 400;
+/** Time after its last read for which a peer gets reports of this host, in milliseconds. */
+const FOLLOWER_EXPIRY_MS = 1_500;
 /** Shortest time between two reports of the same group by this host, in milliseconds. */
 const SUSPICION_PERIOD_MS = 500;
 /**
@@ -99,6 +101,8 @@
   readonly #choice: PeerReaderChoice;
   readonly #readers = new Map<string, KindReader>();
   readonly #reportedAt = new Map<string, number>();
+  /** Time of the last read by each peer, in monotonic milliseconds. */
+  readonly #readBy = new Map<string, number>();
   #reportedLacking: ReadonlySet<string> = new Set();
   readonly #abort = new AbortController();
   readonly #suspicionFailures: FailureSeries;
@@ -128,6 +132,9 @@
         this.#reports.limitReportsReceived(reports, from);
       },
       instance: options.instance,
+      readReceived: from => {
+        this.#readBy.set(from, monotonicMs());
+      },
       mayBeFollowed: () => this.#choice.mayBeFollowed,
       isRoutable: options.isRoutable,
       lackingGroups: options.lackingGroups,
@@ -283,18 +290,29 @@
 
   // Addresses of all hosts that this one exchanges reports with: the peer it follows and its own followers. A host
   // that follows the store adds the lease holder and a host of each failure domain without followers of this host.
+  // Peers that have lost the store are included: reports do not need it.
   #neighbours(): readonly string[] {
     const { self, leaseHolder } = this.#options;
     const { above } = this.membership.candidates;
-    const followed = above.find(member => !this.#choice.isBackingOff(this.#readerOf(member).name));
+    const followed = above.find(member => !this.#choice.isUnreachable(member.address));
     const storeNeighbours = [this.membership.get(leaseHolder() ?? ''), ...this.#firstReachable()];
     const aboveNeighbours =
       followed === undefined || this.followsStore ? storeNeighbours : [followed];
-    const followers = this.tally.loads.followers.map(name => this.membership.get(name));
+    const followers = this.#recentFollowers().map(name => this.membership.get(name));
     const addresses = [...aboveNeighbours, ...followers].flatMap(member => member?.address ?? []);
     return [...new Set(addresses)].filter(address => address !== self.address);
   }
 
+  #recentFollowers(): readonly string[] {
+    const expiredBefore = monotonicMs() - FOLLOWER_EXPIRY_MS;
+    for (const [name, at] of this.#readBy) {
+      if (at < expiredBefore) {
+        this.#readBy.delete(name);
+      }
+    }
+    return [...this.#readBy.keys()];
+  }
+
   #forward(request: SuspectRequest): void {
     const { self, leaseHolder, suspicionReceived, counters } = this.#options;
     const holder = leaseHolder();
@@ -306,7 +324,7 @@
     const isHolderCurrent = holder !== undefined && this.followsStore;
     const known = isHolderCurrent ? this.membership.get(holder) : undefined;
     const above = this.membership.candidates.above.find(
-      member => !this.#choice.isBackingOff(this.#readerOf(member).name),
+      member => !this.#choice.isUnreachable(member.address),
     );
     const to = known ?? above ?? this.membership.firstRemoteMembers[0];
     if (to === undefined || request.hops <= 0) {
@@ -346,7 +364,7 @@
         continue;
       }
       const taken = chosen.get(member.failureDomain);
-      if (taken === undefined || this.#choice.isBackingOff(taken.address)) {
+      if (taken === undefined || this.#choice.isUnreachable(taken.address)) {
         chosen.set(member.failureDomain, member);
       }
     }
--- a/packages/entry/src/peers/reader-choice.ts
+++ b/packages/entry/src/peers/reader-choice.ts
@@ -148,6 +148,9 @@
       this.#silentPeers = 0;
       return;
     }
+    if (outcome === 'stale') {
+      this.#failures.delete(reader.name);
+    }
     // Several kinds are read at the same time; reads that fail together count as one failure.
     if (outcome === 'failed' && !this.isBackingOff(reader.name)) {
       this.#failures.set(reader.name, (this.#failures.get(reader.name) ?? 0) + 1);
@@ -161,6 +164,11 @@
     return (this.#avoidUntil.get(name) ?? -Infinity) > this.#now();
   }
 
+  /** True while a peer is not used because it did not answer; false if its answer was only stale. */
+  isUnreachable(name: string): boolean {
+    return this.#failures.has(name) && this.isBackingOff(name);
+  }
+
   #now(): number {
     return (this.#options.now ?? monotonicMs)();
   }
--- a/packages/entry/src/peers/shared-counts.ts
+++ b/packages/entry/src/peers/shared-counts.ts
@@ -46,12 +46,6 @@
     return this.#fresh(this.#followers).length > 0;
   }
 
-  /** Names of the hosts that follow this one and report their counts. */
-  get followers(): readonly string[] {
-    this.#fresh(this.#followers);
-    return [...this.#followers.keys()];
-  }
-
   /** Returns true while a host of the failure domain follows this one and reports its counts. */
   hasFollowerIn(failureDomain: string): boolean {
     return this.#fresh(this.#followers).some(entry => entry.failureDomain === failureDomain);
