Slack accrues from the start of the process, also for a service used first later

It now fills from the start of the process; its capacity is unchanged, and so is the proof of the bound. The unit test fails without the change.

--- a/packages/entry/src/requests/service-limits.ts
+++ b/packages/entry/src/requests/service-limits.ts
@@ -6,6 +6,7 @@
 import { RetryRefusals } from '../routing/retry-refusals.js';
 import type { Log } from '../server/log.js';
 import type { Counters } from '../server/metrics.js';
+import { monotonicMs } from '../server/time.js';
 import { DEFAULT_IDLE_MS } from './connection-reuse.js';
 import type { ConnectionObserver } from './upstream-connections.js';
 import { UpstreamConnections } from './upstream-connections.js';
@@ -34,6 +35,7 @@
 /** Retry budgets and connections of all services at this entry host. */
 export class ServiceLimits {
   readonly #options: ServiceLimitsOptions;
+  readonly #startedAt = monotonicMs();
   readonly #budgets = new Map<string, RetryBudget>();
   readonly #connections = new Map<string, UpstreamConnections>();
 
@@ -68,6 +70,7 @@
   #createBudget(service: string): RetryBudget {
     const { retries, log, counters } = this.#options;
     const budget: RetryBudget = new RetryBudget(retries, () => this.#entryHosts, {
+      startedAt: this.#startedAt,
       onRefused: () => {
         refusals.note();
       },
--- a/packages/entry/src/routing/retry-budget.ts
+++ b/packages/entry/src/routing/retry-budget.ts
@@ -60,6 +60,8 @@
   readonly onRefused?: () => void;
   /** Clock in monotonic milliseconds; replaced in tests. */
   readonly now?: () => number;
+  /** Time on this clock from which slack accrues: the start of the process; by default the present time. */
+  readonly startedAt?: number;
 };
 
 /** State of a budget at the moment at which a retry is refused. */
@@ -88,13 +90,13 @@
 
   /** `hosts` returns the number of entry hosts; 0 while it is not known. */
   constructor(bounds: RetryBounds, hosts: () => number, options: RetryBudgetOptions = {}) {
-    const { onRefused, now = monotonicMs } = options;
+    const { onRefused, now = monotonicMs, startedAt = now() } = options;
     this.#bounds = bounds;
     this.#hosts = hosts;
     this.#onRefused = onRefused;
     this.#now = now;
     this.#requests = new SlidingWindowCounter(bounds.windowMs);
-    this.#refilledAt = now();
+    this.#refilledAt = startedAt;
   }
 
   /** Counts a request of a caller, which raises the allowance. */
--- a/packages/entry/src/routing/routing.test.ts
+++ b/packages/entry/src/routing/routing.test.ts
@@ -76,6 +76,15 @@
   });
 });
 
+describe('retry budget of a service that gets its first request later', () => {
+  it('holds the slack that has accrued since the start of the process', () => {
+    const bounds = { ratio: 0.2, slack: 200, windowMs: 10_000 };
+    const nowMs = bounds.windowMs;
+    const budget = new RetryBudget(bounds, () => 10, { now: () => nowMs, startedAt: 0 });
+    expect(budget.take('lost')).to.equal(true);
+  });
+});
+
 describe('retry budgets of many entry hosts', () => {
   const bounds = { ratio: 0.2, slack: 258, windowMs: 10_000 };
 
