A confirmation by a peer never lies in the future

A leap while it holds the read moved the confirmation up to the leap's length into the reader's future, and the reader took its knowledge for young that much longer. Now a confirmation is at most as late as the arrival of its answer; what is left is at most the time for which the peer held the read (0.3 s).

--- a/packages/entry/src/peers/peer-reader.ts
+++ b/packages/entry/src/peers/peer-reader.ts
@@ -41,8 +41,9 @@
         outliersHeard = reply.outlierSequence;
         onReply(reply);
       }
-      // The request arrived after it was sent, so the actual confirmation is at least as recent as this time.
-      const confirmedAt = sentAt + reply.confirmedAfterMs;
+      // The request arrived after it was sent, so the actual confirmation is at least as recent as this time. A peer whose
+      // clock leaps while it holds the request reports a later one, which may not lie in the future.
+      const confirmedAt = Math.min(sentAt + reply.confirmedAfterMs, elapsedMs());
       return { answer: reply.answer, confirmedAt, inTouch: reply.inTouch };
     },
   };
