--- a/packages/entry/src/routing/retry-budget.ts
+++ b/packages/entry/src/routing/retry-budget.ts
@@ -56,7 +56,7 @@
 
 /** Options of {@link RetryBudget}. */
 export type RetryBudgetOptions = {
-  /** Called each time that a retry is refused. */
+  /** Called each time that a retry is refused, also for a stream that asks again after a pause. */
   readonly onRefused?: () => void;
   /** Clock in monotonic milliseconds; replaced in tests. */
   readonly now?: () => number;
--- a/packages/entry/src/store/watched-kind.ts
+++ b/packages/entry/src/store/watched-kind.ts
@@ -161,7 +161,7 @@
 
   /**
    * Reads the changes from a reader at once, beside a read that may be waiting for changes, or the list if the
-   * reader no longer keeps them; rejects if there is no answer.
+   * reader has dropped them; rejects if there is no answer.
    */
   async readNow(reader: KindReader): Promise<void> {
     const { kind } = this.#options;
