A waiting request is refused when its expected group does not return, whatever the clock says

Callers saw, now and then: 'deadline-unreachable' at the deadline in place of 'no-ready-group' at once. Cause: the time left until the expected return is read twice, once to see whether the request is servable and once to set the timer (and again after each refresh); if it ran out between the two readings, no timer was set and nothing but the deadline ended the wait. Beside load the process is preempted between them, hence the failures that were suspected to come from a timer that fires early. Now the timer is set whenever there is no capacity; when it fires, the refresh decides.

--- a/packages/gateway/src/limits/admission.test.ts
+++ b/packages/gateway/src/limits/admission.test.ts
@@ -12,15 +12,19 @@
 describe('a request that arrives while no group of its model is certified', () => {
   let capacity: number;
   let expectedUntil: number;
+  /** Results of the next readings of the expected time, in milliseconds; then `expectedUntil` decides. */
+  let remainingReadings: number[];
   let admission: Admission;
 
   beforeEach(() => {
     capacity = 0;
     expectedUntil = -Infinity;
+    remainingReadings = [];
     admission = new Admission({
       maxQueueLength: 10,
       capacity: () => capacity,
-      expectedReturnMs: () => Math.max(0, expectedUntil - monotonicMs()),
+      expectedReturnMs: () =>
+        remainingReadings.shift() ?? Math.max(0, expectedUntil - monotonicMs()),
       share: () => 1,
       runningAtOtherGateways: () => 0,
       metrics: { count: () => undefined } as unknown as Metrics,
@@ -65,4 +69,19 @@
     expect(code).to.equal('no-ready-group');
     expect(ms).to.be.within(150, 600);
   });
+
+  // Guards against waiting until the deadline if the expected time passes between two readings of the clock.
+  it('is refused soon if the expected time passes while it is queued', async () => {
+    remainingReadings = [1];
+    const { code, ms } = await outcomeOfEnter();
+    expect(code).to.equal('no-ready-group');
+    expect(ms).to.be.below(600);
+  });
+
+  it('is refused soon if the expected time passes while the waiting requests are checked', async () => {
+    remainingReadings = [1, 1, 1];
+    const { code, ms } = await outcomeOfEnter();
+    expect(code).to.equal('no-ready-group');
+    expect(ms).to.be.below(600);
+  });
 });
--- a/packages/gateway/src/limits/admission.ts
+++ b/packages/gateway/src/limits/admission.ts
@@ -169,15 +169,17 @@
   // No event is emitted when an expected group does not serve again, so a timer checks. The expected time
   // may have been extended by then, so the check repeats while requests wait.
   #refreshAfterExpectedReturn(model: string): void {
-    const leftMs = this.#options.expectedReturnMs(model);
-    if (leftMs > 0 && this.#options.capacity(model) <= 0) {
-      setTimeout(() => {
-        this.refresh();
-        if (this.#state(model).queue.size > 0) {
-          this.#refreshAfterExpectedReturn(model);
-        }
-      }, leftMs + 1).unref();
+    if (this.#options.capacity(model) > 0) {
+      return;
     }
+    // Nothing may be left by now, although the caller of this method still found some time left.
+    const leftMs = this.#options.expectedReturnMs(model);
+    setTimeout(() => {
+      this.refresh();
+      if (this.#state(model).queue.size > 0) {
+        this.#refreshAfterExpectedReturn(model);
+      }
+    }, leftMs + 1).unref();
   }
 
   #hasNoGroups(model: string): boolean {
