--- a/packages/entry/src/entry-host.ts
+++ b/packages/entry/src/entry-host.ts
@@ -9,11 +9,11 @@
 import { GroupSuspicions } from './groups/group-suspicions.js';
 import type { ReplicaGroup } from './groups/replica-groups.js';
 import type { HostIncarnation } from './hosts/host-entry.js';
-import { isRoutable } from './hosts/host-entry.js';
 import type { HostBatch } from './hosts/host-registry.js';
 import { HostRegistry } from './hosts/host-registry.js';
 import { DEFAULT_LEASE_TIMING, LeaseTask } from './lease/lease-task.js';
-import { Peers } from './peers/peers.js';
+import { connectPeers } from './peers/connect-peers.js';
+import type { Peers } from './peers/peers.js';
 import { probeHost } from './quarantine/host-probe.js';
 import { RequestQuarantine } from './quarantine/request-quarantine.js';
 import { noticeListener } from './requests/notice-listener.js';
@@ -119,6 +119,9 @@
       eligible: () => this.#peers?.isLeaseCandidate ?? true,
       log,
     });
+    this.#metrics.gauges.register('service_silence_seconds', () =>
+      this.#activities.contacts.readings(),
+    );
     this.#quarantine = this.#createQuarantine();
     this.#peers = this.#createPeers();
     this.#watches = this.#createWatches();
@@ -240,40 +243,20 @@
 
   #createPeers(): Peers | undefined {
     const { settings, store, log } = this.#options;
-    const { peers, name, failureDomain } = settings;
-    if (peers === undefined) {
-      return undefined;
-    }
-    const address = `${peers.listen.ip}:${peers.listen.port}`;
-    return new Peers({
-      self: { name, address, failureDomain, power: peers.power },
-      seeds: peers.seeds,
-      key: peers.key,
+    return connectPeers({
+      settings,
       store,
-      watchOf: kind => this.#watches.of(kind),
-      ownLoads: () => this.#activities.loads(),
-      ownWork: () => this.#demand.ownSums(),
-      leaseHolder: () => (this.#lease.term === undefined ? this.#lease.holderHost : name),
-      suspicionReceived: ({ service, report }) => {
-        this.#coordinator.suspect(service, report.target);
-      },
-      hostUnreachable: (failureDomain, hostId) => {
-        this.#activities.reach.noteUnreachable(failureDomain, hostId);
-      },
-      isRoutable: id => isRoutable(this.#registry.get(id)),
-      lackingGroups: () => [...this.#lacking.names],
-      groupEjected: () => {
-        this.#stalls.checkSoon();
-      },
-      runReports: this.#quarantine.evidence,
-      runReportsReceived: reports => {
-        this.#quarantine.addReports(reports);
-      },
-      limitReports: this.#rules.namedLimits,
-      limitReportsReceived: this.#rules.namedLimits.receiveReports,
-      leavingHosts: this.#rules.notices,
-      leavingHostsReceived: this.#rules.notices.receiveLeaving,
       instance: this.#instance,
+      watches: () => this.#watches,
+      coordinator: () => this.#coordinator,
+      activities: this.#activities,
+      demand: this.#demand,
+      lease: this.#lease,
+      registry: this.#registry,
+      lacking: this.#lacking,
+      stalls: this.#stalls,
+      quarantine: this.#quarantine,
+      rules: this.#rules,
       log,
       counters: this.#counters,
     });
--- a/packages/entry/src/peers/peers.ts
+++ b/packages/entry/src/peers/peers.ts
@@ -30,6 +30,8 @@
 import type { ReportSources } from './shared-reports.js';
 import { SharedReports } from './shared-reports.js';
 import { SharedTally } from './shared-tally.js';
+import type { SuspectedGroup } from './suspicion-sender.js';
+import { SuspicionSender } from './suspicion-sender.js';
 
 export type PeersOptions = ReportSources & {
   readonly self: Member;
@@ -66,9 +68,6 @@
   readonly counters: Counters;
 };
 
-/** A fault of a group that this host observed; the reporter and the age of the report are added later. */
-export type SuspectedGroup = Omit<OutlierReport, 'reporter' | 'reporterDomain' | 'ageMs'>;
-
 /** Period in which a host that follows the store requests tallies and shares reports, in milliseconds. */
 const EXCHANGE_PERIOD_MS = 250;
 /** Period of a host that follows a peer and receives the tally of all hosts from it, in milliseconds. */
@@ -76,15 +75,11 @@
 const REQUEST_TIMEOUT_MS = 400;
 /** Time after its last read for which a peer gets reports of this host, in milliseconds. */
 const FOLLOWER_EXPIRY_MS = 1_500;
-/** Shortest time between two reports of the same group by this host, in milliseconds. */
-const SUSPICION_PERIOD_MS = 500;
 /**
  * Largest number of entry hosts with which each reads its first list from the store: 100 lists of 300 hosts are
  * 10 MB, which take a tenth of a second on a link of 1,000 Mbit/s.
  */
 const MAX_MEMBERS_AT_STORE = 100;
-/** Number of times a suspicion may be sent on: along two followed hosts, and from there to the lease holder. */
-const SUSPICION_HOPS = 3;
 
 /** Links this entry host to its peers, serves their requests, and selects the readers of objects. */
 export class Peers {
@@ -100,18 +95,16 @@
   readonly #store: KindReader;
   readonly #choice: PeerReaderChoice;
   readonly #readers = new Map<string, KindReader>();
-  readonly #reportedAt = new Map<string, number>();
+  readonly #suspicions: SuspicionSender;
   /** Time of the last read by each peer, in monotonic milliseconds. */
   readonly #readBy = new Map<string, number>();
   #reportedLacking: ReadonlySet<string> = new Set();
   readonly #abort = new AbortController();
-  readonly #suspicionFailures: FailureSeries;
   readonly #tallyFailures: FailureSeries;
   readonly #reports: SharedReports;
 
   constructor(options: PeersOptions) {
     this.#options = options;
-    this.#suspicionFailures = new FailureSeries(options.log, 'forward a suspicion');
     this.#tallyFailures = new FailureSeries(options.log, 'request the tally of a failure domain');
     const { self, seeds, key, store, watchOf, log } = options;
     this.membership = new Membership({ self, seeds, store, log });
@@ -140,7 +133,7 @@
       lackingGroups: options.lackingGroups,
       suspicionReceived: request => {
         this.#noteOutliers([request.report]);
-        this.#forward(request);
+        this.#suspicions.forward(request);
       },
     });
     this.#store = storeReader(store);
@@ -149,6 +142,20 @@
       candidates: () => this.membership.candidates,
       readerOf: member => this.#readerOf(member),
     });
+    this.#suspicions = new SuspicionSender({
+      self,
+      links: this.#links,
+      membership: this.membership,
+      leaseHolder: options.leaseHolder,
+      followsStore: () => this.followsStore,
+      isUnreachable: address => this.#choice.isUnreachable(address),
+      reportMade: report => {
+        this.#noteOutliers([report]);
+      },
+      suspicionReceived: options.suspicionReceived,
+      log,
+      counters: options.counters,
+    });
     this.#reports = new SharedReports({
       ...options,
       links: this.#links,
@@ -220,15 +227,7 @@
 
   /** Reports a stalled group to the lease holder. */
   suspect(service: string, group: SuspectedGroup): void {
-    const now = monotonicMs();
-    if (now - (this.#reportedAt.get(group.target) ?? -Infinity) < SUSPICION_PERIOD_MS) {
-      return;
-    }
-    this.#reportedAt.set(group.target, now);
-    const { name: reporter, failureDomain: reporterDomain } = this.#options.self;
-    const report: OutlierReport = { ...group, reporter, reporterDomain, ageMs: 0 };
-    this.#noteOutliers([report]);
-    this.#forward({ service, report, hops: SUSPICION_HOPS });
+    this.#suspicions.suspect(service, group);
   }
 
   /** Sends new run reports to other entry hosts. */
@@ -275,7 +274,10 @@
     let hasNewEjection = false;
     for (const report of reports) {
       const outcome = this.outliers.note(report);
-      hasNewEjection ||= outcome === 'ejected';
+      if (outcome === 'ejected') {
+        hasNewEjection = true;
+        this.#logEjection(report);
+      }
       const isFromOwnDomain = report.reporterDomain === self.failureDomain;
       if (outcome !== 'known' && report.isUnreachable && isFromOwnDomain) {
         hostUnreachable(report.targetDomain, report.targetHost);
@@ -288,6 +290,22 @@
     }
   }
 
+  #logEjection({
+    target,
+    targetHost,
+    reporter,
+    reporterDomain,
+    isUnreachable,
+  }: OutlierReport): void {
+    this.#options.log.info('group ejected', {
+      group: target,
+      host: targetHost,
+      lastReporter: reporter,
+      reporterDomain,
+      isUnreachable,
+    });
+  }
+
   // Addresses of all hosts that this one exchanges reports with: the peer it follows and its own followers. A host
   // that follows the store adds the lease holder and a host of each failure domain without followers of this host.
   // Peers that have lost the store are included: reports do not need it.
@@ -313,37 +331,6 @@
     return [...this.#readBy.keys()];
   }
 
-  #forward(request: SuspectRequest): void {
-    const { self, leaseHolder, suspicionReceived, counters } = this.#options;
-    const holder = leaseHolder();
-    if (holder === self.name) {
-      suspicionReceived(request);
-      return;
-    }
-    // Only a host that follows the store observes the lease; the lease holder known to other hosts may be outdated.
-    const isHolderCurrent = holder !== undefined && this.followsStore;
-    const known = isHolderCurrent ? this.membership.get(holder) : undefined;
-    const above = this.membership.candidates.above.find(
-      member => !this.#choice.isUnreachable(member.address),
-    );
-    const to = known ?? above ?? this.membership.firstRemoteMembers[0];
-    if (to === undefined || request.hops <= 0) {
-      counters.count('suspicions_dropped_total');
-      return;
-    }
-    const forwarded: SuspectRequest = { ...request, hops: request.hops - 1 };
-    this.#links
-      .clientFor(to.address)
-      .request(PEER_REQUESTS.suspect, forwarded, REQUEST_TIMEOUT_MS)
-      .then(() => {
-        this.#suspicionFailures.recordSuccess();
-      })
-      .catch((error: unknown) => {
-        counters.count('suspicions_dropped_total');
-        this.#suspicionFailures.recordFailure(error);
-      });
-  }
-
   // A host that follows the store requests the tallies of failure domains in which no host follows it.
   async #exchange(): Promise<void> {
     while (!this.#abort.signal.aborted) {
--- a/packages/entry/src/requests/stream-relay.ts
+++ b/packages/entry/src/requests/stream-relay.ts
@@ -331,6 +331,7 @@
       fingerprint: answer.reason === 'quarantined' ? this.#context.fingerprint() : undefined,
       sentTo: this.#attemptLog.sentTo,
       heldMs: Math.round(monotonicMs() - arrivedAt),
+      serviceSilentMs: this.#serviceSilentMs(),
     });
     if (this.#failedHead !== undefined && !response.headersSent) {
       const headers = endToEndHeaders(this.#failedHead.rawHeaders, DROPPED_HEADERS);
@@ -343,6 +344,13 @@
     sendFinalAnswer(response, answer);
   }
 
+  // Milliseconds since any host of the service sent data: tells a fault of this entry host's links from one of a host.
+  #serviceSilentMs(): number | undefined {
+    const { activities } = this.#services;
+    const silenceMs = activities.contacts.silenceMs(this.#context.service.name, monotonicMs());
+    return silenceMs === undefined ? undefined : Math.round(silenceMs);
+  }
+
   #finalAnswer(reason: GiveUpReason): FinalAnswer {
     if (reason === 'quarantined') {
       return quarantinedAnswer(this.#attemptLog.mayHaveRun);
--- a/packages/entry/src/routing/host-activity.ts
+++ b/packages/entry/src/routing/host-activity.ts
@@ -1,5 +1,6 @@
 /** Records the activity of each upstream host as this entry host observes it through its own requests. */
 import type { HostEntry } from '../hosts/host-entry.js';
+import { ServiceContacts } from '../isolation/service-contacts.js';
 import { monotonicMs } from '../server/time.js';
 import { ConnectTimes } from './connect-times.js';
 import { DomainReachability } from './domain-reachability.js';
@@ -67,6 +68,8 @@
   readonly reach = new DomainReachability();
   /** Connect times of upstream hosts, by failure domain. */
   readonly connectTimes = new ConnectTimes();
+  /** Times of the last data from upstream hosts, by service. */
+  readonly contacts = new ServiceContacts();
   readonly #hosts = new Map<string, HostActivity>();
   readonly #typical = new Map<string, TypicalTime>();
 
@@ -123,6 +126,7 @@
     activity.lastProgressAt = monotonicMs();
     activity.avoidUntil = -Infinity;
     this.reach.noteProgress(host.failureDomain);
+    this.contacts.noteData(host.service);
   }
 
   /** Records that the host could not be reached. */
