--- a/packages/entry/src/entry-host.ts
+++ b/packages/entry/src/entry-host.ts
@@ -4,6 +4,7 @@
 
 import { ConfigurationHolder } from './configuration/configuration-holder.js';
 import type { EntryHostOptions } from './entry-host-options.js';
+import { ForwardingService } from './forwarding/forwarding-service.js';
 import { AbandonedGroups } from './groups/abandoned-groups.js';
 import { GroupCoordinator } from './groups/group-coordinator.js';
 import { GroupSuspicions } from './groups/group-suspicions.js';
@@ -14,8 +15,8 @@
 import { DEFAULT_LEASE_TIMING, LeaseTask } from './lease/lease-task.js';
 import { connectPeers } from './peers/connect-peers.js';
 import type { Peers } from './peers/peers.js';
-import { probeHost } from './quarantine/host-probe.js';
-import { RequestQuarantine } from './quarantine/request-quarantine.js';
+import { connectQuarantine } from './quarantine/connect-quarantine.js';
+import type { RequestQuarantine } from './quarantine/request-quarantine.js';
 import { noticeListener } from './requests/notice-listener.js';
 import { PacedQueues } from './requests/paced-queues.js';
 import type { RelayServices } from './requests/relay-services.js';
@@ -68,6 +69,7 @@
     coordinator: () => this.#coordinator,
     counters: this.#counters,
   });
+  readonly #forwarding: ForwardingService;
   readonly #quarantine: RequestQuarantine;
   readonly #coordinator: GroupCoordinator;
   readonly #limits: ServiceLimits;
@@ -122,7 +124,27 @@
     this.#metrics.gauges.register('service_silence_seconds', () =>
       this.#activities.contacts.readings(),
     );
-    this.#quarantine = this.#createQuarantine();
+    this.#forwarding = new ForwardingService({
+      settings,
+      registry: this.#registry,
+      activities: this.#activities,
+      peers: () => this.#peers,
+      intake: () => this.#intake,
+      isReady: () => this.ready,
+      log,
+      counters: this.#counters,
+    });
+    this.#quarantine = connectQuarantine({
+      store,
+      lease: this.#lease,
+      registry: this.#registry,
+      activities: this.#activities,
+      isolation: this.#forwarding.isolation,
+      suspicions: this.#suspicions,
+      peers: () => this.#peers,
+      log,
+      metrics: this.#metrics,
+    });
     this.#peers = this.#createPeers();
     this.#watches = this.#createWatches();
     this.#coordinator = this.#createCoordinator();
@@ -167,6 +189,7 @@
     runTask(log, 'lease', this.#competeForLease());
     runTask(log, 'quarantine', this.#quarantine.run());
     await this.#callers.listen(settings.callers.ip, settings.callers.port);
+    await this.#forwarding.start();
     const sources = { isReady: () => this.ready, metrics: this.#metrics, lists: this.#lists };
     this.#sideServers.push(...(await startSideServers(settings, sources)));
     log.info('entry host started', {
@@ -194,6 +217,7 @@
     log.info('entry host stopping', { open: this.#intake.open });
     this.#stopping = true;
     this.#callers.drain();
+    this.#forwarding.drain();
     this.#coordinator.stop();
     const { graceMs } = this.#settings.bounds;
     const finished = finishRequests({ callers: this.#callers, requests: this.#intake, graceMs });
@@ -209,6 +233,7 @@
     this.#coordinator.stop();
     this.#lease.stopWithoutRelease();
     this.#callers.close();
+    this.#forwarding.stop();
     this.#quarantine.stop();
     this.#watches.stop();
     this.#peers?.end();
@@ -218,29 +243,6 @@
     this.#options.store.close();
   }
 
-  #createQuarantine(): RequestQuarantine {
-    const { store, log } = this.#options;
-    return new RequestQuarantine({
-      store,
-      holdsLease: () => this.#lease.term !== undefined,
-      probe: host => probeHost(host, this.#activities.connectTimes.timeoutMs(host.failureDomain)),
-      isAccepting: ({ id }) => this.#registry.get(id)?.accepting ?? false,
-      lastProgressAt: id => this.#activities.of(id).lastProgressAt,
-      hostEnded: host => {
-        this.#suspicions.suspect(host, host.membership?.group, true);
-      },
-      hostEndReported: ended => {
-        const host = this.#registry.get(ended.id);
-        if (host?.startedAt === ended.startedAt) {
-          this.#activities.noteProcessEnded(ended.id);
-        }
-      },
-      reportsAdded: () => this.#peers?.shareRunReports(),
-      log,
-      metrics: this.#metrics,
-    });
-  }
-
   #createPeers(): Peers | undefined {
     const { settings, store, log } = this.#options;
     return connectPeers({
@@ -257,6 +259,7 @@
       stalls: this.#stalls,
       quarantine: this.#quarantine,
       rules: this.#rules,
+      forwardingStatus: services => this.#forwarding.status(services),
       log,
       counters: this.#counters,
     });
@@ -370,8 +373,11 @@
       budgetOf: service => this.#limits.budgetOf(service),
       connectionsOf: service => this.#limits.connectionsOf(service),
       reportSuspectedTarget: ({ host, group }, isUnreachable) => {
-        this.#suspicions.suspect(host, group?.name, isUnreachable);
+        this.#forwarding.isolation.reportWhenReached(host, () => {
+          this.#suspicions.suspect(host, group?.name, isUnreachable);
+        });
       },
+      forwarding: this.#forwarding.forwarding,
       isUnreachable: target => this.#outlier(target, monotonicMs())?.isUnreachable ?? false,
       areKeysValid: () => this.#configuration.areKeysConfirmed(this.#settings.bounds),
       storeFreshness: () => knownStateAtSend(this.#configuration, this.#watches),
--- /dev/null
+++ b/packages/entry/src/forwarding/forwarded-plain.ts
@@ -0,0 +1,83 @@
+/** Forwards a request that has a single answer, and reads the answer completely. */
+import type { IncomingMessage } from 'node:http';
+
+import { answerFault } from '../requests/answer-check.js';
+import type { ExchangeEnd } from '../requests/exchange.js';
+import type { RelayServices } from '../requests/relay-services.js';
+import { afterTurn, monotonicMs } from '../server/time.js';
+import type { ForwardedFailure, ForwardedSend } from './forwarded-exchange.js';
+import { forwardedFailure, logForwardedFailure, startForwarding } from './forwarded-exchange.js';
+
+/** How a forwarded request ended. */
+export type ForwardedPlainEnd =
+  | {
+      readonly kind: 'answered';
+      readonly answer: { readonly head: IncomingMessage; readonly body: Buffer };
+    }
+  | ForwardedFailure;
+
+/** Longest answer body that is accepted, in bytes. */
+const MAX_ANSWER_BYTES = 16 * 1024 * 1024;
+
+/** Sends the request to the peer; ends after `timeoutMs` milliseconds, or when the caller disconnects. */
+export function forwardPlain(
+  send: ForwardedSend,
+  services: Pick<RelayServices, 'log' | 'counters'>,
+  timeoutMs: number,
+): Promise<ForwardedPlainEnd> {
+  const { callerSignal } = send.context;
+  const startedAt = monotonicMs();
+  const chunks: Buffer[] = [];
+  let bytes = 0;
+  let head: IncomingMessage | undefined;
+  return new Promise(resolve => {
+    const settle = (exchangeEnd: ExchangeEnd): void => {
+      timeout.cancel();
+      callerSignal.removeEventListener('abort', cancel);
+      const body = bytes > MAX_ANSWER_BYTES ? undefined : Buffer.concat(chunks);
+      const end = classifyEnd(send, exchangeEnd, head, body);
+      services.counters.count('forwarded_total', { kind: 'plain', end: end.kind });
+      if (end.kind !== 'answered') {
+        logForwardedFailure(services.log, send, end, monotonicMs() - startedAt);
+      }
+      resolve(end);
+    };
+    const exchange = startForwarding(send, {
+      onHead: answer => {
+        head = answer;
+      },
+      onData: chunk => {
+        bytes += chunk.length;
+        if (bytes <= MAX_ANSWER_BYTES) {
+          chunks.push(chunk);
+        }
+      },
+      onEnd: settle,
+    });
+    const cancel = (): void => {
+      exchange.cancel();
+    };
+    callerSignal.addEventListener('abort', cancel);
+    const timeout = afterTurn(cancel, timeoutMs);
+  });
+}
+
+// `body` is undefined if the answer is longer than this host accepts.
+function classifyEnd(
+  { context, headers }: ForwardedSend,
+  end: ExchangeEnd,
+  head: IncomingMessage | undefined,
+  body: Buffer | undefined,
+): ForwardedPlainEnd {
+  const failure = forwardedFailure(end, head);
+  if (failure !== undefined || head === undefined) {
+    return failure ?? { kind: 'lost', detail: end };
+  }
+  if (body === undefined) {
+    return { kind: 'lost', detail: 'answer is too long' };
+  }
+  const fault = answerFault(head, context.id, headers);
+  return fault === undefined
+    ? { kind: 'answered', answer: { head, body } }
+    : { kind: 'lost', detail: fault };
+}
--- /dev/null
+++ b/packages/entry/src/forwarding/forwarded-stream.ts
@@ -0,0 +1,167 @@
+/** One attempt of a stream request that is forwarded to a peer. */
+import type { IncomingMessage, ServerResponse } from 'node:http';
+
+import { answerFault } from '../requests/answer-check.js';
+import type { Exchange, ExchangeEnd } from '../requests/exchange.js';
+import { isFramed } from '../requests/plain-relay.js';
+import type { RelayServices } from '../requests/relay-services.js';
+import { stallLimits } from '../requests/stall-limits.js';
+import type { StreamAttemptEnd, StreamAttemptOptions } from '../requests/stream-attempt.js';
+import { requestKind } from '../routing/host-activity.js';
+import { monotonicMs } from '../server/time.js';
+import type { ForwardedFailure, ForwardedSend } from './forwarded-exchange.js';
+import { forwardedFailure, logForwardedFailure, startForwarding } from './forwarded-exchange.js';
+
+const STATUS_OK = 200;
+/** Longest body of a failure answer that is buffered, in bytes; later bytes are dropped. */
+const MAX_ERROR_BODY_BYTES = 256 * 1024;
+
+/** Sends a stream request to one peer and reports its events, stalls and end. */
+export class ForwardedStream {
+  readonly #send: ForwardedSend;
+  readonly #services: RelayServices;
+  readonly #options: StreamAttemptOptions;
+  readonly #startedAt = monotonicMs();
+  readonly #errorBodyChunks: Buffer[] = [];
+  #errorBodyBytes = 0;
+  #exchange: Exchange | undefined;
+  #head: IncomingMessage | undefined;
+  #fault: string | undefined;
+  #isSuperseded = false;
+  #isPaused = false;
+  #hasBegun = false;
+  #lastProgressAt = this.#startedAt;
+
+  constructor(send: ForwardedSend, services: RelayServices, options: StreamAttemptOptions) {
+    this.#send = send;
+    this.#services = services;
+    this.#options = options;
+  }
+
+  /** Head (status and headers) of the host's answer; undefined until it is received. */
+  get head(): IncomingMessage | undefined {
+    return this.#head;
+  }
+
+  /** Name of the peer. */
+  get peer(): string {
+    return this.#send.peer.name;
+  }
+
+  /** Sends the request and reads its answer to the end. */
+  run(): Promise<StreamAttemptEnd> {
+    const { stalls } = this.#services;
+    stalls.add(this);
+    return new Promise(resolve => {
+      this.#exchange = startForwarding(this.#send, {
+        onHead: answer => {
+          this.#receiveHead(answer);
+        },
+        onData: chunk => {
+          this.#receiveData(chunk);
+        },
+        onEnd: exchangeEnd => {
+          stalls.remove(this);
+          const end = this.#classifyEnd(exchangeEnd);
+          this.#recordEnd(end, forwardedFailure(exchangeEnd, this.#head));
+          resolve(end);
+        },
+      });
+    });
+  }
+
+  /** Cancels the attempt. */
+  cancel(): void {
+    this.#exchange?.cancel();
+  }
+
+  /** Cancels the attempt because another one has delivered events. */
+  supersede(): void {
+    this.#isSuperseded = true;
+    this.#exchange?.cancel();
+  }
+
+  /** Stops reading until the data written to the caller's response has drained. */
+  pauseUntilDrained(response: ServerResponse): void {
+    if (this.#isPaused) {
+      return;
+    }
+    this.#isPaused = true;
+    this.#exchange?.pause();
+    response.once('drain', () => {
+      this.#isPaused = false;
+      this.#lastProgressAt = monotonicMs();
+      this.#exchange?.resume();
+    });
+  }
+
+  /** Checks for a stall, as {@link StreamAttempt.checkForStall} does; the peer itself reports groups that stall. */
+  checkForStall(now: number): number {
+    const { route, service, model, lastEventId } = this.#send.context;
+    const { secondAttemptMs, lostMs } = stallLimits({
+      hasBegun: this.#hasBegun,
+      isResumed: this.#options.lastEventId !== lastEventId,
+      hostServesOthers: false,
+      isLost: false,
+      objectiveMs: route.objectiveMs,
+      gapTargetMs: route.gapTargetMs,
+      typicalFirstEventMs: this.#services.activities.typicalFirstMs(
+        requestKind(service.name, model),
+      ),
+    });
+    const silenceMs = now - this.#lastProgressAt;
+    if (!this.#isPaused && silenceMs >= secondAttemptMs) {
+      this.#options.onStalled(silenceMs >= lostMs);
+    }
+    return Math.max(0, secondAttemptMs - silenceMs);
+  }
+
+  #receiveHead(answer: IncomingMessage): void {
+    this.#head = answer;
+    if (forwardedFailure('whole', answer) === undefined) {
+      this.#fault = answerFault(answer, this.#send.context.id, this.#send.headers);
+    }
+    if (this.#fault !== undefined) {
+      this.#exchange?.cancel();
+    }
+  }
+
+  #receiveData(chunk: Buffer): void {
+    if (this.#head?.statusCode !== STATUS_OK || this.#fault !== undefined) {
+      this.#errorBodyBytes += chunk.length;
+      if (this.#errorBodyBytes <= MAX_ERROR_BODY_BYTES) {
+        this.#errorBodyChunks.push(chunk);
+      }
+      return;
+    }
+    this.#lastProgressAt = monotonicMs();
+    this.#hasBegun = true;
+    this.#options.onEvents(chunk);
+  }
+
+  #classifyEnd(exchangeEnd: ExchangeEnd): StreamAttemptEnd {
+    if (this.#isSuperseded) {
+      return { kind: 'superseded' };
+    }
+    const head = this.#head;
+    const failure = forwardedFailure(exchangeEnd, head);
+    if (failure !== undefined) {
+      return failure;
+    }
+    if (head === undefined || this.#fault !== undefined) {
+      return { kind: 'lost', detail: this.#fault ?? exchangeEnd };
+    }
+    if (head.statusCode !== STATUS_OK) {
+      return { kind: 'failed', head, body: Buffer.concat(this.#errorBodyChunks) };
+    }
+    return isFramed(head) ? { kind: 'complete' } : { kind: 'lost', detail: 'unframed' };
+  }
+
+  #recordEnd(end: StreamAttemptEnd, failure: ForwardedFailure | undefined): void {
+    const { counters, log } = this.#services;
+    counters.count('forwarded_total', { kind: 'stream', end: end.kind });
+    if (failure !== undefined && end.kind !== 'superseded') {
+      logForwardedFailure(log, this.#send, failure, monotonicMs() - this.#startedAt);
+    }
+  }
+}
--- /dev/null
+++ b/packages/entry/src/forwarding/forwarding-service.ts
@@ -0,0 +1,125 @@
+/** Everything that an entry host needs to forward requests to peers and to take those that peers forward. */
+import type { HostRegistry } from '../hosts/host-registry.js';
+import { UpstreamIsolation } from '../isolation/upstream-isolation.js';
+import type { ForwardingStatus } from '../peers/peer-messages.js';
+import type { Peers } from '../peers/peers.js';
+import { probeHost } from '../quarantine/host-probe.js';
+import type { RequestIntake } from '../requests/request-intake.js';
+import type { HostActivities } from '../routing/host-activity.js';
+import { CallerServer } from '../server/caller-server.js';
+import type { EntrySettings, SocketAddress } from '../server/entry-settings.js';
+import type { Log } from '../server/log.js';
+import type { Counters } from '../server/metrics.js';
+import { Forwarding } from './forwarding.js';
+import { PeerDirectory } from './peer-directory.js';
+import { readForwarded } from './peer-headers.js';
+
+/** The components that forwarding uses; those given as functions are created later. */
+export type ForwardingParts = {
+  readonly settings: EntrySettings;
+  readonly registry: HostRegistry;
+  readonly activities: HostActivities;
+  readonly peers: () => Peers | undefined;
+  readonly intake: () => RequestIntake;
+  /** True while this entry host accepts new requests. */
+  readonly isReady: () => boolean;
+  readonly log: Log;
+  readonly counters: Counters;
+};
+
+/** Forwarded requests in progress that an entry host accepts, for each core of its processor. */
+const MAX_FORWARDED_PER_CORE = 300;
+
+/** Detects isolation, forwards requests, and accepts forwarded ones. */
+export class ForwardingService {
+  readonly isolation: UpstreamIsolation;
+  /** Undefined where the settings name no address for forwarded requests. */
+  readonly forwarding: Forwarding | undefined;
+  readonly #parts: ForwardingParts;
+  readonly #address: SocketAddress | undefined;
+  readonly #server: CallerServer;
+
+  constructor(parts: ForwardingParts) {
+    this.#parts = parts;
+    this.#address = parts.settings.peers?.forwarding;
+    this.isolation = createIsolation(parts);
+    this.forwarding =
+      this.#address === undefined ? undefined : createForwarding(parts, this.isolation);
+    this.#server = new CallerServer((request, response) => {
+      parts.intake().handle(request, response, readForwarded(request.headers));
+    });
+  }
+
+  /** Starts to accept forwarded requests. */
+  async start(): Promise<void> {
+    if (this.#address !== undefined) {
+      await this.#server.listen(this.#address.ip, this.#address.port);
+    }
+  }
+
+  /** From now on, the connection of a peer is closed after each response. */
+  drain(): void {
+    this.#server.drain();
+  }
+
+  /** Stops listening, all probes and all questions to peers. */
+  stop(): void {
+    this.#server.close();
+    this.forwarding?.stop();
+    this.isolation.stop();
+  }
+
+  /** Answers a peer that asks whether this entry host takes forwarded requests for some services. */
+  async status(services: readonly string[]): Promise<ForwardingStatus> {
+    const { settings, intake, isReady } = this.#parts;
+    const load = intake().openForwarded;
+    const most = MAX_FORWARDED_PER_CORE * (settings.peers?.power ?? 0);
+    const accepts = isReady() && this.#address !== undefined && load < most;
+    const reached = await Promise.all(
+      services.map(async service => ((await this.isolation.isReached(service)) ? [service] : [])),
+    );
+    return { port: this.#address?.port ?? 0, accepts, reached: reached.flat(), load };
+  }
+}
+
+// Hosts that failed during the isolation are not avoided once one of them is within reach again.
+function createIsolation({
+  registry,
+  activities,
+  log,
+  counters,
+}: ForwardingParts): UpstreamIsolation {
+  const isolation = new UpstreamIsolation({
+    contacts: activities.contacts,
+    hostsOf: service => registry.ofService(service),
+    probe: host => probeHost(host, activities.connectTimes.timeoutMs(host.failureDomain)),
+    log,
+    counters,
+  });
+  isolation.messages.on('connected', ({ service }) => {
+    activities.forgetFailures(registry.ofService(service));
+  });
+  return isolation;
+}
+
+function createForwarding(
+  { settings, peers }: ForwardingParts,
+  isolation: UpstreamIsolation,
+): Forwarding {
+  const { name, failureDomain, regions } = settings;
+  return new Forwarding({
+    isolation,
+    directory: new PeerDirectory({
+      self: { name, failureDomain },
+      members: () => peers()?.membership.all ?? [],
+      ask: async (member, services) => {
+        const known = peers();
+        if (known === undefined) {
+          throw new Error('this entry host has no peers');
+        }
+        return known.askForwardingStatus(member, services);
+      },
+    }),
+    regionOf: domain => regions.find(region => region.failureDomain === domain)?.region,
+  });
+}
--- /dev/null
+++ b/packages/entry/src/forwarding/peer-headers.ts
@@ -0,0 +1,73 @@
+/** Headers between entry hosts on a request that one forwards to another, and on the answer to it. */
+import type { IncomingHttpHeaders, ServerResponse } from 'node:http';
+
+import type { FinalAnswer } from '../requests/final-answer.js';
+
+/** Status of the answers that promise that the request has not run. */
+const SERVICE_UNAVAILABLE = 503;
+
+/** Names of these headers, in lower case. */
+export const PEER_HEADERS = {
+  /** Service that the forwarding entry host chose among those of the route. */
+  service: 'entry-peer-service',
+  /** Most hosts that may run the request. */
+  attempts: 'entry-peer-attempts',
+  /** Present in answers that the peer itself gives; one of {@link PeerOutcome}. */
+  outcome: 'entry-peer-outcome',
+} as const;
+
+/** What an answer of the peer itself says about the request. */
+export type PeerOutcome =
+  /** Nothing of it was sent to a host, and another entry host may be able to send it. */
+  | 'unavailable'
+  /** No host runs it or will run it, and other entry hosts would refuse it as well. */
+  | 'refused'
+  /** A host may have run it. */
+  | 'failed';
+
+/** What a forwarded request says about itself. */
+export type ForwardedRequest = {
+  /** Undefined if the receiver has to choose among the services of the route. */
+  readonly service: string | undefined;
+  readonly maxAttempts: number;
+};
+
+const OUTCOMES: readonly string[] = ['unavailable', 'refused', 'failed'] satisfies PeerOutcome[];
+
+/** Reads the headers of a forwarded request; a missing or invalid number of attempts counts as one. */
+export function readForwarded(headers: IncomingHttpHeaders): ForwardedRequest {
+  const service = headers[PEER_HEADERS.service];
+  const maxAttempts = Number(headers[PEER_HEADERS.attempts]);
+  return {
+    service: typeof service === 'string' ? service : undefined,
+    maxAttempts: Number.isInteger(maxAttempts) && maxAttempts > 0 ? maxAttempts : 1,
+  };
+}
+
+/** Returns the outcome that an answer states; undefined if a host gave the answer. */
+export function outcomeOf(headers: IncomingHttpHeaders): PeerOutcome | undefined {
+  const outcome = headers[PEER_HEADERS.outcome];
+  if (outcome === undefined) {
+    return undefined;
+  }
+  // An unknown outcome comes from a newer version; the request may have run.
+  return OUTCOMES.includes(String(outcome)) ? (outcome as PeerOutcome) : 'failed';
+}
+
+/** Marks an answer that this entry host itself gives to a forwarded request. */
+export function markOutcome(response: ServerResponse, outcome: PeerOutcome): void {
+  if (!response.headersSent) {
+    response.setHeader(PEER_HEADERS.outcome, outcome);
+  }
+}
+
+/** The outcome of a request that was given up; `hasArrived`: a host has received it, or may have. */
+export function outcomeOfAnswer(
+  { status, reason }: Pick<FinalAnswer, 'status' | 'reason'>,
+  hasArrived: boolean,
+): PeerOutcome {
+  if (status !== SERVICE_UNAVAILABLE) {
+    return 'failed';
+  }
+  return reason === 'unreachable' && !hasArrived ? 'unavailable' : 'refused';
+}
--- a/packages/entry/src/peers/connect-peers.ts
+++ b/packages/entry/src/peers/connect-peers.ts
@@ -14,6 +14,7 @@
 import type { Counters } from '../server/metrics.js';
 import type { FollowedKinds } from '../store/followed-kinds.js';
 import type { ObjectStore } from '../store/object-store.js';
+import type { ForwardingStatus } from './peer-messages.js';
 import { Peers } from './peers.js';
 
 /** The components that answer the requests of peers and receive their reports. */
@@ -34,6 +35,8 @@
   readonly stalls: StallMonitor;
   readonly quarantine: RequestQuarantine;
   readonly rules: SendRules;
+  /** Returns whether this host takes forwarded requests for the services. */
+  readonly forwardingStatus: (services: readonly string[]) => Promise<ForwardingStatus>;
   readonly log: Log;
   readonly counters: Counters;
 };
@@ -72,6 +75,7 @@
     },
     limitReports: rules.namedLimits,
     limitReportsReceived: rules.namedLimits.receiveReports,
+    forwardingStatus: parts.forwardingStatus,
     leavingHosts: rules.notices,
     leavingHostsReceived: rules.notices.receiveLeaving,
     instance: parts.instance,
--- a/packages/entry/src/peers/membership.ts
+++ b/packages/entry/src/peers/membership.ts
@@ -90,6 +90,11 @@
     return this.#view;
   }
 
+  /** All registered hosts, this one included. */
+  get all(): readonly Member[] {
+    return [...this.#members.values()];
+  }
+
   /** Returns a registered host by its name. */
   get(name: string): Member | undefined {
     return this.#members.get(name);
--- a/packages/entry/src/peers/parse-messages.ts
+++ b/packages/entry/src/peers/parse-messages.ts
@@ -11,6 +11,8 @@
 import { OBJECT_KINDS } from '../store/object-store.js';
 import type {
   Counts,
+  ForwardingRequest,
+  ForwardingStatus,
   ReadReply,
   ReadRequest,
   ReportsReply,
@@ -96,6 +98,21 @@
   return listOf(fieldsOf(value, 'leaving hosts')['reports']).filter(isIncarnation);
 }
 
+/** Parses the question whether this host takes forwarded requests. */
+export function parseForwardingRequest(value: unknown): ForwardingRequest {
+  const { services } = fieldsOf(value, 'forwarding request');
+  return { services: listOf(services).filter(isString) };
+}
+
+/** Parses the status of an entry host that may take forwarded requests. */
+export function parseForwardingStatus(value: unknown): ForwardingStatus {
+  const { port, accepts, reached, load } = fieldsOf(value, 'forwarding status');
+  if (!isNonNegative(port) || !isNonNegative(load)) {
+    throw new PeerMessageError('forwarding status');
+  }
+  return { port, accepts: accepts === true, reached: listOf(reached).filter(isString), load };
+}
+
 /** Parses the reply to reports. */
 export function parseReportsReply(value: unknown): ReportsReply {
   const { instance } = fieldsOf(value, 'reply to reports');
--- a/packages/entry/src/peers/peer-messages.ts
+++ b/packages/entry/src/peers/peer-messages.ts
@@ -20,6 +20,8 @@
   askLimits: 'ask-limits',
   /** Reports hosts that are shutting down. */
   leavingHosts: 'leaving-hosts',
+  /** Asks whether the receiver takes forwarded requests, and for which services. */
+  forwarding: 'forwarding-status',
 } as const;
 
 /** Pairs of key and number. */
@@ -74,6 +76,24 @@
 /** Reply to a request for rate limits. */
 export type LimitsReply = { readonly reports: readonly LimitReport[] };
 
+/** Question to an entry host that may take forwarded requests. */
+export type ForwardingRequest = {
+  /** Services whose hosts the asking entry host does not reach. */
+  readonly services: readonly string[];
+};
+
+/** Reply to a {@link ForwardingRequest}. */
+export type ForwardingStatus = {
+  /** Port at which the entry host accepts forwarded requests. */
+  readonly port: number;
+  /** True while it accepts them. */
+  readonly accepts: boolean;
+  /** Those of the services whose hosts it reaches. */
+  readonly reached: readonly string[];
+  /** Number of forwarded requests that it has in progress. */
+  readonly load: number;
+};
+
 /** Reply to reports. */
 export type ReportsReply = {
   /** Identifies the incarnation of the entry host that received the reports. */
--- a/packages/entry/src/peers/peer-server.ts
+++ b/packages/entry/src/peers/peer-server.ts
@@ -14,6 +14,7 @@
 import { RoutingView } from '../store/routing-view.js';
 import type { WatchedKind } from '../store/watched-kind.js';
 import {
+  parseForwardingRequest,
   parseLeavingHosts,
   parseLimitReports,
   parseReadRequest,
@@ -22,6 +23,7 @@
 } from './parse-messages.js';
 import type {
   Counts,
+  ForwardingStatus,
   LimitsReply,
   ReadReply,
   ReadRequest,
@@ -47,6 +49,8 @@
   readonly runReportsReceived: (reports: readonly RunReport[]) => void;
   /** Called with reports of rate limits that a peer sent, and with the name of that peer. */
   readonly limitReportsReceived: (reports: readonly LimitReport[], from: string) => void;
+  /** Returns whether this host takes forwarded requests for the services. */
+  readonly forwardingStatus: (services: readonly string[]) => Promise<ForwardingStatus>;
   /** Called with the hosts that a peer reported as shutting down. */
   readonly leavingHostsReceived: (hosts: readonly HostIncarnation[]) => void;
   /** Returns the rate limits that this host knows. */
@@ -113,6 +117,8 @@
         options.leavingHostsReceived(parseLeavingHosts(request));
         return { instance: options.instance };
       },
+      [PEER_REQUESTS.forwarding]: (request: unknown): Promise<ForwardingStatus> =>
+        options.forwardingStatus(parseForwardingRequest(request).services),
       [PEER_REQUESTS.askLimits]: (): LimitsReply => ({ reports: options.limitReports() }),
     },
   });
--- a/packages/entry/src/peers/peers.ts
+++ b/packages/entry/src/peers/peers.ts
@@ -21,8 +21,13 @@
 import type { WatchedKind } from '../store/watched-kind.js';
 import type { Member } from './member.js';
 import { Membership } from './membership.js';
-import { parseTallyReply } from './parse-messages.js';
-import type { Counts, SuspectRequest } from './peer-messages.js';
+import { parseForwardingStatus, parseTallyReply } from './parse-messages.js';
+import type {
+  Counts,
+  ForwardingRequest,
+  ForwardingStatus,
+  SuspectRequest,
+} from './peer-messages.js';
 import { PEER_REQUESTS } from './peer-messages.js';
 import { peerReader } from './peer-reader.js';
 import { createPeerServer } from './peer-server.js';
@@ -60,6 +65,8 @@
   readonly groupEjected: () => void;
   /** Called with reports of lost and completed runs from other entry hosts. */
   readonly runReportsReceived: (reports: readonly RunReport[]) => void;
+  /** Returns whether this host takes forwarded requests for the services. */
+  readonly forwardingStatus: (services: readonly string[]) => Promise<ForwardingStatus>;
   /** Called with hosts that other entry hosts reported as shutting down. */
   readonly leavingHostsReceived: (hosts: readonly HostIncarnation[]) => void;
   /** Identifies the incarnation of this entry host. */
@@ -121,6 +128,7 @@
       runReportsReceived: options.runReportsReceived,
       limitReports: () => options.limitReports.since(0),
       leavingHostsReceived: options.leavingHostsReceived,
+      forwardingStatus: options.forwardingStatus,
       limitReportsReceived: (reports, from) => {
         this.#reports.limitReportsReceived(reports, from);
       },
@@ -245,6 +253,17 @@
     this.#reports.shareLeavingHosts();
   }
 
+  /** Asks a peer whether it takes forwarded requests for the services; rejects if it does not answer. */
+  async askForwardingStatus(
+    { address }: Member,
+    services: readonly string[],
+  ): Promise<ForwardingStatus> {
+    const request: ForwardingRequest = { services };
+    const link = this.#links.clientFor(address);
+    const reply = link.request<unknown>(PEER_REQUESTS.forwarding, request, REQUEST_TIMEOUT_MS);
+    return parseForwardingStatus(await reply);
+  }
+
   /** Stops all tasks and closes all links. */
   end(): void {
     this.#abort.abort();
--- a/packages/entry/src/requests/attempt-log.ts
+++ b/packages/entry/src/requests/attempt-log.ts
@@ -3,6 +3,7 @@
 import { incarnationOf } from '../hosts/host-entry.js';
 import type { RetryBudget, RetryReason } from '../routing/retry-budget.js';
 import { monotonicMs } from '../server/time.js';
+import { isUnsent } from './exchange.js';
 import type { RequestContext } from './request-context.js';
 import { mayRepeat } from './request-context.js';
 
@@ -21,8 +22,11 @@
   readonly #tried = new Set<string>();
   readonly #sentTo: string[] = [];
   #mayHaveRun = false;
+  #forwardedCount = 0;
   #neverSentCount = 0;
+  #unreachableCount = 0;
   #rejectionCount = 0;
+  readonly #declinedBy = new Set<string>();
 
   constructor(context: RequestContext, budget: RetryBudget) {
     this.#context = context;
@@ -39,6 +43,28 @@
     return this.#sentTo.join(',');
   }
 
+  /** Names of peers that declined the request. */
+  get declinedBy(): ReadonlySet<string> {
+    return this.#declinedBy;
+  }
+
+  /** Number of hosts to which no connection could be established. */
+  get unreachableCount(): number {
+    return this.#unreachableCount;
+  }
+
+  /** Number of hosts that may still run the request. */
+  get runsLeft(): number {
+    const { route, forwarded } = this.#context;
+    const most = Math.min(route.maxAttempts, forwarded?.maxAttempts ?? Infinity);
+    return most - (this.#sendCount() - this.#rejectionCount);
+  }
+
+  /** True if the request has arrived at a host, or may have. */
+  get hasArrived(): boolean {
+    return this.#sendCount() > 0;
+  }
+
   /** False while it is certain that the request has not run. */
   get mayHaveRun(): boolean {
     return this.#mayHaveRun;
@@ -50,6 +76,29 @@
     this.#sentTo.push(host.id);
   }
 
+  /** Records that the request is about to be forwarded to a peer, which sends it to a host. */
+  noteForwarded(peer: string): void {
+    this.#forwardedCount += 1;
+    this.#sentTo.push(peer);
+  }
+
+  /** Records how a forwarded request ended; a peer that declined it is not asked again. */
+  noteForwardedEnd(peer: string, end: string): void {
+    if (isUnsent(end)) {
+      this.#declinedBy.add(peer);
+      this.noteNeverSent();
+    } else if (end === 'refused') {
+      this.noteRejected();
+    } else {
+      this.noteMayHaveRun();
+    }
+  }
+
+  /** Records that no connection to a host could be established, in addition to {@link noteNeverSent}. */
+  noteUnreachable(): void {
+    this.#unreachableCount += 1;
+  }
+
   /** Records that nothing was sent to the host after all: it stays excluded, but does not count as an attempt. */
   noteNeverSent(): void {
     this.#neverSentCount += 1;
@@ -84,12 +133,11 @@
     if (this.#mayHaveRun && !mayRepeat(route)) {
       return false;
     }
-    const runs = this.#sendCount() - this.#rejectionCount;
-    return runs < route.maxAttempts && this.#rejectionCount < MAX_REJECTIONS;
+    return this.runsLeft > 0 && this.#rejectionCount < MAX_REJECTIONS;
   }
 
   // Hosts whose entry has been removed count too: an entry may also be removed while its host still runs.
   #sendCount(): number {
-    return this.#tried.size - this.#neverSentCount;
+    return this.#tried.size + this.#forwardedCount - this.#neverSentCount;
   }
 }
--- a/packages/entry/src/requests/await-target.ts
+++ b/packages/entry/src/requests/await-target.ts
@@ -128,8 +128,3 @@
     };
   }
 }
-
-/** True if {@link awaitTarget} returned a target. */
-export function isTarget(found: Target | NoTarget): found is Target {
-  return 'host' in found;
-}
--- a/packages/entry/src/requests/claim-target.ts
+++ b/packages/entry/src/requests/claim-target.ts
@@ -18,3 +18,15 @@
   const verdict = eligibility.take(target.host, query.homeRegions, monotonicMs());
   return verdict === 'eligible' ? target : undefined;
 }
+
+/** Releases the claim on a target to which the request is not sent after all; other hops have none. */
+export function releaseClaim({ eligibility }: RelayServices, hop: object): void {
+  if (isTarget(hop)) {
+    eligibility.giveBack(hop.host);
+  }
+}
+
+/** True for a target, which has been claimed for a request. */
+export function isTarget(hop: object): hop is Target {
+  return 'host' in hop;
+}
--- a/packages/entry/src/requests/exchange.test.ts
+++ b/packages/entry/src/requests/exchange.test.ts
@@ -45,7 +45,6 @@
         connections,
         connectTimes: connects,
         mayWrite,
-        requestId: 'r',
         onNotWritten: () => undefined,
         onAnswerHead: () => undefined,
       },
--- a/packages/entry/src/requests/exchange.ts
+++ b/packages/entry/src/requests/exchange.ts
@@ -3,7 +3,6 @@
 import { request as httpRequest } from 'node:http';
 import type { Socket } from 'node:net';
 
-import type { HostAnswerListener } from '../groups/host-orders.js';
 import type { HostEntry } from '../hosts/host-entry.js';
 import type { ConnectTimes } from '../routing/connect-times.js';
 import { MAX_CONNECT_MS } from '../routing/connect-times.js';
@@ -11,9 +10,12 @@
 import type { RawHeaders } from './relay-headers.js';
 import type { UpstreamConnections } from './upstream-connections.js';
 
-/** A request to an upstream host, and the services and callbacks that sending it needs. */
+/** Where an exchange connects to. */
+export type ExchangeAddress = Pick<HostEntry, 'ip' | 'port' | 'failureDomain'>;
+
+/** A request to an upstream host or a peer, and the services and callbacks that sending it needs. */
 export type ExchangeRequest = {
-  readonly host: HostEntry;
+  readonly host: ExchangeAddress;
   readonly method: string;
   readonly url: string;
   readonly headers: RawHeaders;
@@ -25,9 +27,11 @@
   readonly mayWrite: () => boolean;
   /** Called once if the request ends without having been written to a connection. */
   readonly onNotWritten: () => void;
-  readonly requestId: string;
-  /** Called with the head (status and headers) of the host's answer, also when the answer is not used. */
-  readonly onAnswerHead: HostAnswerListener;
+  /**
+   * Called with the head (status and headers) of the answer, also when the answer is not used, and with the time at which
+   * the request was sent (monotonic milliseconds).
+   */
+  readonly onAnswerHead: (head: IncomingMessage, sentAt: number) => void;
 };
 
 /**
@@ -61,9 +65,19 @@
   /** Cancelled by the caller of {@link startExchange}. */
   | 'cancelled';
 
-/** True if nothing of the request has left this process. */
+/** Ends after which it is certain that no host has received the request; `unavailable`: a peer has declined it. */
+export type UnsentEnd = Extract<ExchangeEnd, 'never-sent' | 'crowded' | 'withheld'> | 'unavailable';
+
+const UNSENT_ENDS: readonly string[] = [
+  'never-sent',
+  'crowded',
+  'withheld',
+  'unavailable',
+] satisfies UnsentEnd[];
+
+/** True if it is certain that no host has received the request. */
 export function isUnsent(end: string): end is UnsentEnd {
-  return end === 'never-sent' || end === 'crowded' || end === 'withheld';
+  return UNSENT_ENDS.includes(end);
 }
 
 /** True if the connection ended after the request was sent and before its answer was complete. */
@@ -71,9 +85,6 @@
   return end === 'lost' || end === 'broken';
 }
 
-/** Ends of exchanges of which nothing has left this process. */
-export type UnsentEnd = Extract<ExchangeEnd, 'never-sent' | 'crowded' | 'withheld'>;
-
 /** Callbacks of an exchange. `ended` is called exactly once, as the last one. */
 export type ExchangeObserver = {
   readonly onHead: (answer: IncomingMessage) => void;
@@ -185,11 +196,7 @@
   clientRequest.on('close', onDisconnect);
   clientRequest.on('response', incoming => {
     answer = incoming;
-    exchangeRequest.onAnswerHead(host, {
-      head: incoming,
-      requestId: exchangeRequest.requestId,
-      askedAt: sentAt,
-    });
+    exchangeRequest.onAnswerHead(incoming, sentAt);
     incoming.on('data', (chunk: Buffer) => {
       if (!ended) {
         observer.onData(chunk);
--- a/packages/entry/src/requests/host-state-at-send.ts
+++ b/packages/entry/src/requests/host-state-at-send.ts
@@ -1,17 +1,8 @@
 /** The known state of a host when a request was sent to it, for the log line of a failed attempt. */
 import type { HostEntry } from '../hosts/host-entry.js';
+import type { StoreFreshness } from '../store/store-freshness.js';
 import type { RelayServices } from './relay-services.js';
 
-/** The version of the known configuration, and how recently the store had confirmed configuration and hosts. */
-export type StoreFreshness = {
-  /** Version of the configuration in force. */
-  readonly version: number | undefined;
-  /** Age of the configuration's last confirmation, in milliseconds; undefined if there was none. */
-  readonly configurationAgeMs: number | undefined;
-  /** Age of the last confirmation of the hosts, in milliseconds; undefined if there was none. */
-  readonly hostsAgeMs: number | undefined;
-};
-
 /** Fields of the log line; times in milliseconds, undefined if they do not apply. */
 export type HostStateAtSend = StoreFreshness & {
   /** For how much longer the host was avoided because of failures. */
--- a/packages/entry/src/requests/notice-listener.ts
+++ b/packages/entry/src/requests/notice-listener.ts
@@ -1,5 +1,7 @@
 /** Receives what hosts report about themselves in their answers. */
 import type { HostAnswerListener } from '../groups/host-orders.js';
+import type { HostIncarnation } from '../hosts/host-entry.js';
+import type { AnswerHead } from './host-notice.js';
 import { readHostNotice } from './host-notice.js';
 import { readLimitNotice } from './limit-notice.js';
 import type { RelayHeaders } from './relay-headers.js';
@@ -21,3 +23,15 @@
     namedLimits.receiveNotice(host, readLimitNotice(head, names, requestId), askedAt);
   };
 }
+
+/** Returns a function that stores the notices in a host's answer to one request. */
+export function hostNoticeListener(
+  { headers, notices, namedLimits }: NoticeStores & Pick<RelayServices, 'headers'>,
+  host: HostIncarnation,
+  requestId: string,
+): (head: AnswerHead, askedAt: number) => void {
+  const listener = noticeListener(headers, { notices, namedLimits });
+  return (head, askedAt) => {
+    listener(host, { head, requestId, askedAt });
+  };
+}
--- a/packages/entry/src/requests/plain-relay.ts
+++ b/packages/entry/src/requests/plain-relay.ts
@@ -1,21 +1,25 @@
 /** Relays requests that have a single answer. The answer is read completely before any of it is passed on. */
 import type { IncomingMessage } from 'node:http';
 
+import { forwardPlain } from '../forwarding/forwarded-plain.js';
 import { requestKind } from '../routing/host-activity.js';
 import type { Target, TargetQuery } from '../routing/target-chooser.js';
 import { afterTurn, monotonicMs } from '../server/time.js';
+import { answerFault } from './answer-check.js';
 import { AttemptLog } from './attempt-log.js';
-import type { NoTarget } from './await-target.js';
-import { awaitTarget, isTarget } from './await-target.js';
+import { isTarget, releaseClaim } from './claim-target.js';
 import { keptConnectionsFor } from './connection-choice.js';
 import type { ExchangeEnd, UnsentEnd } from './exchange.js';
 import { isConnectionLost, isUnsent, startExchange } from './exchange.js';
 import type { FinalAnswer } from './final-answer.js';
-import { quarantinedAnswer, sendFinalAnswer } from './final-answer.js';
+import { quarantinedAnswer } from './final-answer.js';
 import type { HostStateAtSend } from './host-state-at-send.js';
 import { hostStateAtSend } from './host-state-at-send.js';
 import { mayWriteTo } from './may-write.js';
-import { noticeListener } from './notice-listener.js';
+import type { PeerHop } from './next-hop.js';
+import { forwardedSend, isPeerHop, nextHop, whenForwardable } from './next-hop.js';
+import { hostNoticeListener } from './notice-listener.js';
+import { sendOwnAnswer, serviceSilentMs } from './own-answer.js';
 import { endToEndHeaders } from './relay-headers.js';
 import type { RelayServices } from './relay-services.js';
 import type { RequestContext } from './request-context.js';
@@ -52,6 +56,8 @@
   | { readonly kind: 'not-run' }
   /** Nothing of the request has left this process. */
   | { readonly kind: UnsentEnd }
+  /** A peer answered that no host has run the request or will run it; its time for a retry, in milliseconds. */
+  | { readonly kind: 'refused'; readonly retryAfterMs: number | undefined }
   /** The request may have run, but there is no answer that can be passed on. */
   | { readonly kind: 'lost'; readonly detail: string }
   /** The kept connection that carried the request was closed or reset; the request may have run. */
@@ -74,6 +80,8 @@
   readonly #attemptLog: AttemptLog;
   /** The last failure that a host answered; it is preferred to an own error answer if no other attempt follows. */
   #lastFailedAnswer: CompleteAnswer | undefined;
+  /** Time for a retry that a peer named when it refused the request, in milliseconds. */
+  #peerRetryAfterMs: number | undefined;
 
   constructor(context: RequestContext, services: RelayServices) {
     this.#context = context;
@@ -86,18 +94,23 @@
   async run(): Promise<void> {
     for (;;) {
       const query = (): TargetQuery => this.#query();
-      const target = await awaitTarget(this.#services, this.#context, query);
+      const hop = await nextHop(this.#services, this.#context, this.#attemptLog, query);
       // If the caller disconnected while the request was waiting for a target, no host may receive it any more.
       if (this.#context.callerSignal.aborted) {
-        this.#releaseClaim(target);
+        releaseClaim(this.#services, hop);
         return;
       }
-      if (!isTarget(target)) {
-        this.#giveUp(target.reason, target.targets);
+      if (!isTarget(hop) && !isPeerHop(hop)) {
+        this.#giveUp(hop.reason, hop.targets);
         return;
       }
-      const end = await this.#attempt(target);
-      if (end.kind === 'gone') {
+      const end = await (isPeerHop(hop) ? this.#forward(hop) : this.#attempt(hop));
+      if (this.#context.callerSignal.aborted) {
+        return;
+      }
+      if (end.kind === 'refused') {
+        this.#peerRetryAfterMs = end.retryAfterMs;
+        this.#giveUp('not-run');
         return;
       }
       if (end.kind === 'answered' && !this.#isWorthRetrying(end.answer)) {
@@ -118,12 +131,6 @@
     }
   }
 
-  #releaseClaim(target: Target | NoTarget): void {
-    if (isTarget(target)) {
-      this.#services.eligibility.giveBack(target.host);
-    }
-  }
-
   #query(): TargetQuery {
     const { service, homeRegions: homes } = this.#context;
     const homeRegions = homes.current();
@@ -146,13 +153,14 @@
     let bytes = 0;
     let head: IncomingMessage | undefined;
     this.#attemptLog.noteSent(target.host);
-    activities.noteRequestSent(target.host.id);
+    activities.noteRequestSent(target.host);
     return new Promise(resolve => {
       const settle = (end: AttemptEnd): void => {
         timeout.cancel();
         removeGuard();
+        removeRescue();
         callerSignal.removeEventListener('abort', cancel);
-        activities.noteRequestEnded(target.host.id, false);
+        activities.noteRequestEnded(target.host, false);
         this.#recordEnd({
           target,
           end,
@@ -174,8 +182,7 @@
           onNotWritten: () => {
             this.#services.eligibility.giveBack(target.host);
           },
-          requestId: this.#context.id,
-          onAnswerHead: noticeListener(this.#services.headers, this.#services),
+          onAnswerHead: hostNoticeListener(this.#services, target.host, this.#context.id),
         },
         {
           onHead: answer => {
@@ -198,9 +205,27 @@
       callerSignal.addEventListener('abort', cancel);
       const removeGuard = this.#services.quarantine.cancelWhenQuarantined(this.#context, cancel);
       const timeout = afterTurn(cancel, this.#attemptTimeoutMs(deadline));
+      const removeRescue = this.#cancelWhenForwardable(cancel);
+    });
+  }
+
+  // An attempt that waits while no host is within reach is replaced by a forwarded one, if the request may be repeated.
+  #cancelWhenForwardable(cancel: () => void): () => void {
+    return whenForwardable(this.#services, this.#context, () => {
+      if (mayRepeat(this.#context.route) && this.#attemptLog.canRetry()) {
+        cancel();
+      }
     });
   }
 
+  async #forward(hop: PeerHop): Promise<AttemptEnd> {
+    const send = forwardedSend(this.#services, this.#context, this.#attemptLog, hop, undefined);
+    const timeoutMs = this.#attemptTimeoutMs(this.#context.deadline);
+    const end = await forwardPlain(send, this.#services, timeoutMs);
+    this.#attemptLog.noteForwardedEnd(hop.peer.name, end.kind);
+    return end;
+  }
+
   // While a retry is possible, an attempt ends after a multiple of the objective, so that time is left for the retry.
   #attemptTimeoutMs(deadline: number): number {
     const remainingMs = deadline - DEADLINE_MARGIN_MS - monotonicMs();
@@ -233,17 +258,10 @@
     if (end !== 'whole' || head === undefined) {
       return { kind: 'lost', detail: end };
     }
-    if (head.headers[headerNames.requestId] !== this.#context.id) {
-      return { kind: 'lost', detail: 'answer belongs to another request' };
-    }
-    const isSuccess = (head.statusCode ?? 0) < 300;
-    if (isSuccess && head.headers[headerNames.answerStamp] === undefined) {
-      return { kind: 'lost', detail: 'answer stamp header is missing' };
-    }
-    if (head.headers['content-encoding'] !== undefined) {
-      return { kind: 'lost', detail: 'answer has a content encoding' };
-    }
-    return { kind: 'answered', answer: { head, body } };
+    const fault = answerFault(head, this.#context.id, headerNames);
+    return fault === undefined
+      ? { kind: 'answered', answer: { head, body } }
+      : { kind: 'lost', detail: fault };
   }
 
   #recordEnd({ target, end, durationMs, stateAtSend }: EndedAttempt): void {
@@ -257,6 +275,9 @@
     if (isUnsent(end.kind)) {
       this.#attemptLog.noteNeverSent();
     }
+    if (end.kind === 'never-sent') {
+      this.#attemptLog.noteUnreachable();
+    }
     if (end.kind === 'answered' && (end.answer.head.statusCode ?? 0) < 500) {
       activities.noteProgress(target.host);
       const kind = requestKind(this.#context.service.name, undefined);
@@ -303,7 +324,7 @@
       return;
     }
     const answer = this.#finalAnswer(reason);
-    const { response, route, id, arrivedAt } = this.#context;
+    const { route, id, arrivedAt } = this.#context;
     const { counters, log } = this.#services;
     counters.count('answers_total', { kind: route.kind, status: String(answer.status) });
     log.warn('request given up', {
@@ -316,16 +337,9 @@
       fingerprint: answer.reason === 'quarantined' ? this.#context.fingerprint() : undefined,
       sentTo: this.#attemptLog.sentTo,
       heldMs: Math.round(monotonicMs() - arrivedAt),
-      serviceSilentMs: this.#serviceSilentMs(),
+      serviceSilentMs: serviceSilentMs(this.#services, this.#context),
     });
-    sendFinalAnswer(response, answer);
-  }
-
-  // Milliseconds since any host of the service sent data: tells a fault of this entry host's links from one of a host.
-  #serviceSilentMs(): number | undefined {
-    const { activities } = this.#services;
-    const silenceMs = activities.contacts.silenceMs(this.#context.service.name, monotonicMs());
-    return silenceMs === undefined ? undefined : Math.round(silenceMs);
+    sendOwnAnswer(this.#context, this.#attemptLog, answer);
   }
 
   #finalAnswer(reason: GiveUpReason): FinalAnswer {
@@ -333,9 +347,10 @@
       return quarantinedAnswer(this.#attemptLog.mayHaveRun);
     }
     if (!this.#attemptLog.mayHaveRun) {
-      const defaultMs = lastsUntilOperatorActs(reason) ? RETRY_AFTER_NO_HOST_MS : RETRY_AFTER_MS;
+      const isLasting = lastsUntilOperatorActs(reason) || reason === 'unreachable';
+      const defaultMs = isLasting ? RETRY_AFTER_NO_HOST_MS : RETRY_AFTER_MS;
       const waitMs = retryAfterMs(this.#services, this.#query(), defaultMs);
-      return { status: 503, reason, retryAfterMs: waitMs };
+      return { status: 503, reason, retryAfterMs: this.#peerRetryAfterMs ?? waitMs };
     }
     const isDeadlineNear = this.#context.deadline - monotonicMs() < 2 * DEADLINE_MARGIN_MS;
     return isDeadlineNear
--- a/packages/entry/src/requests/relay-services.ts
+++ b/packages/entry/src/requests/relay-services.ts
@@ -1,5 +1,6 @@
 /** The services of an entry host that its relays use. */
 import type { Service } from '../configuration/serving-configuration.js';
+import type { Forwarding } from '../forwarding/forwarding.js';
 import type { HostRegistry } from '../hosts/host-registry.js';
 import type { QuarantineGate } from '../quarantine/request-quarantine.js';
 import type { HostRateLimits } from '../rate-limits/host-rate-limits.js';
@@ -11,7 +12,7 @@
 import type { Target, TargetChooser } from '../routing/target-chooser.js';
 import type { Log } from '../server/log.js';
 import type { Counters, Latencies } from '../server/metrics.js';
-import type { StoreFreshness } from './host-state-at-send.js';
+import type { StoreFreshness } from '../store/store-freshness.js';
 import type { PacedQueues } from './paced-queues.js';
 import type { RelayHeaders } from './relay-headers.js';
 import type { StallMonitor } from './stall-monitor.js';
@@ -35,6 +36,8 @@
   readonly reportSuspectedTarget: (target: Target, isUnreachable: boolean) => void;
   /** True while entry hosts report that they can not connect to the target. */
   readonly isUnreachable: (target: Target) => boolean;
+  /** Forwards requests to peers; undefined where this entry host has no peers that could take them. */
+  readonly forwarding: Forwarding | undefined;
   /** Queues of requests that wait for their turn at rate-limited or cold hosts. */
   readonly pacedQueues: PacedQueues;
   /** Detects which requests crash the hosts that run them, and grants trials of these. */
--- a/packages/entry/src/requests/request-context.ts
+++ b/packages/entry/src/requests/request-context.ts
@@ -2,6 +2,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 
 import type { Route, Service } from '../configuration/serving-configuration.js';
+import type { ForwardedRequest } from '../forwarding/peer-headers.js';
 import type { RequestFingerprint } from '../quarantine/request-fingerprint.js';
 import type { RequestHomeRegions } from './home-regions.js';
 
@@ -34,6 +35,8 @@
   readonly deadline: number;
   /** Aborted when the caller's connection is closed. */
   readonly callerSignal: AbortSignal;
+  /** Set if a peer has forwarded the request: it is then not forwarded again. */
+  readonly forwarded: ForwardedRequest | undefined;
 };
 
 /** True if requests of the route may run more than once. */
--- a/packages/entry/src/requests/request-intake.ts
+++ b/packages/entry/src/requests/request-intake.ts
@@ -5,6 +5,8 @@
 import type { RouteTable } from '../configuration/route-table.js';
 import { pickService } from '../configuration/route-table.js';
 import type { Route } from '../configuration/serving-configuration.js';
+import type { ForwardedRequest } from '../forwarding/peer-headers.js';
+import { markOutcome } from '../forwarding/peer-headers.js';
 import type { RequestFingerprint } from '../quarantine/request-fingerprint.js';
 import { fingerprintOf } from '../quarantine/request-fingerprint.js';
 import { monotonicMs } from '../server/time.js';
@@ -33,13 +35,18 @@
   | 'body'
   | 'arrivedAt'
   | 'callerSignal'
+  | 'forwarded'
 >;
 
+/** A request as it was received. */
+type ReceivedRequest = Pick<RequestContext, 'request' | 'response' | 'callerSignal' | 'forwarded'>;
+
 /** Admits or refuses the requests of callers, and counts them. */
 export class RequestIntake {
   readonly #holder: ConfigurationHolder;
   readonly #services: RelayServices;
   #open = 0;
+  #openForwarded = 0;
   #total = 0;
 
   constructor(holder: ConfigurationHolder, services: RelayServices) {
@@ -52,13 +59,18 @@
     return this.#open;
   }
 
+  /** Number of requests in progress that peers have forwarded. */
+  get openForwarded(): number {
+    return this.#openForwarded;
+  }
+
   /** Number of requests received since this process started. */
   get total(): number {
     return this.#total;
   }
 
   /** Processes a request until it has its final answer. */
-  handle(request: IncomingMessage, response: ServerResponse): void {
+  handle(request: IncomingMessage, response: ServerResponse, forwarded?: ForwardedRequest): void {
     this.#open += 1;
     this.#total += 1;
     const disconnection = new AbortController();
@@ -66,17 +78,22 @@
       this.#open -= 1;
       disconnection.abort(DISCONNECT_REASON);
     });
-    this.#run(request, response, disconnection.signal).catch((error: unknown) => {
-      this.#services.log.error('request failed', { cause: String((error as Error).stack) });
-      response.destroy();
-    });
+    if (forwarded !== undefined) {
+      this.#openForwarded += 1;
+      response.once('close', () => {
+        this.#openForwarded -= 1;
+      });
+    }
+    this.#run({ request, response, callerSignal: disconnection.signal, forwarded }).catch(
+      (error: unknown) => {
+        this.#services.log.error('request failed', { cause: String((error as Error).stack) });
+        response.destroy();
+      },
+    );
   }
 
-  async #run(
-    request: IncomingMessage,
-    response: ServerResponse,
-    callerSignal: AbortSignal,
-  ): Promise<void> {
+  async #run(received: ReceivedRequest): Promise<void> {
+    const { request, response, callerSignal, forwarded } = received;
     const arrivedAt = monotonicMs();
     const table = this.#holder.table;
     const body = await readBody(request, table?.limits.maxBodyBytes ?? 0);
@@ -88,26 +105,19 @@
       return;
     }
     if (table === undefined) {
-      this.#refuse(request, response, unavailable('no-configuration'));
+      this.#refuse(received, unavailable('no-configuration'));
       return;
     }
     if (body === 'too-large') {
-      this.#refuse(request, response, { status: 413, reason: 'body-too-large' });
+      this.#refuse(received, { status: 413, reason: 'body-too-large' });
       return;
     }
-    const admitted = this.#admit(this.#holder.table ?? table, request);
+    const admitted = this.#admit(this.#holder.table ?? table, request, forwarded);
     if ('status' in admitted) {
-      this.#refuse(request, response, admitted);
+      this.#refuse(received, admitted);
       return;
     }
-    await this.#relay({
-      ...admitted,
-      request,
-      response,
-      body,
-      arrivedAt,
-      callerSignal,
-    });
+    await this.#relay({ ...admitted, ...received, body, arrivedAt });
   }
 
   // An incomplete body must not be relayed, and the caller's connection is closed: no answer can reach it.
@@ -134,10 +144,8 @@
       isQuarantined: () => this.#services.quarantine.isQuarantined(fingerprint),
       deadline: context.arrivedAt + limitMs,
     };
-    this.#services.budgetOf(context.service.name).noteRequest();
-    if (context.model !== undefined) {
-      const tokens = header(context.request, this.#services.headers.tokenCounts);
-      this.#services.demand.noteRequest(context.service.name, context.model, tokens);
+    if (context.forwarded === undefined) {
+      this.#noteRequest(context);
     }
     const relay =
       context.route.kind === 'stream'
@@ -146,7 +154,20 @@
     return relay.run();
   }
 
-  #admit(table: RouteTable, request: IncomingMessage): AdmittedRequest | FinalAnswer {
+  // Counts a request of a caller; one that is forwarded is counted by the entry host that received it first.
+  #noteRequest(context: Pick<RequestContext, 'request' | 'service' | 'model'>): void {
+    this.#services.budgetOf(context.service.name).noteRequest();
+    if (context.model !== undefined) {
+      const tokens = header(context.request, this.#services.headers.tokenCounts);
+      this.#services.demand.noteRequest(context.service.name, context.model, tokens);
+    }
+  }
+
+  #admit(
+    table: RouteTable,
+    request: IncomingMessage,
+    forwarded: ForwardedRequest | undefined,
+  ): AdmittedRequest | FinalAnswer {
     const names = this.#services.headers;
     const key = bearerKeyOf(request);
     const lookup = { hostHeader: request.headers.host ?? '', url: request.url ?? '/', key };
@@ -164,7 +185,7 @@
         return this.#rejectIfConfirmed(401, key === undefined ? 'no-key' : 'unknown-key');
       }
     }
-    const serviceName = pickService(route, Math.random());
+    const serviceName = chosenService(route, forwarded) ?? pickService(route, Math.random());
     const service = serviceName === undefined ? undefined : table.service(serviceName);
     if (service === undefined) {
       return unavailable('no-service');
@@ -188,7 +209,7 @@
       : unavailable('configuration-unconfirmed');
   }
 
-  #refuse(request: IncomingMessage, response: ServerResponse, answer: FinalAnswer): void {
+  #refuse({ request, response, forwarded }: ReceivedRequest, answer: FinalAnswer): void {
     const { counters, log, headers: names } = this.#services;
     counters.count('refusals_total', { reason: answer.reason });
     log.warn('request refused', {
@@ -199,6 +220,10 @@
       confirmedMsAgo: Math.round(this.#holder.confirmationAgeMs),
       confirmedBy: this.#holder.confirmedBy,
     });
+    if (forwarded !== undefined) {
+      // The peer that forwarded the request has admitted it, so another one may know the same configuration.
+      markOutcome(response, 'unavailable');
+    }
     sendFinalAnswer(response, answer);
   }
 }
@@ -221,6 +246,11 @@
   };
 }
 
+// The service that the forwarding peer chose, if the route still has it.
+function chosenService(route: Route, forwarded: ForwardedRequest | undefined): string | undefined {
+  return route.targets.find(({ service }) => service === forwarded?.service)?.service;
+}
+
 function isIncomplete(body: Buffer | string | IncompleteBody | undefined): body is IncompleteBody {
   return typeof body === 'object' && 'readError' in body;
 }
--- a/packages/entry/src/requests/stream-attempt.ts
+++ b/packages/entry/src/requests/stream-attempt.ts
@@ -4,13 +4,14 @@
 import { requestKind } from '../routing/host-activity.js';
 import type { Target } from '../routing/target-chooser.js';
 import { monotonicMs } from '../server/time.js';
+import { answerFault } from './answer-check.js';
 import { keptConnectionsFor } from './connection-choice.js';
 import type { Exchange, ExchangeEnd, UnsentEnd } from './exchange.js';
 import { isConnectionLost, isUnsent, startExchange } from './exchange.js';
 import type { HostStateAtSend } from './host-state-at-send.js';
 import { hostStateAtSend } from './host-state-at-send.js';
 import { mayWriteTo } from './may-write.js';
-import { noticeListener } from './notice-listener.js';
+import { hostNoticeListener } from './notice-listener.js';
 import { isFramed, reportsNotRun } from './plain-relay.js';
 import type { RelayServices } from './relay-services.js';
 import type { RequestContext } from './request-context.js';
@@ -27,6 +28,8 @@
   | { readonly kind: UnsentEnd }
   /** The host answered with a status other than 200. */
   | { readonly kind: 'failed'; readonly head: IncomingMessage; readonly body: Buffer }
+  /** A peer answered that no host has run the request or will run it; its time for a retry, in milliseconds. */
+  | { readonly kind: 'refused'; readonly retryAfterMs: number | undefined }
   /** Cancelled, since another attempt delivered events first. */
   | { readonly kind: 'superseded' }
   /** The kept connection that carried the request was closed or reset; the request may have run. */
@@ -98,9 +101,8 @@
     const { activities, stalls, headers: headerNames } = this.#services;
     const { request, body } = this.#context;
     const { host } = this.#target;
-    const hostId = host.id;
     this.#stateAtSend = hostStateAtSend(this.#services, this.#target.host, monotonicMs());
-    activities.noteRequestSent(hostId);
+    activities.noteRequestSent(host);
     stalls.add(this);
     return new Promise(resolve => {
       this.#exchange = startExchange(
@@ -121,8 +123,7 @@
           onNotWritten: () => {
             this.#services.eligibility.giveBack(host);
           },
-          requestId: this.#context.id,
-          onAnswerHead: noticeListener(this.#services.headers, this.#services),
+          onAnswerHead: hostNoticeListener(this.#services, host, this.#context.id),
         },
         {
           onHead: answer => {
@@ -133,7 +134,7 @@
           },
           onEnd: exchangeEnd => {
             stalls.remove(this);
-            activities.noteRequestEnded(hostId, this.#hasBegun);
+            activities.noteRequestEnded(host, this.#hasBegun);
             const end = this.#classifyEnd(exchangeEnd);
             this.#recordEnd(end);
             resolve(end);
@@ -238,13 +239,7 @@
 
   #receiveHead(answer: IncomingMessage): void {
     const headerNames = this.#services.headers;
-    if (answer.headers[headerNames.requestId] !== this.#context.id) {
-      this.#invalidReason = 'answer belongs to another request';
-    } else if (answer.statusCode === 200 && answer.headers[headerNames.answerStamp] === undefined) {
-      this.#invalidReason = 'answer stamp header is missing';
-    } else if (answer.headers['content-encoding'] !== undefined) {
-      this.#invalidReason = 'answer has a content encoding';
-    }
+    this.#invalidReason = answerFault(answer, this.#context.id, headerNames);
     this.#head = answer;
     const isNotRun = reportsNotRun(answer, headerNames.notExecuted);
     if (this.#invalidReason !== undefined && !isNotRun) {
--- a/packages/entry/src/requests/stream-relay.ts
+++ b/packages/entry/src/requests/stream-relay.ts
@@ -4,24 +4,28 @@
  */
 import type { IncomingMessage } from 'node:http';
 
+import { ForwardedStream } from '../forwarding/forwarded-stream.js';
 import { shouldRefuse } from '../routing/overload-guard.js';
 import type { RetryReason } from '../routing/retry-budget.js';
 import type { Target, TargetQuery } from '../routing/target-chooser.js';
 import { afterTurn, monotonicMs, sleep } from '../server/time.js';
 import { AttemptLog } from './attempt-log.js';
-import type { NoTarget } from './await-target.js';
-import { awaitTarget, isTarget } from './await-target.js';
-import { claimTarget } from './claim-target.js';
+import { isTarget, releaseClaim } from './claim-target.js';
 import { EventSplitter } from './event-splitter.js';
 import { isUnsent } from './exchange.js';
 import type { FinalAnswer } from './final-answer.js';
-import { quarantinedAnswer, sendFinalAnswer } from './final-answer.js';
+import { quarantinedAnswer } from './final-answer.js';
+import type { PeerHop } from './next-hop.js';
+import { isPeerHop, nextHop, whenForwardable } from './next-hop.js';
+import { sendOwnAnswer, serviceSilentMs } from './own-answer.js';
 import { endToEndHeaders } from './relay-headers.js';
 import type { RelayServices } from './relay-services.js';
 import type { RequestContext } from './request-context.js';
 import { RETRY_AFTER_MS, RETRY_AFTER_NO_HOST_MS, retryAfterMs } from './retry-after.js';
 import type { StreamAttemptEnd } from './stream-attempt.js';
 import { StreamAttempt } from './stream-attempt.js';
+import type { Attempt } from './stream-hops.js';
+import { createAttempt, hedgedHop } from './stream-hops.js';
 import type { NoTargetReason } from './wait-for-target.js';
 
 /** Time before the deadline at which attempts end, in milliseconds, so that the final answer is sent in time. */
@@ -41,16 +45,18 @@
   readonly #services: RelayServices;
   readonly #attemptLog: AttemptLog;
   readonly #eventSplitter: EventSplitter;
-  readonly #running = new Set<StreamAttempt>();
+  readonly #running = new Set<Attempt>();
   /** The attempt whose events are passed on. */
-  #leader: StreamAttempt | undefined;
+  #leader: Attempt | undefined;
   /** Bytes of attempts other than the leader, held back until they contain a complete event. */
-  readonly #heldBack = new Map<StreamAttempt, Buffer>();
+  readonly #heldBack = new Map<Attempt, Buffer>();
   #resolveSend: ((end: StreamAttemptEnd) => void) | undefined;
   /** Head of the last failure that a host answered; preferred to an own error answer if no other attempt follows. */
   #failedHead: IncomingMessage | undefined;
   #failedBody: Buffer | undefined;
   #lastSentAt = 0;
+  /** Time for a retry that a peer named when it refused the stream, in milliseconds. */
+  #peerRetryAfterMs: number | undefined;
 
   constructor(context: RequestContext, services: RelayServices) {
     this.#context = context;
@@ -74,16 +80,31 @@
     };
     callerSignal.addEventListener('abort', cancel);
     const removeGuard = this.#services.quarantine.cancelWhenQuarantined(this.#context, cancel);
+    const removeRescue = this.#cancelWhenForwardable();
     const timeout = afterTurn(cancel, Math.max(1, deadline - DEADLINE_MARGIN_MS - monotonicMs()));
     try {
       await this.#runAttempts();
     } finally {
       timeout.cancel();
       removeGuard();
+      removeRescue();
       callerSignal.removeEventListener('abort', cancel);
     }
   }
 
+  // Attempts that wait while no host is within reach are replaced by a forwarded one, if the stream may be repeated.
+  #cancelWhenForwardable(): () => void {
+    return whenForwardable(this.#services, this.#context, () => {
+      if (this.#attemptLog.canHedge('lost')) {
+        [...this.#running]
+          .filter(attempt => attempt instanceof StreamAttempt)
+          .forEach(attempt => {
+            attempt.cancel();
+          });
+      }
+    });
+  }
+
   #isRefused(): boolean {
     const { objectiveMs } = this.#context.route;
     return shouldRefuse(this.#services.chooser, this.#query(), objectiveMs, Math.random());
@@ -93,20 +114,25 @@
     const { callerSignal } = this.#context;
     for (;;) {
       const query = (): TargetQuery => this.#query();
-      const target = await awaitTarget(this.#services, this.#context, query);
+      const hop = await nextHop(this.#services, this.#context, this.#attemptLog, query);
       if (callerSignal.aborted) {
-        this.#releaseClaim(target);
+        releaseClaim(this.#services, hop);
         return;
       }
-      if (!isTarget(target)) {
-        this.#giveUp(target.reason, target.targets);
+      if (!isTarget(hop) && !isPeerHop(hop)) {
+        this.#giveUp(hop.reason, hop.targets);
         return;
       }
-      const end = await this.#send(target);
+      const end = await this.#send(hop);
       if (end.kind === 'complete') {
         this.#finish();
         return;
       }
+      if (end.kind === 'refused') {
+        this.#peerRetryAfterMs = end.retryAfterMs;
+        this.#giveUp('not-run');
+        return;
+      }
       if (end.kind === 'lost' || end.kind === 'stale') {
         await this.#services.quarantine.awaitVerdict(this.#context);
       }
@@ -135,13 +161,6 @@
     return true;
   }
 
-  // Releases the claim on a target to which the stream is not sent after all.
-  #releaseClaim(target: Target | NoTarget): void {
-    if (isTarget(target)) {
-      this.#services.eligibility.giveBack(target.host);
-    }
-  }
-
   #query(): TargetQuery {
     const { service, model, homeRegions } = this.#context;
     return { service, model, homeRegions: homeRegions.current(), exclude: this.#attemptLog.tried };
@@ -150,17 +169,16 @@
   // Resolves when an attempt completes the stream, or when none is running any more. While an attempt is stalled, a
   // hedged one may run beside it. The one that delivers the next complete event first is continued, so an attempt that
   // was wrongly taken for stalled does not end the answer.
-  #send(target: Target): Promise<StreamAttemptEnd> {
+  #send(hop: Target | PeerHop): Promise<StreamAttemptEnd> {
     this.#eventSplitter.dropIncompleteEvent();
     return new Promise(resolve => {
       this.#resolveSend = resolve;
-      this.#leader = this.#startAttempt(target);
+      this.#leader = this.#startAttempt(hop);
     });
   }
 
-  #startAttempt(target: Target): StreamAttempt {
-    this.#attemptLog.noteSent(target.host);
-    const attempt: StreamAttempt = new StreamAttempt(this.#context, this.#services, target, {
+  #startAttempt(hop: Target | PeerHop): Attempt {
+    const attempt: Attempt = createAttempt(this.#services, this.#context, this.#attemptLog, hop, {
       lastEventId: this.#eventSplitter.lastEventId,
       onEvents: chunk => {
         this.#receiveBytes(attempt, chunk);
@@ -176,28 +194,27 @@
     return attempt;
   }
 
-  #startSecondAttempt(stalled: StreamAttempt, reason: RetryReason): void {
-    const query = this.#query();
-    const { chooser, counters } = this.#services;
+  #startSecondAttempt(stalled: Attempt, reason: RetryReason): void {
+    const { counters } = this.#services;
     const isAllowed = stalled === this.#leader && this.#running.size === 1;
-    if (!isAllowed || !this.#attemptLog.canHedge(reason) || !chooser.hasHealthyTarget(query)) {
+    if (!isAllowed || !this.#attemptLog.canHedge(reason)) {
       return;
     }
-    const target = claimTarget(this.#services, query);
-    if (target === undefined) {
+    const hop = hedgedHop(this.#services, this.#context, this.#attemptLog, this.#query(), stalled);
+    if (hop === undefined) {
       return;
     }
     if (!this.#attemptLog.takeRetry(reason)) {
-      this.#releaseClaim(target);
+      releaseClaim(this.#services, hop);
       return;
     }
     counters.count('retries_total', { service: 'engine', after: 'stalled' });
-    this.#startAttempt(target);
+    this.#startAttempt(hop);
   }
 
   // A host that shuts down may still send part of an event. Only a complete event makes its attempt the leader and
   // cancels the other one.
-  #receiveBytes(attempt: StreamAttempt, chunk: Buffer): void {
+  #receiveBytes(attempt: Attempt, chunk: Buffer): void {
     if (attempt === this.#leader) {
       if (this.#forward(chunk)) {
         this.#confirmLeader(attempt);
@@ -211,11 +228,11 @@
     }
   }
 
-  #heldBackOf(attempt: StreamAttempt): Buffer {
+  #heldBackOf(attempt: Attempt): Buffer {
     return this.#heldBack.get(attempt) ?? NO_BYTES;
   }
 
-  #makeLeader(attempt: StreamAttempt): void {
+  #makeLeader(attempt: Attempt): void {
     this.#leader = attempt;
     this.#eventSplitter.dropIncompleteEvent();
     const bytes = this.#heldBackOf(attempt);
@@ -226,7 +243,7 @@
   }
 
   // Makes an attempt that delivered a complete event the leader, and cancels the other one, if any.
-  #confirmLeader(attempt: StreamAttempt): void {
+  #confirmLeader(attempt: Attempt): void {
     if (attempt !== this.#leader) {
       this.#makeLeader(attempt);
     }
@@ -237,9 +254,9 @@
     }
   }
 
-  #attemptEnded(attempt: StreamAttempt, end: StreamAttemptEnd): void {
+  #attemptEnded(attempt: Attempt, end: StreamAttemptEnd): void {
     this.#running.delete(attempt);
-    this.#recordEnd(end);
+    this.#recordEnd(attempt, end);
     const pendingBytes =
       attempt === this.#leader
         ? this.#eventSplitter.pendingBytes
@@ -262,9 +279,14 @@
     }
   }
 
-  #recordEnd(end: StreamAttemptEnd): void {
-    if (isUnsent(end.kind)) {
+  #recordEnd(attempt: Attempt, end: StreamAttemptEnd): void {
+    if (attempt instanceof ForwardedStream) {
+      this.#attemptLog.noteForwardedEnd(attempt.peer, end.kind);
+    } else if (isUnsent(end.kind)) {
       this.#attemptLog.noteNeverSent();
+      if (end.kind === 'never-sent') {
+        this.#attemptLog.noteUnreachable();
+      }
     } else if (end.kind === 'not-run') {
       this.#attemptLog.noteRejected();
     } else {
@@ -331,7 +353,7 @@
       fingerprint: answer.reason === 'quarantined' ? this.#context.fingerprint() : undefined,
       sentTo: this.#attemptLog.sentTo,
       heldMs: Math.round(monotonicMs() - arrivedAt),
-      serviceSilentMs: this.#serviceSilentMs(),
+      serviceSilentMs: serviceSilentMs(this.#services, this.#context),
     });
     if (this.#failedHead !== undefined && !response.headersSent) {
       const headers = endToEndHeaders(this.#failedHead.rawHeaders, DROPPED_HEADERS);
@@ -341,14 +363,7 @@
       response.end(body);
       return;
     }
-    sendFinalAnswer(response, answer);
-  }
-
-  // Milliseconds since any host of the service sent data: tells a fault of this entry host's links from one of a host.
-  #serviceSilentMs(): number | undefined {
-    const { activities } = this.#services;
-    const silenceMs = activities.contacts.silenceMs(this.#context.service.name, monotonicMs());
-    return silenceMs === undefined ? undefined : Math.round(silenceMs);
+    sendOwnAnswer(this.#context, this.#attemptLog, answer);
   }
 
   #finalAnswer(reason: GiveUpReason): FinalAnswer {
@@ -360,7 +375,7 @@
       const hasSoundTarget = this.#services.chooser.hasHealthyTarget(anyHost);
       const defaultMs = hasSoundTarget ? RETRY_AFTER_MS : RETRY_AFTER_NO_HOST_MS;
       const waitMs = retryAfterMs(this.#services, anyHost, defaultMs);
-      return { status: 503, reason, retryAfterMs: waitMs };
+      return { status: 503, reason, retryAfterMs: this.#peerRetryAfterMs ?? waitMs };
     }
     const isDeadlineNear = this.#context.deadline - monotonicMs() < 3 * DEADLINE_MARGIN_MS;
     return isDeadlineNear
--- a/packages/entry/src/requests/wait-for-target.ts
+++ b/packages/entry/src/requests/wait-for-target.ts
@@ -16,6 +16,8 @@
 export type NoTargetReason =
   | Exclude<Eligibility, 'eligible' | 'draining'>
   | 'no-target'
+  /** Neither this entry host nor a peer reaches any host of the service. */
+  | 'unreachable'
   /** The request crashes the hosts that run it. */
   | 'quarantined';
 
@@ -83,7 +85,10 @@
 
 /** The reason given in the refusal; if several apply, the one that is likely to end first. */
 export function noTargetReason({ statuses }: TargetAvailability): NoTargetReason {
-  const reasonsByDuration: readonly Exclude<NoTargetReason, 'no-target' | 'quarantined'>[] = [
+  const reasonsByDuration: readonly Exclude<
+    NoTargetReason,
+    'no-target' | 'unreachable' | 'quarantined'
+  >[] = [
     'cold-limit',
     'rate-limit',
     'evacuations-unknown',
--- a/packages/entry/src/routing/host-activity.ts
+++ b/packages/entry/src/routing/host-activity.ts
@@ -93,8 +93,9 @@
   }
 
   /** Counts a request that is sent to the host. */
-  noteRequestSent(id: string): void {
-    this.of(id).inFlight += 1;
+  noteRequestSent(host: HostEntry): void {
+    this.of(host.id).inFlight += 1;
+    this.contacts.noteSent(host);
   }
 
   /** Counts a request whose first bytes arrived from the host. */
@@ -103,8 +104,9 @@
   }
 
   /** Removes a request that ended at the host; `begun`: its first bytes had arrived. */
-  noteRequestEnded(id: string, begun: boolean): void {
-    const activity = this.of(id);
+  noteRequestEnded(host: HostEntry, begun: boolean): void {
+    this.contacts.noteEnded(host);
+    const activity = this.of(host.id);
     activity.inFlight = Math.max(0, activity.inFlight - 1);
     activity.begun = Math.max(0, activity.begun - Number(begun));
   }
@@ -126,13 +128,14 @@
     activity.lastProgressAt = monotonicMs();
     activity.avoidUntil = -Infinity;
     this.reach.noteProgress(host.failureDomain);
-    this.contacts.noteData(host.service);
+    this.contacts.noteData(host);
   }
 
   /** Records that the host could not be reached. */
   noteUnreachable(host: HostEntry): void {
     this.noteFailure(host.id);
     this.reach.noteUnreachable(host.failureDomain, host.id);
+    this.contacts.noteUnreachable(host);
   }
 
   /** Records the time to the first event or the answer of a request, in milliseconds, for a kind of request. */
@@ -194,6 +197,21 @@
     activity.avoidUntil = monotonicMs() + FAILURE_COOLDOWN_MS * factor;
   }
 
+  /**
+   * Forgets the failures of hosts, which were faults of this entry host's own links; their times and requests in progress
+   * are kept.
+   */
+  forgetFailures(hosts: readonly HostEntry[]): void {
+    for (const { id, failureDomain } of hosts) {
+      this.reach.noteProgress(failureDomain);
+      const activity = this.#hosts.get(id);
+      if (activity !== undefined) {
+        activity.avoidUntil = -Infinity;
+        activity.consecutiveFailures = 0;
+      }
+    }
+  }
+
   /** An entry host found that the host's process has ended: requests avoid the host until its entry is removed. */
   noteProcessEnded(id: string): void {
     this.of(id).avoidUntil = monotonicMs() + ENDED_AVOID_MS;
--- a/packages/entry/src/server/entry-settings.ts
+++ b/packages/entry/src/server/entry-settings.ts
@@ -46,6 +46,8 @@
 /** How this entry host and its peers reach each other. */
 export type PeerSettings = {
   readonly listen: SocketAddress;
+  /** Where this host accepts requests that peers forward; undefined if it accepts none and forwards none. */
+  readonly forwarding: SocketAddress | undefined;
   /** Addresses (`ip:port`) of some peers, which may no longer exist. */
   readonly seeds: readonly string[];
   /** Secret key that all entry hosts share; empty if the network is trusted. */
@@ -146,6 +148,9 @@
 function readPeers(reader: SettingsReader): PeerSettings {
   return {
     listen: reader.address('peers', 'listen'),
+    forwarding: reader.has('peers', 'forwarding')
+      ? reader.address('peers', 'forwarding')
+      : undefined,
     seeds: reader.list('peers', 'seeds'),
     key: reader.has('peers', 'key') ? reader.text('peers', 'key') : '',
     power: reader.number('host', 'processor-share', 1) * reader.number('host', 'processors', 1),
--- a/packages/entry/src/store/kind-observers.ts
+++ b/packages/entry/src/store/kind-observers.ts
@@ -4,9 +4,9 @@
  */
 import type { ConfigurationHolder } from '../configuration/configuration-holder.js';
 import type { HostRegistry } from '../hosts/host-registry.js';
-import type { StoreFreshness } from '../requests/host-state-at-send.js';
 import type { FollowedKinds } from './followed-kinds.js';
 import { OBJECT_KINDS } from './object-store.js';
+import type { StoreFreshness } from './store-freshness.js';
 import type { KindObserver } from './watched-kind.js';
 
 /** Passes the configuration on to its holder; `onApplied` is called after each answer that may have changed it. */
--- a/packages/entry/src/testing/relay.ts
+++ b/packages/entry/src/testing/relay.ts
@@ -125,6 +125,7 @@
       now: monotonicMs,
     }),
     registry: { latestOf: (host: HostEntry) => host },
+    forwarding: undefined,
     stalls: new StallMonitor(),
     budgetOf: () => budget,
     connectionsOf: (service: Service) => limits.connectionsOf(service),
