--- a/packages/entry/src/isolation/reach-state.ts
+++ b/packages/entry/src/isolation/reach-state.ts
@@ -16,6 +16,7 @@
 /** The reach of one service. A circuit breaker for all of its hosts; times in monotonic milliseconds. */
 export class ReachState {
   #reach: Reach = 'connected';
+  #isolatedSince = Infinity;
   #recoveringSince = -Infinity;
   #lastTrialAt = -Infinity;
 
@@ -33,6 +34,7 @@
   /** Records that hosts were probed: `isReached` is true if one of them accepted a connection. */
   noteProbe(isReached: boolean, now: number): void {
     if (!isReached) {
+      this.#isolatedSince = this.#reach === 'isolated' ? this.#isolatedSince : now;
       this.#reach = 'isolated';
     } else if (this.#reach === 'isolated') {
       this.#reach = 'recovering';
@@ -40,6 +42,11 @@
     }
   }
 
+  /** Milliseconds since which the service has been out of reach; 0 if it is not. */
+  isolatedMs(now: number): number {
+    return this.#reach === 'isolated' ? now - this.#isolatedSince : 0;
+  }
+
   /** True if a request may be sent to a host; while recovering, each call that returns true counts as a trial. */
   admit(now: number): boolean {
     const reach = this.at(now);
--- a/packages/entry/src/isolation/service-contacts.ts
+++ b/packages/entry/src/isolation/service-contacts.ts
@@ -18,10 +18,19 @@
   readonly onUnreachable: (host: HostEntry) => void;
 };
 
+/** Silence of all hosts of a service that have requests in progress. */
+export type Silence = {
+  /** Number of these hosts. */
+  readonly hosts: number;
+  /** Milliseconds since any of them sent data, or since the first of the requests was sent. */
+  readonly ms: number;
+};
+
 /** Contact with the hosts of one service; times in monotonic milliseconds. */
 type Contact = {
   lastDataAt: number | undefined;
-  inFlight: number;
+  /** Number of requests in progress, by host id. */
+  readonly inFlight: Map<string, number>;
   /** Since when requests have been in progress without interruption. */
   busySince: number;
 };
@@ -37,19 +46,24 @@
   }
 
   /** Records that a request is sent to a host. */
-  noteSent({ service }: HostEntry): void {
+  noteSent({ id, service }: HostEntry): void {
     const contact = this.#of(service);
-    if (contact.inFlight === 0) {
+    if (contact.inFlight.size === 0) {
       contact.busySince = monotonicMs();
     }
-    contact.inFlight += 1;
+    contact.inFlight.set(id, (contact.inFlight.get(id) ?? 0) + 1);
     this.#observer?.onSent(service);
   }
 
   /** Records that a request at a host has ended. */
-  noteEnded({ service }: HostEntry): void {
-    const contact = this.#of(service);
-    contact.inFlight = Math.max(0, contact.inFlight - 1);
+  noteEnded({ id, service }: HostEntry): void {
+    const { inFlight } = this.#of(service);
+    const left = (inFlight.get(id) ?? 0) - 1;
+    if (left > 0) {
+      inFlight.set(id, left);
+    } else {
+      inFlight.delete(id);
+    }
   }
 
   /** Records that data arrived from a host. */
@@ -69,16 +83,12 @@
     return at === undefined ? undefined : Math.max(0, now - at);
   }
 
-  /**
-   * Milliseconds for which requests have been in progress while no host of the service sent any data; undefined if none
-   * is in progress; `now` in monotonic milliseconds.
-   */
-  waitedMs(service: string, now: number): number | undefined {
-    const contact = this.#contacts.get(service);
-    if (contact === undefined || contact.inFlight === 0) {
-      return undefined;
-    }
-    return now - Math.max(contact.busySince, contact.lastDataAt ?? -Infinity);
+  /** The hosts of a service that have requests in progress and send no data; `now` in monotonic milliseconds. */
+  silenceOf(service: string, now: number): Silence {
+    const contact = this.#of(service);
+    const hosts = contact.inFlight.size;
+    const since = Math.max(contact.busySince, contact.lastDataAt ?? -Infinity);
+    return { hosts, ms: hosts === 0 ? 0 : now - since };
   }
 
   /** The silence of each service in seconds, as a gauge. */
@@ -93,7 +103,7 @@
   #of(service: string): Contact {
     let contact = this.#contacts.get(service);
     if (contact === undefined) {
-      contact = { lastDataAt: undefined, inFlight: 0, busySince: -Infinity };
+      contact = { lastDataAt: undefined, inFlight: new Map(), busySince: -Infinity };
       this.#contacts.set(service, contact);
     }
     return contact;
--- a/packages/entry/src/isolation/upstream-isolation.ts
+++ b/packages/entry/src/isolation/upstream-isolation.ts
@@ -39,8 +39,10 @@
   readonly counters: Counters;
 };
 
-/** Silence of all hosts that have requests after which they are probed, in milliseconds. */
+/** Silence of several hosts that have requests after which they are probed, in milliseconds. */
 const SILENCE_MS = 250;
+/** The same for a single host, in milliseconds: it is more often slow by itself. */
+const SINGLE_HOST_SILENCE_MS = 600;
 /** Shortest time between two checks of the silence, in milliseconds. */
 const MIN_CHECK_MS = 50;
 /** Time for which a successful probe is believed, in milliseconds, so that slow hosts are not probed all the time. */
@@ -48,7 +50,7 @@
 /** Pause between two probes while isolated, in milliseconds. */
 const PROBE_PERIOD_MS = 250;
 /** Time in which data from another host proves that a report on one host may be sent, in milliseconds. */
-const REPORT_HOLD_MS = 60;
+const REPORT_HOLD_MS = 100;
 
 /** A report on a host that is held until another host has sent data. */
 type HeldReport = { readonly host: HostEntry; readonly send: () => void };
@@ -97,9 +99,12 @@
     return this.#services.get(service)?.state.admit(monotonicMs()) ?? true;
   }
 
-  /** True while the hosts of any service are out of reach. */
-  get isIsolated(): boolean {
-    return [...this.#services.keys()].some(service => this.reachOf(service) === 'isolated');
+  /** The services that have been out of reach for at least `ms` milliseconds. */
+  isolatedFor(ms: number): readonly string[] {
+    const now = monotonicMs();
+    return [...this.#services].flatMap(([service, { state }]) =>
+      state.isolatedMs(now) >= ms && state.at(now) === 'isolated' ? [service] : [],
+    );
   }
 
   /** Resolves with whether hosts of the service are within reach: by recent data, or else by a probe. */
@@ -188,14 +193,15 @@
   }
 
   #checkSilence(service: string): void {
-    const waitedMs = this.#options.contacts.waitedMs(service, monotonicMs());
-    if (waitedMs === undefined) {
+    const { hosts, ms } = this.#options.contacts.silenceOf(service, monotonicMs());
+    if (hosts === 0) {
       return;
     }
-    if (waitedMs >= SILENCE_MS) {
+    const limitMs = hosts === 1 ? SINGLE_HOST_SILENCE_MS : SILENCE_MS;
+    if (ms >= limitMs) {
       this.#suspect(service);
     }
-    this.#scheduleSilenceCheck(service, SILENCE_MS - waitedMs);
+    this.#scheduleSilenceCheck(service, ms >= limitMs ? PROBE_VALID_MS : SILENCE_MS - ms);
   }
 
   #suspect(service: string): void {
