A forwarded request is sent to another peer after the first one has failed

What callers saw (in a test only): a stream whose peer broke it was forwarded to the same peer again. Cause: only peers that could not be connected to were left out. Change: each request prefers peers that it was not forwarded to before; a peer that could not be connected to is left out until it answers again, and rounds of questions no longer go to the isolated peers that answered first. Tests of forwarding with stand-ins of peers: deadline, attempts, loop, declined, not run, caller that leaves, broken streams, peers of an older version.

--- a/packages/entry/src/forwarding/forwarded-exchange.ts
+++ b/packages/entry/src/forwarding/forwarded-exchange.ts
@@ -61,7 +61,7 @@
       ...observer,
       onEnd: end => {
         directory.noteEnded(peer.name);
-        if (isUnsent(end) || end === 'lost') {
+        if (isUnsent(end)) {
           directory.noteFailed(peer.name);
         }
         observer.onEnd(end);
--- a/packages/entry/src/forwarding/forwarding-service.ts
+++ b/packages/entry/src/forwarding/forwarding-service.ts
@@ -1,4 +1,5 @@
 /** Everything that an entry host needs to forward requests to peers and to take those that peers forward. */
+import type { HostEntry } from '../hosts/host-entry.js';
 import type { HostRegistry } from '../hosts/host-registry.js';
 import { UpstreamIsolation } from '../isolation/upstream-isolation.js';
 import type { ForwardingStatus } from '../peers/peer-messages.js';
@@ -30,6 +31,9 @@
 /** Forwarded requests in progress that an entry host accepts, for each core of its processor. */
 const MAX_FORWARDED_PER_CORE = 300;
 
+/** Time without reach after which another entry host should send orders, in milliseconds. */
+const ORDERS_HANDOVER_MS = 1_000;
+
 /** Detects isolation, forwards requests, and accepts forwarded ones. */
 export class ForwardingService {
   readonly isolation: UpstreamIsolation;
@@ -50,6 +54,18 @@
     });
   }
 
+  /**
+   * False while this entry host can send no orders, since it has not reached the hosts that take them for a while. If no
+   * peer is known to reach them either, their silence is no reason to hand orders over to another entry host.
+   */
+  get canSendOrders(): boolean {
+    const { registry } = this.#parts;
+    return !this.isolation
+      .isolatedFor(ORDERS_HANDOVER_MS)
+      .filter(service => registry.ofService(service).some(takesOrders))
+      .some(service => this.forwarding?.directory.hasPeerFor(service) === true);
+  }
+
   /** Starts to accept forwarded requests. */
   async start(): Promise<void> {
     if (this.#address !== undefined) {
@@ -123,3 +139,8 @@
     regionOf: domain => regions.find(region => region.failureDomain === domain)?.region,
   });
 }
+
+// Hosts of plain services take no orders.
+function takesOrders({ fabricDomain }: HostEntry): boolean {
+  return fabricDomain !== undefined;
+}
--- a/packages/entry/src/forwarding/peer-directory.ts
+++ b/packages/entry/src/forwarding/peer-directory.ts
@@ -33,8 +33,6 @@
 const MAX_ASKED = 8;
 /** Age from which a status is not used any more, in milliseconds. */
 const STATUS_VALID_MS = 1_200;
-/** Time for which a peer that failed is left out, in milliseconds. */
-const FAILED_MS = 1_000;
 
 /** The last status of a peer, and the requests that this entry host has in progress there. */
 type KnownPeer = {
@@ -61,7 +59,7 @@
 
   /** Asks some peers for their status; resolves when all have answered or failed. */
   async refresh(services: readonly string[]): Promise<void> {
-    await Promise.all(this.#nextAsked().map(member => this.#ask(member, services)));
+    await Promise.all(this.#nextAsked(services).map(member => this.#ask(member, services)));
   }
 
   /**
@@ -91,7 +89,7 @@
     return this.#usable(service).length > 0;
   }
 
-  /** Leaves a peer out for a while: it did not take a request. */
+  /** Leaves a peer out until it has answered the next question: it could not be connected to. */
   noteFailed(name: string): void {
     this.#failedAt.set(name, this.#now());
   }
@@ -118,7 +116,7 @@
         now - at < STATUS_VALID_MS &&
         status.accepts &&
         status.reached.includes(service) &&
-        now - (this.#failedAt.get(peer.name) ?? -Infinity) >= FAILED_MS,
+        at > (this.#failedAt.get(peer.name) ?? -Infinity),
     );
   }
 
@@ -126,12 +124,15 @@
     return status.load + (this.#inProgress.get(peer.name) ?? 0);
   }
 
-  // Peers that have answered lately are asked again, the other places go to random ones.
-  #nextAsked(): readonly Member[] {
+  // Peers that reach a service are asked again, the other places go to random ones.
+  #nextAsked(services: readonly string[]): readonly Member[] {
     const { self, members } = this.#options;
     const others = this.#shuffled(members().filter(({ name }) => name !== self.name));
-    const isKnown = ({ name }: Member): boolean => this.#known.has(name);
-    const ordered = [...others.filter(isKnown), ...others.filter(member => !isKnown(member))];
+    const usable = new Set(
+      services.flatMap(service => this.#usable(service).map(({ peer }) => peer.name)),
+    );
+    const isUsable = ({ name }: Member): boolean => usable.has(name);
+    const ordered = [...others.filter(isUsable), ...others.filter(other => !isUsable(other))];
     const near = ordered.filter(({ failureDomain }) => failureDomain === self.failureDomain);
     const far = ordered.filter(({ failureDomain }) => failureDomain !== self.failureDomain);
     const nearCount = Math.max(MAX_ASKED / 2, MAX_ASKED - far.length);
--- a/packages/entry/src/requests/attempt-log.ts
+++ b/packages/entry/src/requests/attempt-log.ts
@@ -26,6 +26,7 @@
   #neverSentCount = 0;
   #unreachableCount = 0;
   #rejectionCount = 0;
+  readonly #peers = new Set<string>();
   readonly #declinedBy = new Set<string>();
 
   constructor(context: RequestContext, budget: RetryBudget) {
@@ -43,7 +44,12 @@
     return this.#sentTo.join(',');
   }
 
-  /** Names of peers that declined the request. */
+  /** Names of all peers that the request was forwarded to. */
+  get peers(): ReadonlySet<string> {
+    return this.#peers;
+  }
+
+  /** Names of those that declined it. */
   get declinedBy(): ReadonlySet<string> {
     return this.#declinedBy;
   }
@@ -79,6 +85,7 @@
   /** Records that the request is about to be forwarded to a peer, which sends it to a host. */
   noteForwarded(peer: string): void {
     this.#forwardedCount += 1;
+    this.#peers.add(peer);
     this.#sentTo.push(peer);
   }
 
--- a/packages/entry/src/requests/next-hop.ts
+++ b/packages/entry/src/requests/next-hop.ts
@@ -2,6 +2,7 @@
 import type { ForwardedSend } from '../forwarding/forwarded-exchange.js';
 import type { Forwarding } from '../forwarding/forwarding.js';
 import type { ForwardingPeer } from '../forwarding/peer-directory.js';
+import type { HomeRegions } from '../routing/eligibility.js';
 import type { Target, TargetQuery } from '../routing/target-chooser.js';
 import { monotonicMs, sleep } from '../server/time.js';
 import type { AttemptLog } from './attempt-log.js';
@@ -35,14 +36,7 @@
     return awaitTarget(services, context, query);
   }
   while (!isDirect(services, context, attemptLog)) {
-    const peer =
-      context.forwarded === undefined
-        ? await forwarding.choosePeer({
-            service: service.name,
-            homeRegions: query().homeRegions,
-            exclude: attemptLog.declinedBy,
-          })
-        : undefined;
+    const peer = await choosePeer(forwarding, context, attemptLog, query().homeRegions);
     if (peer !== undefined) {
       return { peer, forwarding };
     }
@@ -59,6 +53,21 @@
   return awaitTarget(services, context, query);
 }
 
+// Prefers a peer that the request was not forwarded to before; one that declined it is not asked again.
+async function choosePeer(
+  forwarding: Forwarding,
+  { service, forwarded }: RequestContext,
+  { peers, declinedBy }: AttemptLog,
+  homeRegions: HomeRegions,
+): Promise<ForwardingPeer | undefined> {
+  if (forwarded !== undefined) {
+    return undefined;
+  }
+  const query = { service: service.name, homeRegions };
+  const other = await forwarding.choosePeer({ ...query, exclude: peers });
+  return other ?? forwarding.knownPeer({ ...query, exclude: declinedBy });
+}
+
 // True if the request should be sent to a host from here.
 function isDirect(
   { forwarding }: RelayServices,
--- a/packages/entry/src/requests/stream-hops.ts
+++ b/packages/entry/src/requests/stream-hops.ts
@@ -36,16 +36,13 @@
 export function hedgedHop(
   services: RelayServices,
   { service, forwarded }: RequestContext,
-  { declinedBy }: AttemptLog,
+  { peers }: AttemptLog,
   query: TargetQuery,
-  stalled: Attempt,
 ): Target | PeerHop | undefined {
   const { chooser, forwarding } = services;
   if (forwarding?.isIsolated(service.name) === true && forwarded === undefined) {
-    const stalledPeers = stalled instanceof ForwardedStream ? [stalled.peer] : [];
-    const exclude = new Set([...declinedBy, ...stalledPeers]);
     const { homeRegions } = query;
-    const peer = forwarding.knownPeer({ service: service.name, homeRegions, exclude });
+    const peer = forwarding.knownPeer({ service: service.name, homeRegions, exclude: peers });
     return peer && { peer, forwarding };
   }
   return chooser.hasHealthyTarget(query) ? claimTarget(services, query) : undefined;
--- a/packages/entry/src/requests/stream-relay.ts
+++ b/packages/entry/src/requests/stream-relay.ts
@@ -200,7 +200,7 @@
     if (!isAllowed || !this.#attemptLog.canHedge(reason)) {
       return;
     }
-    const hop = hedgedHop(this.#services, this.#context, this.#attemptLog, this.#query(), stalled);
+    const hop = hedgedHop(this.#services, this.#context, this.#attemptLog, this.#query());
     if (hop === undefined) {
       return;
     }
