A lease holder that reaches no host releases the lease

Cause: an entry host that is cut off from all upstream hosts kept the lease, renewed at the store that it reaches, and could send no order for the whole time. Replies to followers say so, so that the next host of the domain becomes a candidate. Open: where the first hosts of a failure domain are all cut off, none of it is a candidate.

--- a/packages/entry/src/entry-host.ts
+++ b/packages/entry/src/entry-host.ts
@@ -119,6 +119,7 @@
       instance: this.#instance,
       timing: DEFAULT_LEASE_TIMING,
       eligible: () => this.#peers?.isLeaseCandidate ?? true,
+      canAct: () => this.#forwarding.canSendOrders,
       log,
     });
     this.#metrics.gauges.register('service_silence_seconds', () =>
@@ -259,6 +260,7 @@
       stalls: this.#stalls,
       quarantine: this.#quarantine,
       rules: this.#rules,
+      canSendOrders: () => this.#forwarding.canSendOrders,
       forwardingStatus: services => this.#forwarding.status(services),
       log,
       counters: this.#counters,
--- a/packages/entry/src/lease/lease-task.test.ts
+++ b/packages/entry/src/lease/lease-task.test.ts
@@ -99,6 +99,28 @@
     return task;
   }
 
+  // Guards against a lease that is kept by an entry host which can send no orders.
+  it('is released while its holder can send no orders, and taken by another host', async () => {
+    let canAct = true;
+    const first = new LeaseTask({
+      store: store.store,
+      host: 'a',
+      instance: 'a-1',
+      canAct: () => canAct,
+      timing: TIMING,
+      log: silentLog(),
+    });
+    tasks.push(first);
+    void first.run();
+    await wait(2 * TIMING.renewMs);
+    const second = start('b');
+    expect(first.term).to.not.equal(undefined);
+    canAct = false;
+    await wait(4 * TIMING.renewMs);
+    expect(first.term).to.equal(undefined);
+    expect(second.term).to.not.equal(undefined);
+  });
+
   it('is held by one at a time', async () => {
     const all = ['a', 'b', 'c'].map(host => start(host));
     for (let round = 0; round < 20; round++) {
--- a/packages/entry/src/lease/lease-task.ts
+++ b/packages/entry/src/lease/lease-task.ts
@@ -47,6 +47,8 @@
   readonly timing: LeaseTiming;
   /** False while other entry hosts should acquire the lease; a lease that is already held is kept. */
   readonly eligible?: () => boolean;
+  /** False while this host can send no orders: it acquires no lease, and releases one that it holds. */
+  readonly canAct?: () => boolean;
   /** Clock that counts suspensions, during which another entry host may have acquired the lease. */
   readonly clock?: ElapsedClock;
   readonly log: Log;
@@ -143,11 +145,15 @@
   /** Ends the task and releases the lease. */
   async stop(): Promise<void> {
     this.#abort.abort();
+    await this.#release('stopping');
+  }
+
+  async #release(reason: string): Promise<void> {
     const lease = this.#knownLease;
     if (this.term === undefined || lease === undefined) {
       return;
     }
-    this.#endTerm('stopping');
+    this.#endTerm(reason);
     try {
       const era = eraOf(lease.revision);
       const value: LeaseValue = { holder: NO_HOLDER, host: this.#options.host, era };
@@ -160,6 +166,11 @@
   }
 
   async #step(): Promise<void> {
+    const { canAct = () => true } = this.#options;
+    if (!canAct()) {
+      await this.#release('no host within reach');
+      return;
+    }
     if (this.#term !== undefined && this.#knownLease !== undefined) {
       await this.#write(this.#knownLease.revision);
       return;
--- a/packages/entry/src/peers/connect-peers.ts
+++ b/packages/entry/src/peers/connect-peers.ts
@@ -35,6 +35,8 @@
   readonly stalls: StallMonitor;
   readonly quarantine: RequestQuarantine;
   readonly rules: SendRules;
+  /** Returns false while this host reaches no upstream host that takes orders. */
+  readonly canSendOrders: () => boolean;
   /** Returns whether this host takes forwarded requests for the services. */
   readonly forwardingStatus: (services: readonly string[]) => Promise<ForwardingStatus>;
   readonly log: Log;
@@ -75,6 +77,7 @@
     },
     limitReports: rules.namedLimits,
     limitReportsReceived: rules.namedLimits.receiveReports,
+    canSendOrders: parts.canSendOrders,
     forwardingStatus: parts.forwardingStatus,
     leavingHosts: rules.notices,
     leavingHostsReceived: rules.notices.receiveLeaving,
--- a/packages/entry/src/peers/parse-messages.test.ts
+++ b/packages/entry/src/peers/parse-messages.test.ts
@@ -49,6 +49,7 @@
     revision: 6,
   },
   inTouch: true,
+  canSendOrders: true,
   confirmedAfterMs: -20,
   tally: { loads: [['h1', 2]], work: [['m', 3.5]] },
   outliers: [OUTLIER],
--- a/packages/entry/src/peers/parse-messages.ts
+++ b/packages/entry/src/peers/parse-messages.ts
@@ -61,6 +61,8 @@
   return {
     answer: answer === undefined ? undefined : parseAnswer(answer),
     inTouch: inTouch === true,
+    // Older versions do not send it.
+    canSendOrders: fields['canSendOrders'] !== false,
     confirmedAfterMs,
     tally: tally === undefined ? undefined : parseTally(tally),
     outliers: listOf(outliers).filter(isOutlierReport),
--- a/packages/entry/src/peers/peer-messages.ts
+++ b/packages/entry/src/peers/peer-messages.ts
@@ -57,6 +57,8 @@
   readonly inTouch: boolean;
   /** Time from the arrival of the request to the store's last confirmation, in milliseconds; mostly negative. */
   readonly confirmedAfterMs: number;
+  /** False while the answering host reaches no upstream host that takes orders, so that it acquires no lease. */
+  readonly canSendOrders: boolean;
   /** Tally of all hosts but the requesting one and its followers; undefined where it must not follow this peer. */
   readonly tally: Tally | undefined;
   /** Recent reports of stalled or slow groups that the requesting host has not received from this peer. */
--- a/packages/entry/src/peers/peer-reader.test.ts
+++ b/packages/entry/src/peers/peer-reader.test.ts
@@ -12,6 +12,7 @@
   return {
     answer: { kind: 'changes', changes: [], revision: 7 },
     inTouch: true,
+    canSendOrders: true,
     confirmedAfterMs,
     tally: undefined,
     outliers: [],
--- a/packages/entry/src/peers/peer-server.test.ts
+++ b/packages/entry/src/peers/peer-server.test.ts
@@ -59,6 +59,7 @@
     limitReportsReceived: () => undefined,
     limitReports: () => [],
     leavingHostsReceived: () => undefined,
+    canSendOrders: () => true,
     forwardingStatus: () => Promise.resolve({ port: 0, accepts: false, reached: [], load: 0 }),
     instance: 'first',
     readReceived: () => undefined,
--- a/packages/entry/src/peers/peer-server.ts
+++ b/packages/entry/src/peers/peer-server.ts
@@ -51,6 +51,8 @@
   readonly limitReportsReceived: (reports: readonly LimitReport[], from: string) => void;
   /** Returns whether this host takes forwarded requests for the services. */
   readonly forwardingStatus: (services: readonly string[]) => Promise<ForwardingStatus>;
+  /** Returns false while this host reaches no upstream host that takes orders. */
+  readonly canSendOrders: () => boolean;
   /** Called with the hosts that a peer reported as shutting down. */
   readonly leavingHostsReceived: (hosts: readonly HostIncarnation[]) => void;
   /** Returns the rate limits that this host knows. */
@@ -158,6 +160,7 @@
   return {
     answer: cache === undefined || !hasView ? undefined : answerOf(cache, request),
     inTouch: mayBeFollowed() && (watch?.isFresh ?? false),
+    canSendOrders: options.canSendOrders(),
     confirmedAfterMs: (cache?.confirmedAt ?? -Infinity) - arrivedAt,
     tally: request.tally !== undefined && mayBeFollowed() ? visible : undefined,
     outliers: request.tally === undefined ? [] : outliers.since(request.outliersHeard),
--- a/packages/entry/src/peers/peers.test.ts
+++ b/packages/entry/src/peers/peers.test.ts
@@ -49,6 +49,7 @@
     limitReportsReceived: () => false,
     leavingHosts: { sequence: 0, since: () => [] },
     leavingHostsReceived: () => undefined,
+    canSendOrders: () => true,
     forwardingStatus: () => Promise.resolve({ port: 0, accepts: false, reached: [], load: 0 }),
     instance: self.name,
     isRoutable: () => true,
--- a/packages/entry/src/peers/peers.ts
+++ b/packages/entry/src/peers/peers.ts
@@ -65,6 +65,8 @@
   readonly groupEjected: () => void;
   /** Called with reports of lost and completed runs from other entry hosts. */
   readonly runReportsReceived: (reports: readonly RunReport[]) => void;
+  /** Returns false while this host reaches no upstream host that takes orders. */
+  readonly canSendOrders: () => boolean;
   /** Returns whether this host takes forwarded requests for the services. */
   readonly forwardingStatus: (services: readonly string[]) => Promise<ForwardingStatus>;
   /** Called with hosts that other entry hosts reported as shutting down. */
@@ -106,6 +108,8 @@
   /** Time of the last read by each peer, in monotonic milliseconds. */
   readonly #readBy = new Map<string, number>();
   #reportedLacking: ReadonlySet<string> = new Set();
+  /** Whether peers reach hosts that take orders, as they last replied, by address. */
+  readonly #canSendOrders = new Map<string, boolean>();
   readonly #abort = new AbortController();
   readonly #tallyFailures: FailureSeries;
   readonly #reports: SharedReports;
@@ -129,6 +133,7 @@
       limitReports: () => options.limitReports.since(0),
       leavingHostsReceived: options.leavingHostsReceived,
       forwardingStatus: options.forwardingStatus,
+      canSendOrders: options.canSendOrders,
       limitReportsReceived: (reports, from) => {
         this.#reports.limitReportsReceived(reports, from);
       },
@@ -195,7 +200,8 @@
     return !this.membership.candidates.above.some(
       member =>
         member.failureDomain === failureDomain &&
-        !this.#choice.isBackingOff(this.#readerOf(member).name),
+        !this.#choice.isBackingOff(this.#readerOf(member).name) &&
+        this.#canSendOrders.get(member.address) !== false,
     );
   }
 
@@ -277,9 +283,10 @@
     let reader = this.#readers.get(member.address);
     if (reader === undefined) {
       const link = this.#links.clientFor(member.address);
-      reader = peerReader(member.address, link, this.tally, ({ outliers, lackingGroups }) => {
-        this.#noteOutliers(outliers);
-        this.#reportedLacking = new Set(lackingGroups);
+      reader = peerReader(member.address, link, this.tally, reply => {
+        this.#noteOutliers(reply.outliers);
+        this.#reportedLacking = new Set(reply.lackingGroups);
+        this.#canSendOrders.set(member.address, reply.canSendOrders);
       });
       this.#readers.set(member.address, reader);
     }
