--- a/packages/entry/src/forwarding/peer-headers.ts
+++ b/packages/entry/src/forwarding/peer-headers.ts
@@ -2,6 +2,7 @@
 import type { IncomingHttpHeaders, ServerResponse } from 'node:http';
 
 import type { FinalAnswer } from '../requests/final-answer.js';
+import type { RawHeaders } from '../requests/relay-headers.js';
 
 /** Status of the answers that promise that the request has not run. */
 const SERVICE_UNAVAILABLE = 503;
@@ -16,6 +17,8 @@
   outcome: 'entry-peer-outcome',
 } as const;
 
+const PEER_HEADER_NAMES: ReadonlySet<string> = new Set(Object.values(PEER_HEADERS));
+
 /** What an answer of the peer itself says about the request. */
 export type PeerOutcome =
   /** Nothing of it was sent to a host, and another entry host may be able to send it. */
@@ -54,6 +57,14 @@
   return OUTCOMES.includes(String(outcome)) ? (outcome as PeerOutcome) : 'failed';
 }
 
+/** The headers of a forwarded request as its caller sent them. */
+export function withoutPeerHeaders(raw: RawHeaders): RawHeaders {
+  return raw.filter((_text, index) => {
+    const name = raw[index - (index % 2)] ?? '';
+    return !PEER_HEADER_NAMES.has(name.toLowerCase());
+  });
+}
+
 /** Marks an answer that this entry host itself gives to a forwarded request. */
 export function markOutcome(response: ServerResponse, outcome: PeerOutcome): void {
   if (!response.headersSent) {
--- a/packages/entry/src/requests/upstream-request.ts
+++ b/packages/entry/src/requests/upstream-request.ts
@@ -1,4 +1,5 @@
 /** Builds the headers of a request to an upstream host from the caller's request. */
+import { withoutPeerHeaders } from '../forwarding/peer-headers.js';
 import type { Target } from '../routing/target-chooser.js';
 import { monotonicMs } from '../server/time.js';
 import type { RelayHeaders } from './relay-headers.js';
@@ -18,7 +19,9 @@
   target: Target,
   lastEventId: string | undefined,
 ): string[] {
-  const headers = endToEndHeaders(context.request.rawHeaders, replacedHeaders(headerNames));
+  const received = context.request.rawHeaders;
+  const sent = context.forwarded === undefined ? received : withoutPeerHeaders(received);
+  const headers = endToEndHeaders(sent, replacedHeaders(headerNames));
   const remainingMs = Math.max(1, Math.floor(context.deadline - monotonicMs()));
   headers.push(headerNames.deadlineMs, String(remainingMs));
   headers.push(headerNames.expectHost, target.host.id);
