--- a/packages/entry/src/forwarding/forwarded-stream.ts
+++ b/packages/entry/src/forwarding/forwarded-stream.ts
@@ -2,11 +2,12 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 
 import { answerFault } from '../requests/answer-check.js';
-import type { Exchange, ExchangeEnd } from '../requests/exchange.js';
+import type { ExchangeEnd } from '../requests/exchange.js';
 import { isFramed } from '../requests/plain-relay.js';
 import type { RelayServices } from '../requests/relay-services.js';
 import { stallLimits } from '../requests/stall-limits.js';
 import type { StreamAttemptEnd, StreamAttemptOptions } from '../requests/stream-attempt.js';
+import { StreamControl } from '../requests/stream-control.js';
 import { requestKind } from '../routing/host-activity.js';
 import { monotonicMs } from '../server/time.js';
 import type { ForwardedFailure, ForwardedSend } from './forwarded-exchange.js';
@@ -24,11 +25,11 @@
   readonly #startedAt = monotonicMs();
   readonly #errorBodyChunks: Buffer[] = [];
   #errorBodyBytes = 0;
-  #exchange: Exchange | undefined;
+  readonly #control = new StreamControl(() => {
+    this.#lastProgressAt = monotonicMs();
+  });
   #head: IncomingMessage | undefined;
   #fault: string | undefined;
-  #isSuperseded = false;
-  #isPaused = false;
   #hasBegun = false;
   #lastProgressAt = this.#startedAt;
 
@@ -53,7 +54,7 @@
     const { stalls } = this.#services;
     stalls.add(this);
     return new Promise(resolve => {
-      this.#exchange = startForwarding(this.#send, {
+      const exchange = startForwarding(this.#send, {
         onHead: answer => {
           this.#receiveHead(answer);
         },
@@ -67,32 +68,23 @@
           resolve(end);
         },
       });
+      this.#control.attach(exchange);
     });
   }
 
   /** Cancels the attempt. */
   cancel(): void {
-    this.#exchange?.cancel();
+    this.#control.cancel();
   }
 
   /** Cancels the attempt because another one has delivered events. */
   supersede(): void {
-    this.#isSuperseded = true;
-    this.#exchange?.cancel();
+    this.#control.supersede();
   }
 
   /** Stops reading until the data written to the caller's response has drained. */
   pauseUntilDrained(response: ServerResponse): void {
-    if (this.#isPaused) {
-      return;
-    }
-    this.#isPaused = true;
-    this.#exchange?.pause();
-    response.once('drain', () => {
-      this.#isPaused = false;
-      this.#lastProgressAt = monotonicMs();
-      this.#exchange?.resume();
-    });
+    this.#control.pauseUntilDrained(response);
   }
 
   /** Checks for a stall, as {@link StreamAttempt.checkForStall} does; the peer itself reports groups that stall. */
@@ -110,7 +102,7 @@
       ),
     });
     const silenceMs = now - this.#lastProgressAt;
-    if (!this.#isPaused && silenceMs >= secondAttemptMs) {
+    if (!this.#control.isPaused && silenceMs >= secondAttemptMs) {
       this.#options.onStalled(silenceMs >= lostMs);
     }
     return Math.max(0, secondAttemptMs - silenceMs);
@@ -122,7 +114,7 @@
       this.#fault = answerFault(answer, this.#send.context.id, this.#send.headers);
     }
     if (this.#fault !== undefined) {
-      this.#exchange?.cancel();
+      this.#control.cancel();
     }
   }
 
@@ -140,7 +132,7 @@
   }
 
   #classifyEnd(exchangeEnd: ExchangeEnd): StreamAttemptEnd {
-    if (this.#isSuperseded) {
+    if (this.#control.isSuperseded) {
       return { kind: 'superseded' };
     }
     const head = this.#head;
--- a/packages/entry/src/forwarding/forwarding-service.ts
+++ b/packages/entry/src/forwarding/forwarding-service.ts
@@ -2,6 +2,7 @@
 import type { HostEntry } from '../hosts/host-entry.js';
 import type { HostRegistry } from '../hosts/host-registry.js';
 import { UpstreamIsolation } from '../isolation/upstream-isolation.js';
+import type { Member } from '../peers/member.js';
 import type { ForwardingStatus } from '../peers/peer-messages.js';
 import type { Peers } from '../peers/peers.js';
 import { probeHost } from '../quarantine/host-probe.js';
@@ -9,6 +10,7 @@
 import type { HostActivities } from '../routing/host-activity.js';
 import { CallerServer } from '../server/caller-server.js';
 import type { EntrySettings, SocketAddress } from '../server/entry-settings.js';
+import { FailureSeries } from '../server/failure-series.js';
 import type { Log } from '../server/log.js';
 import type { Counters } from '../server/metrics.js';
 import { Forwarding } from './forwarding.js';
@@ -119,27 +121,41 @@
 }
 
 function createForwarding(
-  { settings, peers }: ForwardingParts,
+  { settings, peers, log }: ForwardingParts,
   isolation: UpstreamIsolation,
 ): Forwarding {
   const { name, failureDomain, regions } = settings;
+  const failures = new FailureSeries(log, 'ask a peer whether it takes forwarded requests');
   return new Forwarding({
     isolation,
     directory: new PeerDirectory({
       self: { name, failureDomain },
       members: () => peers()?.membership.all ?? [],
-      ask: async (member, services) => {
-        const known = peers();
-        if (known === undefined) {
-          throw new Error('this entry host has no peers');
-        }
-        return known.askForwardingStatus(member, services);
-      },
+      ask: (member, services) => askPeer(peers(), member, services, failures),
     }),
     regionOf: domain => regions.find(region => region.failureDomain === domain)?.region,
   });
 }
 
+async function askPeer(
+  peers: Peers | undefined,
+  member: Member,
+  services: readonly string[],
+  failures: FailureSeries,
+): Promise<ForwardingStatus> {
+  try {
+    if (peers === undefined) {
+      throw new Error('this entry host has no peers');
+    }
+    const status = await peers.askForwardingStatus(member, services);
+    failures.recordSuccess();
+    return status;
+  } catch (error) {
+    failures.recordFailure(error);
+    throw error;
+  }
+}
+
 // Hosts of plain services take no orders.
 function takesOrders({ fabricDomain }: HostEntry): boolean {
   return fabricDomain !== undefined;
--- a/packages/entry/src/forwarding/forwarding.ts
+++ b/packages/entry/src/forwarding/forwarding.ts
@@ -2,8 +2,8 @@
  * Forwards requests to peers while this entry host does not reach the upstream hosts of their service.
  *
  * A request is forwarded once at most: the peer sends it to a host or declines it. The peer applies all rules of sending,
- * such as retry budgets, rate limits, evacuations and home regions, by its own configuration; it admits the request anew
- * by its key, so that it need not trust the sender.
+ * such as retry budgets, rate limits, evacuations and home regions, by its own configuration; it checks the caller's
+ * key as well, so that it need not trust the sender.
  */
 import type { UpstreamIsolation } from '../isolation/upstream-isolation.js';
 import { UpstreamConnections } from '../requests/upstream-connections.js';
--- a/packages/entry/src/forwarding/peer-directory.ts
+++ b/packages/entry/src/forwarding/peer-directory.ts
@@ -21,7 +21,7 @@
   readonly self: Pick<Member, 'name' | 'failureDomain'>;
   /** Returns all registered entry hosts. */
   readonly members: () => readonly Member[];
-  /** Asks a peer which of the services it reaches; rejects if it does not answer or knows no forwarding. */
+  /** Asks a peer which of the services it reaches; logs the failure and rejects if it does not answer or cannot. */
   readonly ask: (member: Member, services: readonly string[]) => Promise<ForwardingStatus>;
   /** Clock in monotonic milliseconds; replaced in tests. */
   readonly now?: () => number;
@@ -148,7 +148,7 @@
       const peer = { name, ip, port: status.port, failureDomain };
       this.#known.set(name, { peer, status, at: this.#now() });
     } catch {
-      // Unreachable, or an older version that knows no forwarding; the directory is used to find another peer.
+      // Logged by `ask`. The peer is out of reach, or runs an older version that knows no forwarding.
       this.#known.delete(name);
     }
   }
--- a/packages/entry/src/forwarding/peer-headers.ts
+++ b/packages/entry/src/forwarding/peer-headers.ts
@@ -72,7 +72,7 @@
   }
 }
 
-/** The outcome of a request that was given up; `hasArrived`: a host has received it, or may have. */
+/** The outcome that an own answer states; `hasArrived`: a host has received the request, or may have. */
 export function outcomeOfAnswer(
   { status, reason }: Pick<FinalAnswer, 'status' | 'reason'>,
   hasArrived: boolean,
--- a/packages/entry/src/isolation/upstream-isolation.ts
+++ b/packages/entry/src/isolation/upstream-isolation.ts
@@ -45,7 +45,7 @@
 const SINGLE_HOST_SILENCE_MS = 600;
 /** Shortest time between two checks of the silence, in milliseconds. */
 const MIN_CHECK_MS = 50;
-/** Time for which a successful probe is believed, in milliseconds, so that slow hosts are not probed all the time. */
+/** Time for which a successful probe counts, in milliseconds, so that slow hosts are not probed all the time. */
 const PROBE_VALID_MS = 500;
 /** Pause between two probes while isolated, in milliseconds. */
 const PROBE_PERIOD_MS = 250;
@@ -55,7 +55,7 @@
 /** A report on a host that is held until another host has sent data. */
 type HeldReport = { readonly host: HostEntry; readonly send: () => void };
 
-/** What is known of the contact with one service; times in monotonic milliseconds. */
+/** State of the contact with one service; times in monotonic milliseconds. */
 type ServiceEntry = {
   readonly state: ReachState;
   /** Time of the last successful probe. */
--- a/packages/entry/src/requests/plain-relay.ts
+++ b/packages/entry/src/requests/plain-relay.ts
@@ -338,6 +338,7 @@
       sentTo: this.#attemptLog.sentTo,
       heldMs: Math.round(monotonicMs() - arrivedAt),
       serviceSilentMs: serviceSilentMs(this.#services, this.#context),
+      isForwarded: this.#context.forwarded !== undefined,
     });
     sendOwnAnswer(this.#context, this.#attemptLog, answer);
   }
--- a/packages/entry/src/requests/request-intake.ts
+++ b/packages/entry/src/requests/request-intake.ts
@@ -219,6 +219,7 @@
       version: this.#holder.table?.version,
       confirmedMsAgo: Math.round(this.#holder.confirmationAgeMs),
       confirmedBy: this.#holder.confirmedBy,
+      isForwarded: forwarded !== undefined,
     });
     if (forwarded !== undefined) {
       // The peer that forwarded the request has admitted it, so another one may know the same configuration.
--- a/packages/entry/src/requests/stream-attempt.ts
+++ b/packages/entry/src/requests/stream-attempt.ts
@@ -6,7 +6,7 @@
 import { monotonicMs } from '../server/time.js';
 import { answerFault } from './answer-check.js';
 import { keptConnectionsFor } from './connection-choice.js';
-import type { Exchange, ExchangeEnd, UnsentEnd } from './exchange.js';
+import type { ExchangeEnd, UnsentEnd } from './exchange.js';
 import { isConnectionLost, isUnsent, startExchange } from './exchange.js';
 import type { HostStateAtSend } from './host-state-at-send.js';
 import { hostStateAtSend } from './host-state-at-send.js';
@@ -17,6 +17,7 @@
 import type { RequestContext } from './request-context.js';
 import type { StallLimits } from './stall-limits.js';
 import { stallLimits } from './stall-limits.js';
+import { StreamControl } from './stream-control.js';
 import { upstreamHeaders } from './upstream-request.js';
 
 /** How an attempt ended. */
@@ -68,13 +69,13 @@
   readonly #options: StreamAttemptOptions;
   readonly #startedAt = monotonicMs();
   readonly #errorBodyChunks: Buffer[] = [];
-  #exchange: Exchange | undefined;
+  readonly #control = new StreamControl(() => {
+    this.#lastProgressAt = monotonicMs();
+  });
   #stateAtSend: HostStateAtSend | undefined;
   #head: IncomingMessage | undefined;
   #invalidReason: string | undefined;
-  #isSuperseded = false;
   #isStallReported = false;
-  #isPaused = false;
   #hasBegun = false;
   #lastProgressAt = this.#startedAt;
   #errorBodyBytes = 0;
@@ -105,7 +106,7 @@
     activities.noteRequestSent(host);
     stalls.add(this);
     return new Promise(resolve => {
-      this.#exchange = startExchange(
+      const exchange = startExchange(
         {
           host: this.#target.host,
           method: request.method ?? 'POST',
@@ -141,32 +142,23 @@
           },
         },
       );
+      this.#control.attach(exchange);
     });
   }
 
   /** Cancels the attempt. */
   cancel(): void {
-    this.#exchange?.cancel();
+    this.#control.cancel();
   }
 
   /** Cancels the attempt because another one has delivered events. */
   supersede(): void {
-    this.#isSuperseded = true;
-    this.#exchange?.cancel();
+    this.#control.supersede();
   }
 
   /** Stops reading until the data written to the caller's response has drained. */
   pauseUntilDrained(response: ServerResponse): void {
-    if (this.#isPaused) {
-      return;
-    }
-    this.#isPaused = true;
-    this.#exchange?.pause();
-    response.once('drain', () => {
-      this.#isPaused = false;
-      this.#lastProgressAt = monotonicMs();
-      this.#exchange?.resume();
-    });
+    this.#control.pauseUntilDrained(response);
   }
 
   /**
@@ -181,7 +173,7 @@
     // The host serves others if its last progress is later than that of this attempt, by more than 1 ms.
     const limits = this.#limits(hostSilenceMs < silenceMs - 1);
     const leftMs = Math.min(limits.reportMs, limits.secondAttemptMs) - silenceMs;
-    if (this.#isPaused || leftMs > 0) {
+    if (this.#control.isPaused || leftMs > 0) {
       return Math.max(0, leftMs);
     }
     if (silenceMs >= limits.reportMs) {
@@ -243,7 +235,7 @@
     this.#head = answer;
     const isNotRun = reportsNotRun(answer, headerNames.notExecuted);
     if (this.#invalidReason !== undefined && !isNotRun) {
-      this.#exchange?.cancel();
+      this.#control.cancel();
     }
   }
 
@@ -281,7 +273,7 @@
     ) {
       return { kind: 'not-run' };
     }
-    if (this.#isSuperseded) {
+    if (this.#control.isSuperseded) {
       return { kind: 'superseded' };
     }
     if (exchangeEnd === 'stale') {
--- a/packages/entry/src/requests/stream-relay.ts
+++ b/packages/entry/src/requests/stream-relay.ts
@@ -354,6 +354,7 @@
       sentTo: this.#attemptLog.sentTo,
       heldMs: Math.round(monotonicMs() - arrivedAt),
       serviceSilentMs: serviceSilentMs(this.#services, this.#context),
+      isForwarded: this.#context.forwarded !== undefined,
     });
     if (this.#failedHead !== undefined && !response.headersSent) {
       const headers = endToEndHeaders(this.#failedHead.rawHeaders, DROPPED_HEADERS);
--- a/packages/entry/src/store/store-freshness.ts
+++ b/packages/entry/src/store/store-freshness.ts
@@ -1,4 +1,4 @@
-/** The age of what is known from the store. */
+/** How old the objects read from the store are. */
 
 /** The version of the known configuration, and how recently the store had confirmed configuration and hosts. */
 export type StoreFreshness = {
