One series of probes while isolated, however many connections fail

What hosts saw (in a test only): 160 connections a second from an isolated entry host instead of 8 to 10. Cause: each failed probe planned the next one without cancelling the one that was planned before, so that each failed connection added a series. Change: the planned probe is cancelled first. Evidence: 'is probed for at the same rate, however many connections fail' failed (160, at most 10) and passes now.

--- a/packages/entry/src/isolation/upstream-isolation.test.ts
+++ b/packages/entry/src/isolation/upstream-isolation.test.ts
@@ -13,6 +13,8 @@
 const PROBED_MS = 60;
 /** Time after which several silent hosts are probed, with some margin, in milliseconds. */
 const SILENCE_NOTICED_MS = 400;
+/** Connections of one series of probes of two hosts in a second. */
+const MAX_PROBES_PER_S = 10;
 /** Time within which a held report is sent or dropped, in milliseconds. */
 const REPORT_DECIDED_MS = 250;
 
@@ -113,6 +115,18 @@
     expect(isolation.admit('s')).to.equal(true);
   });
 
+  // Guards against a further series of probes for each connection that fails meanwhile.
+  it('is probed for at the same rate, however many connections fail', async () => {
+    cutAll();
+    for (let failure = 0; failure < 20; failure++) {
+      contacts.noteUnreachable(A);
+      await sleep(10);
+    }
+    const before = probes;
+    await sleep(1_000);
+    expect(probes - before).to.be.at.most(MAX_PROBES_PER_S);
+  });
+
   // Guards against sound groups that all entry hosts avoid, because of the reports of one that is cut off.
   it('is no reason to report hosts', async () => {
     cutAll();
--- a/packages/entry/src/isolation/upstream-isolation.ts
+++ b/packages/entry/src/isolation/upstream-isolation.ts
@@ -255,6 +255,7 @@
     if (before !== 'isolated') {
       this.#becomeIsolated(service);
     }
+    entry.nextProbe?.cancel();
     entry.nextProbe = afterTurn(() => {
       void this.#probe(service);
     }, PROBE_PERIOD_MS);
