A request does not wait for a peer that does not answer the question

What callers saw (in a test only): a request that needs a peer waited 400 ms for the end of the round of questions, although another peer had answered after 30 ms. Change: waiting requests look each 5 ms whether a peer has answered; requests in progress are forwarded after the first answer.

--- a/packages/entry/src/forwarding/forwarding.ts
+++ b/packages/entry/src/forwarding/forwarding.ts
@@ -28,6 +28,8 @@
   readonly exclude: ReadonlySet<string>;
 };
 
+/** Period at which a request that waits for a peer looks for one that has answered, in milliseconds. */
+const ANSWER_POLL_MS = 5;
 /** Pause between two rounds of questions to peers, in milliseconds. */
 const ROUND_MS = 300;
 /** Time after a suspicion for which peers are asked although the service may be within reach, in milliseconds. */
@@ -79,20 +81,30 @@
     return directory.choose(service, mayUse, exclude);
   }
 
-  /** Returns a peer that reaches the service; waits for one round of questions if none is known yet. */
+  /** Returns a peer that reaches the service; if none is known yet, waits for answers to one round of questions. */
   async choosePeer(query: PeerQuery): Promise<ForwardingPeer | undefined> {
     const known = this.knownPeer(query);
     if (known !== undefined) {
       return known;
     }
     this.#ask(query.service);
-    await this.#round;
-    return this.knownPeer(query);
+    let isRoundOver = false;
+    void this.#round?.then(() => {
+      isRoundOver = true;
+    });
+    // A peer that does not answer delays the end of the round.
+    let peer = this.knownPeer(query);
+    while (peer === undefined && !isRoundOver) {
+      await sleep(ANSWER_POLL_MS, this.#abort.signal);
+      peer = this.knownPeer(query);
+      isRoundOver ||= this.#abort.signal.aborted;
+    }
+    return peer;
   }
 
   /**
-   * Calls `call` after each round of questions while the service is out of reach from here and a peer reaches it. Returns
-   * a function that ends this.
+   * Calls `call` after each answer of a peer while the service is out of reach from here and a peer reaches it. Returns a
+   * function that ends this.
    */
   whenForwardable(service: string, call: () => void): () => void {
     const listener = { service, call };
@@ -124,11 +136,10 @@
       if (services.length === 0) {
         return;
       }
-      this.#round = this.directory.refresh(services);
-      await this.#round;
-      this.#listeners.forEach(listener => {
-        this.#notify(listener);
+      this.#round = this.directory.refresh(services, () => {
+        this.#notifyAll();
       });
+      await this.#round;
       await sleep(ROUND_MS, this.#abort.signal);
     }
   }
@@ -144,6 +155,12 @@
     return [...this.#askedUntil.keys()];
   }
 
+  #notifyAll(): void {
+    for (const listener of [...this.#listeners]) {
+      this.#notify(listener);
+    }
+  }
+
   #notify(listener: { readonly service: string; readonly call: () => void }): void {
     if (this.isIsolated(listener.service) && this.directory.hasPeerFor(listener.service)) {
       listener.call();
--- a/packages/entry/src/forwarding/peer-directory.ts
+++ b/packages/entry/src/forwarding/peer-directory.ts
@@ -57,9 +57,10 @@
     this.#random = options.random ?? Math.random;
   }
 
-  /** Asks some peers for their status; resolves when all have answered or failed. */
-  async refresh(services: readonly string[]): Promise<void> {
-    await Promise.all(this.#nextAsked(services).map(member => this.#ask(member, services)));
+  /** Asks some peers for their status; resolves when all have answered or failed. `onAnswer` is called after each answer. */
+  async refresh(services: readonly string[], onAnswer = (): void => undefined): Promise<void> {
+    const asked = this.#nextAsked(services);
+    await Promise.all(asked.map(member => this.#ask(member, services, onAnswer)));
   }
 
   /**
@@ -140,13 +141,14 @@
     return [...asked, ...far.slice(0, MAX_ASKED - asked.length)];
   }
 
-  async #ask(member: Member, services: readonly string[]): Promise<void> {
+  async #ask(member: Member, services: readonly string[], onAnswer: () => void): Promise<void> {
     const { name, address, failureDomain } = member;
     try {
       const status = await this.#options.ask(member, services);
       const ip = address.slice(0, address.lastIndexOf(':'));
       const peer = { name, ip, port: status.port, failureDomain };
       this.#known.set(name, { peer, status, at: this.#now() });
+      onAnswer();
     } catch {
       // Logged by `ask`. The peer is out of reach, or runs an older version that knows no forwarding.
       this.#known.delete(name);
--- a/packages/entry/src/forwarding/peer-relay.test.ts
+++ b/packages/entry/src/forwarding/peer-relay.test.ts
@@ -24,6 +24,10 @@
 
 type Respond = (response: ServerResponse, request: IncomingMessage) => void;
 
+/** Time after which a question to a silent peer fails, in milliseconds. */
+const ASK_TIMEOUT_MS = 400;
+/** Time after which the other peers answer then, in milliseconds. */
+const ANSWER_MS = 30;
 /** Longest time until an immediate refusal, in milliseconds. */
 const IMMEDIATE_MS = 200;
 /** Time within which work for a caller that has left must end, in milliseconds. */
@@ -78,10 +82,13 @@
   let isolation: UpstreamIsolation;
   let forwarding: Forwarding;
   let sentToHosts: number;
+  /** Names of peers that do not answer questions. */
+  let silentPeers: Set<string>;
 
   beforeEach(() => {
     peers = [];
     sentToHosts = 0;
+    silentPeers = new Set();
   });
 
   afterEach(() => {
@@ -94,6 +101,7 @@
 
   /** Services of an entry host that reaches no host, with peers that answer by these functions, tried in this order. */
   async function isolatedServices(...respond: Respond[]): Promise<RelayServices> {
+    const settleMs = silentPeers.size === 0 ? 50 : 5;
     peers = respond.map(each => new PeerStandIn(each));
     const ports = await Promise.all(peers.map(peer => peer.listen()));
     const contacts = new ServiceContacts();
@@ -117,14 +125,19 @@
             failureDomain: index === 0 ? 'a' : 'b',
             power: 1,
           })),
-        ask: ({ name }) => {
+        ask: async ({ name }) => {
+          if (silentPeers.has(name)) {
+            await sleep(ASK_TIMEOUT_MS);
+            throw new Error('no answer');
+          }
+          await sleep(silentPeers.size === 0 ? 0 : ANSWER_MS);
           const port = ports[Number(name.slice(1))] ?? 0;
-          return Promise.resolve({ port, accepts: true, reached: ['s'], load: 0 });
+          return { port, accepts: true, reached: ['s'], load: 0 };
         },
       }),
       regionOf: () => undefined,
     });
-    await sleep(50);
+    await sleep(settleMs);
     const services = relayServices(() => {
       sentToHosts += 1;
       return undefined;
@@ -158,6 +171,15 @@
     expect(sentToHosts).to.equal(0);
   });
 
+  // Guards against requests that wait until the question to a lost peer has timed out.
+  it('does not wait for a peer that does not answer', async () => {
+    silentPeers.add('p0');
+    const services = await isolatedServices(answer, answer);
+    const startedAt = performance.now();
+    expect((await relay(services)).status).to.equal(200);
+    expect(performance.now() - startedAt).to.be.below(IMMEDIATE_MS);
+  });
+
   it('names the time that is left and the attempts that the peer may make', async () => {
     const services = await isolatedServices(answer);
     await relay(services, { timeoutMs: 1_000, maxAttempts: 3 });
