Requests that wait for a peer add no listener to a shared signal

Cause: each wait of 5 ms listened to the signal that ends all questions. Change: it does not; the loop checks the signal. Evidence: 'waits for a peer without a warning, however many requests do' failed before, with that warning, and passes now.

--- a/packages/entry/src/forwarding/forwarding.ts
+++ b/packages/entry/src/forwarding/forwarding.ts
@@ -95,7 +95,7 @@
     // A peer that does not answer delays the end of the round.
     let peer = this.knownPeer(query);
     while (peer === undefined && !isRoundOver) {
-      await sleep(ANSWER_POLL_MS, this.#abort.signal);
+      await sleep(ANSWER_POLL_MS);
       peer = this.knownPeer(query);
       isRoundOver ||= this.#abort.signal.aborted;
     }
--- a/packages/entry/src/forwarding/peer-relay.test.ts
+++ b/packages/entry/src/forwarding/peer-relay.test.ts
@@ -180,6 +180,21 @@
     expect(performance.now() - startedAt).to.be.below(IMMEDIATE_MS);
   });
 
+  // Guards against a listener at one signal for each request that waits.
+  it('waits for a peer without a warning, however many requests do', async () => {
+    const warnings: Error[] = [];
+    const collect = (warning: Error): void => {
+      warnings.push(warning);
+    };
+    process.on('warning', collect);
+    silentPeers.add('p0');
+    const services = await isolatedServices(answer, answer);
+    const answers = await Promise.all(Array.from({ length: 30 }, () => relay(services)));
+    process.removeListener('warning', collect);
+    expect(answers.map(({ status }) => status)).to.deep.equal(answers.map(() => 200));
+    expect(warnings.map(({ name }) => name)).to.deep.equal([]);
+  });
+
   it('names the time that is left and the attempts that the peer may make', async () => {
     const services = await isolatedServices(answer);
     await relay(services, { timeoutMs: 1_000, maxAttempts: 3 });
