--- a/review/lib/client.mjs
+++ b/review/lib/client.mjs
@@ -23,7 +23,8 @@
     isReused: false,
   };
   return new Promise(resolve => {
-    const body = JSON.stringify({ events, eventMs });
+    // The prompt differs from request to request.
+    const body = JSON.stringify({ events, eventMs, prompt: requestId });
     const request = httpRequest({
       agent,
       host: entry.ip,
