--- a/review/lib/deployment.mjs
+++ b/review/lib/deployment.mjs
@@ -18,15 +18,18 @@
 
 export const sleep = ms => new Promise(resolve => setTimeout(resolve, ms));
 
-async function freePort(ip) {
-  const server = createServer();
-  await new Promise((resolve, reject) => {
-    server.once('error', reject);
-    server.listen(0, ip, resolve);
-  });
-  const { port } = server.address();
-  await new Promise(resolve => server.close(resolve));
-  return port;
+/** Different free ports; all are held until the last one has been found. */
+async function freePorts(ip, count) {
+  const servers = Array.from({ length: count }, () => createServer());
+  for (const server of servers) {
+    await new Promise((resolve, reject) => {
+      server.once('error', reject);
+      server.listen(0, ip, resolve);
+    });
+  }
+  const ports = servers.map(server => server.address().port);
+  await Promise.all(servers.map(server => new Promise(resolve => server.close(resolve))));
+  return ports;
 }
 
 export class Deployment {
@@ -120,12 +123,7 @@
   async addEntryHost(zone) {
     const ip = this.newIp();
     const name = `front-${zone}-${this.entries.length + 1}`;
-    const [front, ready, first, last] = [
-      await freePort(ip),
-      await freePort(ip),
-      await freePort(ip),
-      await freePort(ip),
-    ];
+    const [front, ready, first, last] = await freePorts(ip, 4);
     const fields = {
       nodeName: name,
       zone,
