A planned stop reports the requests that it cuts

Each cut request now has a log line with its place on its connection, when its head and its body were received since the signal, whether a peer forwarded it, whether it may have run and whether its answer has begun; requests_cut_by_stop_total counts them by new and kept connections. The open requests have a module of their own, so that a planned stop can ask what is known of each; the report of a leaving host's group moved to the module that sends suspicions.

--- a/packages/entry/src/entry-host.ts
+++ b/packages/entry/src/entry-host.ts
@@ -9,7 +9,6 @@
 import { GroupCoordinator } from './groups/group-coordinator.js';
 import { GroupSuspicions } from './groups/group-suspicions.js';
 import type { ReplicaGroup } from './groups/replica-groups.js';
-import type { HostIncarnation } from './hosts/host-entry.js';
 import type { HostBatch } from './hosts/host-registry.js';
 import { HostRegistry } from './hosts/host-registry.js';
 import { DEFAULT_LEASE_TIMING, LeaseTask } from './lease/lease-task.js';
@@ -17,6 +16,7 @@
 import type { Peers } from './peers/peers.js';
 import { connectQuarantine } from './quarantine/connect-quarantine.js';
 import type { RequestQuarantine } from './quarantine/request-quarantine.js';
+import { reportCutRequests } from './requests/cut-requests.js';
 import { noticeListener } from './requests/notice-listener.js';
 import { PacedQueues } from './requests/paced-queues.js';
 import type { RelayServices } from './requests/relay-services.js';
@@ -102,7 +102,8 @@
       settings: () => this.#settings,
       members: settings.peers && (() => this.#peers?.membership.view),
       onHostLeaving: host => {
-        this.#handleLeavingHost(host);
+        this.#registry.recordShutdown(host);
+        this.#suspicions.suspectLeaving(this.#registry.get(host.id));
       },
       onLimitReport: () => this.#peers?.shareLimits(),
       onLeavingReport: () => this.#peers?.shareLeavingHosts(),
@@ -220,15 +221,19 @@
   /** Planned stop: reports not ready, lets requests in progress finish, then stops everything. */
   async stop(): Promise<void> {
     const { log } = this.#options;
-    log.info('entry host stopping', { open: this.#intake.open });
+    const { open } = this.#intake;
+    const stoppedAt = monotonicMs();
+    log.info('entry host stopping', { open: open.count });
     this.#stopping = true;
     this.#callers.drain();
     this.#forwarding.drain();
     this.#coordinator.stop();
     const { graceMs } = this.#settings.bounds;
-    const finished = finishRequests({ callers: this.#callers, requests: this.#intake, graceMs });
+    const finished = finishRequests({ callers: this.#callers, requests: open, graceMs });
     await Promise.all([this.#lease.stop(), finished]);
-    log.info('entry host stopped', { open: this.#intake.open });
+    const idHeader = this.#options.headers.requestId;
+    reportCutRequests(open.all, { idHeader, stoppedAt, log, counters: this.#counters });
+    log.info('entry host stopped', { open: open.count });
     this.end();
   }
 
@@ -284,7 +289,7 @@
         this.#demand.profileOf(service, this.#configuration.table?.service(service)?.engine),
       watchedForMs: () => this.#watches.of(OBJECT_KINDS.hosts)?.freshForMs,
       loadWindowMs: settings.bounds.loadWindowMs,
-      mayLoadFreely: service => this.#intake.total === 0 && !this.#demand.hasRequests(service),
+      mayLoadFreely: service => this.#intake.open.total === 0 && !this.#demand.hasRequests(service),
       isEvacuated: this.#rules.evacuatedDomains.isEvacuated,
       coldMsOf: service => this.#configuration.table?.service(service)?.slowStart?.coldMs ?? 0,
       log,
@@ -333,16 +338,6 @@
     }
   }
 
-  // On suspicion the lease holder queries the members itself and receives the same notice, so it forms the group
-  // again without the leaving host before that host's entry in the store shows that it leaves.
-  #handleLeavingHost(host: HostIncarnation): void {
-    this.#registry.recordShutdown(host);
-    const entry = this.#registry.get(host.id);
-    if (entry !== undefined) {
-      this.#suspicions.suspect(entry, entry.membership?.group, false);
-    }
-  }
-
   // Plans need all hosts, which this host may not have followed before it acquired the lease.
   get #followsAllHosts(): boolean {
     return this.#watches.of(OBJECT_KINDS.hosts)?.view !== 'routing';
--- a/packages/entry/src/forwarding/forwarding-service.ts
+++ b/packages/entry/src/forwarding/forwarding-service.ts
@@ -90,7 +90,7 @@
   /** Answers a peer that asks whether this entry host takes forwarded requests for some services. */
   async status(services: readonly string[]): Promise<ForwardingStatus> {
     const { settings, intake, isReady } = this.#parts;
-    const load = intake().openForwarded;
+    const load = intake().open.forwardedCount;
     const most = MAX_FORWARDED_PER_CORE * (settings.peers?.power ?? 0);
     const accepts = isReady() && this.#address !== undefined && load < most;
     const reached = await Promise.all(
--- a/packages/entry/src/groups/group-suspicions.ts
+++ b/packages/entry/src/groups/group-suspicions.ts
@@ -21,6 +21,16 @@
     this.#options = options;
   }
 
+  /**
+   * Reports the group of a host that shuts down. The lease holder then queries the members itself and receives the same
+   * notice from the host, so it forms the group again before the host's entry in the store shows that it leaves.
+   */
+  suspectLeaving(host: HostEntry | undefined): void {
+    if (host !== undefined) {
+      this.suspect(host, host.membership?.group, false);
+    }
+  }
+
   /**
    * Reports the group of a host. Does nothing for hosts of plain services, which are in no group: each entry host
    * stops using those by its own observations.
--- a/packages/entry/src/requests/attempt-log.ts
+++ b/packages/entry/src/requests/attempt-log.ts
@@ -76,6 +76,11 @@
     return this.#mayHaveRun;
   }
 
+  /** The same, and false while no attempt is in progress that has not been rejected. */
+  get mayHaveRunOrRuns(): boolean {
+    return this.#mayHaveRun || this.#sendCount() > this.#rejectionCount;
+  }
+
   /** Records that the request is about to be sent to a host. */
   noteSent(host: HostIncarnation): void {
     this.#tried.add(incarnationOf(host));
--- a/packages/entry/src/requests/plain-relay.ts
+++ b/packages/entry/src/requests/plain-relay.ts
@@ -93,6 +93,11 @@
     this.#attemptLog = new AttemptLog(context, budget);
   }
 
+  /** False while it is certain that no host has run the request or is running it. */
+  get mayHaveRun(): boolean {
+    return this.#attemptLog.mayHaveRunOrRuns;
+  }
+
   /** Sends the request until it is answered or may not be sent again, then answers the caller. */
   async run(): Promise<void> {
     for (;;) {
--- a/packages/entry/src/requests/relay-headers.ts
+++ b/packages/entry/src/requests/relay-headers.ts
@@ -1,4 +1,5 @@
 /** Headers that entry hosts read and set; the platform adapter provides their names. */
+import type { IncomingMessage } from 'node:http';
 
 /** Header names in lower case, by meaning. */
 export type RelayHeaders = {
@@ -77,3 +78,9 @@
   }
   return options;
 }
+
+/** Returns the value of a header that occurs once; undefined if it is absent or occurs several times. */
+export function headerValue({ headers }: IncomingMessage, name: string): string | undefined {
+  const value = headers[name];
+  return typeof value === 'string' ? value : undefined;
+}
--- a/packages/entry/src/requests/request-intake.ts
+++ b/packages/entry/src/requests/request-intake.ts
@@ -13,7 +13,10 @@
 import type { AnswerReason, FinalAnswer } from './final-answer.js';
 import { sendFinalAnswer } from './final-answer.js';
 import { RequestHomeRegions } from './home-regions.js';
+import type { OpenRequest } from './open-requests.js';
+import { OpenRequests } from './open-requests.js';
 import { PlainRelay } from './plain-relay.js';
+import { headerValue } from './relay-headers.js';
 import type { RelayServices } from './relay-services.js';
 import type { RequestContext } from './request-context.js';
 import { StreamRelay } from './stream-relay.js';
@@ -45,58 +48,34 @@
 export class RequestIntake {
   readonly #holder: ConfigurationHolder;
   readonly #services: RelayServices;
-  #open = 0;
-  #openForwarded = 0;
-  #total = 0;
+  /** The requests in progress. */
+  readonly open = new OpenRequests();
 
   constructor(holder: ConfigurationHolder, services: RelayServices) {
     this.#holder = holder;
     this.#services = services;
   }
 
-  /** Number of requests in progress. */
-  get open(): number {
-    return this.#open;
-  }
-
-  /** Number of requests in progress that peers have forwarded. */
-  get openForwarded(): number {
-    return this.#openForwarded;
-  }
-
-  /** Number of requests received since this process started. */
-  get total(): number {
-    return this.#total;
-  }
-
   /** Processes a request until it has its final answer. */
   handle(request: IncomingMessage, response: ServerResponse, forwarded?: ForwardedRequest): void {
-    this.#open += 1;
-    this.#total += 1;
+    const open = this.open.add(request, response, forwarded !== undefined);
     const disconnection = new AbortController();
     response.once('close', () => {
-      this.#open -= 1;
       disconnection.abort(DISCONNECT_REASON);
     });
-    if (forwarded !== undefined) {
-      this.#openForwarded += 1;
-      response.once('close', () => {
-        this.#openForwarded -= 1;
-      });
-    }
-    this.#run({ request, response, callerSignal: disconnection.signal, forwarded }).catch(
-      (error: unknown) => {
-        this.#services.log.error('request failed', { cause: String((error as Error).stack) });
-        response.destroy();
-      },
-    );
+    const received = { request, response, callerSignal: disconnection.signal, forwarded };
+    this.#run(received, open).catch((error: unknown) => {
+      this.#services.log.error('request failed', { cause: String((error as Error).stack) });
+      response.destroy();
+    });
   }
 
-  async #run(received: ReceivedRequest): Promise<void> {
+  async #run(received: ReceivedRequest, open: OpenRequest): Promise<void> {
     const { request, response, callerSignal, forwarded } = received;
-    const arrivedAt = monotonicMs();
+    const { arrivedAt } = open;
     const table = this.#holder.table;
     const body = await readBody(request, table?.limits.maxBodyBytes ?? 0);
+    open.readAt = monotonicMs();
     if (callerSignal.aborted) {
       return;
     }
@@ -117,7 +96,9 @@
       this.#refuse(received, admitted);
       return;
     }
-    await this.#relay({ ...admitted, ...received, body, arrivedAt });
+    const relay = this.#createRelay({ ...admitted, ...received, body, arrivedAt });
+    open.relay = relay;
+    await relay.run();
   }
 
   // An incomplete body must not be relayed, and the caller's connection is closed: no answer can reach it.
@@ -125,14 +106,16 @@
     const { counters, log, headers: names } = this.#services;
     counters.count('requests_cut_total');
     log.info('caller disconnected before its request was complete', {
-      request: header(request, names.requestId),
+      request: headerValue(request, names.requestId),
       cause: error.message,
     });
     response.destroy();
   }
 
-  #relay(context: Omit<RequestContext, 'deadline' | 'causes' | 'isQuarantined'>): Promise<void> {
-    const requestedMs = Number(header(context.request, this.#services.headers.deadlineMs));
+  #createRelay(
+    context: Omit<RequestContext, 'deadline' | 'causes' | 'isQuarantined'>,
+  ): StreamRelay | PlainRelay {
+    const requestedMs = Number(headerValue(context.request, this.#services.headers.deadlineMs));
     const limitMs =
       requestedMs > 0 ? Math.min(requestedMs, context.route.timeoutMs) : context.route.timeoutMs;
     const causes = causesOf(context);
@@ -145,18 +128,16 @@
     if (context.forwarded === undefined) {
       this.#noteRequest(context);
     }
-    const relay =
-      context.route.kind === 'stream'
-        ? new StreamRelay(completeContext, this.#services)
-        : new PlainRelay(completeContext, this.#services);
-    return relay.run();
+    return context.route.kind === 'stream'
+      ? new StreamRelay(completeContext, this.#services)
+      : new PlainRelay(completeContext, this.#services);
   }
 
   // Counts a request of a caller; one that is forwarded is counted by the entry host that received it first.
   #noteRequest(context: Pick<RequestContext, 'request' | 'service' | 'model'>): void {
     this.#services.budgetOf(context.service.name).noteRequest();
     if (context.model !== undefined) {
-      const tokens = header(context.request, this.#services.headers.tokenCounts);
+      const tokens = headerValue(context.request, this.#services.headers.tokenCounts);
       this.#services.demand.noteRequest(context.service.name, context.model, tokens);
     }
   }
@@ -189,15 +170,15 @@
       return unavailable('no-service');
     }
     return {
-      id: header(request, names.requestId) ?? '',
+      id: headerValue(request, names.requestId) ?? '',
       route,
       service,
       workspace: workspace?.name,
       homeRegions: new RequestHomeRegions(() => this.#holder.table, lookup, { route, workspace }),
       priority: priorityOf(route, workspace?.priority),
-      model: header(request, names.model),
-      promptParts: this.#services.readPromptParts(header(request, names.promptParts)),
-      lastEventId: header(request, names.lastEventId),
+      model: headerValue(request, names.model),
+      promptParts: this.#services.readPromptParts(headerValue(request, names.promptParts)),
+      lastEventId: headerValue(request, names.lastEventId),
     };
   }
 
@@ -212,7 +193,7 @@
     const { counters, log, headers: names } = this.#services;
     counters.count('refusals_total', { reason: answer.reason });
     log.warn('request refused', {
-      request: header(request, names.requestId),
+      request: headerValue(request, names.requestId),
       status: answer.status,
       reason: answer.reason,
       version: this.#holder.table?.version,
@@ -258,11 +239,6 @@
   return BEARER.exec(request.headers.authorization ?? '')?.[1];
 }
 
-function header(request: IncomingMessage, name: string): string | undefined {
-  const value = request.headers[name];
-  return typeof value === 'string' ? value : undefined;
-}
-
 /** The error that ended the caller's connection before the whole body was received. */
 type IncompleteBody = { readonly readError: Error };
 
--- a/packages/entry/src/requests/stream-attempt.ts
+++ b/packages/entry/src/requests/stream-attempt.ts
@@ -14,6 +14,7 @@
 import { hostNoticeListener } from './notice-listener.js';
 import { isFramed, reportsNotRun } from './plain-relay.js';
 import { formatPromptParts } from './prompt-parts.js';
+import { headerValue } from './relay-headers.js';
 import type { RelayServices } from './relay-services.js';
 import type { RequestContext } from './request-context.js';
 import type { StallLimits } from './stall-limits.js';
@@ -339,7 +340,7 @@
       // Logged for lost attempts only, since only their requests may have crashed the host.
       fingerprint: end.kind === 'lost' ? this.#context.causes.request() : undefined,
       promptParts: end.kind === 'lost' ? formatPromptParts(this.#context.promptParts) : undefined,
-      faultyHost: headerText(this.#head, headerNames.faultyHost),
+      faultyHost: this.#head && headerValue(this.#head, headerNames.faultyHost),
       begun: this.#hasBegun,
       afterMs: Math.round(monotonicMs() - this.#startedAt),
       silentMs: Math.round(monotonicMs() - this.#lastProgressAt),
@@ -347,8 +348,3 @@
     });
   }
 }
-
-function headerText(head: IncomingMessage | undefined, name: string): string | undefined {
-  const value = head?.headers[name];
-  return typeof value === 'string' ? value : undefined;
-}
--- a/packages/entry/src/requests/stream-relay.ts
+++ b/packages/entry/src/requests/stream-relay.ts
@@ -66,6 +66,11 @@
     this.#eventSplitter = new EventSplitter(context.lastEventId);
   }
 
+  /** False while it is certain that no host has run the request or is running it. */
+  get mayHaveRun(): boolean {
+    return this.#attemptLog.mayHaveRunOrRuns;
+  }
+
   /** Relays the stream to its end, with as many attempts as the route and the retry budget allow. */
   async run(): Promise<void> {
     const { callerSignal, deadline } = this.#context;
--- a/packages/entry/src/server/planned-stop.test.ts
+++ b/packages/entry/src/server/planned-stop.test.ts
@@ -20,7 +20,7 @@
   async function stopDurationMs(open: () => number): Promise<number> {
     const callers = { close: () => (closes += 1), closeIdle: () => undefined };
     const requests = {
-      get open() {
+      get count() {
         return open();
       },
     };
--- a/packages/entry/src/server/planned-stop.ts
+++ b/packages/entry/src/server/planned-stop.ts
@@ -14,7 +14,7 @@
 export type PlannedStop = {
   readonly callers: Pick<CallerServer, 'close' | 'closeIdle'>;
   /** Requests in progress. */
-  readonly requests: { readonly open: number };
+  readonly requests: { readonly count: number };
   /** Time between the stop signal and the kill by the platform, in milliseconds. */
   readonly graceMs: number;
   /** Clock in milliseconds that includes suspensions of the process, as the platform's clock does. */
@@ -35,7 +35,7 @@
   }
   // A caller that keeps an idle connection could send a request to a host that is about to exit.
   callers.close();
-  while (requests.open > 0 && now() - startedAt < limitMs) {
+  while (requests.count > 0 && now() - startedAt < limitMs) {
     await sleep(POLL_PERIOD_MS);
     callers.closeIdle();
   }
