A stopping entry host ends connections with the answers in progress

Only answers to requests that arrived after the signal said `Connection: close`. An answer in progress left its connection open, whose caller then sent its next request at once; the stop closes idle connections every 50 ms, which such a caller is faster than. So requests were read until the end, whatever time was left for them.

When a stop begins, each connection with a request in progress is closed with the answer to the newest request that was received on it: by `Connection: close` if its head is still to come (cheaper for the caller, who then opens another connection at once), otherwise by ending the connection right after the last byte. What a caller sends after a request whose answer closes the connection is not processed (RFC 9112, 9.6), so a second request that was sent at once is answered if it was received before the stop and never handed on if it came later. Reading stops with the end of the last answer: a request on its way stays unread, and its caller may send it again.

Weighed: to read the next request and refuse it with 503. The caller would lose a try and a round trip, where a closed connection costs a connection only; so refusals are left to what can not be told before.

--- /dev/null
+++ b/packages/entry/src/server/caller-connections.ts
@@ -0,0 +1,82 @@
+/**
+ * The connections of an HTTP server that closes them without cutting any answer.
+ *
+ * A closing connection ends with an answer that is chosen in advance. What its caller sends after that is not processed:
+ * it would be cut. The answer says `Connection: close` unless its head has been sent before.
+ */
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { Socket } from 'node:net';
+
+/** A connection and its answers. */
+type CallerConnection = {
+  readonly socket: Socket;
+  /** Answers that have not ended; several if the caller sends requests without waiting for answers. */
+  open: number;
+  /** The answer to the newest request; undefined before the first one. */
+  newest: ServerResponse | undefined;
+  /** True once the newest answer is the last one. */
+  isClosing: boolean;
+};
+
+/** Tracks the connections of a server and closes each of them after one of its answers. */
+export class CallerConnections {
+  readonly #bySocket = new Map<Socket, CallerConnection>();
+  #isDraining = false;
+
+  /** Adds a new connection. */
+  add(socket: Socket): void {
+    this.#bySocket.set(socket, { socket, open: 0, newest: undefined, isClosing: false });
+    socket.once('close', () => {
+      this.#bySocket.delete(socket);
+    });
+  }
+
+  /** Returns whether a request may be processed: false if its connection closes with an earlier answer. */
+  admit({ socket }: IncomingMessage, response: ServerResponse): boolean {
+    const connection = this.#bySocket.get(socket);
+    if (connection === undefined || connection.isClosing) {
+      return false;
+    }
+    connection.open += 1;
+    connection.newest = response;
+    response.once('close', () => {
+      connection.open -= 1;
+    });
+    if (this.#isDraining) {
+      closeAfterNewest(connection);
+    }
+    return true;
+  }
+
+  /**
+   * From now on, each connection closes with the answer to the newest request that was received on it. An idle connection
+   * closes with the answer to its next request.
+   */
+  drain(): void {
+    this.#isDraining = true;
+    for (const connection of this.#bySocket.values()) {
+      if (connection.open > 0 && !connection.isClosing) {
+        closeAfterNewest(connection);
+      }
+    }
+  }
+}
+
+function closeAfterNewest(connection: CallerConnection): void {
+  const { newest, socket } = connection;
+  if (newest === undefined || newest.writableFinished) {
+    return;
+  }
+  connection.isClosing = true;
+  // A request that is sent before its caller learns of the close stays unread, so the caller may send it again.
+  newest.once('prefinish', () => {
+    socket.pause();
+  });
+  if (newest.headersSent) {
+    newest.once('finish', () => {
+      socket.destroySoon();
+    });
+  } else {
+    newest.setHeader('connection', 'close');
+  }
+}
--- /dev/null
+++ b/packages/entry/src/server/caller-server.test.ts
@@ -0,0 +1,133 @@
+/** Guards against a server that, while it drains, takes on requests that it cuts when its process ends. */
+import type { ServerResponse } from 'node:http';
+import type { AddressInfo, Socket } from 'node:net';
+import { connect, createServer } from 'node:net';
+
+import { expect } from 'chai';
+
+import { CallerServer } from './caller-server.js';
+import { sleep } from './time.js';
+
+const REQUEST = 'GET / HTTP/1.1\r\nHost: h\r\n\r\n';
+/** Time in which a message arrives on the loopback interface, in milliseconds. */
+const ARRIVAL_MS = 20;
+
+/** A connection of a caller, what it has received and whether it has ended. */
+type Caller = { readonly socket: Socket; received: string; isEnded: boolean };
+
+describe('server for callers while it drains', () => {
+  let server: CallerServer;
+  let port: number;
+  let responses: ServerResponse[];
+  let callers: Caller[];
+
+  beforeEach(async () => {
+    responses = [];
+    callers = [];
+    server = new CallerServer((_request, response) => {
+      responses.push(response);
+    });
+    port = await freePort();
+    await server.listen('127.0.0.1', port);
+  });
+
+  afterEach(() => {
+    callers.forEach(({ socket }) => {
+      socket.destroy();
+    });
+    server.close();
+  });
+
+  async function freePort(): Promise<number> {
+    const probe = createServer();
+    await new Promise<void>(resolve => probe.listen(0, '127.0.0.1', resolve));
+    const { port: free } = probe.address() as AddressInfo;
+    await new Promise(resolve => probe.close(resolve));
+    return free;
+  }
+
+  async function open(): Promise<Caller> {
+    const socket = connect({ port, host: '127.0.0.1', allowHalfOpen: true });
+    const caller: Caller = { socket, received: '', isEnded: false };
+    callers.push(caller);
+    socket.on('data', (chunk: Buffer) => {
+      caller.received += chunk.toString();
+    });
+    socket.on('end', () => {
+      caller.isEnded = true;
+    });
+    socket.on('error', () => {
+      caller.isEnded = true;
+    });
+    await new Promise(resolve => socket.once('connect', resolve));
+    return caller;
+  }
+
+  async function send(caller: Caller, text: string): Promise<void> {
+    caller.socket.write(text);
+    await sleep(ARRIVAL_MS);
+  }
+
+  it('closes a connection with the answer that had begun before', async () => {
+    const caller = await open();
+    await send(caller, REQUEST);
+    responses[0]?.write('first part');
+    server.drain();
+    await sleep(ARRIVAL_MS);
+    expect(caller.isEnded).to.equal(false);
+    responses[0]?.end('last part');
+    await sleep(ARRIVAL_MS);
+    expect(caller.received).to.contain('last part');
+    expect(caller.isEnded).to.equal(true);
+  });
+
+  it('does not process a request that a caller sends as soon as it has the last byte of an answer', async () => {
+    const caller = await open();
+    await send(caller, REQUEST);
+    responses[0]?.write('first part');
+    server.drain();
+    caller.socket.on('data', () => caller.socket.write(REQUEST));
+    responses[0]?.end('last part');
+    await sleep(ARRIVAL_MS);
+    expect(responses).to.have.length(1);
+    expect(caller.received).to.contain('last part');
+  });
+
+  it('names the close in an answer that has not begun, and answers requests that arrive later', async () => {
+    const [waiting, idle] = [await open(), await open()];
+    await send(waiting, REQUEST);
+    server.drain();
+    await send(idle, REQUEST);
+    responses.forEach(response => response.end('answer'));
+    await sleep(ARRIVAL_MS);
+    for (const caller of [waiting, idle]) {
+      expect(caller.received.toLowerCase()).to.contain('connection: close');
+      expect(caller.received).to.contain('answer');
+      expect(caller.isEnded).to.equal(true);
+    }
+  });
+
+  it('answers all requests that were sent at once on a connection', async () => {
+    const caller = await open();
+    await send(caller, REQUEST + REQUEST);
+    expect(responses).to.have.length(2);
+    responses[0]?.write('answer 1');
+    server.drain();
+    responses[0]?.end();
+    responses[1]?.end('answer 2');
+    await sleep(ARRIVAL_MS);
+    expect(caller.received).to.contain('answer 1').and.to.contain('answer 2');
+    expect(caller.isEnded).to.equal(true);
+  });
+
+  it('does not process requests behind one whose answer closes the connection', async () => {
+    const caller = await open();
+    server.drain();
+    await send(caller, REQUEST + REQUEST);
+    expect(responses).to.have.length(1);
+    responses[0]?.end('answer');
+    await sleep(ARRIVAL_MS);
+    expect(caller.received).to.contain('answer');
+    expect(caller.isEnded).to.equal(true);
+  });
+});
--- a/packages/entry/src/server/caller-server.ts
+++ b/packages/entry/src/server/caller-server.ts
@@ -3,6 +3,7 @@
 import { createServer } from 'node:http';
 
 import type { CallerLimits } from '../configuration/serving-configuration.js';
+import { CallerConnections } from './caller-connections.js';
 
 /** Limits that apply until the first configuration is received. */
 const DEFAULT_LIMITS: CallerLimits = {
@@ -29,8 +30,7 @@
 /** Accepts connections of callers and passes each request to a handler. */
 export class CallerServer {
   readonly #server: Server;
-  #draining = false;
-
+  readonly #connections = new CallerConnections();
   readonly #admission: ConnectionAdmission | undefined;
 
   /** Without an admission, all connections are accepted. */
@@ -42,16 +42,17 @@
     this.#server = createServer(
       { maxHeaderSize: MAX_HEADER_BYTES, keepAlive: false, noDelay: true },
       (request, response) => {
-        if (this.#draining) {
-          response.setHeader('connection', 'close');
+        if (this.#connections.admit(request, response)) {
+          handle(request, response);
         }
-        handle(request, response);
       },
     );
     this.#server.prependListener('connection', socket => {
       if (admission?.accepts() === false) {
         socket.destroy();
+        return;
       }
+      this.#connections.add(socket);
     });
     this.#server.requestTimeout = 0;
     this.applyLimits(DEFAULT_LIMITS);
@@ -69,9 +70,9 @@
     return listenAt(this.#server, ip, port);
   }
 
-  /** From now on, the connection is closed after each response. */
+  /** From now on, each connection closes with the response in progress, or with the next one if it is idle. */
   drain(): void {
-    this.#draining = true;
+    this.#connections.drain();
   }
 
   /** Closes idle connections and stops accepting new ones. */
