A stopping entry host closes connections on which nothing was sent

A connection that was opened before the stop and has sent nothing stayed open: Node.js counts it as busy until its first request, so closing idle connections leaves it out. A request that it brought seconds later was read, handed on and cut with the process.

Such connections are now closed together with the idle ones. Nothing of them was read, so their callers lose nothing. One whose request has begun to arrive stays open.

--- a/packages/entry/src/server/caller-connections.ts
+++ b/packages/entry/src/server/caller-connections.ts
@@ -60,6 +60,15 @@
       }
     }
   }
+
+  /** Closes the connections on which nothing has been received: the server itself takes them for busy ones. */
+  closeUnused(): void {
+    for (const { socket } of this.#bySocket.values()) {
+      if (socket.bytesRead === 0) {
+        socket.destroy();
+      }
+    }
+  }
 }
 
 function closeAfterNewest(connection: CallerConnection): void {
--- a/packages/entry/src/server/caller-server.test.ts
+++ b/packages/entry/src/server/caller-server.test.ts
@@ -130,4 +130,20 @@
     expect(caller.received).to.contain('answer');
     expect(caller.isEnded).to.equal(true);
   });
+
+  // Guards against requests that a connection from before the stop brings seconds after the others were closed.
+  it('closes a connection on which nothing has been sent, and leaves one whose request has begun', async () => {
+    const [unused, begun] = [await open(), await open()];
+    await send(begun, 'GET / HTTP/1.1\r\n');
+    server.drain();
+    server.close();
+    await send(unused, REQUEST);
+    expect(unused.isEnded).to.equal(true);
+    expect(responses).to.have.length(0);
+    await send(begun, 'Host: h\r\n\r\n');
+    expect(responses).to.have.length(1);
+    responses[0]?.end('answer');
+    await sleep(ARRIVAL_MS);
+    expect(begun.received).to.contain('answer');
+  });
 });
