A stopping entry host closes the connections of its peers too

In a planned stop only the server of callers stopped to listen and closed idle connections. That of forwarded requests kept both until the process ended, so a peer could still forward a request on a kept connection that this process would cut, and a new connection was accepted to the end.

The stop now treats both servers alike: drain at the signal, close with the notice time, close idle connections after it.

--- a/packages/entry/src/entry-host.ts
+++ b/packages/entry/src/entry-host.ts
@@ -225,11 +225,13 @@
     const stoppedAt = monotonicMs();
     log.info('entry host stopping', { open: open.count });
     this.#stopping = true;
-    this.#callers.drain();
-    this.#forwarding.drain();
+    const servers = [this.#callers, this.#forwarding.server];
+    servers.forEach(server => {
+      server.drain();
+    });
     this.#coordinator.stop();
     const { graceMs } = this.#settings.bounds;
-    const finished = finishRequests({ callers: this.#callers, requests: open, graceMs });
+    const finished = finishRequests({ servers, requests: open, graceMs });
     await Promise.all([this.#lease.stop(), finished]);
     const idHeader = this.#options.headers.requestId;
     reportCutRequests(open.all, { idHeader, stoppedAt, log, counters: this.#counters });
--- a/packages/entry/src/forwarding/forwarding-service.ts
+++ b/packages/entry/src/forwarding/forwarding-service.ts
@@ -43,7 +43,8 @@
   readonly forwarding: Forwarding | undefined;
   readonly #parts: ForwardingParts;
   readonly #address: SocketAddress | undefined;
-  readonly #server: CallerServer;
+  /** Accepts the requests that peers forward. */
+  readonly server: CallerServer;
 
   constructor(parts: ForwardingParts) {
     this.#parts = parts;
@@ -51,7 +52,7 @@
     this.isolation = createIsolation(parts);
     this.forwarding =
       this.#address === undefined ? undefined : createForwarding(parts, this.isolation);
-    this.#server = new CallerServer((request, response) => {
+    this.server = new CallerServer((request, response) => {
       parts.intake().handle(request, response, readForwarded(request.headers));
     });
   }
@@ -71,18 +72,13 @@
   /** Starts to accept forwarded requests. */
   async start(): Promise<void> {
     if (this.#address !== undefined) {
-      await this.#server.listen(this.#address.ip, this.#address.port);
+      await this.server.listen(this.#address.ip, this.#address.port);
     }
   }
 
-  /** From now on, the connection of a peer is closed after each response. */
-  drain(): void {
-    this.#server.drain();
-  }
-
   /** Stops listening, all probes and all questions to peers. */
   stop(): void {
-    this.#server.close();
+    this.server.close();
     this.forwarding?.stop();
     this.isolation.stop();
   }
--- a/packages/entry/src/server/planned-stop.test.ts
+++ b/packages/entry/src/server/planned-stop.test.ts
@@ -18,14 +18,14 @@
   });
 
   async function stopDurationMs(open: () => number): Promise<number> {
-    const callers = { close: () => (closes += 1), closeIdle: () => undefined };
+    const server = { close: () => (closes += 1), closeIdle: () => undefined };
     const requests = {
       get count() {
         return open();
       },
     };
     const now = (): number => (clockMs += MS_PER_READING);
-    await finishRequests({ callers, requests, graceMs: GRACE_MS, now });
+    await finishRequests({ servers: [server], requests, graceMs: GRACE_MS, now });
     return clockMs;
   }
 
--- a/packages/entry/src/server/planned-stop.ts
+++ b/packages/entry/src/server/planned-stop.ts
@@ -12,7 +12,8 @@
 
 /** Parameters of a planned stop that is under way. */
 export type PlannedStop = {
-  readonly callers: Pick<CallerServer, 'close' | 'closeIdle'>;
+  /** The servers of callers, and of peers that forward requests. */
+  readonly servers: readonly Pick<CallerServer, 'close' | 'closeIdle'>[];
   /** Requests in progress. */
   readonly requests: { readonly count: number };
   /** Time between the stop signal and the kill by the platform, in milliseconds. */
@@ -27,16 +28,20 @@
  * concurrently.
  */
 export async function finishRequests(stop: PlannedStop): Promise<void> {
-  const { callers, requests, graceMs, now = elapsedMs } = stop;
+  const { servers, requests, graceMs, now = elapsedMs } = stop;
   const startedAt = now();
   const limitMs = graceMs - GRACE_MARGIN_MS;
   while (now() - startedAt < Math.min(BALANCER_NOTICE_MS, limitMs)) {
     await sleep(POLL_PERIOD_MS);
   }
-  // A caller that keeps an idle connection could send a request to a host that is about to exit.
-  callers.close();
+  // A caller or peer that keeps an idle connection could send a request to a host that is about to exit.
+  servers.forEach(server => {
+    server.close();
+  });
   while (requests.count > 0 && now() - startedAt < limitMs) {
     await sleep(POLL_PERIOD_MS);
-    callers.closeIdle();
+    servers.forEach(server => {
+      server.closeIdle();
+    });
   }
 }
