A short grace time is not spent on the margin of a stop

For grace times below 4.2 s that is before their last sixth, so that even an answer that may be cut there was cut too early; for one of 600 ms everything was cut at once.

The margin is now a sixth of the grace time at most, and 700 ms as before from 4.2 s on (all deployments have 8 s). How far a stop has come is known to an object of its own, PlannedStop, for others to ask.

Test: planned-stop.test.ts, 'leaves requests in progress five sixths of the grace time at least'; with the margin of before it fails at 600 ms and at 3 s.

--- a/packages/entry/src/server/planned-stop.test.ts
+++ b/packages/entry/src/server/planned-stop.test.ts
@@ -1,7 +1,7 @@
 /** Guards against a planned stop that exceeds the grace time, after which the platform kills the process. */
 import { expect } from 'chai';
 
-import { finishRequests } from './planned-stop.js';
+import { finishRequests, PlannedStop } from './planned-stop.js';
 import { sleep } from './time.js';
 
 const GRACE_MS = 8_000;
@@ -25,7 +25,7 @@
       },
     };
     const now = (): number => (clockMs += MS_PER_READING);
-    await finishRequests({ servers: [server], requests, graceMs: GRACE_MS, now });
+    await finishRequests(new PlannedStop(GRACE_MS, now), { servers: [server], requests });
     return clockMs;
   }
 
@@ -44,4 +44,12 @@
     clockMs = 7_400;
     expect(await ended).to.be.below(GRACE_MS + MS_PER_READING);
   });
+
+  // Guards against long answers that are cut although most of a short grace time is left.
+  it('leaves requests in progress five sixths of the grace time at least', () => {
+    for (const graceMs of [600, 3_000, 4_200, GRACE_MS, 30_000]) {
+      const { leftMs } = new PlannedStop(graceMs, () => 0);
+      expect(leftMs).to.be.within((graceMs * 5) / 6, graceMs - 100);
+    }
+  });
 });
