A stopping entry host refuses requests that it reads too late to end

Reading a body has no time limit of its own, and the request counts as open meanwhile.

From 2.6 s after the signal on, when load balancers have noticed and only such requests can still come, a request is taken only if its time limit (its deadline, at most the route's time-out) passes before the time of the stop does. Otherwise it is refused at once, as not run, with `Retry-After: 0` (another entry host takes it) and `Connection: close`. Peers learn from the answer that another peer may take it.

Ruled out: to refuse by the same rule in the first 2.6 s.

A request that was read late but has a deadline inside the stop is still served.

--- a/packages/entry/src/entry-host.ts
+++ b/packages/entry/src/entry-host.ts
@@ -86,6 +86,7 @@
   #ignoreLeaps: (() => void) | undefined;
   #hostsKnown = false;
   #stopping = false;
+  #plannedStop: PlannedStop | undefined;
 
   constructor(options: EntryHostOptions) {
     this.#options = options;
@@ -230,8 +231,8 @@
       server.drain();
     });
     this.#coordinator.stop();
-    const stop = new PlannedStop(this.#settings.bounds.graceMs);
-    const finished = finishRequests(stop, { servers, requests: open });
+    this.#plannedStop = new PlannedStop(this.#settings.bounds.graceMs);
+    const finished = finishRequests(this.#plannedStop, { servers, requests: open });
     await Promise.all([this.#lease.stop(), finished]);
     const idHeader = this.#options.headers.requestId;
     reportCutRequests(open.all, { idHeader, stoppedAt, log, counters: this.#counters });
@@ -385,6 +386,7 @@
       },
       forwarding: this.#forwarding.forwarding,
       isUnreachable: target => this.#outlier(target, monotonicMs())?.isUnreachable ?? false,
+      plannedStop: () => this.#plannedStop,
       areKeysValid: () => this.#configuration.areKeysConfirmed(this.#settings.bounds),
       storeFreshness: () => knownStateAtSend(this.#configuration, this.#watches),
       log,
--- a/packages/entry/src/requests/final-answer.ts
+++ b/packages/entry/src/requests/final-answer.ts
@@ -15,6 +15,8 @@
   | NoTargetReason
   | 'not-run'
   | 'overloaded'
+  /** This entry host stops before the request could end. */
+  | 'stopping'
   | 'keys-lapsed'
   | 'upstream-lost'
   | 'upstream-invalid'
@@ -36,6 +38,13 @@
   return { status: mayHaveRun ? 502 : 503, reason: 'quarantined' };
 }
 
+/** The answer to a request that a planned stop ends. Another entry host can take one that has not run at once. */
+export function stoppingAnswer(mayHaveRun: boolean): FinalAnswer {
+  return mayHaveRun
+    ? { status: 502, reason: 'stopping' }
+    : { status: 503, reason: 'stopping', retryAfterMs: 0 };
+}
+
 const MS_PER_S = 1_000;
 
 /** Sends the answer. If another one has begun, the connection is closed instead. */
--- a/packages/entry/src/requests/relay-services.ts
+++ b/packages/entry/src/requests/relay-services.ts
@@ -12,6 +12,7 @@
 import type { Target, TargetChooser } from '../routing/target-chooser.js';
 import type { Log } from '../server/log.js';
 import type { Counters, Latencies } from '../server/metrics.js';
+import type { PlannedStop } from '../server/planned-stop.js';
 import type { StoreFreshness } from '../store/store-freshness.js';
 import type { PacedQueues } from './paced-queues.js';
 import type { PromptPartReader } from './prompt-parts.js';
@@ -50,6 +51,8 @@
   readonly areKeysValid: () => boolean;
   /** Version and ages of the known configuration and hosts; recorded at each send. */
   readonly storeFreshness: () => StoreFreshness;
+  /** The planned stop of this entry host; undefined while none is under way. */
+  readonly plannedStop: () => PlannedStop | undefined;
   readonly log: Log;
   readonly counters: Counters;
   readonly latencies: Latencies;
--- a/packages/entry/src/requests/request-intake.ts
+++ b/packages/entry/src/requests/request-intake.ts
@@ -11,7 +11,7 @@
 import { requestCauses } from '../quarantine/request-causes.js';
 import { monotonicMs } from '../server/time.js';
 import type { AnswerReason, FinalAnswer } from './final-answer.js';
-import { sendFinalAnswer } from './final-answer.js';
+import { sendFinalAnswer, stoppingAnswer } from './final-answer.js';
 import { RequestHomeRegions } from './home-regions.js';
 import type { OpenRequest } from './open-requests.js';
 import { OpenRequests } from './open-requests.js';
@@ -96,6 +96,10 @@
       this.#refuse(received, admitted);
       return;
     }
+    if (this.#endsAfterStop(admitted.route, request, arrivedAt)) {
+      this.#refuse(received, stoppingAnswer(false));
+      return;
+    }
     const relay = this.#createRelay({ ...admitted, ...received, body, arrivedAt });
     open.relay = relay;
     await relay.run();
@@ -115,15 +119,12 @@
   #createRelay(
     context: Omit<RequestContext, 'deadline' | 'causes' | 'isQuarantined'>,
   ): StreamRelay | PlainRelay {
-    const requestedMs = Number(headerValue(context.request, this.#services.headers.deadlineMs));
-    const limitMs =
-      requestedMs > 0 ? Math.min(requestedMs, context.route.timeoutMs) : context.route.timeoutMs;
     const causes = causesOf(context);
     const completeContext: RequestContext = {
       ...context,
       causes,
       isQuarantined: () => this.#services.quarantine.isQuarantined(causes),
-      deadline: context.arrivedAt + limitMs,
+      deadline: context.arrivedAt + this.#timeLimitMs(context.route, context.request),
     };
     if (context.forwarded === undefined) {
       this.#noteRequest(context);
@@ -133,6 +134,22 @@
       : new PlainRelay(completeContext, this.#services);
   }
 
+  // True if the request may take longer than a planned stop allows. Requests that arrive before load balancers have
+  // noticed the stop are taken all the same: nearly all of them end in time.
+  #endsAfterStop(route: Route, request: IncomingMessage, arrivedAt: number): boolean {
+    const stop = this.#services.plannedStop();
+    if (stop?.isNoticed !== true) {
+      return false;
+    }
+    const dueInMs = arrivedAt + this.#timeLimitMs(route, request) - monotonicMs();
+    return dueInMs > stop.leftMs;
+  }
+
+  #timeLimitMs(route: Route, request: IncomingMessage): number {
+    const requestedMs = Number(headerValue(request, this.#services.headers.deadlineMs));
+    return requestedMs > 0 ? Math.min(requestedMs, route.timeoutMs) : route.timeoutMs;
+  }
+
   // Counts a request of a caller; one that is forwarded is counted by the entry host that received it first.
   #noteRequest(context: Pick<RequestContext, 'request' | 'service' | 'model'>): void {
     this.#services.budgetOf(context.service.name).noteRequest();
--- a/packages/entry/src/testing/relay.ts
+++ b/packages/entry/src/testing/relay.ts
@@ -143,6 +143,7 @@
       runLost: () => undefined,
       runCompleted: () => undefined,
     },
+    plannedStop: () => undefined,
     areKeysValid: () => true,
     storeFreshness: () => ({ version: 1, configurationAgeMs: 0, hostsAgeMs: 0 }),
     log,
