A stopping entry host answers what is left when its time is over

When the time of a stop is over, requests whose answers have not begun are now answered: with 503 and `Retry-After: 0` if it is certain that no host has run them, otherwise with 502, which promises nothing. Their attempts end before the answer is written, so that none begins after it, and the process waits up to 200 ms of its margin until the answers have left. Streams that have begun can only be cut; they are logged and counted as before, the others as answered.

--- a/packages/entry/src/entry-host.ts
+++ b/packages/entry/src/entry-host.ts
@@ -16,13 +16,13 @@
 import type { Peers } from './peers/peers.js';
 import { connectQuarantine } from './quarantine/connect-quarantine.js';
 import type { RequestQuarantine } from './quarantine/request-quarantine.js';
-import { reportCutRequests } from './requests/cut-requests.js';
 import { noticeListener } from './requests/notice-listener.js';
 import { PacedQueues } from './requests/paced-queues.js';
 import type { RelayServices } from './requests/relay-services.js';
 import { RequestIntake } from './requests/request-intake.js';
 import { ServiceLimits } from './requests/service-limits.js';
 import { StallMonitor } from './requests/stall-monitor.js';
+import { endUnfinished } from './requests/unfinished-requests.js';
 import { DemandMeter } from './routing/demand-meter.js';
 import { HostActivities } from './routing/host-activity.js';
 import type { OutlierVerdict } from './routing/outlier-reports.js';
@@ -235,7 +235,7 @@
     const finished = finishRequests(this.#plannedStop, { servers, requests: open });
     await Promise.all([this.#lease.stop(), finished]);
     const idHeader = this.#options.headers.requestId;
-    reportCutRequests(open.all, { idHeader, stoppedAt, log, counters: this.#counters });
+    await endUnfinished(open, { idHeader, stoppedAt, log, counters: this.#counters });
     log.info('entry host stopped', { open: open.count });
     this.end();
   }
--- a/packages/entry/src/requests/open-requests.ts
+++ b/packages/entry/src/requests/open-requests.ts
@@ -5,6 +5,9 @@
 import type { LogFields } from '../server/log.js';
 import { monotonicMs } from '../server/time.js';
 
+/** Reason of the abort at the end of every request: without one, each abort would create an error with a stack. */
+const CANCEL_REASON = 'request ended';
+
 /** What an open request tells of the attempts of its relay. */
 export type RelayProgress = {
   /** False while it is certain that no host has run the request or is running it. */
@@ -25,6 +28,7 @@
   readAt: number | undefined;
   /** Undefined until the request is admitted. */
   relay: RelayProgress | undefined;
+  readonly #relayAbort = new AbortController();
 
   constructor(
     request: IncomingMessage,
@@ -43,6 +47,16 @@
     return this.relay?.mayHaveRun ?? false;
   }
 
+  /** Aborted when the answer or its connection ends, and by {@link cancelRelay}. */
+  get signal(): AbortSignal {
+    return this.#relayAbort.signal;
+  }
+
+  /** Ends all attempts; the relay neither sends the request again nor answers it any more. */
+  cancelRelay(): void {
+    this.#relayAbort.abort(CANCEL_REASON);
+  }
+
   /** Fields of a log line about this request; `since` is the time they refer to, in monotonic milliseconds. */
   logFields(since: number): LogFields {
     return {
@@ -83,6 +97,11 @@
     return [...this.#open];
   }
 
+  /** True if the request is open. */
+  has(request: OpenRequest): boolean {
+    return this.#open.has(request);
+  }
+
   /** Adds a request that has just been received; it is removed when its answer or its connection ends. */
   add(request: IncomingMessage, response: ServerResponse, isForwarded: boolean): OpenRequest {
     const place = (this.#countByConnection.get(request.socket) ?? 0) + 1;
@@ -93,6 +112,7 @@
     this.#forwardedCount += isForwarded ? 1 : 0;
     response.once('close', () => {
       this.#open.delete(open);
+      open.cancelRelay();
       this.#forwardedCount -= isForwarded ? 1 : 0;
     });
     return open;
--- a/packages/entry/src/requests/request-intake.ts
+++ b/packages/entry/src/requests/request-intake.ts
@@ -23,8 +23,6 @@
 
 /** `Retry-After` of a request that this entry host can not admit at the moment, in milliseconds. */
 const UNAVAILABLE_RETRY_AFTER_MS = 500;
-/** Reason of the abort at the end of every request: without one, each abort would create an error with a stack. */
-const DISCONNECT_REASON = 'caller disconnected';
 const BEARER = /^bearer\s+(\S+)\s*$/i;
 
 /** The part of a request's context that follows from its head and the configuration. */
@@ -59,11 +57,7 @@
   /** Processes a request until it has its final answer. */
   handle(request: IncomingMessage, response: ServerResponse, forwarded?: ForwardedRequest): void {
     const open = this.open.add(request, response, forwarded !== undefined);
-    const disconnection = new AbortController();
-    response.once('close', () => {
-      disconnection.abort(DISCONNECT_REASON);
-    });
-    const received = { request, response, callerSignal: disconnection.signal, forwarded };
+    const received = { request, response, callerSignal: open.signal, forwarded };
     this.#run(received, open).catch((error: unknown) => {
       this.#services.log.error('request failed', { cause: String((error as Error).stack) });
       response.destroy();
