An answer that is too long to buffer fails instead of being shortened

Seen by the review, by reading: a plain answer of more than 16 MiB was passed on with its first 16 MiB and their length, so its caller took it for a whole one. Cause: the parts beyond the limit were dropped without a mark; the relay of forwarded requests, which buffers alike, fails such answers.

Both now use one module for the body of an answer, which knows that it is too long; the attempt ends as lost.

Test: plain-relay.test.ts, 'fails if its answer is longer than an entry host buffers'; before, the caller got 200.

--- a/packages/entry/src/forwarding/forwarded-plain.ts
+++ b/packages/entry/src/forwarding/forwarded-plain.ts
@@ -1,6 +1,7 @@
 /** Forwards a request that has a single answer, and reads the answer completely. */
 import type { IncomingMessage } from 'node:http';
 
+import { ANSWER_TOO_LONG, AnswerBody } from '../requests/answer-body.js';
 import { answerFault } from '../requests/answer-check.js';
 import type { ExchangeEnd } from '../requests/exchange.js';
 import type { RelayServices } from '../requests/relay-services.js';
@@ -16,9 +17,6 @@
     }
   | ForwardedFailure;
 
-/** Longest answer body that is accepted, in bytes. */
-const MAX_ANSWER_BYTES = 16 * 1024 * 1024;
-
 /** Sends the request to the peer; ends after `timeoutMs` milliseconds, or when the caller disconnects. */
 export function forwardPlain(
   send: ForwardedSend,
@@ -27,15 +25,13 @@
 ): Promise<ForwardedPlainEnd> {
   const { callerSignal } = send.context;
   const startedAt = monotonicMs();
-  const chunks: Buffer[] = [];
-  let bytes = 0;
+  const body = new AnswerBody();
   let head: IncomingMessage | undefined;
   return new Promise(resolve => {
     const settle = (exchangeEnd: ExchangeEnd): void => {
       timeout.cancel();
       callerSignal.removeEventListener('abort', cancel);
-      const body = bytes > MAX_ANSWER_BYTES ? undefined : Buffer.concat(chunks);
-      const end = classifyEnd(send, exchangeEnd, head, body);
+      const end = classifyEnd(send, exchangeEnd, head, body.bytes);
       services.counters.count('forwarded_total', { kind: 'plain', end: end.kind });
       if (end.kind !== 'answered') {
         logForwardedFailure(services.log, send, end, monotonicMs() - startedAt);
@@ -47,10 +43,7 @@
         head = answer;
       },
       onData: chunk => {
-        bytes += chunk.length;
-        if (bytes <= MAX_ANSWER_BYTES) {
-          chunks.push(chunk);
-        }
+        body.append(chunk);
       },
       onEnd: settle,
     });
@@ -74,7 +67,7 @@
     return failure ?? { kind: 'lost', detail: end };
   }
   if (body === undefined) {
-    return { kind: 'lost', detail: 'answer is too long' };
+    return { kind: 'lost', detail: ANSWER_TOO_LONG };
   }
   const fault = answerFault(head, context.id, headers);
   return fault === undefined
--- a/packages/entry/src/requests/plain-relay.test.ts
+++ b/packages/entry/src/requests/plain-relay.test.ts
@@ -8,6 +8,9 @@
 import { relayServices, requestContext, TestUpstreamHost } from '../testing/relay.js';
 import { PlainRelay } from './plain-relay.js';
 
+/** More than an entry host buffers of an answer. */
+const TOO_MANY_BYTES = 16 * 1024 * 1024 + 1;
+
 const HEAD = { 'x-request-id': 'r', 'x-stamp': 's' };
 
 type AnswerHandler = (response: ServerResponse, request: IncomingMessage) => void;
@@ -24,6 +27,11 @@
   response.writeHead(200, { ...HEAD, 'content-length': 4 }).end('done');
 }
 
+function answerTooLong(response: ServerResponse): void {
+  const body = Buffer.alloc(TOO_MANY_BYTES, 'x');
+  response.writeHead(200, { ...HEAD, 'content-length': body.length }).end(body);
+}
+
 describe('a relayed plain request', () => {
   const hosts: TestUpstreamHost[] = [];
 
@@ -70,6 +78,16 @@
     expect(answer).to.deep.equal({ status: 500, body: 'sorry' });
   });
 
+  // Guards against a shortened answer that its caller takes for a whole one.
+  it('fails if its answer is longer than an entry host buffers', async () => {
+    const [target] = await targets([answerTooLong]);
+    const services = relayServices(() => target);
+    const { context, answer } = requestContext('r', { kind: 'non-idempotent', maxAttempts: 1 });
+    await new PlainRelay(context, services).run();
+    expect(answer.status).to.equal(502);
+    expect(answer.body).to.contain('upstream-lost');
+  });
+
   it('that may run only once is sent on after rejections', async () => {
     const queue = await targets([answerNotExecuted, answerNotExecuted, answerDone]);
     const services = relayServices(() => queue.shift());
--- a/packages/entry/src/requests/plain-relay.ts
+++ b/packages/entry/src/requests/plain-relay.ts
@@ -5,6 +5,7 @@
 import { requestKind } from '../routing/host-activity.js';
 import type { Target, TargetQuery } from '../routing/target-chooser.js';
 import { afterTurn, monotonicMs } from '../server/time.js';
+import { ANSWER_TOO_LONG, AnswerBody } from './answer-body.js';
 import { answerFault } from './answer-check.js';
 import { AttemptLog } from './attempt-log.js';
 import { isTarget, releaseClaim } from './claim-target.js';
@@ -34,8 +35,6 @@
 import { upstreamHeaders } from './upstream-request.js';
 import type { NoTargetReason } from './wait-for-target.js';
 
-/** Longest answer body that is buffered, in bytes; later bytes are dropped. */
-const MAX_ANSWER_BYTES = 16 * 1024 * 1024;
 /** Time before the deadline at which attempts end, in milliseconds, so that the final answer is sent in time. */
 const DEADLINE_MARGIN_MS = 15;
 const DROPPED_HEADERS: ReadonlySet<string> = new Set(['content-length']);
@@ -153,12 +152,11 @@
   }
 
   #attempt(target: Target): Promise<AttemptEnd> {
-    const { callerSignal, deadline, request, body } = this.#context;
+    const { callerSignal, deadline, request, body: requestBody } = this.#context;
     const { activities, headers: headerNames } = this.#services;
     const sentAt = monotonicMs();
     const stateAtSend = hostStateAtSend(this.#services, target.host, sentAt);
-    const chunks: Buffer[] = [];
-    let bytes = 0;
+    const body = new AnswerBody();
     let head: IncomingMessage | undefined;
     this.#attemptLog.noteSent(target.host);
     activities.noteRequestSent(target.host);
@@ -183,7 +181,7 @@
           method: request.method ?? 'GET',
           url: request.url ?? '/',
           headers: upstreamHeaders(this.#context, headerNames, target, undefined),
-          body,
+          body: requestBody,
           connections: keptConnectionsFor(this.#services, this.#context),
           connectTimes: activities.connectTimes,
           mayWrite: () => mayWriteTo(this.#services, this.#context, target.host),
@@ -197,13 +195,10 @@
             head = answer;
           },
           onData: chunk => {
-            bytes += chunk.length;
-            if (bytes <= MAX_ANSWER_BYTES) {
-              chunks.push(chunk);
-            }
+            body.append(chunk);
           },
           onEnd: end => {
-            settle(this.#classifyEnd(end, head, Buffer.concat(chunks)));
+            settle(this.#classifyEnd(end, head, body.bytes));
           },
         },
       );
@@ -246,7 +241,12 @@
     );
   }
 
-  #classifyEnd(end: ExchangeEnd, head: IncomingMessage | undefined, body: Buffer): AttemptEnd {
+  // `body` is undefined if the answer is longer than this entry host accepts.
+  #classifyEnd(
+    end: ExchangeEnd,
+    head: IncomingMessage | undefined,
+    body: Buffer | undefined,
+  ): AttemptEnd {
     const headerNames = this.#services.headers;
     if (isUnsent(end)) {
       return { kind: end };
@@ -266,6 +266,9 @@
     if (end !== 'whole' || head === undefined) {
       return { kind: 'lost', detail: end };
     }
+    if (body === undefined) {
+      return { kind: 'lost', detail: ANSWER_TOO_LONG };
+    }
     const fault = answerFault(head, this.#context.id, headerNames);
     return fault === undefined
       ? { kind: 'answered', answer: { head, body } }
