A stop decides by usual times which requests it still takes

Until load balancers have noticed the stop, an answer that has begun now leaves its connection open for one more request, whose answer says `Connection: close`, if the answer took no longer than the time that is left: the next one probably takes as long. Answers whose heads are still to come name the close from the signal on, as before.

--- a/packages/entry/src/entry-host.ts
+++ b/packages/entry/src/entry-host.ts
@@ -226,13 +226,14 @@
     const stoppedAt = monotonicMs();
     log.info('entry host stopping', { open: open.count });
     this.#stopping = true;
+    const stop = new PlannedStop(this.#settings.bounds.graceMs);
+    this.#plannedStop = stop;
     const servers = [this.#callers, this.#forwarding.server];
     servers.forEach(server => {
-      server.drain();
+      server.drain(() => stop.leftMs);
     });
     this.#coordinator.stop();
-    this.#plannedStop = new PlannedStop(this.#settings.bounds.graceMs);
-    const finished = finishRequests(this.#plannedStop, { servers, requests: open });
+    const finished = finishRequests(stop, { servers, requests: open });
     await Promise.all([this.#lease.stop(), finished]);
     const idHeader = this.#options.headers.requestId;
     await endUnfinished(open, { idHeader, stoppedAt, log, counters: this.#counters });
--- a/packages/entry/src/requests/request-intake.ts
+++ b/packages/entry/src/requests/request-intake.ts
@@ -10,6 +10,7 @@
 import type { RequestCauses } from '../quarantine/request-causes.js';
 import { requestCauses } from '../quarantine/request-causes.js';
 import { monotonicMs } from '../server/time.js';
+import { AnswerTimes } from './answer-times.js';
 import type { AnswerReason, FinalAnswer } from './final-answer.js';
 import { sendFinalAnswer, stoppingAnswer } from './final-answer.js';
 import { RequestHomeRegions } from './home-regions.js';
@@ -48,6 +49,7 @@
   readonly #services: RelayServices;
   /** The requests in progress. */
   readonly open = new OpenRequests();
+  readonly #answerTimes = new AnswerTimes();
 
   constructor(holder: ConfigurationHolder, services: RelayServices) {
     this.#holder = holder;
@@ -96,6 +98,9 @@
     }
     const relay = this.#createRelay({ ...admitted, ...received, body, arrivedAt });
     open.relay = relay;
+    response.once('finish', () => {
+      this.#answerTimes.record(admitted.route.name, monotonicMs() - arrivedAt);
+    });
     await relay.run();
   }
 
@@ -128,15 +133,16 @@
       : new PlainRelay(completeContext, this.#services);
   }
 
-  // True if the request may take longer than a planned stop allows. Requests that arrive before load balancers have
-  // noticed the stop are taken all the same: nearly all of them end in time.
+  // True if the request will probably not end before a planned stop does. Once load balancers have noticed the stop,
+  // only few requests still arrive, and all of them have to end in time.
   #endsAfterStop(route: Route, request: IncomingMessage, arrivedAt: number): boolean {
     const stop = this.#services.plannedStop();
-    if (stop?.isNoticed !== true) {
+    if (stop === undefined) {
       return false;
     }
-    const dueInMs = arrivedAt + this.#timeLimitMs(route, request) - monotonicMs();
-    return dueInMs > stop.leftMs;
+    const longestMs = arrivedAt + this.#timeLimitMs(route, request) - monotonicMs();
+    const usualMs = this.#answerTimes.usualMs(route.name) ?? 0;
+    return (stop.isNoticed ? longestMs : Math.min(longestMs, usualMs)) > stop.leftMs;
   }
 
   #timeLimitMs(route: Route, request: IncomingMessage): number {
--- a/packages/entry/src/server/caller-connections.ts
+++ b/packages/entry/src/server/caller-connections.ts
@@ -7,6 +7,8 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 
+import { monotonicMs } from './time.js';
+
 /** A connection and its answers. */
 type CallerConnection = {
   readonly socket: Socket;
@@ -14,6 +16,8 @@
   open: number;
   /** The answer to the newest request; undefined before the first one. */
   newest: ServerResponse | undefined;
+  /** When that request was received, in monotonic milliseconds. */
+  newestAt: number;
   /** True once the newest answer is the last one. */
   isClosing: boolean;
 };
@@ -25,7 +29,13 @@
 
   /** Adds a new connection. */
   add(socket: Socket): void {
-    this.#bySocket.set(socket, { socket, open: 0, newest: undefined, isClosing: false });
+    this.#bySocket.set(socket, {
+      socket,
+      open: 0,
+      newest: undefined,
+      newestAt: 0,
+      isClosing: false,
+    });
     socket.once('close', () => {
       this.#bySocket.delete(socket);
     });
@@ -39,6 +49,7 @@
     }
     connection.open += 1;
     connection.newest = response;
+    connection.newestAt = monotonicMs();
     response.once('close', () => {
       connection.open -= 1;
     });
@@ -49,11 +60,33 @@
   }
 
   /**
-   * From now on, each connection closes with the answer to the newest request that was received on it. An idle connection
-   * closes with the answer to its next request.
+   * From now on, each answer whose head has not been sent names the close of its connection, except those that others
+   * follow on it. An answer that has begun leaves its connection open for one more request, unless it took longer than
+   * `leftMs` returns at its end: the next one would probably take as long, and could not end in that time.
    */
-  drain(): void {
+  drain(leftMs: () => number): void {
     this.#isDraining = true;
+    for (const connection of this.#bySocket.values()) {
+      const { newest, newestAt, open } = connection;
+      if (open === 0 || newest === undefined) {
+        continue;
+      }
+      if (!newest.headersSent) {
+        closeAfterNewest(connection);
+        continue;
+      }
+      newest.once('prefinish', () => {
+        const isNewest = connection.newest === newest && !connection.isClosing;
+        if (isNewest && monotonicMs() - newestAt > leftMs()) {
+          closeAfterNewest(connection);
+          connection.socket.pause();
+        }
+      });
+    }
+  }
+
+  /** From now on, each connection with a request in progress closes with the answer to the newest one. */
+  closeAfterAnswers(): void {
     for (const connection of this.#bySocket.values()) {
       if (connection.open > 0 && !connection.isClosing) {
         closeAfterNewest(connection);
@@ -73,7 +106,7 @@
 
 function closeAfterNewest(connection: CallerConnection): void {
   const { newest, socket } = connection;
-  if (newest === undefined || newest.writableFinished) {
+  if (newest === undefined) {
     return;
   }
   connection.isClosing = true;
--- a/packages/entry/src/server/caller-server.ts
+++ b/packages/entry/src/server/caller-server.ts
@@ -70,15 +70,16 @@
     return listenAt(this.#server, ip, port);
   }
 
-  /** From now on, each connection closes with the response in progress, or with the next one if it is idle. */
-  drain(): void {
-    this.#connections.drain();
+  /** From now on, responses close their connections; see {@link CallerConnections.drain}. */
+  drain(leftMs: () => number): void {
+    this.#connections.drain(leftMs);
   }
 
-  /** Closes idle connections and stops accepting new ones. */
+  /** Stops accepting connections, closes idle ones, and the others with the response in progress. */
   close(): void {
     this.#admission?.stop();
     this.#server.close();
+    this.#connections.closeAfterAnswers();
     this.closeIdle();
   }
 
