A draining gateway ends connections with the answers in progress

An answer that had begun left its connection open, whose caller's next request was processed, so a drain under such callers went on to its limit and cut what was then in progress.

The module that tracks connections moves from the entry host to the runtime package, and both servers use it. The drain closes each connection with the answer in progress, does not process what is sent after it, and closes connections on which nothing was sent.

--- a/packages/entry/src/server/caller-server.ts
+++ b/packages/entry/src/server/caller-server.ts
@@ -2,8 +2,9 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import { createServer } from 'node:http';
 
+import { CallerConnections } from '@hingescale/runtime/caller-connections';
+
 import type { CallerLimits } from '../configuration/serving-configuration.js';
-import { CallerConnections } from './caller-connections.js';
 
 /** Limits that apply until the first configuration is received. */
 const DEFAULT_LIMITS: CallerLimits = {
--- a/packages/entry/src/server/caller-connections.ts
+++ b/packages/runtime/src/caller-connections.ts
@@ -7,7 +7,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 
-import { monotonicMs } from './time.js';
+import { monotonicMs } from './clock.js';
 
 /** A connection and its answers. */
 type CallerConnection = {
--- a/packages/runtime/src/http-server.ts
+++ b/packages/runtime/src/http-server.ts
@@ -1,9 +1,9 @@
 /** HTTP servers based on express, with limits on slow requests and connections, and problem documents for errors. */
-import type { Server } from 'node:http';
+import type { RequestListener, Server } from 'node:http';
 import { createServer } from 'node:http';
 import type { Server as TlsServer } from 'node:https';
 import { createServer as createTlsServer } from 'node:https';
-import type { AddressInfo } from 'node:net';
+import type { AddressInfo, Socket } from 'node:net';
 import type { Duplex } from 'node:stream';
 
 import { PROBLEM_MEDIA_TYPE, ProblemError, REQUEST_ID_HEADER } from '@hingescale/core';
@@ -11,6 +11,7 @@
 import express from 'express';
 
 import { splitAddress } from './address.js';
+import { CallerConnections } from './caller-connections.js';
 import type { TlsFiles } from './tls.js';
 import { readTlsFiles, reloadOnChange } from './tls.js';
 
@@ -73,10 +74,19 @@
     noDelay: true,
   };
   const { tls } = limits;
+  const connections = new CallerConnections();
+  const handle: RequestListener = (request, response) => {
+    if (connections.admit(request, response)) {
+      app(request, response);
+    }
+  };
   const server =
     tls === undefined
-      ? createServer(options, app)
-      : createTlsServer({ ...options, ...readTlsFiles(tls) }, app);
+      ? createServer(options, handle)
+      : createTlsServer({ ...options, ...readTlsFiles(tls) }, handle);
+  server.on(tls === undefined ? 'connection' : 'secureConnection', (socket: Socket) => {
+    connections.add(socket);
+  });
   const stopReloading = tls === undefined ? undefined : reloadOnChange(server as TlsServer, tls);
   server.maxConnections = limits.maxConnections;
   server.on('clientError', answerClientError);
@@ -88,7 +98,7 @@
   return {
     server,
     address: `${host}:${boundAddress.port}`,
-    drain: () => drainServer(server),
+    drain: () => drainServer(server, connections),
     stop: () => {
       stopReloading?.();
       return stopServer(server);
@@ -192,17 +202,21 @@
   );
 }
 
-// Also closes connections that become idle while others still have requests in progress.
-function drainServer(server: Server): Promise<void> {
+// Closes idle connections, and the others with their answers in progress: requests that callers send on them after these
+// are not processed, so that the drain ends.
+function drainServer(server: Server, connections: CallerConnections): Promise<void> {
+  const closeIdle = (): void => {
+    server.closeIdleConnections();
+    connections.closeUnused();
+  };
   return new Promise(resolve => {
-    const timer = setInterval(() => {
-      server.closeIdleConnections();
-    }, IDLE_CHECK_MS);
+    const timer = setInterval(closeIdle, IDLE_CHECK_MS);
     server.close(() => {
       clearInterval(timer);
       resolve();
     });
-    server.closeIdleConnections();
+    connections.closeAfterAnswers();
+    closeIdle();
   });
 }
 
