Usual times are those of successes, and of a bounded number of routes

From reading the diff: refusals are quick and would make the usual time of a route look shorter than its answers are; and configurations name new routes for as long as a process runs, whose times were never forgotten. An unclear name in the log of attempts is replaced.

--- a/packages/entry/src/requests/answer-times.test.ts
+++ b/packages/entry/src/requests/answer-times.test.ts
@@ -22,4 +22,14 @@
     });
     expect(times.usualMs('read')).to.equal(5);
   });
+
+  it('is forgotten for the routes that had no answer for the longest time', () => {
+    const times = new AnswerTimes();
+    times.record('unused', 10);
+    Array.from({ length: 500 }, (_, index) => `route-${index}`).forEach(route => {
+      times.record(route, 20);
+    });
+    expect(times.usualMs('unused')).to.equal(undefined);
+    expect(times.usualMs('route-0')).to.equal(20);
+  });
 });
--- a/packages/entry/src/requests/answer-times.ts
+++ b/packages/entry/src/requests/answer-times.ts
@@ -2,6 +2,8 @@
 
 /** Answers that are remembered for each route. */
 const REMEMBERED = 32;
+/** Routes that are remembered; configurations may name new ones for as long as the process runs. */
+const MAX_ROUTES = 500;
 /** Part of the answers that took no longer than the usual time, 0 to 1. */
 const USUAL_QUANTILE = 0.95;
 
@@ -16,7 +18,10 @@
     if (times.length > REMEMBERED) {
       times.shift();
     }
+    // The routes stay in the order of their latest answers.
+    this.#byRoute.delete(route);
     this.#byRoute.set(route, times);
+    this.#forgetOldRoutes();
   }
 
   /** The time that nearly all of the latest answers took at most, in milliseconds; undefined if there were none. */
@@ -24,4 +29,11 @@
     const sorted = [...(this.#byRoute.get(route) ?? [])].sort((a, b) => a - b);
     return sorted[Math.ceil(sorted.length * USUAL_QUANTILE) - 1];
   }
+
+  #forgetOldRoutes(): void {
+    const [oldest] = this.#byRoute.keys();
+    if (this.#byRoute.size > MAX_ROUTES && oldest !== undefined) {
+      this.#byRoute.delete(oldest);
+    }
+  }
 }
--- a/packages/entry/src/requests/attempt-log.ts
+++ b/packages/entry/src/requests/attempt-log.ts
@@ -76,8 +76,8 @@
     return this.#mayHaveRun;
   }
 
-  /** The same, and false while no attempt is in progress that has not been rejected. */
-  get mayHaveRunOrRuns(): boolean {
+  /** True if a host may have run the request, or may be running it now: one that has received and not rejected it. */
+  get mayHaveBegun(): boolean {
     return this.#mayHaveRun || this.#sendCount() > this.#rejectionCount;
   }
 
--- a/packages/entry/src/requests/plain-relay.ts
+++ b/packages/entry/src/requests/plain-relay.ts
@@ -94,7 +94,7 @@
 
   /** False while it is certain that no host has run the request or is running it. */
   get mayHaveRun(): boolean {
-    return this.#attemptLog.mayHaveRunOrRuns;
+    return this.#attemptLog.mayHaveBegun;
   }
 
   /** Sends the request until it is answered or may not be sent again, then answers the caller. */
--- a/packages/entry/src/requests/request-intake.ts
+++ b/packages/entry/src/requests/request-intake.ts
@@ -24,6 +24,8 @@
 
 /** `Retry-After` of a request that this entry host can not admit at the moment, in milliseconds. */
 const UNAVAILABLE_RETRY_AFTER_MS = 500;
+/** Lowest status of answers that report a failure. */
+const FIRST_FAILURE_STATUS = 400;
 const BEARER = /^bearer\s+(\S+)\s*$/i;
 
 /** The part of a request's context that follows from its head and the configuration. */
@@ -99,7 +101,9 @@
     const relay = this.#createRelay({ ...admitted, ...received, body, arrivedAt });
     open.relay = relay;
     response.once('finish', () => {
-      this.#answerTimes.record(admitted.route.name, monotonicMs() - arrivedAt);
+      if (response.statusCode < FIRST_FAILURE_STATUS) {
+        this.#answerTimes.record(admitted.route.name, monotonicMs() - arrivedAt);
+      }
     });
     await relay.run();
   }
--- a/packages/entry/src/requests/stream-relay.ts
+++ b/packages/entry/src/requests/stream-relay.ts
@@ -68,7 +68,7 @@
 
   /** False while it is certain that no host has run the request or is running it. */
   get mayHaveRun(): boolean {
-    return this.#attemptLog.mayHaveRunOrRuns;
+    return this.#attemptLog.mayHaveBegun;
   }
 
   /** Relays the stream to its end, with as many attempts as the route and the retry budget allow. */
