Idle connections, failure statuses and open requests: one piece of code each

Both servers closed idle and unused connections by the same two calls, which the module of connections now makes; two files of requests held the lowest failure status; the end of a stop copied and searched its list of open requests twice.

--- a/packages/entry/src/requests/final-answer.ts
+++ b/packages/entry/src/requests/final-answer.ts
@@ -3,6 +3,9 @@
 
 import type { NoTargetReason } from './wait-for-target.js';
 
+/** Lowest status of answers that report a failure of the caller or of the host. */
+export const FIRST_FAILURE_STATUS = 400;
+
 /** Why the entry host itself answers a request. */
 export type AnswerReason =
   | 'no-configuration'
--- a/packages/entry/src/requests/plain-relay.ts
+++ b/packages/entry/src/requests/plain-relay.ts
@@ -13,7 +13,7 @@
 import type { ExchangeEnd, UnsentEnd } from './exchange.js';
 import { isConnectionLost, isUnsent, startExchange } from './exchange.js';
 import type { FinalAnswer } from './final-answer.js';
-import { quarantinedAnswer } from './final-answer.js';
+import { FIRST_FAILURE_STATUS, quarantinedAnswer } from './final-answer.js';
 import type { HostStateAtSend } from './host-state-at-send.js';
 import { hostStateAtSend } from './host-state-at-send.js';
 import { mayWriteTo } from './may-write.js';
@@ -42,8 +42,6 @@
 const ATTEMPT_OBJECTIVE_FACTOR = 1.5;
 /** Status of an answer from another host than the one meant (HTTP 421, misdirected request). */
 const MISDIRECTED_REQUEST = 421;
-/** Lowest status of answers that report a failure of the caller or of the host. */
-const FIRST_FAILURE_STATUS = 400;
 
 /** Why a request ends without an answer of a host. */
 type GiveUpReason = NoTargetReason | 'not-run';
--- a/packages/entry/src/requests/request-intake.ts
+++ b/packages/entry/src/requests/request-intake.ts
@@ -12,7 +12,7 @@
 import { monotonicMs } from '../server/time.js';
 import { AnswerTimes } from './answer-times.js';
 import type { AnswerReason, FinalAnswer } from './final-answer.js';
-import { sendFinalAnswer, stoppingAnswer } from './final-answer.js';
+import { FIRST_FAILURE_STATUS, sendFinalAnswer, stoppingAnswer } from './final-answer.js';
 import { RequestHomeRegions } from './home-regions.js';
 import type { OpenRequest } from './open-requests.js';
 import { OpenRequests } from './open-requests.js';
@@ -24,8 +24,6 @@
 
 /** `Retry-After` of a request that this entry host can not admit at the moment, in milliseconds. */
 const UNAVAILABLE_RETRY_AFTER_MS = 500;
-/** Lowest status of answers that report a failure. */
-const FIRST_FAILURE_STATUS = 400;
 const BEARER = /^bearer\s+(\S+)\s*$/i;
 
 /** The part of a request's context that follows from its head and the configuration. */
--- a/packages/entry/src/requests/unfinished-requests.ts
+++ b/packages/entry/src/requests/unfinished-requests.ts
@@ -27,12 +27,13 @@
  * only be cut; this is left to the end of the process.
  */
 export async function endUnfinished(requests: OpenRequests, report: StopReport): Promise<void> {
-  const waiting = requests.all.filter(({ response }) => !response.headersSent);
-  requests.all
-    .filter(open => !waiting.includes(open))
-    .forEach(open => {
-      reportCut(open, report);
-    });
+  const { all } = requests;
+  const hasBegun = ({ response }: OpenRequest): boolean => response.headersSent;
+  const begun = all.filter(hasBegun);
+  const waiting = all.filter(open => !hasBegun(open));
+  begun.forEach(open => {
+    reportCut(open, report);
+  });
   waiting.forEach(open => {
     answer(open, report);
   });
--- a/packages/entry/src/server/caller-server.ts
+++ b/packages/entry/src/server/caller-server.ts
@@ -86,8 +86,7 @@
 
   /** Closes connections without a request in progress. */
   closeIdle(): void {
-    this.#server.closeIdleConnections();
-    this.#connections.closeUnused();
+    this.#connections.closeIdle(this.#server);
   }
 }
 
--- a/packages/runtime/src/caller-connections.ts
+++ b/packages/runtime/src/caller-connections.ts
@@ -4,7 +4,7 @@
  * A closing connection ends with an answer that is chosen in advance. What its caller sends after that is not processed:
  * it would be cut. The answer says `Connection: close` unless its head has been sent before.
  */
-import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 
 import { monotonicMs } from './clock.js';
@@ -94,8 +94,9 @@
     }
   }
 
-  /** Closes the connections on which nothing has been received: the server itself takes them for busy ones. */
-  closeUnused(): void {
+  /** Closes idle connections; those on which nothing has been received too, which the server itself takes for busy. */
+  closeIdle(server: Pick<Server, 'closeIdleConnections'>): void {
+    server.closeIdleConnections();
     for (const { socket } of this.#bySocket.values()) {
       if (socket.bytesRead === 0) {
         socket.destroy();
--- a/packages/runtime/src/http-server.ts
+++ b/packages/runtime/src/http-server.ts
@@ -206,8 +206,7 @@
 // are not processed, so that the drain ends.
 function drainServer(server: Server, connections: CallerConnections): Promise<void> {
   const closeIdle = (): void => {
-    server.closeIdleConnections();
-    connections.closeUnused();
+    connections.closeIdle(server);
   };
   return new Promise(resolve => {
     const timer = setInterval(closeIdle, IDLE_CHECK_MS);
