One finder of free ports for the tests of entry hosts

The test of the server for callers had written again what that of connection shedding holds. Both call one function now; no check changes.

--- a/packages/entry/src/server/caller-server.test.ts
+++ b/packages/entry/src/server/caller-server.test.ts
@@ -1,10 +1,11 @@
 /** Guards against a server that, while it drains, takes on requests that it cuts when its process ends. */
 import type { ServerResponse } from 'node:http';
-import type { AddressInfo, Socket } from 'node:net';
-import { connect, createServer } from 'node:net';
+import type { Socket } from 'node:net';
+import { connect } from 'node:net';
 
 import { expect } from 'chai';
 
+import { freePort } from '../testing/free-port.js';
 import { CallerServer } from './caller-server.js';
 import { sleep } from './time.js';
 
@@ -40,14 +41,6 @@
     server.close();
   });
 
-  async function freePort(): Promise<number> {
-    const probe = createServer();
-    await new Promise<void>(resolve => probe.listen(0, '127.0.0.1', resolve));
-    const { port: free } = probe.address() as AddressInfo;
-    await new Promise(resolve => probe.close(resolve));
-    return free;
-  }
-
   async function open(): Promise<Caller> {
     const socket = connect({ port, host: '127.0.0.1', allowHalfOpen: true });
     const caller: Caller = { socket, received: '', isEnded: false };
--- a/packages/entry/src/server/connection-shedding.test.ts
+++ b/packages/entry/src/server/connection-shedding.test.ts
@@ -2,11 +2,12 @@
  * Guards against an entry host that accepts all connections when most new ones of a zone come to it: with more than it
  * can serve, all requests that it has read are late, while its peers have little to do.
  */
-import type { AddressInfo, Socket } from 'node:net';
-import { connect, createServer } from 'node:net';
+import type { Socket } from 'node:net';
+import { connect } from 'node:net';
 
 import { expect } from 'chai';
 
+import { freePort } from '../testing/free-port.js';
 import { CallerServer } from './caller-server.js';
 import type { PeerRates } from './connection-rate.js';
 import { ConnectionRate, NEW_CONNECTIONS_KEY } from './connection-rate.js';
@@ -124,14 +125,6 @@
     server.close();
   });
 
-  async function freePort(): Promise<number> {
-    const server = createServer();
-    await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve));
-    const { port } = server.address() as AddressInfo;
-    await new Promise(resolve => server.close(resolve));
-    return port;
-  }
-
   function answerOf(port: number): Promise<string> {
     return new Promise(resolve => {
       let answer = '';
