An answer without a length that is reset no longer counts as whole

Callers got the received part of an answer as a complete 200 when its host reset the connection within the same turn of the event loop in which the part arrived: at once behind a long upload, and just as well behind a short request whenever the process was busy for a moment.

Cause: an answer without a length ends with its connection. If the last bytes and the reset are read in one turn, Node.js (libuv, which ends a connection at a hang-up behind a partly filled read) reports an ordinary end, with no error at all. Seen with a plain client: 12 of 20 with a short request, 19 of 20 with 900 KB, 20 of 20 each with a busy loop; `close` says that there was no error.

Connections to upstreams are now of a class that tells the two apart: after a reset the operating system has no address of the other side any more, after an orderly end it has.

--- a/packages/entry/src/requests/exchange.ts
+++ b/packages/entry/src/requests/exchange.ts
@@ -3,6 +3,8 @@
 import { request as httpRequest } from 'node:http';
 import type { Socket } from 'node:net';
 
+import { connectToUpstream } from '@hingescale/runtime/upstream-socket';
+
 import type { HostEntry } from '../hosts/host-entry.js';
 import type { ConnectTimes } from '../routing/connect-times.js';
 import { MAX_CONNECT_MS } from '../routing/connect-times.js';
@@ -119,8 +121,9 @@
     method,
     path: url,
     headers: headers as string[],
-    agent: connections ?? false,
-    ...(connections === undefined ? {} : { setHost: false }),
+    ...(connections === undefined
+      ? { createConnection: () => connectToUpstream({ host: host.ip, port: host.port }) }
+      : { agent: connections, setHost: false }),
   });
   const finish = (end: ExchangeEnd): void => {
     if (ended) {
--- a/packages/entry/src/requests/upstream-connections.ts
+++ b/packages/entry/src/requests/upstream-connections.ts
@@ -6,9 +6,12 @@
  */
 import type { ClientRequest, IncomingMessage } from 'node:http';
 import { Agent } from 'node:http';
-import type { Socket, TcpNetConnectOpts } from 'node:net';
+import type { Socket } from 'node:net';
 import type { Duplex } from 'node:stream';
 
+import type { UpstreamConnectOptions } from '@hingescale/runtime/upstream-socket';
+import { connectToUpstream } from '@hingescale/runtime/upstream-socket';
+
 import { announcedIdleMs, DEFAULT_IDLE_MS, keptIdleMs } from './connection-reuse.js';
 
 /** Why no kept connection could be used, so that a new one was opened. */
@@ -90,10 +93,7 @@
   }
 
   // Called by the agent for each connection that it opens.
-  override createConnection(
-    options: TcpNetConnectOpts,
-    callback?: (error: Error | null, stream: Duplex) => void,
-  ): Duplex | null | undefined {
+  override createConnection(options: UpstreamConnectOptions): Socket {
     const agentKey = this.getName(options as { host: string; port: number });
     const isBusy = (this.sockets[agentKey]?.length ?? 0) > 0;
     this.#observer?.onOpened(isBusy ? 'busy' : (this.#lastCloseCauses.get(agentKey) ?? 'first'));
@@ -101,10 +101,8 @@
       this.#lastCloseCauses.clear();
     }
     this.#lastCloseCauses.set(agentKey, 'not-kept');
-    const socket = super.createConnection(options as never, callback as never);
-    if (socket !== null && socket !== undefined) {
-      this.#agentKeys.set(socket, agentKey);
-    }
+    const socket = connectToUpstream(options);
+    this.#agentKeys.set(socket, agentKey);
     return socket;
   }
 
