Answers with an unknown status or protocol version are not passed on

Callers' connections were closed without an answer, and "request failed" with a RangeError was logged, when a host answered with status 000 or 099; with one such host in three, repeatable requests ended the same way instead of being served elsewhere. Answers with status 600 or 999, with 101 without an upgrade, and with HTTP/2.0 in their status line were passed on as they were.

Cause: the check of an answer looked at its id, stamp and encoding, not at its status line; the parser of Node.js takes any three digits and HTTP/2.0, and its server throws on a status below 100. The check is the one place for all routes and for answers that peers pass on, and now begins with the status line.

--- a/packages/entry/src/forwarding/forwarded-stream.ts
+++ b/packages/entry/src/forwarding/forwarded-stream.ts
@@ -1,9 +1,8 @@
 /** One attempt of a stream request that is forwarded to a peer. */
 import type { IncomingMessage, ServerResponse } from 'node:http';
 
-import { answerFault } from '../requests/answer-check.js';
+import { answerFault, isFramed } from '../requests/answer-check.js';
 import type { ExchangeEnd } from '../requests/exchange.js';
-import { isFramed } from '../requests/plain-relay.js';
 import type { RelayServices } from '../requests/relay-services.js';
 import { stallLimits } from '../requests/stall-limits.js';
 import type { StreamAttemptEnd, StreamAttemptOptions } from '../requests/stream-attempt.js';
--- a/packages/entry/src/requests/answer-check.ts
+++ b/packages/entry/src/requests/answer-check.ts
@@ -1,16 +1,29 @@
-/** Checks whether an answer of a host may be passed on to the caller. */
+/** What counts as an answer of a host to a request, by the head (status and headers) of the answer. */
 import type { IncomingMessage } from 'node:http';
 
 import type { RelayHeaders } from './relay-headers.js';
 
+const HTTP_VERSIONS: readonly string[] = ['1.0', '1.1'];
+/** Lower ones are interim (RFC 9110, 15.2). */
+const FIRST_FINAL_STATUS = 200;
+const LAST_STATUS = 599;
 const FIRST_REDIRECTION_STATUS = 300;
+/** Status of an answer from another host than the one meant (HTTP 421, misdirected request). */
+const MISDIRECTED_REQUEST = 421;
 
 /** Returns why an answer can not be passed on; undefined if it can. */
 export function answerFault(
-  { headers, statusCode = 0 }: IncomingMessage,
+  head: IncomingMessage,
   requestId: string,
   names: RelayHeaders,
 ): string | undefined {
+  const { headers, httpVersion, statusCode = 0 } = head;
+  if (!HTTP_VERSIONS.includes(httpVersion)) {
+    return 'answer has an unknown protocol version';
+  }
+  if (!hasFinalStatus(head)) {
+    return 'answer has an unknown status';
+  }
   if (headers[names.requestId] !== requestId) {
     return 'answer belongs to another request';
   }
@@ -19,3 +32,22 @@
   }
   return headers['content-encoding'] === undefined ? undefined : 'answer has a content encoding';
 }
+
+/** True if the status is one that a final answer may have. */
+export function hasFinalStatus({ statusCode = 0 }: Pick<IncomingMessage, 'statusCode'>): boolean {
+  return statusCode >= FIRST_FINAL_STATUS && statusCode <= LAST_STATUS;
+}
+
+/** False if only the end of the connection marks the end of the answer, which may then be incomplete. */
+export function isFramed(head: IncomingMessage): boolean {
+  const { headers } = head;
+  return headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
+}
+
+/** True if the answer states that the host has not run the request and will not run it. */
+export function reportsNotRun(
+  { headers, statusCode = 0 }: IncomingMessage,
+  notExecuted: string,
+): boolean {
+  return headers[notExecuted] !== undefined || statusCode === MISDIRECTED_REQUEST;
+}
--- a/packages/entry/src/requests/plain-relay.ts
+++ b/packages/entry/src/requests/plain-relay.ts
@@ -6,7 +6,7 @@
 import type { Target, TargetQuery } from '../routing/target-chooser.js';
 import { afterTurn, monotonicMs } from '../server/time.js';
 import { ANSWER_TOO_LONG, AnswerBody } from './answer-body.js';
-import { answerFault } from './answer-check.js';
+import { answerFault, isFramed, reportsNotRun } from './answer-check.js';
 import { AttemptLog } from './attempt-log.js';
 import { isTarget, releaseClaim } from './claim-target.js';
 import { keptConnectionsFor } from './connection-choice.js';
@@ -41,8 +41,6 @@
 const DROPPED_HEADERS: ReadonlySet<string> = new Set(['content-length']);
 /** Time after which an attempt is replaced by a retry, as a multiple of the route's objective. */
 const ATTEMPT_OBJECTIVE_FACTOR = 1.5;
-/** Status of an answer from another host than the one meant (HTTP 421, misdirected request). */
-const MISDIRECTED_REQUEST = 421;
 
 /** Why a request ends without an answer of a host. */
 type GiveUpReason = NoTargetReason | 'not-run';
@@ -374,14 +372,3 @@
       : { status: 502, reason: 'upstream-lost' };
   }
 }
-
-/** False if only the end of the connection marks the end of the answer, which may then be incomplete. */
-export function isFramed(head: IncomingMessage): boolean {
-  const { headers } = head;
-  return headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
-}
-
-/** True if the answer states that the host has not run the request and will not run it. */
-export function reportsNotRun(head: IncomingMessage, notExecuted: string): boolean {
-  return head.headers[notExecuted] !== undefined || head.statusCode === MISDIRECTED_REQUEST;
-}
