Answers with a transfer coding other than chunked are not passed on

Callers that asked for bodies without encoding got an answer with `Transfer-Encoding: gzip, chunked` as a whole 200 with the coded bytes and no word of the coding, and one with `gzip` or `identity` as a whole answer in chunks whatever its end was.

Cause: the coding concerns one connection only, so it is not passed on, and any coding counted as framing. Only `chunked` is one, and every other value now makes the answer as unusable as a content encoding does.

Test: broken-answers.test.ts, three forms on all routes.

--- a/packages/entry/src/requests/answer-check.ts
+++ b/packages/entry/src/requests/answer-check.ts
@@ -8,6 +8,7 @@
 const FIRST_FINAL_STATUS = 200;
 const LAST_STATUS = 599;
 const FIRST_REDIRECTION_STATUS = 300;
+
 /** Status of an answer from another host than the one meant (HTTP 421, misdirected request). */
 const MISDIRECTED_REQUEST = 421;
 
@@ -30,6 +31,9 @@
   if (statusCode < FIRST_REDIRECTION_STATUS && headers[names.answerStamp] === undefined) {
     return 'answer stamp header is missing';
   }
+  if (headers['transfer-encoding'] !== undefined && !isChunked(head)) {
+    return 'answer has a transfer encoding';
+  }
   return headers['content-encoding'] === undefined ? undefined : 'answer has a content encoding';
 }
 
@@ -40,8 +44,7 @@
 
 /** False if only the end of the connection marks the end of the answer, which may then be incomplete. */
 export function isFramed(head: IncomingMessage): boolean {
-  const { headers } = head;
-  return headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
+  return head.headers['content-length'] !== undefined || isChunked(head);
 }
 
 /** True if the answer states that the host has not run the request and will not run it. */
@@ -51,3 +54,7 @@
 ): boolean {
   return headers[notExecuted] !== undefined || statusCode === MISDIRECTED_REQUEST;
 }
+
+function isChunked({ headers }: IncomingMessage): boolean {
+  return headers['transfer-encoding']?.toLowerCase() === 'chunked';
+}
