A rejection counts only if it is one, and not one of another request

A request that may run once was sent to a second host, or refused with 503 as not run, though a host had run it: the host's answer to another request, which came late, said that that one had not been run; or the host said so in a success or with status 000. Callers were promised that the request had not run.

Cause: the header that denies a run, or status 421, was believed before anything else of the answer was looked at. A rejection is now believed only with a status of 400 to 599, and not if it names another request. One without an id still counts: hosts leave the id out. A success that denies its run is no answer.

Test: broken-answers.test.ts, four forms on both kinds of routes that may run once: one run and 502.

--- a/packages/entry/src/requests/answer-check.ts
+++ b/packages/entry/src/requests/answer-check.ts
@@ -8,6 +8,7 @@
 const FIRST_FINAL_STATUS = 200;
 const LAST_STATUS = 599;
 const FIRST_REDIRECTION_STATUS = 300;
+const FIRST_ERROR_STATUS = 400;
 
 /** Status of an answer from another host than the one meant (HTTP 421, misdirected request). */
 const MISDIRECTED_REQUEST = 421;
@@ -31,6 +32,9 @@
   if (statusCode < FIRST_REDIRECTION_STATUS && headers[names.answerStamp] === undefined) {
     return 'answer stamp header is missing';
   }
+  if (statusCode < FIRST_ERROR_STATUS && headers[names.notExecuted] !== undefined) {
+    return 'answer is a success, and denies that the request has run';
+  }
   if (headers['transfer-encoding'] !== undefined && !isChunked(head)) {
     return 'answer has a transfer encoding';
   }
@@ -47,12 +51,20 @@
   return head.headers['content-length'] !== undefined || isChunked(head);
 }
 
-/** True if the answer states that the host has not run the request and will not run it. */
+/**
+ * True if the answer states that the host has not run the request and will not run it. An answer that names another
+ * request says nothing about this one, and a success contradicts itself. Hosts may leave the id out.
+ */
 export function reportsNotRun(
-  { headers, statusCode = 0 }: IncomingMessage,
-  notExecuted: string,
+  head: IncomingMessage,
+  requestId: string,
+  { requestId: idHeader, notExecuted }: RelayHeaders,
 ): boolean {
-  return headers[notExecuted] !== undefined || statusCode === MISDIRECTED_REQUEST;
+  const { headers, statusCode = 0 } = head;
+  const isRejection = headers[notExecuted] !== undefined || statusCode === MISDIRECTED_REQUEST;
+  const namedId = headers[idHeader] ?? requestId;
+  const isFailure = statusCode >= FIRST_ERROR_STATUS && hasFinalStatus(head);
+  return isRejection && isFailure && namedId === requestId;
 }
 
 function isChunked({ headers }: IncomingMessage): boolean {
--- a/packages/entry/src/requests/plain-relay.ts
+++ b/packages/entry/src/requests/plain-relay.ts
@@ -252,7 +252,7 @@
       this.#attemptLog.noteMayHaveRun();
       return { kind: 'gone' };
     }
-    if (head !== undefined && reportsNotRun(head, headerNames.notExecuted)) {
+    if (head !== undefined && reportsNotRun(head, this.#context.id, headerNames)) {
       this.#attemptLog.noteRejected();
       return { kind: 'not-run' };
     }
--- a/packages/entry/src/requests/stream-attempt.ts
+++ b/packages/entry/src/requests/stream-attempt.ts
@@ -236,7 +236,7 @@
     const headerNames = this.#services.headers;
     this.#invalidReason = answerFault(answer, this.#context.id, headerNames);
     this.#head = answer;
-    const isNotRun = reportsNotRun(answer, headerNames.notExecuted);
+    const isNotRun = reportsNotRun(answer, this.#context.id, headerNames);
     if (this.#invalidReason !== undefined && !isNotRun) {
       this.#control.cancel();
     }
@@ -272,7 +272,7 @@
     }
     if (
       head !== undefined &&
-      reportsNotRun(head, this.#services.headers.notExecuted) &&
+      reportsNotRun(head, this.#context.id, this.#services.headers) &&
       !this.#hasBegun
     ) {
       return { kind: 'not-run' };
