Answers without an end are cut off when they are too long

An entry host of 250 MB ended when its hosts answered with a body without a length that had no end, and came to 246 MB with one in chunks; until then callers waited for their deadlines. The body of a failure answer to a stream was passed on as whole though everything behind 256 KB was missing.

Cause: what a host sent was read as fast as it came, up to the deadline, also when it was already too long to be used, and an event of a stream that had not ended was held back whatever its length. Nothing of it counted as memory for callers, but for the bodies of plain routes.

An attempt now ends when its body is longer than 16 MiB, its event longer than 1 MiB, or either longer than the memory for requests and answers allows, which counts them from 16 KiB on. The host counts as failed, and what may be repeated goes to another one. This holds for answers that peers pass on as well. The body of a failure answer has the same limits on all routes.

--- a/packages/entry/src/forwarding/forwarded-plain.ts
+++ b/packages/entry/src/forwarding/forwarded-plain.ts
@@ -43,7 +43,9 @@
         head = answer;
       },
       onData: chunk => {
-        body.append(chunk);
+        if (!body.append(chunk)) {
+          cancel();
+        }
       },
       onEnd: settle,
     });
@@ -62,13 +64,13 @@
   head: IncomingMessage | undefined,
   body: Buffer | undefined,
 ): ForwardedPlainEnd {
+  if (body === undefined) {
+    return { kind: 'lost', detail: ANSWER_TOO_LONG };
+  }
   const failure = forwardedFailure(end, head);
   if (failure !== undefined || head === undefined) {
     return failure ?? { kind: 'lost', detail: end };
   }
-  if (body === undefined) {
-    return { kind: 'lost', detail: ANSWER_TOO_LONG };
-  }
   const fault = answerFault(head, context.id, headers);
   return fault === undefined
     ? { kind: 'answered', answer: { head, body } }
--- a/packages/entry/src/forwarding/forwarded-stream.ts
+++ b/packages/entry/src/forwarding/forwarded-stream.ts
@@ -1,20 +1,21 @@
 /** One attempt of a stream request that is forwarded to a peer. */
 import type { IncomingMessage, ServerResponse } from 'node:http';
 
+import { ANSWER_TOO_LONG, AnswerBody } from '../requests/answer-body.js';
 import { answerFault, isFramed } from '../requests/answer-check.js';
 import type { ExchangeEnd } from '../requests/exchange.js';
 import type { RelayServices } from '../requests/relay-services.js';
 import { stallLimits } from '../requests/stall-limits.js';
 import type { StreamAttemptEnd, StreamAttemptOptions } from '../requests/stream-attempt.js';
 import { StreamControl } from '../requests/stream-control.js';
+import { StreamTail } from '../requests/stream-tail.js';
+import { EVENT_TOO_LONG, UnfinishedEvent } from '../requests/unfinished-event.js';
 import { requestKind } from '../routing/host-activity.js';
 import { monotonicMs } from '../server/time.js';
 import type { ForwardedFailure, ForwardedSend } from './forwarded-exchange.js';
 import { forwardedFailure, logForwardedFailure, startForwarding } from './forwarded-exchange.js';
 
 const STATUS_OK = 200;
-/** Longest body of a failure answer that is buffered, in bytes; later bytes are dropped. */
-const MAX_ERROR_BODY_BYTES = 256 * 1024;
 
 /** Sends a stream request to one peer and reports its events, stalls and end. */
 export class ForwardedStream {
@@ -22,8 +23,10 @@
   readonly #services: RelayServices;
   readonly #options: StreamAttemptOptions;
   readonly #startedAt = monotonicMs();
-  readonly #errorBodyChunks: Buffer[] = [];
-  #errorBodyBytes = 0;
+  /** Body of an answer with another status than 200. */
+  readonly #errorBody: AnswerBody;
+  readonly #unfinishedEvent: UnfinishedEvent;
+  readonly #tail = new StreamTail();
   readonly #control = new StreamControl(() => {
     this.#lastProgressAt = monotonicMs();
   });
@@ -36,6 +39,8 @@
     this.#send = send;
     this.#services = services;
     this.#options = options;
+    this.#errorBody = new AnswerBody(send.context.reservation);
+    this.#unfinishedEvent = new UnfinishedEvent(send.context.reservation);
   }
 
   /** Head (status and headers) of the host's answer; undefined until it is received. */
@@ -62,6 +67,7 @@
         },
         onEnd: exchangeEnd => {
           stalls.remove(this);
+          this.#unfinishedEvent.discard();
           const end = this.#classifyEnd(exchangeEnd);
           this.#recordEnd(end, forwardedFailure(exchangeEnd, this.#head));
           resolve(end);
@@ -117,14 +123,23 @@
     }
   }
 
+  #cancelAsInvalid(reason: string): void {
+    this.#fault = reason;
+    this.#control.cancel();
+  }
+
   #receiveData(chunk: Buffer): void {
     if (this.#head?.statusCode !== STATUS_OK || this.#fault !== undefined) {
-      this.#errorBodyBytes += chunk.length;
-      if (this.#errorBodyBytes <= MAX_ERROR_BODY_BYTES) {
-        this.#errorBodyChunks.push(chunk);
+      if (!this.#errorBody.append(chunk)) {
+        this.#cancelAsInvalid(ANSWER_TOO_LONG);
       }
       return;
     }
+    this.#tail.append(chunk);
+    if (!this.#unfinishedEvent.resize(this.#tail.unfinishedBytes)) {
+      this.#cancelAsInvalid(EVENT_TOO_LONG);
+      return;
+    }
     this.#lastProgressAt = monotonicMs();
     this.#hasBegun = true;
     this.#options.onEvents(chunk);
@@ -143,7 +158,10 @@
       return { kind: 'lost', detail: this.#fault ?? exchangeEnd };
     }
     if (head.statusCode !== STATUS_OK) {
-      return { kind: 'failed', head, body: Buffer.concat(this.#errorBodyChunks) };
+      const body = this.#errorBody.bytes;
+      return body === undefined
+        ? { kind: 'lost', detail: ANSWER_TOO_LONG }
+        : { kind: 'failed', head, body };
     }
     // Peers send streams in chunks, whatever the form of the host's answer.
     return isFramed(head) ? { kind: 'complete' } : { kind: 'lost', detail: 'unframed' };
--- a/packages/entry/src/requests/answer-body.ts
+++ b/packages/entry/src/requests/answer-body.ts
@@ -1,11 +1,11 @@
-/** Buffers the body of an answer that is passed on as a whole. */
+/** Buffers the body of an answer that is passed on as a whole, within the memory for requests and answers. */
 import type { Reservation } from '@hingescale/runtime/http-guard';
 
 /** Longest answer body that is accepted, in bytes. */
 const MAX_ANSWER_BYTES = 16 * 1024 * 1024;
 
-/** Answers up to this length use no memory that is reserved, in bytes. */
-const FREE_BYTES = 16 * 1024;
+/** Bodies and events up to this length use no memory that is reserved, in bytes. */
+export const UNRESERVED_BYTES = 16 * 1024;
 /** How an attempt ended whose answer was longer than this, or than the memory for answers allows, for the log. */
 export const ANSWER_TOO_LONG = 'answer is too long';
 
@@ -22,8 +22,8 @@
     this.#reservation = reservation;
   }
 
-  /** Adds the next part. */
-  append(chunk: Buffer): void {
+  /** Adds the next part; false if the body is longer than this entry host accepts. */
+  append(chunk: Buffer): boolean {
     this.#length += chunk.length;
     this.#isTooLong ||= this.#length > MAX_ANSWER_BYTES || !this.#reserve(chunk.length);
     if (this.#isTooLong) {
@@ -31,6 +31,7 @@
     } else {
       this.#chunks.push(chunk);
     }
+    return !this.#isTooLong;
   }
 
   /** Gives the memory back; the answer is not used. */
@@ -46,7 +47,7 @@
   }
 
   #reserve(bytes: number): boolean {
-    if (this.#length <= FREE_BYTES) {
+    if (this.#length <= UNRESERVED_BYTES) {
       return true;
     }
     const isGranted = this.#reservation.add(bytes);
--- a/packages/entry/src/requests/plain-relay.ts
+++ b/packages/entry/src/requests/plain-relay.ts
@@ -192,7 +192,9 @@
             head = answer;
           },
           onData: chunk => {
-            body.append(chunk);
+            if (!body.append(chunk)) {
+              cancel();
+            }
           },
           onEnd: end => {
             settle(this.#classifyEnd(end, head, body.bytes));
@@ -260,12 +262,12 @@
     if (end === 'stale') {
       return { kind: 'stale' };
     }
-    if (end !== 'whole' || head === undefined) {
-      return { kind: 'lost', detail: end };
-    }
     if (body === undefined) {
       return { kind: 'lost', detail: ANSWER_TOO_LONG };
     }
+    if (end !== 'whole' || head === undefined) {
+      return { kind: 'lost', detail: end };
+    }
     const fault = answerFault(head, this.#context.id, headerNames);
     return fault === undefined
       ? { kind: 'answered', answer: { head, body } }
--- a/packages/entry/src/requests/stream-attempt.ts
+++ b/packages/entry/src/requests/stream-attempt.ts
@@ -4,6 +4,7 @@
 import { requestKind } from '../routing/host-activity.js';
 import type { Target } from '../routing/target-chooser.js';
 import { monotonicMs } from '../server/time.js';
+import { ANSWER_TOO_LONG, AnswerBody } from './answer-body.js';
 import { answerFault, isFramed, reportsNotRun } from './answer-check.js';
 import { keptConnectionsFor } from './connection-choice.js';
 import type { ExchangeEnd, UnsentEnd } from './exchange.js';
@@ -20,6 +21,7 @@
 import { stallLimits } from './stall-limits.js';
 import { StreamControl } from './stream-control.js';
 import { StreamTail } from './stream-tail.js';
+import { EVENT_TOO_LONG, UnfinishedEvent } from './unfinished-event.js';
 import { upstreamHeaders } from './upstream-request.js';
 
 /** How an attempt ended. */
@@ -60,9 +62,6 @@
   readonly limitMs: number;
 };
 
-/** Longest body of a failure answer that is buffered, in bytes; later bytes are dropped. */
-const MAX_ERROR_BODY_BYTES = 256 * 1024;
-
 /** Sends a stream request to one host and reports its events, stalls and end. */
 export class StreamAttempt {
   readonly #context: RequestContext;
@@ -70,7 +69,9 @@
   readonly #target: Target;
   readonly #options: StreamAttemptOptions;
   readonly #startedAt = monotonicMs();
-  readonly #errorBodyChunks: Buffer[] = [];
+  /** Body of an answer with another status than 200. */
+  readonly #errorBody: AnswerBody;
+  readonly #unfinishedEvent: UnfinishedEvent;
   readonly #tail = new StreamTail();
   readonly #control = new StreamControl(() => {
     this.#lastProgressAt = monotonicMs();
@@ -81,7 +82,6 @@
   #isStallReported = false;
   #hasBegun = false;
   #lastProgressAt = this.#startedAt;
-  #errorBodyBytes = 0;
 
   constructor(
     context: RequestContext,
@@ -93,6 +93,8 @@
     this.#services = services;
     this.#target = target;
     this.#options = options;
+    this.#errorBody = new AnswerBody(context.reservation);
+    this.#unfinishedEvent = new UnfinishedEvent(context.reservation);
   }
 
   /** Head (status and headers) of the answer; undefined until it is received. */
@@ -138,6 +140,7 @@
           },
           onEnd: exchangeEnd => {
             stalls.remove(this);
+            this.#unfinishedEvent.discard();
             activities.noteRequestEnded(host, this.#hasBegun);
             const end = this.#classifyEnd(exchangeEnd);
             this.#recordEnd(end);
@@ -242,15 +245,23 @@
     }
   }
 
+  #cancelAsInvalid(reason: string): void {
+    this.#invalidReason = reason;
+    this.#control.cancel();
+  }
+
   #receiveData(chunk: Buffer): void {
     if (this.#head?.statusCode !== 200 || this.#invalidReason !== undefined) {
-      this.#errorBodyBytes += chunk.length;
-      if (this.#errorBodyBytes <= MAX_ERROR_BODY_BYTES) {
-        this.#errorBodyChunks.push(chunk);
+      if (!this.#errorBody.append(chunk)) {
+        this.#cancelAsInvalid(ANSWER_TOO_LONG);
       }
       return;
     }
     this.#tail.append(chunk);
+    if (!this.#unfinishedEvent.resize(this.#tail.unfinishedBytes)) {
+      this.#cancelAsInvalid(EVENT_TOO_LONG);
+      return;
+    }
     const { activities } = this.#services;
     const hostId = this.#target.host.id;
     const now = monotonicMs();
@@ -290,7 +301,10 @@
       return { kind: 'lost', detail: exchangeEnd };
     }
     if (head.statusCode !== 200) {
-      return { kind: 'failed', head, body: Buffer.concat(this.#errorBodyChunks) };
+      const body = this.#errorBody.bytes;
+      return body === undefined
+        ? { kind: 'lost', detail: ANSWER_TOO_LONG }
+        : { kind: 'failed', head, body };
     }
     return isFramed(head) || this.#endsLikeWhole()
       ? { kind: 'complete' }
