A host may send sixteen interim answers before its answer

Callers had their answers up to a second after their deadlines while hosts answered with interim answers (103) only, as fast as they could: 2.9 to 3.2 s with a deadline of 2 s, 24 requests at once.

Cause: interim answers are no head, so neither the parser's limit on heads nor that on bodies holds for them, and nothing looked at them. A host that sends more than sixteen has not answered, and its connection is closed.

--- a/packages/entry/src/requests/exchange.ts
+++ b/packages/entry/src/requests/exchange.ts
@@ -41,6 +41,8 @@
  * round trip and some scheduling delay. A later failure is a failure of the host or of the running request.
  */
 const STALE_CONNECTION_WINDOW_MS = 100;
+/** Interim answers (statuses 100 to 199) that a host may send before its answer. */
+const MAX_INTERIM_ANSWERS = 16;
 
 /** How an exchange ended. */
 export type ExchangeEnd =
@@ -64,6 +66,8 @@
   | 'lost'
   /** The connection ended within the answer. */
   | 'broken'
+  /** Sent, and ended by this process: the host sent interim answers only. */
+  | 'unanswered'
   /** Cancelled by the caller of {@link startExchange}. */
   | 'cancelled';
 
@@ -197,6 +201,13 @@
   });
   clientRequest.on('error', onDisconnect);
   clientRequest.on('close', onDisconnect);
+  let interimAnswers = 0;
+  clientRequest.on('information', () => {
+    interimAnswers += 1;
+    if (interimAnswers > MAX_INTERIM_ANSWERS) {
+      finish('unanswered');
+    }
+  });
   clientRequest.on('response', incoming => {
     answer = incoming;
     exchangeRequest.onAnswerHead(incoming, sentAt);
