Gateways take no reset answer of a service for whole either

Callers of a gateway got the received part of a service's answer as a complete one if it had no length and its connection was reset, at any moment and behind requests of any length.

Cause: undici ends an answer without a length at ECONNRESET as it does at an orderly end, and at a reset that Node.js reports as an end. The gateway's connections to services are now of the class that entry hosts use: a reset is an error without that code. Streams of engines were whole only with their end marker before and are not touched.

Test: service-client.test.ts, reset at once, after 0 and 20 ms, behind 1 byte and 900 KB. Before: 6 of 6 failed; now all pass. Eleven malformed heads and the statuses 000, 099 and 101 are refused before and now; the tests are kept.

--- a/packages/gateway/src/requests/service-client.ts
+++ b/packages/gateway/src/requests/service-client.ts
@@ -10,6 +10,7 @@
 import type { AttemptEnd } from './engine-client.js';
 import type { ExchangeEnd, ExchangeObserver } from './exchange.js';
 import { exchange } from './exchange.js';
+import { upstreamConnector } from './upstream-connector.js';
 
 /** A call to a plain service. */
 export type ServiceCall = {
@@ -40,8 +41,11 @@
 /** Sends calls to plain services. */
 export class ServiceClient {
   readonly #log: Log;
-  readonly #agent = new Agent({ connect: { timeout: CONNECT_TIMEOUT_MS }, pipelining: 1 });
-  readonly #noReuseAgent = new Agent({ connect: { timeout: CONNECT_TIMEOUT_MS }, pipelining: 0 });
+  readonly #agent = new Agent({ connect: upstreamConnector(CONNECT_TIMEOUT_MS), pipelining: 1 });
+  readonly #noReuseAgent = new Agent({
+    connect: upstreamConnector(CONNECT_TIMEOUT_MS),
+    pipelining: 0,
+  });
 
   constructor(log: Log) {
     this.#log = log;
