Gateways pass on no answer with an unknown status or a content encoding

Callers of a gateway got a service's answer with status 600 or 999, and the bytes of an encoded body, read as text and without a word of the encoding. The id of the answer was all that was checked of its head.

Such an answer now counts as cut, as one whose connection breaks.

Test: service-client.test.ts. Before: 3 of 3 failed; now all pass.

--- a/packages/gateway/src/requests/service-client.test.ts
+++ b/packages/gateway/src/requests/service-client.test.ts
@@ -98,6 +98,7 @@
     'x-name: 1\r\n folded',
     'x-name: a\u0001b',
     'transfer-encoding: gzip',
+    'content-encoding: gzip',
     OWN_ID,
   ]) {
     it(`brings no answer with the line ${JSON.stringify(line)}`, async () => {
@@ -106,7 +107,7 @@
     });
   }
 
-  for (const status of ['000', '099', '101']) {
+  for (const status of ['000', '099', '101', '600', '999']) {
     it(`brings no answer with status ${status}`, async () => {
       const end = await call(whole([LENGTH], `HTTP/1.1 ${status} Odd`));
       expect(end.kind).not.to.equal('answer');
--- a/packages/gateway/src/requests/service-client.ts
+++ b/packages/gateway/src/requests/service-client.ts
@@ -37,6 +37,8 @@
   | Exclude<AttemptEnd, { kind: 'whole' }>;
 
 const CONNECT_TIMEOUT_MS = 1_000;
+const FIRST_FINAL_STATUS = 200;
+const LAST_STATUS = 599;
 
 /** Sends calls to plain services. */
 export class ServiceClient {
@@ -76,6 +78,15 @@
   return headers;
 }
 
+function answerFault(status: number, headers: IncomingHttpHeaders): string | undefined {
+  if (status < FIRST_FINAL_STATUS || status > LAST_STATUS) {
+    return `the answer has the unknown status ${status}`;
+  }
+  return headers['content-encoding'] === undefined
+    ? undefined
+    : 'the answer has a content encoding, for which nobody has asked';
+}
+
 /** Reads one answer. The HTTP library checks the announced length, so an answer that ends is complete. */
 class AnswerReader implements ExchangeObserver {
   readonly #requestId: string;
@@ -83,6 +94,8 @@
   #status = 0;
   #contentType = '';
   #isOwnAnswer = false;
+  /** Why the answer can not be passed on, apart from its id; undefined if it can. */
+  #fault: string | undefined;
 
   constructor(requestId: string) {
     this.#requestId = requestId;
@@ -96,7 +109,8 @@
     this.#status = status;
     this.#contentType = String(headers['content-type'] ?? 'application/octet-stream');
     this.#isOwnAnswer = headers[REQUEST_ID_HEADER] === this.#requestId;
-    return this.#isOwnAnswer;
+    this.#fault = answerFault(status, headers);
+    return this.#isOwnAnswer && this.#fault === undefined;
   }
 
   onData(bytes: Buffer): undefined {
@@ -108,6 +122,9 @@
     if (this.#status !== 0 && !this.#isOwnAnswer) {
       return { kind: 'mismatch', detail: 'the answer names another request' };
     }
+    if (this.#fault !== undefined) {
+      return { kind: 'cut', detail: this.#fault };
+    }
     if (end.kind === 'ended') {
       const body = Buffer.concat(this.#parts).toString('utf8');
       const answer = { status: this.#status, contentType: this.#contentType, body };
