Gateways and controllers read answers up to a length

An answer without an end of a plain service, of an engine that refuses, of a host's control interface or of the platform was read and kept until the deadline of the call.

Bodies of services and hosts are now read up to 16 MiB, of the platform up to 64 MiB (values have up to a megabyte, and a watch may bring all), by undici's own limit; the refusal of an engine up to 256 KiB. A longer one breaks the call.

--- a/packages/gateway/src/requests/engine-client.ts
+++ b/packages/gateway/src/requests/engine-client.ts
@@ -67,6 +67,8 @@
 const CANCEL_TIMEOUT_MS = 2_000;
 /** A refusal text is cut to this length. */
 const MAX_REFUSAL_CHARACTERS = 1_000;
+/** Longest body of a refusal that is read, in bytes. */
+const MAX_REFUSAL_BYTES = 256 * 1024;
 
 /** Sends generations to the heads of groups. */
 export class EngineClient {
@@ -181,6 +183,7 @@
   readonly #expectedPrefix: string;
   #status = 0;
   #refusal = '';
+  #refusalBytes = 0;
   #refusedBeforeRun = false;
   #mismatch: string | undefined;
   #whole = false;
@@ -213,6 +216,10 @@
   onData(bytes: Buffer): Promise<void> | undefined {
     const text = this.#decoder.decode(bytes, { stream: true });
     if (this.#status !== 200) {
+      this.#refusalBytes += bytes.length;
+      if (this.#refusalBytes > MAX_REFUSAL_BYTES) {
+        throw new RangeError('the refusal is too long');
+      }
       this.#refusal = (this.#refusal + text).slice(0, MAX_REFUSAL_CHARACTERS);
       return undefined;
     }
--- a/packages/gateway/src/requests/exchange.ts
+++ b/packages/gateway/src/requests/exchange.ts
@@ -22,7 +22,7 @@
   readonly mayStart: () => boolean;
   /** Receives the status and headers; false ends the exchange. */
   readonly onHead: (status: number, headers: IncomingHttpHeaders) => boolean;
-  /** Receives body bytes; a returned promise pauses the exchange until it resolves. */
+  /** Receives body bytes; a returned promise pauses the exchange until it resolves, a thrown error breaks it. */
   readonly onData: (bytes: Buffer) => Promise<void> | undefined;
 };
 
--- a/packages/gateway/src/requests/service-client.test.ts
+++ b/packages/gateway/src/requests/service-client.test.ts
@@ -3,6 +3,7 @@
 import { createServer } from 'node:net';
 
 import { silentLog } from '@hingescale/runtime';
+import { EndlessServer } from '@hingescale/runtime/testing';
 import { expect } from 'chai';
 
 import type { ServiceEnd } from './service-client.js';
@@ -40,10 +41,14 @@
     });
     await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve));
     const { port } = server.address() as AddressInfo;
+    return callAt(`http://127.0.0.1:${port}`, requestBytes);
+  }
+
+  function callAt(url: string, requestBytes: number): Promise<ServiceEnd> {
     return client.call({
       requestId: ID,
       method: 'POST',
-      url: `http://127.0.0.1:${port}/`,
+      url: `${url}/`,
       contentType: undefined,
       body: Buffer.alloc(requestBytes),
       timeoutMs: TIMEOUT_MS,
@@ -113,4 +118,15 @@
       expect(end.kind).not.to.equal('answer');
     });
   }
+
+  for (const lines of [[], ['content-length: 999999999999']]) {
+    it(`is cut if the answer has no end (${lines.join() || 'no length'})`, async () => {
+      const endless = new EndlessServer(headOf(lines));
+      const startedAt = performance.now();
+      const end = await callAt(await endless.listen(), 1);
+      expect(end.kind).to.equal('cut');
+      expect(performance.now() - startedAt).to.be.below(TIMEOUT_MS / 2);
+      endless.close();
+    });
+  }
 });
--- a/packages/gateway/src/requests/service-client.ts
+++ b/packages/gateway/src/requests/service-client.ts
@@ -39,15 +39,18 @@
 const CONNECT_TIMEOUT_MS = 1_000;
 const FIRST_FINAL_STATUS = 200;
 const LAST_STATUS = 599;
+/** Longest body of an answer that is accepted, in bytes. */
+const MAX_ANSWER_BYTES = 16 * 1024 * 1024;
+const AGENT_OPTIONS: Agent.Options = {
+  connect: upstreamConnector(CONNECT_TIMEOUT_MS),
+  maxResponseSize: MAX_ANSWER_BYTES,
+};
 
 /** Sends calls to plain services. */
 export class ServiceClient {
   readonly #log: Log;
-  readonly #agent = new Agent({ connect: upstreamConnector(CONNECT_TIMEOUT_MS), pipelining: 1 });
-  readonly #noReuseAgent = new Agent({
-    connect: upstreamConnector(CONNECT_TIMEOUT_MS),
-    pipelining: 0,
-  });
+  readonly #agent = new Agent({ ...AGENT_OPTIONS, pipelining: 1 });
+  readonly #noReuseAgent = new Agent({ ...AGENT_OPTIONS, pipelining: 0 });
 
   constructor(log: Log) {
     this.#log = log;
--- /dev/null
+++ b/packages/object-store/src/platform-client.test.ts
@@ -0,0 +1,21 @@
+import { silentLog } from '@hingescale/runtime';
+import { EndlessServer } from '@hingescale/runtime/testing';
+import { expect } from 'chai';
+
+import { PlatformClient } from './platform-client.js';
+
+const TIMEOUT_MS = 10_000;
+
+describe('a call to the platform', () => {
+  it('fails long before its time limit if the answer has no end', async () => {
+    const server = new EndlessServer('HTTP/1.1 200 OK\r\n\r\n');
+    const url = await server.listen();
+    const client = new PlatformClient({ url, timeoutMs: TIMEOUT_MS, log: silentLog() });
+    const startedAt = performance.now();
+    const result = await client.read('lease', 'a');
+    expect(result.isErr && result.error.reason).to.equal('unknown');
+    expect(performance.now() - startedAt).to.be.below(TIMEOUT_MS / 2);
+    await client.close();
+    server.close();
+  }).timeout(2 * TIMEOUT_MS);
+});
--- a/packages/object-store/src/platform-client.ts
+++ b/packages/object-store/src/platform-client.ts
@@ -61,6 +61,8 @@
 type PlatformResponse<T> = { readonly content: T; readonly era: number };
 
 const BEFORE_ALL_CHANGES: Revision = 0;
+/** Longest answer that is read, in bytes; values have up to a megabyte each. */
+const MAX_ANSWER_BYTES = 64 * 1024 * 1024;
 const HTTP_FIRST_NON_SUCCESS = 300;
 const HTTP_NOT_FOUND = 404;
 const HTTP_PRECONDITION_FAILED = 412;
@@ -79,6 +81,7 @@
     this.#agent = new Agent({
       connect: { timeout: options.timeoutMs },
       pipelining: 1,
+      maxResponseSize: MAX_ANSWER_BYTES,
     });
   }
 
--- a/packages/runtime/src/testing/index.ts
+++ b/packages/runtime/src/testing/index.ts
@@ -1,3 +1,4 @@
 /** Helpers of tests that several packages share. */
 export * from './cut-proxy.js';
+export * from './endless-server.js';
 export * from './process-watch.js';
--- a/packages/upstream/src/host-client.ts
+++ b/packages/upstream/src/host-client.ts
@@ -33,6 +33,8 @@
 const HTTP_CONFLICT = 409;
 const FIRST_NON_SUCCESS_STATUS = 300;
 const CONNECTIONS_PER_HOST = 4;
+/** Longest answer that is read, in bytes; a longer one counts as none. */
+const MAX_ANSWER_BYTES = 16 * 1024 * 1024;
 
 /** Calls the control API of hosts, which are given by address, and logs each call. */
 export class HostClient {
@@ -45,6 +47,7 @@
       connect: { timeout: options.timeoutMs },
       pipelining: 1,
       connections: CONNECTIONS_PER_HOST,
+      maxResponseSize: MAX_ANSWER_BYTES,
     });
   }
 
