A connection is not used again after an answer to another request

Repeatable requests ended with 502 or 504 though two of three hosts were sound: after answers that named another request, lacked what marks them or were encoded, the kept connections that had brought them were used for the next requests.

Cause: an answer of no use was read to its end, so its connection counted as sound. But the answer that was due may follow it, in the place of the next one, and that one in the place of the one after it. Attempts on plain routes now end at such a head and close the connection, as attempts of streams always did; those that peers pass on as well. The retry starts without waiting for the body.

Test: plain-relay.test.ts, "is not sent on a connection again ...". Before: failed, one connection for both; now passes.

--- a/packages/entry/src/forwarding/forwarded-plain.ts
+++ b/packages/entry/src/forwarding/forwarded-plain.ts
@@ -41,6 +41,9 @@
     const exchange = startForwarding(send, {
       onHead: answer => {
         head = answer;
+        if (faultOf(send, answer) !== undefined) {
+          cancel();
+        }
       },
       onData: chunk => {
         if (!body.append(chunk)) {
@@ -59,7 +62,7 @@
 
 // `body` is undefined if the answer is longer than this host accepts.
 function classifyEnd(
-  { context, headers }: ForwardedSend,
+  send: ForwardedSend,
   end: ExchangeEnd,
   head: IncomingMessage | undefined,
   body: Buffer | undefined,
@@ -67,12 +70,18 @@
   if (body === undefined) {
     return { kind: 'lost', detail: ANSWER_TOO_LONG };
   }
-  const failure = forwardedFailure(end, head);
-  if (failure !== undefined || head === undefined) {
-    return failure ?? { kind: 'lost', detail: end };
+  const fault = head && faultOf(send, head);
+  if (fault !== undefined) {
+    return { kind: 'lost', detail: fault };
   }
-  const fault = answerFault(head, context.id, headers);
-  return fault === undefined
+  const failure = forwardedFailure(end, head);
+  return failure === undefined && head !== undefined
     ? { kind: 'answered', answer: { head, body } }
-    : { kind: 'lost', detail: fault };
+    : (failure ?? { kind: 'lost', detail: end });
+}
+
+// Returns why the answer of a host, which the peer has passed on, is of no use; undefined if it may be of use.
+function faultOf({ context, headers }: ForwardedSend, head: IncomingMessage): string | undefined {
+  const isOfHost = forwardedFailure('whole', head) === undefined;
+  return isOfHost ? answerFault(head, context.id, headers) : undefined;
 }
--- a/packages/entry/src/requests/plain-relay.test.ts
+++ b/packages/entry/src/requests/plain-relay.test.ts
@@ -120,6 +120,25 @@
     expect(counters.value('retries_total', { service: 'plain', after: 'stale' })).to.equal(1);
   });
 
+  // Guards against answers that arrive in the place of the next one: the next request on the connection would get them.
+  it('is not sent on a connection again on which the answer to another request has arrived', async () => {
+    const sockets: unknown[] = [];
+    const answerForeign = (response: ServerResponse): void => {
+      response.writeHead(200, { 'x-request-id': 'other', 'x-stamp': 's' }).end('foreign');
+    };
+    const [target] = await targets([
+      (response, request) => {
+        sockets.push(request.socket);
+        (sockets.length === 1 ? answerForeign : answerDone)(response);
+      },
+    ]);
+    const services = relayServices(() => target);
+    const { context, answer } = requestContext('r');
+    await new PlainRelay(context, services).run();
+    expect(answer).to.deep.equal({ status: 200, body: 'done' });
+    expect(new Set(sockets).size).to.equal(2);
+  });
+
   it('that may run only once gets a connection of its own', async () => {
     const [target] = await targets([answerDone]);
     const services = relayServices(() => target);
--- a/packages/entry/src/requests/plain-relay.ts
+++ b/packages/entry/src/requests/plain-relay.ts
@@ -190,6 +190,10 @@
         {
           onHead: answer => {
             head = answer;
+            // The next answer on the connection might be the one to this request.
+            if (this.#faultOf(answer) !== undefined) {
+              cancel();
+            }
           },
           onData: chunk => {
             if (!body.append(chunk)) {
@@ -246,7 +250,6 @@
     head: IncomingMessage | undefined,
     body: Buffer | undefined,
   ): AttemptEnd {
-    const headerNames = this.#services.headers;
     if (isUnsent(end)) {
       return { kind: end };
     }
@@ -254,7 +257,7 @@
       this.#attemptLog.noteMayHaveRun();
       return { kind: 'gone' };
     }
-    if (head !== undefined && reportsNotRun(head, this.#context.id, headerNames)) {
+    if (head !== undefined && this.#isRejection(head)) {
       this.#attemptLog.noteRejected();
       return { kind: 'not-run' };
     }
@@ -265,13 +268,22 @@
     if (body === undefined) {
       return { kind: 'lost', detail: ANSWER_TOO_LONG };
     }
-    if (end !== 'whole' || head === undefined) {
-      return { kind: 'lost', detail: end };
+    const fault = head && this.#faultOf(head);
+    if (end !== 'whole' || head === undefined || fault !== undefined) {
+      return { kind: 'lost', detail: fault ?? end };
     }
-    const fault = answerFault(head, this.#context.id, headerNames);
-    return fault === undefined
-      ? { kind: 'answered', answer: { head, body } }
-      : { kind: 'lost', detail: fault };
+    return { kind: 'answered', answer: { head, body } };
+  }
+
+  #isRejection(head: IncomingMessage): boolean {
+    return reportsNotRun(head, this.#context.id, this.#services.headers);
+  }
+
+  // Returns why the answer is of no use, by its head; undefined if it may be of use.
+  #faultOf(head: IncomingMessage): string | undefined {
+    return this.#isRejection(head)
+      ? undefined
+      : answerFault(head, this.#context.id, this.#services.headers);
   }
 
   #recordEnd({ target, end, durationMs, stateAtSend }: EndedAttempt): void {
