A host's answer can not speak for an entry host

An entry host that forwards a request took a host's answer for a refusal of its peer, and promised its caller that the request had not run, if the answer had the header in which peers state an outcome.

Cause: all headers of a host's answer were passed on. This one is left out now, on both kinds of routes.

--- a/packages/entry/src/requests/plain-relay.ts
+++ b/packages/entry/src/requests/plain-relay.ts
@@ -2,6 +2,7 @@
 import type { IncomingMessage } from 'node:http';
 
 import { forwardPlain } from '../forwarding/forwarded-plain.js';
+import { PEER_HEADERS } from '../forwarding/peer-headers.js';
 import { requestKind } from '../routing/host-activity.js';
 import type { Target, TargetQuery } from '../routing/target-chooser.js';
 import { afterTurn, monotonicMs } from '../server/time.js';
@@ -38,7 +39,8 @@
 
 /** Time before the deadline at which attempts end, in milliseconds, so that the final answer is sent in time. */
 const DEADLINE_MARGIN_MS = 15;
-const DROPPED_HEADERS: ReadonlySet<string> = new Set(['content-length']);
+/** Headers of a host's answer that are not passed on. Peers believe the outcome, which only entry hosts may state. */
+const DROPPED_HEADERS: ReadonlySet<string> = new Set(['content-length', PEER_HEADERS.outcome]);
 /** Time after which an attempt is replaced by a retry, as a multiple of the route's objective. */
 const ATTEMPT_OBJECTIVE_FACTOR = 1.5;
 
--- a/packages/entry/src/requests/stream-relay.ts
+++ b/packages/entry/src/requests/stream-relay.ts
@@ -5,6 +5,7 @@
 import type { IncomingMessage } from 'node:http';
 
 import { ForwardedStream } from '../forwarding/forwarded-stream.js';
+import { PEER_HEADERS } from '../forwarding/peer-headers.js';
 import { shouldRefuse } from '../routing/overload-guard.js';
 import type { RetryReason } from '../routing/retry-budget.js';
 import type { Target, TargetQuery } from '../routing/target-chooser.js';
@@ -34,7 +35,8 @@
 const BUDGET_POLL_MS = 50;
 const EVENT_END = '\n\n';
 const NO_BYTES = Buffer.alloc(0);
-const DROPPED_HEADERS: ReadonlySet<string> = new Set(['content-length']);
+/** Headers of a host's answer that are not passed on. Peers believe the outcome, which only entry hosts may state. */
+const DROPPED_HEADERS: ReadonlySet<string> = new Set(['content-length', PEER_HEADERS.outcome]);
 
 /** Why a stream ends without another attempt. */
 type GiveUpReason = NoTargetReason | 'not-run' | 'overloaded';
