Connections to upstreams send without delay again

Not measured; a head and a short body are one write, so that only bodies in several writes could have waited.

--- a/packages/gateway/src/requests/upstream-connector.ts
+++ b/packages/gateway/src/requests/upstream-connector.ts
@@ -23,7 +23,6 @@
   callback: buildConnector.Callback,
 ): void {
   const socket = connectToUpstream({ host: hostname, port: Number(port) || HTTP_PORT });
-  socket.setNoDelay(true);
   const timer = setTimeout(() => {
     socket.destroy(new errors.ConnectTimeoutError(`not connected within ${timeoutMs} ms`));
   }, timeoutMs);
--- a/packages/runtime/src/upstream-socket.ts
+++ b/packages/runtime/src/upstream-socket.ts
@@ -47,9 +47,10 @@
   }
 }
 
-/** Opens a connection to an upstream. */
+/** Opens a connection to an upstream, which sends what is written without delay. */
 export function connectToUpstream(options: UpstreamConnectOptions): UpstreamSocket {
   const socket = new UpstreamSocket(options);
+  socket.setNoDelay(true);
   if (options.timeout !== undefined) {
     socket.setTimeout(options.timeout);
   }
