--- a/packages/entry/src/requests/plain-relay.ts
+++ b/packages/entry/src/requests/plain-relay.ts
@@ -2,7 +2,6 @@
 import type { IncomingMessage } from 'node:http';
 
 import { forwardPlain } from '../forwarding/forwarded-plain.js';
-import { PEER_HEADERS } from '../forwarding/peer-headers.js';
 import { requestKind } from '../routing/host-activity.js';
 import type { Target, TargetQuery } from '../routing/target-chooser.js';
 import { afterTurn, monotonicMs } from '../server/time.js';
@@ -24,7 +23,7 @@
 import { hostNoticeListener } from './notice-listener.js';
 import { sendOwnAnswer, serviceSilentMs } from './own-answer.js';
 import { formatPromptParts } from './prompt-parts.js';
-import { endToEndHeaders } from './relay-headers.js';
+import { relayedHeaders } from './relay-headers.js';
 import type { RelayServices } from './relay-services.js';
 import type { RequestContext } from './request-context.js';
 import { mayRepeat } from './request-context.js';
@@ -39,8 +38,6 @@
 
 /** Time before the deadline at which attempts end, in milliseconds, so that the final answer is sent in time. */
 const DEADLINE_MARGIN_MS = 15;
-/** Headers of a host's answer that are not passed on. Peers believe the outcome, which only entry hosts may state. */
-const DROPPED_HEADERS: ReadonlySet<string> = new Set(['content-length', PEER_HEADERS.outcome]);
 /** Time after which an attempt is replaced by a retry, as a multiple of the route's objective. */
 const ATTEMPT_OBJECTIVE_FACTOR = 1.5;
 
@@ -330,7 +327,7 @@
   #relayAnswer(answer: CompleteAnswer): void {
     const { response, route, arrivedAt } = this.#context;
     const { counters, latencies } = this.#services;
-    const headers = endToEndHeaders(answer.head.rawHeaders, DROPPED_HEADERS);
+    const headers = relayedHeaders(answer.head);
     if (isFramed(answer.head)) {
       headers.push('Content-Length', String(answer.body.length));
     } else {
--- a/packages/entry/src/requests/relay-headers.ts
+++ b/packages/entry/src/requests/relay-headers.ts
@@ -1,6 +1,8 @@
 /** Headers that entry hosts read and set; the platform adapter provides their names. */
 import type { IncomingMessage } from 'node:http';
 
+import { PEER_HEADERS } from '../forwarding/peer-headers.js';
+
 /** Header names in lower case, by meaning. */
 export type RelayHeaders = {
   /** Id of a request; hosts return it in the answer. */
@@ -52,6 +54,14 @@
   'expect',
 ]);
 
+/** Peers believe the outcome of an answer, which only entry hosts may state. */
+const NOT_RELAYED: ReadonlySet<string> = new Set(['content-length', PEER_HEADERS.outcome]);
+
+/** The headers of a host's answer to pass on; the length follows from the body. */
+export function relayedHeaders(answer: IncomingMessage): string[] {
+  return endToEndHeaders(answer.rawHeaders, NOT_RELAYED);
+}
+
 /** The headers to forward: without those that concern the connection, and without those in `without`. */
 export function endToEndHeaders(raw: RawHeaders, without: ReadonlySet<string>): string[] {
   const connectionOptions = connectionOptionsOf(raw);
--- a/packages/entry/src/requests/stream-relay.ts
+++ b/packages/entry/src/requests/stream-relay.ts
@@ -5,7 +5,6 @@
 import type { IncomingMessage } from 'node:http';
 
 import { ForwardedStream } from '../forwarding/forwarded-stream.js';
-import { PEER_HEADERS } from '../forwarding/peer-headers.js';
 import { shouldRefuse } from '../routing/overload-guard.js';
 import type { RetryReason } from '../routing/retry-budget.js';
 import type { Target, TargetQuery } from '../routing/target-chooser.js';
@@ -19,7 +18,7 @@
 import type { PeerHop } from './next-hop.js';
 import { isPeerHop, nextHop, whenForwardable } from './next-hop.js';
 import { sendOwnAnswer, serviceSilentMs } from './own-answer.js';
-import { endToEndHeaders } from './relay-headers.js';
+import { relayedHeaders } from './relay-headers.js';
 import type { RelayServices } from './relay-services.js';
 import type { RequestContext } from './request-context.js';
 import { RETRY_AFTER_MS, RETRY_AFTER_NO_HOST_MS, retryAfterMs } from './retry-after.js';
@@ -35,8 +34,6 @@
 const BUDGET_POLL_MS = 50;
 const EVENT_END = '\n\n';
 const NO_BYTES = Buffer.alloc(0);
-/** Headers of a host's answer that are not passed on. Peers believe the outcome, which only entry hosts may state. */
-const DROPPED_HEADERS: ReadonlySet<string> = new Set(['content-length', PEER_HEADERS.outcome]);
 
 /** Why a stream ends without another attempt. */
 type GiveUpReason = NoTargetReason | 'not-run' | 'overloaded';
@@ -329,7 +326,7 @@
   #sendHead(head: IncomingMessage | undefined): void {
     const { response } = this.#context;
     if (head !== undefined && !response.headersSent) {
-      response.writeHead(200, endToEndHeaders(head.rawHeaders, DROPPED_HEADERS));
+      response.writeHead(200, relayedHeaders(head));
     }
   }
 
@@ -367,7 +364,7 @@
       isForwarded: this.#context.forwarded !== undefined,
     });
     if (this.#failedHead !== undefined && !response.headersSent) {
-      const headers = endToEndHeaders(this.#failedHead.rawHeaders, DROPPED_HEADERS);
+      const headers = relayedHeaders(this.#failedHead);
       const body = this.#failedBody ?? Buffer.alloc(0);
       headers.push('Content-Length', String(body.length));
       response.writeHead(this.#failedHead.statusCode ?? 502, headers);
