A whole answer that is not taken yet outlives its connection

A caller that reads slowly got a whole answer as cut off if its host reset the connection right behind it.

Cause: the error of the connection ended the exchange, though the answer had been received to its last byte and only waited for its caller. It now ends with its last byte. An answer without a length is not whole at that time.

Test: exchange.test.ts, a reader that pauses for 50 ms.

--- a/packages/entry/src/requests/exchange.test.ts
+++ b/packages/entry/src/requests/exchange.test.ts
@@ -8,7 +8,7 @@
 import { ConnectTimes, MAX_CONNECT_MS } from '../routing/connect-times.js';
 import { monotonicMs, sleep } from '../server/time.js';
 import { TestUpstreamHost } from '../testing/relay.js';
-import type { ExchangeEnd } from './exchange.js';
+import type { ExchangeEnd, ExchangeRequest } from './exchange.js';
 import { startExchange } from './exchange.js';
 import { UpstreamConnections } from './upstream-connections.js';
 
@@ -27,6 +27,21 @@
   return connectTimes;
 }
 
+function requestOf(host: HostEntry, connections: UpstreamConnections): ExchangeRequest {
+  return {
+    host,
+    method: 'GET',
+    url: '/',
+    headers: ['host', 'models.example'],
+    body: undefined,
+    connections,
+    connectTimes: new ConnectTimes(),
+    mayWrite: () => true,
+    onNotWritten: () => undefined,
+    onAnswerHead: () => undefined,
+  };
+}
+
 function exchange(
   host: HostEntry,
   connections: UpstreamConnections,
@@ -36,18 +51,7 @@
 ): Promise<ExchangeEnd> {
   return new Promise(resolve => {
     const started = startExchange(
-      {
-        host,
-        method: 'GET',
-        url: '/',
-        headers: ['host', 'models.example'],
-        body: undefined,
-        connections,
-        connectTimes: connects,
-        mayWrite,
-        onNotWritten: () => undefined,
-        onAnswerHead: () => undefined,
-      },
+      { ...requestOf(host, connections), connectTimes: connects, mayWrite },
       { onHead: () => undefined, onData: () => undefined, onEnd: resolve },
     );
     setTimeout(() => {
@@ -161,6 +165,33 @@
     });
   });
 
+  // Guards against answers that are cut off for callers that read slowly.
+  it('whose connection is reset right behind a whole answer that is not read yet is whole', async () => {
+    const upstream = new TestUpstreamHost((_, { socket }) => {
+      socket.write('HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok');
+      socket.resetAndDestroy();
+    });
+    const { host } = await upstream.listen('h');
+    const connections = new UpstreamConnections(10);
+    let received = '';
+    const end = await new Promise<ExchangeEnd>(resolve => {
+      const started = startExchange(requestOf(host, connections), {
+        onHead: () => {
+          started.pause();
+          setTimeout(started.resume, 50);
+        },
+        onData: chunk => {
+          received += chunk.toString();
+        },
+        onEnd: resolve,
+      });
+    });
+    expect(end).to.equal('whole');
+    expect(received).to.equal('ok');
+    connections.destroy();
+    upstream.close();
+  });
+
   it('that is reset on a new connection is lost', async () => {
     const upstream = new TestUpstreamHost((_, request) => request.socket.resetAndDestroy());
     const { host } = await upstream.listen('h');
--- a/packages/entry/src/requests/exchange.ts
+++ b/packages/entry/src/requests/exchange.ts
@@ -149,6 +149,10 @@
     observer.onEnd(end);
   };
   const onDisconnect = (): void => {
+    if (answer?.complete === true) {
+      // The caller has not taken all of it yet; it ends with the last bytes.
+      return;
+    }
     if (answer !== undefined) {
       finish('broken');
     } else if (connected) {
