The command line reads answers of controllers up to a length

A controller's answer without an end was read and kept until the time limit of the call, 5 s.

Cause: the client of the administration API was the one place left that collects answers without a bound. It has 64 MiB now, by undici's own limit, as the client of the platform has.

--- a/packages/cli/src/admin-client.ts
+++ b/packages/cli/src/admin-client.ts
@@ -8,7 +8,7 @@
   Finding,
 } from '@hingescale/core';
 import { monotonicMs, sleep, timeoutSignal } from '@hingescale/runtime';
-import { request } from 'undici';
+import { Agent, request } from 'undici';
 
 /** A failed call of the administration API, with the reason that selects the exit code. */
 export class AdminError extends Error {
@@ -29,6 +29,8 @@
 
 /** Time limit of one HTTP call, in milliseconds. */
 const TIMEOUT_MS = 5_000;
+/** Longest answer that is read, in bytes. */
+const MAX_ANSWER_BYTES = 64 * 1024 * 1024;
 /** Time in milliseconds for which a drain is retried, as the lease may be changing its holder. */
 const DRAIN_RETRY_MS = 10_000;
 /** Pause between two attempts of a drain, in milliseconds. */
@@ -47,6 +49,7 @@
  */
 export class AdminClient {
   readonly #options: AdminOptions;
+  readonly #agent = new Agent({ maxResponseSize: MAX_ANSWER_BYTES });
 
   constructor(options: AdminOptions) {
     this.#options = options;
@@ -190,6 +193,7 @@
     try {
       const response = await request(url + path, {
         method,
+        dispatcher: this.#agent,
         headers: {
           authorization: `Bearer ${this.#options.key}`,
           'content-type': 'application/json',
