One body of a stream's answer for hosts and peers

The bounds on events and failure bodies stood twice, in the attempt at a host and in the one at a peer, with the same three fields and the same end. They are one class now; no behaviour changes.

--- a/packages/entry/src/forwarding/forwarded-stream.ts
+++ b/packages/entry/src/forwarding/forwarded-stream.ts
@@ -1,15 +1,13 @@
 /** One attempt of a stream request that is forwarded to a peer. */
 import type { IncomingMessage, ServerResponse } from 'node:http';
 
-import { ANSWER_TOO_LONG, AnswerBody } from '../requests/answer-body.js';
 import { answerFault, isFramed } from '../requests/answer-check.js';
 import type { ExchangeEnd } from '../requests/exchange.js';
 import type { RelayServices } from '../requests/relay-services.js';
 import { stallLimits } from '../requests/stall-limits.js';
 import type { StreamAttemptEnd, StreamAttemptOptions } from '../requests/stream-attempt.js';
+import { StreamBody } from '../requests/stream-body.js';
 import { StreamControl } from '../requests/stream-control.js';
-import { StreamTail } from '../requests/stream-tail.js';
-import { EVENT_TOO_LONG, UnfinishedEvent } from '../requests/unfinished-event.js';
 import { requestKind } from '../routing/host-activity.js';
 import { monotonicMs } from '../server/time.js';
 import type { ForwardedFailure, ForwardedSend } from './forwarded-exchange.js';
@@ -23,10 +21,7 @@
   readonly #services: RelayServices;
   readonly #options: StreamAttemptOptions;
   readonly #startedAt = monotonicMs();
-  /** Body of an answer with another status than 200. */
-  readonly #errorBody: AnswerBody;
-  readonly #unfinishedEvent: UnfinishedEvent;
-  readonly #tail = new StreamTail();
+  readonly #body: StreamBody;
   readonly #control = new StreamControl(() => {
     this.#lastProgressAt = monotonicMs();
   });
@@ -39,8 +34,7 @@
     this.#send = send;
     this.#services = services;
     this.#options = options;
-    this.#errorBody = new AnswerBody(send.context.reservation);
-    this.#unfinishedEvent = new UnfinishedEvent(send.context.reservation);
+    this.#body = new StreamBody(send.context.reservation);
   }
 
   /** Head (status and headers) of the host's answer; undefined until it is received. */
@@ -67,7 +61,7 @@
         },
         onEnd: exchangeEnd => {
           stalls.remove(this);
-          this.#unfinishedEvent.discard();
+          this.#body.discardEvent();
           const end = this.#classifyEnd(exchangeEnd);
           this.#recordEnd(end, forwardedFailure(exchangeEnd, this.#head));
           resolve(end);
@@ -123,21 +117,20 @@
     }
   }
 
-  #cancelAsInvalid(reason: string): void {
-    this.#fault = reason;
-    this.#control.cancel();
+  #cancelIf(fault: string | undefined): void {
+    if (fault !== undefined) {
+      this.#fault = fault;
+      this.#control.cancel();
+    }
   }
 
   #receiveData(chunk: Buffer): void {
     if (this.#head?.statusCode !== STATUS_OK || this.#fault !== undefined) {
-      if (!this.#errorBody.append(chunk)) {
-        this.#cancelAsInvalid(ANSWER_TOO_LONG);
-      }
+      this.#cancelIf(this.#body.addFailure(chunk));
       return;
     }
-    this.#tail.append(chunk);
-    if (!this.#unfinishedEvent.resize(this.#tail.unfinishedBytes)) {
-      this.#cancelAsInvalid(EVENT_TOO_LONG);
+    this.#cancelIf(this.#body.addEvents(chunk));
+    if (this.#fault !== undefined) {
       return;
     }
     this.#lastProgressAt = monotonicMs();
@@ -158,10 +151,7 @@
       return { kind: 'lost', detail: this.#fault ?? exchangeEnd };
     }
     if (head.statusCode !== STATUS_OK) {
-      const body = this.#errorBody.bytes;
-      return body === undefined
-        ? { kind: 'lost', detail: ANSWER_TOO_LONG }
-        : { kind: 'failed', head, body };
+      return this.#body.failureEnd(head);
     }
     // Peers send streams in chunks, whatever the form of the host's answer.
     return isFramed(head) ? { kind: 'complete' } : { kind: 'lost', detail: 'unframed' };
--- a/packages/entry/src/requests/stream-attempt.ts
+++ b/packages/entry/src/requests/stream-attempt.ts
@@ -4,7 +4,6 @@
 import { requestKind } from '../routing/host-activity.js';
 import type { Target } from '../routing/target-chooser.js';
 import { monotonicMs } from '../server/time.js';
-import { ANSWER_TOO_LONG, AnswerBody } from './answer-body.js';
 import { answerFault, isFramed, reportsNotRun } from './answer-check.js';
 import { keptConnectionsFor } from './connection-choice.js';
 import type { ExchangeEnd, UnsentEnd } from './exchange.js';
@@ -19,9 +18,8 @@
 import type { RequestContext } from './request-context.js';
 import type { StallLimits } from './stall-limits.js';
 import { stallLimits } from './stall-limits.js';
+import { StreamBody } from './stream-body.js';
 import { StreamControl } from './stream-control.js';
-import { StreamTail } from './stream-tail.js';
-import { EVENT_TOO_LONG, UnfinishedEvent } from './unfinished-event.js';
 import { upstreamHeaders } from './upstream-request.js';
 
 /** How an attempt ended. */
@@ -69,10 +67,7 @@
   readonly #target: Target;
   readonly #options: StreamAttemptOptions;
   readonly #startedAt = monotonicMs();
-  /** Body of an answer with another status than 200. */
-  readonly #errorBody: AnswerBody;
-  readonly #unfinishedEvent: UnfinishedEvent;
-  readonly #tail = new StreamTail();
+  readonly #body: StreamBody;
   readonly #control = new StreamControl(() => {
     this.#lastProgressAt = monotonicMs();
   });
@@ -93,8 +88,7 @@
     this.#services = services;
     this.#target = target;
     this.#options = options;
-    this.#errorBody = new AnswerBody(context.reservation);
-    this.#unfinishedEvent = new UnfinishedEvent(context.reservation);
+    this.#body = new StreamBody(context.reservation);
   }
 
   /** Head (status and headers) of the answer; undefined until it is received. */
@@ -140,7 +134,7 @@
           },
           onEnd: exchangeEnd => {
             stalls.remove(this);
-            this.#unfinishedEvent.discard();
+            this.#body.discardEvent();
             activities.noteRequestEnded(host, this.#hasBegun);
             const end = this.#classifyEnd(exchangeEnd);
             this.#recordEnd(end);
@@ -245,21 +239,20 @@
     }
   }
 
-  #cancelAsInvalid(reason: string): void {
-    this.#invalidReason = reason;
-    this.#control.cancel();
+  #cancelIf(fault: string | undefined): void {
+    if (fault !== undefined) {
+      this.#invalidReason = fault;
+      this.#control.cancel();
+    }
   }
 
   #receiveData(chunk: Buffer): void {
     if (this.#head?.statusCode !== 200 || this.#invalidReason !== undefined) {
-      if (!this.#errorBody.append(chunk)) {
-        this.#cancelAsInvalid(ANSWER_TOO_LONG);
-      }
+      this.#cancelIf(this.#body.addFailure(chunk));
       return;
     }
-    this.#tail.append(chunk);
-    if (!this.#unfinishedEvent.resize(this.#tail.unfinishedBytes)) {
-      this.#cancelAsInvalid(EVENT_TOO_LONG);
+    this.#cancelIf(this.#body.addEvents(chunk));
+    if (this.#invalidReason !== undefined) {
       return;
     }
     const { activities } = this.#services;
@@ -301,10 +294,7 @@
       return { kind: 'lost', detail: exchangeEnd };
     }
     if (head.statusCode !== 200) {
-      const body = this.#errorBody.bytes;
-      return body === undefined
-        ? { kind: 'lost', detail: ANSWER_TOO_LONG }
-        : { kind: 'failed', head, body };
+      return this.#body.failureEnd(head);
     }
     return isFramed(head) || this.#endsLikeWhole()
       ? { kind: 'complete' }
@@ -314,7 +304,9 @@
   // An answer without framing ends with its connection, as it does if the host breaks it off or crashes. Only a stream
   // that is resumed may have no events.
   #endsLikeWhole(): boolean {
-    return this.#tail.isEmpty ? this.#options.lastEventId !== undefined : this.#tail.endsWithEvent;
+    return this.#body.tail.isEmpty
+      ? this.#options.lastEventId !== undefined
+      : this.#body.tail.endsWithEvent;
   }
 
   // Cancelled attempts are not reported, since their hosts may continue the run.
--- /dev/null
+++ b/packages/entry/src/requests/stream-body.ts
@@ -0,0 +1,50 @@
+/** What is kept of the body of an answer to a stream request: an unfinished event, or the body of a failure. */
+import type { IncomingMessage } from 'node:http';
+
+import type { Reservation } from '@hingescale/runtime/http-guard';
+
+import { ANSWER_TOO_LONG, AnswerBody } from './answer-body.js';
+import { StreamTail } from './stream-tail.js';
+import { EVENT_TOO_LONG, UnfinishedEvent } from './unfinished-event.js';
+
+/** How an attempt ends whose answer has another status than 200. */
+export type FailureEnd =
+  | { readonly kind: 'failed'; readonly head: IncomingMessage; readonly body: Buffer }
+  | { readonly kind: 'lost'; readonly detail: string };
+
+/** The body of one attempt's answer, within the memory for requests and answers. */
+export class StreamBody {
+  /** The last bytes of the events. */
+  readonly tail = new StreamTail();
+  readonly #failure: AnswerBody;
+  readonly #unfinishedEvent: UnfinishedEvent;
+
+  constructor(reservation: Reservation) {
+    this.#failure = new AnswerBody(reservation);
+    this.#unfinishedEvent = new UnfinishedEvent(reservation);
+  }
+
+  /** Adds bytes of events; returns why the attempt has to end, or undefined if it goes on. */
+  addEvents(chunk: Buffer): string | undefined {
+    this.tail.append(chunk);
+    return this.#unfinishedEvent.resize(this.tail.unfinishedBytes) ? undefined : EVENT_TOO_LONG;
+  }
+
+  /** Adds bytes of a failure; returns why the attempt has to end, or undefined if it goes on. */
+  addFailure(chunk: Buffer): string | undefined {
+    return this.#failure.append(chunk) ? undefined : ANSWER_TOO_LONG;
+  }
+
+  /** Gives the memory of the unfinished event back, at the end of the attempt. */
+  discardEvent(): void {
+    this.#unfinishedEvent.discard();
+  }
+
+  /** The end of the attempt whose failure has been received to its end. */
+  failureEnd(head: IncomingMessage): FailureEnd {
+    const body = this.#failure.bytes;
+    return body === undefined
+      ? { kind: 'lost', detail: ANSWER_TOO_LONG }
+      : { kind: 'failed', head, body };
+  }
+}
