Connections check the lines of heads before the HTTP parser reads them

Callers got answers of hosts in trouble whose heads had a line that is no field: names with a blank or a control byte, with the line passed on or a body that was not the host's.

Cause: nothing in the product told what a field is; it was left to the parser of the runtime. Names that end with a blank, and control bytes in values, made `writeHead` throw: plain requests got a closed connection, streams no answer. Which runtime the users' machines have is not known; that its parser accepts more is the hypothesis that fits what they saw, and it is not proved.

Change: a client's connection checks the bytes of each line of a head, interim heads included, and ends with an error before the parser reads a malformed one. Exchanges with hosts and peers end as they do where the parser itself refuses a head. As it works on bytes, no parser's leniency matters.

exchange.test.ts: its connection that is never established is now one of the class that the pool opens; its checks are the same.

--- a/packages/entry/src/requests/exchange.test.ts
+++ b/packages/entry/src/requests/exchange.test.ts
@@ -1,7 +1,6 @@
 /** Tests how exchanges end when connections are exhausted, reset, silent or never established. */
-import { Socket } from 'node:net';
-
 import { CutProxy } from '@hingescale/runtime/testing';
+import { UpstreamSocket } from '@hingescale/runtime/upstream-socket';
 import { expect } from 'chai';
 
 import type { HostEntry } from '../hosts/host-entry.js';
@@ -16,8 +15,8 @@
 
 /** Connections that are never established, as to a host without power. */
 class UnestablishedConnections extends UpstreamConnections {
-  override createConnection(): Socket {
-    return Object.defineProperty(new Socket(), 'connecting', { value: true });
+  override createConnection(): UpstreamSocket {
+    return Object.defineProperty(new UpstreamSocket(), 'connecting', { value: true });
   }
 }
 
--- a/packages/entry/src/requests/exchange.ts
+++ b/packages/entry/src/requests/exchange.ts
@@ -1,8 +1,8 @@
 /** Sends one request once, on one connection to an upstream host. Retries are left to the relays. */
 import type { IncomingMessage } from 'node:http';
-import { request as httpRequest } from 'node:http';
 import type { Socket } from 'node:net';
 
+import { checkedRequest } from '@hingescale/runtime/checked-request';
 import { connectToUpstream } from '@hingescale/runtime/upstream-socket';
 
 import type { HostEntry } from '../hosts/host-entry.js';
@@ -69,7 +69,7 @@
    * count as a failure of the host, which may have closed the connection because it was idle.
    */
   | 'stale'
-  /** Sent, but the connection ended before the head of an answer was received. */
+  /** Sent, but the connection ended before the head of an answer was received, or the head is malformed. */
   | 'lost'
   /** The connection ended within the answer. */
   | 'broken'
@@ -131,7 +131,7 @@
   let sentAt = monotonicMs();
   let isReused = false;
   let confirming: AbortController | undefined;
-  const clientRequest = httpRequest({
+  const clientRequest = checkedRequest({
     host: host.ip,
     port: host.port,
     method,
--- a/packages/entry/src/requests/upstream-connections.ts
+++ b/packages/entry/src/requests/upstream-connections.ts
@@ -5,11 +5,12 @@
  * request is waiting, it is closed, since those bytes belong to no request.
  */
 import type { ClientRequest, IncomingMessage } from 'node:http';
-import { Agent } from 'node:http';
 import type { Socket } from 'node:net';
 import type { Duplex } from 'node:stream';
 
-import type { UpstreamConnectOptions } from '@hingescale/runtime/upstream-socket';
+import type { ConnectOptions } from '@hingescale/runtime/answer-socket';
+import { AnswerAgent } from '@hingescale/runtime/checked-request';
+import type { UpstreamSocket } from '@hingescale/runtime/upstream-socket';
 import { connectToUpstream } from '@hingescale/runtime/upstream-socket';
 
 import { announcedIdleMs, DEFAULT_IDLE_MS, keptIdleMs } from './connection-reuse.js';
@@ -51,7 +52,7 @@
 };
 
 /** An HTTP agent that closes idle connections in time and reports why it opens new ones. */
-export class UpstreamConnections extends Agent {
+export class UpstreamConnections extends AnswerAgent {
   readonly #observer: ConnectionObserver | undefined;
   readonly #idleListeners = new WeakMap<Duplex, IdleListeners>();
   readonly #agentKeys = new WeakMap<Duplex, string>();
@@ -93,7 +94,7 @@
   }
 
   // Called by the agent for each connection that it opens.
-  override createConnection(options: UpstreamConnectOptions): Socket {
+  override createConnection(options: ConnectOptions): UpstreamSocket {
     const agentKey = this.getName(options as { host: string; port: number });
     const isBusy = (this.sockets[agentKey]?.length ?? 0) > 0;
     this.#observer?.onOpened(isBusy ? 'busy' : (this.#lastCloseCauses.get(agentKey) ?? 'first'));
--- /dev/null
+++ b/packages/runtime/src/answer-socket.ts
@@ -0,0 +1,55 @@
+/** Connections of HTTP clients that check the heads of answers before the HTTP parser reads them. */
+import type { SocketConstructorOpts, TcpNetConnectOpts } from 'node:net';
+import { Socket } from 'node:net';
+
+import { AnswerHeadCheck } from './answer-head-check.js';
+
+/** Options of a connection; a timeout is the time in milliseconds without traffic after which it emits `timeout`. */
+export type ConnectOptions = TcpNetConnectOpts &
+  SocketConstructorOpts & { readonly timeout?: number };
+
+/** The other side has sent an answer with a malformed line in its head. */
+export class MalformedHeadError extends Error {
+  constructor() {
+    super('the head of the answer is malformed');
+    this.name = 'MalformedHeadError';
+  }
+}
+
+/** A client's connection that ends with {@link MalformedHeadError} before a malformed head has been read completely. */
+export class AnswerSocket extends Socket {
+  #headCheck: AnswerHeadCheck | undefined;
+
+  /** To be called before a request is written: what is received next is the head of its answer. */
+  expectAnswer(): void {
+    this.#headCheck = new AnswerHeadCheck();
+  }
+
+  // Node.js calls this with the received bytes, and with null at the end of the connection.
+  override push(chunk: Buffer | null, encoding?: BufferEncoding): boolean {
+    if (chunk === null || this.#accepts(chunk)) {
+      return super.push(chunk, encoding);
+    }
+    this.destroy(new MalformedHeadError());
+    return false;
+  }
+
+  #accepts(chunk: Buffer): boolean {
+    const check = this.#headCheck;
+    const isAccepted = check?.accept(chunk) ?? true;
+    if (check?.isComplete === true) {
+      this.#headCheck = undefined;
+    }
+    return isAccepted;
+  }
+}
+
+/** Connects a new socket, which sends what is written without delay. */
+export function connectSocket<T extends Socket>(socket: T, options: ConnectOptions): T {
+  socket.setNoDelay(true);
+  if (options.timeout !== undefined) {
+    socket.setTimeout(options.timeout);
+  }
+  socket.connect(options);
+  return socket;
+}
--- a/packages/runtime/src/upstream-socket.ts
+++ b/packages/runtime/src/upstream-socket.ts
@@ -1,6 +1,6 @@
 /** Connections to upstreams on which a reset always ends in an error. */
-import type { SocketConstructorOpts, TcpNetConnectOpts } from 'node:net';
-import { Socket } from 'node:net';
+import type { ConnectOptions } from './answer-socket.js';
+import { AnswerSocket, connectSocket } from './answer-socket.js';
 
 /** The other side of a connection has reset it, or closed it before it had received all that was sent to it. */
 export class ConnectionBrokenError extends Error {
@@ -10,10 +10,6 @@
   }
 }
 
-/** Options of a connection; a timeout is the time in milliseconds without traffic after which it emits `timeout`. */
-export type UpstreamConnectOptions = TcpNetConnectOpts &
-  SocketConstructorOpts & { readonly timeout?: number };
-
 const RESET = 'ECONNRESET';
 
 /**
@@ -23,7 +19,7 @@
  * reports one if the last bytes and the reset are received in the same turn of the event loop. Some HTTP clients
  * (undici) also take such an answer for whole after the error `ECONNRESET`, so the errors here have no such code.
  */
-export class UpstreamSocket extends Socket {
+export class UpstreamSocket extends AnswerSocket {
   // Node.js calls this with the received bytes, and with null at the end of the connection.
   override push(chunk: Buffer | null, encoding?: BufferEncoding): boolean {
     if (chunk !== null || this.#hasEndedInOrder()) {
@@ -48,12 +44,6 @@
 }
 
 /** Opens a connection to an upstream, which sends what is written without delay. */
-export function connectToUpstream(options: UpstreamConnectOptions): UpstreamSocket {
-  const socket = new UpstreamSocket(options);
-  socket.setNoDelay(true);
-  if (options.timeout !== undefined) {
-    socket.setTimeout(options.timeout);
-  }
-  socket.connect(options);
-  return socket;
+export function connectToUpstream(options: ConnectOptions): UpstreamSocket {
+  return connectSocket(new UpstreamSocket(options), options);
 }
