Gateways' tests of answers cover more malformed heads

Handled already: undici's parser, 7.30.2, refuses lines that start with a blank, names that end with one, in and around the names that frame an answer, and control bytes in values.

--- a/packages/gateway/src/requests/service-client.test.ts
+++ b/packages/gateway/src/requests/service-client.test.ts
@@ -271,6 +271,17 @@
   }
 
   for (const line of [
+    ' x-name: 1',
+    '\tx-name: 1',
+    'x-name : 1',
+    'x-name\t: 1',
+    'connection : close',
+    'content-length : 2',
+    ' content-length: 2',
+    'transfer-encoding : chunked',
+    `hingescale-request-id : ${ID}`,
+    'x-name: a\u007fb',
+    'x-name: a\nb: 1',
     'x name: 1',
     'x\u0001name: 1',
     'x\u0000name: 1',
