Clients ask for the strict HTTP parser by name

What callers could get: in a process with `--insecure-http-parser`, a whole 200 for an answer with both a length and chunks, with a blank behind the size of a chunk, or without a line end behind a chunk.

Cause: the clients took the parser that the process has by default, so a flag of the runtime decided how answers are framed.

Change: checked requests ask for the strict parser, which beats the flag.

--- a/packages/runtime/src/checked-request.ts
+++ b/packages/runtime/src/checked-request.ts
@@ -18,9 +18,12 @@
 export type CheckedRequestOptions = Omit<RequestOptions, 'agent' | 'createConnection'> &
   ({ readonly agent: AnswerAgent } | { readonly createConnection: () => AnswerSocket });
 
-/** Starts a request. It emits {@link MalformedHeadError} as its error if a line of the answer's head is malformed. */
+/**
+ * Starts a request. It emits a `MalformedHeadError` if a line of the answer's head is malformed. Lengths
+ * and chunks are left to the strict HTTP parser, also in a process that has another one by default.
+ */
 export function checkedRequest(options: CheckedRequestOptions): ClientRequest {
-  const request = httpRequest(options);
+  const request = httpRequest({ insecureHTTPParser: false, ...options });
   request.on('socket', (socket: Socket) => {
     (socket as AnswerSocket).expectAnswer();
   });
