Servers for callers ask for the strict HTTP parser by name

What callers could get: in a process with `--insecure-http-parser`, no answer to a request with a control byte in a value or with `Connection : close`, while one whose first line starts with a blank got 404, and folded lines and bare line feeds were passed on to hosts.

Cause: as with answers, the server took the parser that the process has by default. What that parser lets pass is put into the request to the host, where Node.js throws on it.

Change: the servers for callers, forwarded requests, readiness and metrics ask for the strict parser, which beats the flag. A malformed head gets 400, as it does by default.

--- a/packages/runtime/src/http-guard/http-guard.ts
+++ b/packages/runtime/src/http-guard/http-guard.ts
@@ -16,8 +16,11 @@
 /** Time in which a client sends its first request after it has opened its connection, in milliseconds. */
 const MIN_FRESH_MS = 100;
 
-/** Options that a guarded server is to be created with. */
-export const GUARDED_SERVER_OPTIONS = { connectionsCheckingInterval: CHECK_PERIOD_MS } as const;
+/** Options that a guarded server is to be created with: the parser is strict whatever the process has by default. */
+export const GUARDED_SERVER_OPTIONS = {
+  connectionsCheckingInterval: CHECK_PERIOD_MS,
+  insecureHTTPParser: false,
+} as const;
 
 /** Why a connection was closed without an answer. */
 export type CloseReason =
