--- a/eslint.config.js
+++ b/eslint.config.js
@@ -23,4 +23,25 @@
       eqeqeq: 'error',
     },
   },
+  {
+    files: [
+      'packages/{cli,controller,entry,gateway,link,object-store,runtime,upstream}/src/**/*.ts',
+      'platform/src/**/*.ts',
+    ],
+    ignores: ['**/*.test.ts', '**/testing/**', 'packages/runtime/src/checked-request.ts'],
+    rules: {
+      'no-restricted-imports': [
+        'error',
+        {
+          paths: [
+            {
+              name: 'node:http',
+              importNames: ['request', 'get', 'Agent'],
+              message: 'checkedRequest also checks the heads of answers',
+            },
+          ],
+        },
+      ],
+    },
+  },
 );
