Answers in millions of pieces no longer end the process that reads them

Cause: readers limited the bytes of a body, but kept a Buffer object for each piece that the HTTP parser delivers, and a sender chooses the size of its pieces. 10 MB on the wire are 1.7 million objects.

Change: ByteCollector copies pieces into blocks, and memory is reserved as it is allocated.

--- a/packages/cli/src/admin-client.ts
+++ b/packages/cli/src/admin-client.ts
@@ -8,6 +8,7 @@
   Finding,
 } from '@hingescale/core';
 import { monotonicMs, sleep, timeoutSignal } from '@hingescale/runtime';
+import { readAnswerText } from '@hingescale/runtime/answer-text';
 import { Agent, request } from 'undici';
 
 /** A failed call of the administration API, with the reason that selects the exit code. */
@@ -201,7 +202,8 @@
         body: body === undefined ? undefined : JSON.stringify(body),
         signal: timeoutSignal(TIMEOUT_MS),
       });
-      return { status: response.statusCode, body: JSON.parse(await response.body.text()) };
+      const text = await readAnswerText(response.body, MAX_ANSWER_BYTES);
+      return { status: response.statusCode, body: JSON.parse(text) };
     } catch (error) {
       const refused = (error as { code?: string }).code === 'ECONNREFUSED';
       const reason = refused || method === 'GET' ? 'unreachable' : 'unknown';
--- a/packages/entry/src/forwarding/forwarded-plain.ts
+++ b/packages/entry/src/forwarding/forwarded-plain.ts
@@ -31,7 +31,7 @@
     const settle = (exchangeEnd: ExchangeEnd): void => {
       timeout.cancel();
       callerSignal.removeEventListener('abort', cancel);
-      const end = classifyEnd(send, exchangeEnd, head, body.bytes);
+      const end = classifyEnd(send, exchangeEnd, head, body.take());
       services.counters.count('forwarded_total', { kind: 'plain', end: end.kind });
       if (end.kind !== 'answered') {
         logForwardedFailure(services.log, send, end, monotonicMs() - startedAt);
--- a/packages/entry/src/requests/answer-body.ts
+++ b/packages/entry/src/requests/answer-body.ts
@@ -1,4 +1,5 @@
 /** Buffers the body of an answer that is passed on as a whole, within the memory for requests and answers. */
+import { ByteCollector } from '@hingescale/runtime/byte-collector';
 import type { Reservation } from '@hingescale/runtime/http-guard';
 
 /** Longest answer body that is accepted, in bytes. */
@@ -12,7 +13,7 @@
 /** Collects the parts of one body. */
 export class AnswerBody {
   readonly #reservation: Reservation;
-  #chunks: Buffer[] = [];
+  readonly #collector = new ByteCollector();
   #length = 0;
   #reservedBytes = 0;
   #isTooLong = false;
@@ -25,25 +26,25 @@
   /** Adds the next part; false if the body is longer than this entry host accepts. */
   append(chunk: Buffer): boolean {
     this.#length += chunk.length;
-    this.#isTooLong ||= this.#length > MAX_ANSWER_BYTES || !this.#reserve(chunk.length);
+    this.#isTooLong ||= this.#length > MAX_ANSWER_BYTES || !this.#reserveFor(chunk);
     if (this.#isTooLong) {
       this.discard();
     } else {
-      this.#chunks.push(chunk);
+      this.#collector.append(chunk);
     }
     return !this.#isTooLong;
   }
 
   /** Gives the memory back; the answer is not used. */
   discard(): void {
-    this.#chunks = [];
+    this.#collector.clear();
     this.#reservation.add(-this.#reservedBytes);
     this.#reservedBytes = 0;
   }
 
-  /** The body received so far; undefined if it is longer than this entry host accepts. */
-  get bytes(): Buffer | undefined {
-    return this.#isTooLong ? undefined : Buffer.concat(this.#chunks);
+  /** Returns the body, once it has been received; undefined if it is longer than this entry host accepts. */
+  take(): Buffer | undefined {
+    return this.#isTooLong ? undefined : this.#collector.take();
   }
 
   /** Number of bytes received so far. */
@@ -51,12 +52,12 @@
     return this.#length;
   }
 
-  #reserve(bytes: number): boolean {
-    if (this.#length <= UNRESERVED_BYTES) {
-      return true;
-    }
-    const isGranted = this.#reservation.add(bytes);
-    this.#reservedBytes += isGranted ? bytes : 0;
+  // Reserves what the collector has allocated besides the bytes that need no reservation.
+  #reserveFor(chunk: Buffer): boolean {
+    const allocatedBytes = this.#collector.allocatedBytes + this.#collector.growthFor(chunk.length);
+    const addedBytes = Math.max(0, allocatedBytes - UNRESERVED_BYTES) - this.#reservedBytes;
+    const isGranted = this.#reservation.add(addedBytes);
+    this.#reservedBytes += isGranted ? addedBytes : 0;
     return isGranted;
   }
 }
--- a/packages/entry/src/requests/exchange.test.ts
+++ b/packages/entry/src/requests/exchange.test.ts
@@ -1,5 +1,5 @@
 /** Tests how exchanges end when connections are exhausted, reset, silent or never established. */
-import { CutProxy } from '@hingescale/runtime/testing';
+import { CutProxy, pour, TINY_CHUNKS } from '@hingescale/runtime/testing';
 import { UpstreamSocket } from '@hingescale/runtime/upstream-socket';
 import { expect } from 'chai';
 
@@ -191,6 +191,21 @@
     upstream.close();
   });
 
+  // Guards against an entry host that collects, or reads for seconds, what a host sends in millions of pieces.
+  it('whose answer arrives in chunks of one byte without end is given up', async () => {
+    const upstream = new TestUpstreamHost((_, { socket }) => {
+      socket.on('error', () => undefined);
+      pour(socket, 'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n', TINY_CHUNKS);
+    });
+    const { host } = await upstream.listen('h');
+    const connections = new UpstreamConnections(10);
+    const startedAt = monotonicMs();
+    expect(await exchange(host, connections, new ConnectTimes(), 5_000)).to.equal('fragmented');
+    expect(monotonicMs() - startedAt).to.be.below(1_000);
+    connections.destroy();
+    upstream.close();
+  });
+
   it('that is reset on a new connection is lost', async () => {
     const upstream = new TestUpstreamHost((_, request) => request.socket.resetAndDestroy());
     const { host } = await upstream.listen('h');
--- a/packages/entry/src/requests/exchange.ts
+++ b/packages/entry/src/requests/exchange.ts
@@ -3,6 +3,7 @@
 import type { Socket } from 'node:net';
 
 import { checkedRequest } from '@hingescale/runtime/checked-request';
+import { PieceAllowance } from '@hingescale/runtime/piece-allowance';
 import { connectToUpstream } from '@hingescale/runtime/upstream-socket';
 
 import type { HostEntry } from '../hosts/host-entry.js';
@@ -77,6 +78,8 @@
   | 'unconfirmed'
   /** Sent, and ended by this process: the host sent interim answers only. */
   | 'unanswered'
+  /** Sent, and ended by this process: the answer arrived in too many pieces for its length. */
+  | 'fragmented'
   /** Cancelled by the caller of {@link startExchange}. */
   | 'cancelled';
 
@@ -127,6 +130,7 @@
   const { host, method, url, headers, body, connections, connectTimes } = exchangeRequest;
   let ended = false;
   let answer: IncomingMessage | undefined;
+  const allowance = new PieceAllowance();
   let connected = false;
   let sentAt = monotonicMs();
   let isReused = false;
@@ -242,7 +246,9 @@
     answer = incoming;
     exchangeRequest.onAnswerHead(incoming, sentAt);
     incoming.on('data', (chunk: Buffer) => {
-      if (!ended) {
+      if (!ended && !allowance.admit(chunk.length)) {
+        finish('fragmented');
+      } else if (!ended) {
         observer.onData(chunk);
       }
     });
--- a/packages/entry/src/requests/plain-relay.ts
+++ b/packages/entry/src/requests/plain-relay.ts
@@ -157,7 +157,7 @@
     activities.noteRequestSent(target.host);
     return new Promise(resolve => {
       const settle = (connection: ExchangeEnd): void => {
-        const end = this.#classifyEnd(connection, head, body.bytes);
+        const end = this.#classifyEnd(connection, head, body.take());
         timeout.cancel();
         removeGuard();
         removeRescue();
--- a/packages/entry/src/requests/stream-body.ts
+++ b/packages/entry/src/requests/stream-body.ts
@@ -58,7 +58,7 @@
 
   /** The end of the attempt whose failure has been received to its end. */
   failureEnd(head: IncomingMessage): FailureEnd {
-    const body = this.#failure.bytes;
+    const body = this.#failure.take();
     return body === undefined
       ? { kind: 'lost', detail: ANSWER_TOO_LONG }
       : { kind: 'failed', head, body };
--- a/packages/gateway/src/requests/engine-client.test.ts
+++ b/packages/gateway/src/requests/engine-client.test.ts
@@ -4,7 +4,12 @@
 
 import type { GroupView } from '@hingescale/core';
 import { silentLog } from '@hingescale/runtime';
-import { EndlessServer, strictPrefixes, UnframedServer } from '@hingescale/runtime/testing';
+import {
+  EndlessServer,
+  strictPrefixes,
+  TINY_CHUNKS,
+  UnframedServer,
+} from '@hingescale/runtime/testing';
 import { expect } from 'chai';
 
 import type { Attempt, AttemptEnd } from './engine-client.js';
@@ -105,12 +110,15 @@
     }
   });
 
-  for (const [name, head, kind] of [
-    ['refusal', 'HTTP/1.1 500 Failure\r\n\r\n', 'lost'],
-    ['event', `HTTP/1.1 200 OK\r\n${OWN_HEADERS}\r\ndata: `, 'cut'],
+  const chunked = 'Transfer-Encoding: chunked\r\n';
+  for (const [name, head, kind, piece] of [
+    ['refusal', 'HTTP/1.1 500 Failure\r\n\r\n', 'lost', undefined],
+    ['event', `HTTP/1.1 200 OK\r\n${OWN_HEADERS}\r\ndata: `, 'cut', undefined],
+    ['refusal in tiny chunks', `HTTP/1.1 500 Failure\r\n${chunked}\r\n`, 'lost', TINY_CHUNKS],
+    ['event in tiny chunks', `HTTP/1.1 200 OK\r\n${OWN_HEADERS}${chunked}\r\n`, 'cut', TINY_CHUNKS],
   ] as const) {
     it(`ends long before its deadline if the engine sends a ${name} without an end`, async () => {
-      const server = new EndlessServer(head);
+      const server = new EndlessServer(head, piece);
       const address = await server.listen();
       const client = new EngineClient(silentLog());
       const attempt = attemptAt(address);
--- a/packages/gateway/src/requests/engine-client.ts
+++ b/packages/gateway/src/requests/engine-client.ts
@@ -15,6 +15,7 @@
 } from '@hingescale/core';
 import type { Log } from '@hingescale/runtime';
 import { timeoutSignal } from '@hingescale/runtime';
+import { FRAGMENTED, PieceAllowance } from '@hingescale/runtime/piece-allowance';
 import { Agent, request } from 'undici';
 
 import type { ExchangeEnd, ExchangeObserver, ExchangeRequest } from './exchange.js';
@@ -181,6 +182,7 @@
   readonly #attempt: Attempt;
   readonly #sink: AttemptSink;
   readonly #reader = new SseReader();
+  readonly #allowance = new PieceAllowance();
   readonly #decoder = new TextDecoder();
   readonly #expectedPrefix: string;
   #status = 0;
@@ -220,6 +222,9 @@
   }
 
   onData(bytes: Buffer): Promise<void> | undefined {
+    if (!this.#allowance.admit(bytes.length)) {
+      throw new RangeError(FRAGMENTED);
+    }
     const text = this.#decoder.decode(bytes, { stream: true });
     if (this.#status !== 200) {
       this.#refusalBytes += bytes.length;
--- a/packages/gateway/src/requests/service-client.test.ts
+++ b/packages/gateway/src/requests/service-client.test.ts
@@ -6,7 +6,7 @@
 import { createServer } from 'node:net';
 
 import { silentLog } from '@hingescale/runtime';
-import { EndlessServer } from '@hingescale/runtime/testing';
+import { EndlessServer, TINY_CHUNKS } from '@hingescale/runtime/testing';
 import { expect } from 'chai';
 
 import type { ServiceEnd } from './service-client.js';
@@ -333,4 +333,14 @@
       endless.close();
     });
   }
+
+  // Guards against an object in memory for each of millions of chunks.
+  it('is cut if the answer arrives in chunks of one byte without end', async () => {
+    const endless = new EndlessServer(headOf(['transfer-encoding: chunked']), TINY_CHUNKS);
+    const startedAt = performance.now();
+    const end = await callAt(await endless.listen(), 1);
+    expect(end.kind).to.equal('cut');
+    expect(performance.now() - startedAt).to.be.below(TIMEOUT_MS / 2);
+    endless.close();
+  });
 });
--- a/packages/gateway/src/requests/service-client.ts
+++ b/packages/gateway/src/requests/service-client.ts
@@ -4,7 +4,9 @@
 import { REQUEST_ID_HEADER } from '@hingescale/core';
 import type { Log } from '@hingescale/runtime';
 import { monotonicMs, timeoutSignal } from '@hingescale/runtime';
+import { ByteCollector } from '@hingescale/runtime/byte-collector';
 import { ListenerChecks } from '@hingescale/runtime/listener-checks';
+import { FRAGMENTED, PieceAllowance } from '@hingescale/runtime/piece-allowance';
 import type { PortAddress } from '@hingescale/runtime/port-probe';
 import type { Dispatcher } from 'undici';
 import { Agent } from 'undici';
@@ -138,7 +140,8 @@
 /** Reads one answer. The HTTP library checks lengths and chunks; an answer with neither ends with its connection. */
 class AnswerReader implements ExchangeObserver {
   readonly #call: ServiceCall;
-  readonly #parts: Buffer[] = [];
+  readonly #body = new ByteCollector();
+  readonly #allowance = new PieceAllowance();
   #status = 0;
   #contentType = '';
   #isOwnAnswer = false;
@@ -173,7 +176,10 @@
   }
 
   onData(bytes: Buffer): undefined {
-    this.#parts.push(bytes);
+    if (!this.#allowance.admit(bytes.length)) {
+      throw new Error(FRAGMENTED);
+    }
+    this.#body.append(bytes);
   }
 
   /** Determines how the call ended from how its exchange ended. */
@@ -185,7 +191,7 @@
       return { kind: 'cut', detail: this.#fault };
     }
     if (end.kind === 'ended') {
-      const body = Buffer.concat(this.#parts).toString('utf8');
+      const body = this.#body.take().toString('utf8');
       const answer = { status: this.#status, contentType: this.#contentType, body };
       return { kind: 'answer', answer };
     }
--- a/packages/object-store/src/platform-client.ts
+++ b/packages/object-store/src/platform-client.ts
@@ -14,6 +14,7 @@
 } from '@hingescale/core';
 import type { Log, Metrics } from '@hingescale/runtime';
 import { timeoutSignal } from '@hingescale/runtime';
+import { readAnswerText } from '@hingescale/runtime/answer-text';
 import { Result } from 'true-myth';
 import { Agent, request } from 'undici';
 
@@ -247,7 +248,7 @@
         body: call.body,
         signal,
       });
-      const text = await reply.body.text();
+      const text = await readAnswerText(reply.body, MAX_ANSWER_BYTES);
       const era = this.#recordEra(reply.headers[STORE_ERA_HEADER]);
       return parseResponse<T>(reply.statusCode, text).map(content => ({ content, era }));
     } catch (error) {
--- a/packages/runtime/src/testing/endless-server.ts
+++ b/packages/runtime/src/testing/endless-server.ts
@@ -3,6 +3,8 @@
 import { createServer } from 'node:net';
 
 const PIECE = Buffer.alloc(64 * 1024, 'x');
+/** A body in chunks of one byte, as many as one read of a connection holds. */
+export const TINY_CHUNKS = Buffer.from('1\r\nx\r\n'.repeat(10_000));
 
 /** Answers each connection's first bytes with a head, and then with further bytes until the connection is closed. */
 export class EndlessServer {
@@ -10,8 +12,8 @@
   readonly #sockets = new Set<Socket>();
   #writtenBefore = 0;
 
-  /** `head` is the text in front of the endless bytes. */
-  constructor(head: string) {
+  /** `head` is the text in front of the endless bytes, which consist of `piece` again and again. */
+  constructor(head: string, piece: Buffer = PIECE) {
     this.#server = createServer(socket => {
       this.#sockets.add(socket);
       socket.on('error', () => undefined);
@@ -20,7 +22,7 @@
         this.#writtenBefore += socket.bytesWritten;
       });
       socket.once('data', () => {
-        pour(socket, head);
+        pour(socket, head, piece);
       });
     });
   }
--- a/packages/upstream/src/host-client.ts
+++ b/packages/upstream/src/host-client.ts
@@ -2,6 +2,7 @@
 import type { CacheEvents, EngineLoad, HostOrder, HostStateReport } from '@hingescale/core';
 import type { Log } from '@hingescale/runtime';
 import { timeoutSignal } from '@hingescale/runtime';
+import { readAnswerText } from '@hingescale/runtime/answer-text';
 import { Result } from 'true-myth';
 import type { Dispatcher } from 'undici';
 import { Agent, request } from 'undici';
@@ -107,7 +108,7 @@
         body: body === undefined ? undefined : JSON.stringify(body),
         signal: timeoutSignal(this.#options.timeoutMs),
       });
-      const text = await response.body.text();
+      const text = await readAnswerText(response.body, MAX_ANSWER_BYTES);
       if (response.statusCode === HTTP_CONFLICT) {
         return Result.err(new HostError('refused', text));
       }
