An event with many ids takes time that rises with its length

The event loop of the entry process stands still for seconds, and requests get no answer at their time limit.

Cause: risingEvents looked for the end of the event anew for each id.

Change: the end is looked for once for each event.

--- a/packages/entry/src/requests/event-ids.ts
+++ b/packages/entry/src/requests/event-ids.ts
@@ -46,10 +46,13 @@
   let { last, number } = before;
   let first: string | undefined;
   let field = isField(text, 0) ? 0 : nextField(text, 0);
+  let eventEnd = -1;
   while (field >= 0) {
     const next = nextField(text, field);
+    // An event may have many ids: its end is looked for once.
+    eventEnd = eventEnd < field ? text.indexOf(EVENT_END, field) : eventEnd;
     // The last id of an event counts.
-    const isLastOfEvent = next < 0 || next > text.indexOf(EVENT_END, field);
+    const isLastOfEvent = next < 0 || next > eventEnd;
     const id = isLastOfEvent ? idAt(text, field) : undefined;
     if (id !== undefined) {
       const digits = digitsOf(id);
--- a/packages/entry/src/requests/event-splitter.test.ts
+++ b/packages/entry/src/requests/event-splitter.test.ts
@@ -4,6 +4,9 @@
 import { EventSplitter } from './event-splitter.js';
 import { IDS_DO_NOT_RISE, INVALID_ID } from './whole-stream.js';
 
+/** Time for a megabyte, in milliseconds. */
+const MAX_MS = 2_000;
+
 describe('event splitter', () => {
   it('returns complete events only, however the bytes are split into chunks', () => {
     const stream = Buffer.from('id: 1\ndata: a\n\nid: 2\ndata: id: 9\n\nid: 3\ndata: c\n\n');
@@ -174,6 +177,16 @@
     });
   });
 
+  // Guards against an event loop that stands still while the end of the event is searched for each id.
+  it('takes an event with many ids in time that rises with its length', () => {
+    const event = Buffer.from(`${'id: 5\n'.repeat(170_000)}data: a\n\n`);
+    const splitter = new EventSplitter(undefined);
+    const startedAt = performance.now();
+    expect(splitter.append(event)?.length).to.equal(event.length);
+    expect(performance.now() - startedAt).to.be.below(MAX_MS);
+    expect(splitter.lastEventId).to.equal('5');
+  });
+
   // Guards against a second attempt that displaces a stalled one with a comment, and then starts over.
   it('finds the fault of the next event behind a comment', () => {
     const splitter = new EventSplitter('2');
