Reads of answers are parsed in turns, so that other callers need not wait

What callers saw: with many hosts that answer in chunks of one byte at once, answers came after their deadlines, also with the time for each piece mended.

Cause: one read of 64 KiB can hold ten thousand chunks, for each of which the HTTP parser needs more than a microsecond, and all connections with input were parsed in the same turn of the event loop.

Change: AnswerInput passes reads to the parser in pieces of 4 KiB, at most a few in a turn, by the scheduler that the servers for callers have. Reading stops meanwhile. Shorter reads are parsed at once as before. A connection on which bytes wait is not used for another request.

--- a/packages/runtime/src/checked-request.test.ts
+++ b/packages/runtime/src/checked-request.test.ts
@@ -13,6 +13,9 @@
 const BODY = '\0 :\n';
 /** Time between the parts of an answer, in milliseconds. */
 const PART_MS = 10;
+/** Length of the pieces in which a connection passes on what it receives, in bytes. */
+const PIECE_BYTES = 4 * 1024;
+const LONG_BODY_BYTES = 2 * 1024 * 1024;
 
 describe('a request with a check of its answer', () => {
   let server: Server;
@@ -108,6 +111,45 @@
     expect(connections).to.equal(1);
   });
 
+  it('gets a long answer whole, although its reader pauses', async () => {
+    const body = Buffer.alloc(LONG_BODY_BYTES, BODY);
+    await listen([
+      `${STATUS_LINE}Content-Length: ${body.length}\r\n\r\n${body.toString('latin1')}`,
+    ]);
+    const { port } = server.address() as AddressInfo;
+    const received: Buffer[] = [];
+    await new Promise((resolve, reject) => {
+      const request = checkedRequest({ host: '127.0.0.1', port, agent });
+      request.on('error', reject);
+      request.on('response', (incoming: IncomingMessage) => {
+        incoming.on('data', (chunk: Buffer) => {
+          received.push(chunk);
+          incoming.pause();
+          setTimeout(() => incoming.resume(), 1);
+        });
+        incoming.on('end', resolve);
+      });
+      request.end();
+    });
+    expect(Buffer.concat(received).equals(body)).to.equal(true);
+  });
+
+  // The answer fills a piece that is parsed at once, so that the bytes behind it wait when the connection is used again.
+  it('never gets bytes as its answer that were received before it was sent', async () => {
+    agent.maxSockets = 1;
+    const head = `${STATUS_LINE}Content-Length: `;
+    const bodyBytes = PIECE_BYTES - `${head}0000\r\n\r\n`.length;
+    const first = `${head}${bodyBytes}\r\n\r\n${'a'.repeat(bodyBytes)}`;
+    expect(first.length).to.equal(PIECE_BYTES);
+    await listen(
+      [`${first}${STATUS_LINE}${LENGTH}\r\nfake`],
+      [`${STATUS_LINE}${LENGTH}\r\n${BODY}`],
+    );
+    const [one, two] = await Promise.all([answer(), answer().catch(String)]);
+    expect(one).to.equal('a'.repeat(bodyBytes));
+    expect(two).not.to.equal('fake');
+  });
+
   it('fails on a kept connection too', async () => {
     const head = `${STATUS_LINE}${LENGTH}`;
     await listen([`${head}\r\n${BODY}`], [`${head} Name: 1\r\n\r\n${BODY}`]);
--- a/packages/runtime/src/upstream-socket.ts
+++ b/packages/runtime/src/upstream-socket.ts
@@ -1,4 +1,5 @@
 /** Connections to upstreams on which a reset always ends in an error. */
+import type { Received } from './answer-input.js';
 import type { ConnectOptions } from './answer-socket.js';
 import { AnswerSocket, connectSocket } from './answer-socket.js';
 
@@ -21,9 +22,9 @@
  */
 export class UpstreamSocket extends AnswerSocket {
   // Node.js calls this with the received bytes, and with null at the end of the connection.
-  override push(chunk: Buffer | null, encoding?: BufferEncoding): boolean {
-    if (chunk !== null || this.#hasEndedInOrder()) {
-      return super.push(chunk, encoding);
+  override push(received: Received): boolean {
+    if (received !== null || this.#hasEndedInOrder()) {
+      return super.push(received);
     }
     // What was received before can still be read in this turn, such as an answer that is complete without the end.
     setImmediate(() => {
