An address in use no longer ends the process that starts

What callers saw: on one deployment of the users' machines the system did not start, or its processes ended by themselves; once, on an earlier landing, without logs.

Cause: a process ended if any of its addresses was in use, also that of the metrics or of forwarded requests, which callers do not need. A former process holds an address for its grace time, an outgoing connection of any program for as long as it is open, and for 61.6 s (measured) after it was closed by the side that opened it.

Change: listen() of the runtime tries such an address again for up to 90 s and logs it once; entry hosts, links, gateways and controllers use it. Servers for metrics and forwarded requests are tried in the background without a limit. An entry host listens before it opens connections of its own.

--- a/packages/controller/src/controller.ts
+++ b/packages/controller/src/controller.ts
@@ -126,6 +126,7 @@
     this.#linkServer = new LinkServer({
       listen: links.listen,
       key: links.key,
+      log: this.#log,
       handlers: { [LINK_REQUESTS.poll]: (poll: PollRequest) => this.#answerPoll(poll) },
     });
     this.#linkServer.messages.on('rejected', () => {
@@ -223,8 +224,8 @@
       offerConfiguration: revision => void this.#configurationHolder.offer(revision),
     });
     const tls = tlsFiles(admin['tls-certificate'], admin['tls-key']);
-    const limits = { ...DEFAULT_HTTP_LIMITS, tls, guard: { metrics: this.#metrics } };
-    this.#adminServer = await listenHttp(app, admin.listen, limits);
+    const options = { tls, guard: { metrics: this.#metrics }, log: this.#log };
+    this.#adminServer = await listenHttp(app, admin.listen, { ...DEFAULT_HTTP_LIMITS, ...options });
   }
 
   #startLease(): void {
--- a/packages/entry/src/entry-host.ts
+++ b/packages/entry/src/entry-host.ts
@@ -37,7 +37,7 @@
 import { createMetrics } from './server/metrics.js';
 import { finishRequests, PlannedStop } from './server/planned-stop.js';
 import { runTask } from './server/run-task.js';
-import { changedSettings } from './server/settings-change.js';
+import { logSettingsChange } from './server/settings-change.js';
 import { monotonicMs } from './server/time.js';
 import { FollowedKinds, singleReader } from './store/followed-kinds.js';
 import { configurationObserver, hostsObserver, knownStateAtSend } from './store/kind-observers.js';
@@ -190,15 +190,19 @@
   /** Starts all tasks and begins to listen. */
   async start(): Promise<void> {
     const { log } = this.#options;
-    await this.#peers?.start();
+    // Before any connection is opened: the operating system could give it one of the ports.
+    this.#forwarding.start();
+    const sources = { isReady: () => this.ready, lists: this.#lists };
+    await Promise.all([this.#peers?.listen(), this.#servers.listen(sources)]);
+    if (this.#stopping) {
+      return;
+    }
+    this.#peers?.start();
     this.#watches.start();
     this.#ignoreLeaps = respondToLeaps({ kinds: this.#watches, log, counters: this.#counters });
     this.#coordinator.start();
     runTask(log, 'lease', this.#competeForLease());
     runTask(log, 'quarantine', this.#quarantine.run());
-    await this.#servers.listen();
-    await this.#forwarding.start();
-    await this.#servers.startSideServers({ isReady: () => this.ready, lists: this.#lists });
     log.info('entry host started', {
       instance: this.#instance,
       startMs: Math.round(monotonicMs()),
@@ -210,12 +214,8 @@
    * keys, retries and stops, take effect immediately; all other settings, notably addresses, after a restart.
    */
   applySettings(settings: EntrySettings): void {
-    const { changed, afterRestart } = changedSettings(this.#settings, settings);
+    logSettingsChange(this.#options.log, this.#settings, settings);
     this.#settings = settings;
-    this.#options.log.info('settings reloaded', {
-      changed: changed.join(','),
-      afterRestart: afterRestart.join(','),
-    });
   }
 
   /** Planned stop: reports not ready, lets requests in progress finish, then stops everything. */
--- a/packages/entry/src/forwarding/forwarding-service.ts
+++ b/packages/entry/src/forwarding/forwarding-service.ts
@@ -14,6 +14,7 @@
 import { FailureSeries } from '../server/failure-series.js';
 import type { Log } from '../server/log.js';
 import type { Counters } from '../server/metrics.js';
+import { runTask } from '../server/run-task.js';
 import { Forwarding } from './forwarding.js';
 import { PeerDirectory } from './peer-directory.js';
 import { readForwarded } from './peer-headers.js';
@@ -44,6 +45,7 @@
   /** Undefined where the settings name no address for forwarded requests. */
   readonly forwarding: Forwarding | undefined;
   readonly #parts: ForwardingParts;
+  readonly #abort = new AbortController();
   readonly #address: SocketAddress | undefined;
   /** Accepts the requests that peers forward. */
   readonly server: CallerServer;
@@ -71,15 +73,20 @@
       .some(service => this.forwarding?.directory.hasPeerFor(service) === true);
   }
 
-  /** Starts to accept forwarded requests. */
-  async start(): Promise<void> {
+  /** Starts to accept forwarded requests. Its callers are served meanwhile, for as long as the address is in use. */
+  start(): void {
     if (this.#address !== undefined) {
-      await this.server.listen(this.#address.ip, this.#address.port);
+      const { ip: host, port } = this.#address;
+      const { log } = this.#parts;
+      const { signal } = this.#abort;
+      const options = { name: 'forwarding', host, port, retryMs: Infinity, log, signal };
+      runTask(log, 'listen', this.server.listen(options));
     }
   }
 
   /** Stops listening, all probes and all questions to peers. */
   stop(): void {
+    this.#abort.abort();
     this.server.close();
     this.forwarding?.stop();
     this.isolation.stop();
@@ -90,7 +97,7 @@
     const { settings, intake, isReady } = this.#parts;
     const load = intake().open.forwardedCount;
     const most = MAX_FORWARDED_PER_CORE * (settings.peers?.power ?? 0);
-    const accepts = isReady() && this.#address !== undefined && load < most;
+    const accepts = isReady() && this.server.isListening && load < most;
     const reached = await Promise.all(
       services.map(async service => ((await this.isolation.isReached(service)) ? [service] : [])),
     );
--- a/packages/entry/src/peers/peer-server.test.ts
+++ b/packages/entry/src/peers/peer-server.test.ts
@@ -51,6 +51,7 @@
   return createPeerServer({
     listen: '127.0.0.1:0',
     key: '',
+    log: silentLog(),
     failureDomain: 'a',
     watchOf: () => undefined,
     tally: new SharedTally({ loads: () => [], work: () => [] }),
--- a/packages/entry/src/peers/peer-server.ts
+++ b/packages/entry/src/peers/peer-server.ts
@@ -1,6 +1,7 @@
 /** Serves the requests of peers. */
 import type { LinkIdentity } from '@hingescale/link';
 import { LinkServer } from '@hingescale/link';
+import type { ListenLog } from '@hingescale/runtime/listen';
 
 import type { HostIncarnation } from '../hosts/host-entry.js';
 import type { RunReport } from '../quarantine/run-report.js';
@@ -39,6 +40,7 @@
   readonly listen: string;
   /** Key shared by all entry hosts; empty where the network is trusted. */
   readonly key: string;
+  readonly log: ListenLog;
   /** Failure domain of this host. */
   readonly failureDomain: string;
   /** Returns the watch of a kind; undefined where this host does not watch it. */
@@ -97,6 +99,7 @@
   return new LinkServer({
     listen,
     key,
+    log: options.log,
     handlers: {
       [PEER_REQUESTS.read]: (request: unknown, peer: LinkIdentity) =>
         answerRead(options, answerOf, parseReadRequest(request), peer),
--- a/packages/entry/src/peers/peers.test.ts
+++ b/packages/entry/src/peers/peers.test.ts
@@ -116,7 +116,10 @@
         hostUnreachable: (domain, host) => unreachable.push(`${self.name}: ${domain} ${host}`),
       }),
     );
-    await Promise.all(all.map(peers => peers.start()));
+    await Promise.all(all.map(peers => peers.listen()));
+    all.forEach(peers => {
+      peers.start();
+    });
     all.forEach(peers => {
       peers.membership.observer.listed({ objects, revision: 1 });
     });
--- a/packages/entry/src/peers/peers.ts
+++ b/packages/entry/src/peers/peers.ts
@@ -12,7 +12,7 @@
 import { FailureSeries } from '../server/failure-series.js';
 import type { Log } from '../server/log.js';
 import type { Counters } from '../server/metrics.js';
-import { monotonicMs, sleep } from '../server/time.js';
+import { sleep } from '../server/time.js';
 import type { KindReader, KindView } from '../store/kind-reader.js';
 import { storeReader } from '../store/kind-reader.js';
 import type { ObjectKind, ObjectStore } from '../store/object-store.js';
@@ -32,6 +32,7 @@
 import { peerReader } from './peer-reader.js';
 import { createPeerServer } from './peer-server.js';
 import { PeerReaderChoice } from './reader-choice.js';
+import { RecentFollowers } from './recent-followers.js';
 import type { ReportSources } from './shared-reports.js';
 import { SharedReports } from './shared-reports.js';
 import { SharedTally } from './shared-tally.js';
@@ -82,8 +83,6 @@
 /** Period of a host that follows a peer and receives the tally of all hosts from it, in milliseconds. */
 const IDLE_EXCHANGE_PERIOD_MS = 1_000;
 const REQUEST_TIMEOUT_MS = 400;
-/** Time after its last read for which a peer gets reports of this host, in milliseconds. */
-const FOLLOWER_EXPIRY_MS = 1_500;
 /**
  * Largest number of entry hosts with which each reads its first list from the store: 100 lists of 300 hosts are
  * 10 MB, which take a tenth of a second on a link of 1,000 Mbit/s.
@@ -105,8 +104,7 @@
   readonly #choice: PeerReaderChoice;
   readonly #readers = new Map<string, KindReader>();
   readonly #suspicions: SuspicionSender;
-  /** Time of the last read by each peer, in monotonic milliseconds. */
-  readonly #readBy = new Map<string, number>();
+  readonly #followers = new RecentFollowers();
   #reportedLacking: ReadonlySet<string> = new Set();
   /** Whether peers reach hosts that take orders, as they last replied, by address. */
   readonly #canSendOrders = new Map<string, boolean>();
@@ -125,6 +123,7 @@
     this.#server = createPeerServer({
       listen: self.address,
       key,
+      log: options.log,
       failureDomain: self.failureDomain,
       watchOf,
       tally: this.tally,
@@ -139,7 +138,7 @@
       },
       instance: options.instance,
       readReceived: from => {
-        this.#readBy.set(from, monotonicMs());
+        this.#followers.recordRead(from);
       },
       mayBeFollowed: () => this.#choice.mayBeFollowed,
       isRoutable: options.isRoutable,
@@ -232,9 +231,13 @@
     return this.membership.count <= MAX_MEMBERS_AT_STORE ? this.#store : undefined;
   }
 
-  /** Starts to listen for peers, to register this host, and to exchange tallies and reports. */
-  async start(): Promise<void> {
+  /** Starts to listen for peers. */
+  async listen(): Promise<void> {
     await this.#server.listen();
+  }
+
+  /** Starts to register this host, and to exchange tallies and reports. */
+  start(): void {
     void this.membership.register();
     void this.#exchange();
   }
@@ -342,21 +345,11 @@
     const storeNeighbours = [this.membership.get(leaseHolder() ?? ''), ...this.#firstReachable()];
     const aboveNeighbours =
       followed === undefined || this.followsStore ? storeNeighbours : [followed];
-    const followers = this.#recentFollowers().map(name => this.membership.get(name));
+    const followers = this.#followers.names().map(name => this.membership.get(name));
     const addresses = [...aboveNeighbours, ...followers].flatMap(member => member?.address ?? []);
     return [...new Set(addresses)].filter(address => address !== self.address);
   }
 
-  #recentFollowers(): readonly string[] {
-    const expiredBefore = monotonicMs() - FOLLOWER_EXPIRY_MS;
-    for (const [name, at] of this.#readBy) {
-      if (at < expiredBefore) {
-        this.#readBy.delete(name);
-      }
-    }
-    return [...this.#readBy.keys()];
-  }
-
   // A host that follows the store requests the tallies of failure domains in which no host follows it.
   async #exchange(): Promise<void> {
     while (!this.#abort.signal.aborted) {
--- a/packages/entry/src/server/caller-server.test.ts
+++ b/packages/entry/src/server/caller-server.test.ts
@@ -32,7 +32,7 @@
       responses.push(response);
     }, openGuard());
     port = await freePort();
-    await server.listen('127.0.0.1', port);
+    await server.listen({ name: 'callers', host: '127.0.0.1', port });
   });
 
   afterEach(() => {
--- a/packages/entry/src/server/caller-server.ts
+++ b/packages/entry/src/server/caller-server.ts
@@ -5,6 +5,8 @@
 import { CallerConnections } from '@hingescale/runtime/caller-connections';
 import type { HttpGuardOptions } from '@hingescale/runtime/http-guard';
 import { GUARDED_SERVER_OPTIONS, HttpGuard } from '@hingescale/runtime/http-guard';
+import type { ListenOptions } from '@hingescale/runtime/listen';
+import { listen } from '@hingescale/runtime/listen';
 
 import type { CallerLimits } from '../configuration/serving-configuration.js';
 
@@ -75,10 +77,15 @@
     this.#server.timeout = limits.idleTimeoutMs + IDLE_MARGIN_MS;
   }
 
-  /** Starts to accept connections at an address. */
-  listen(ip: string, port: number): Promise<void> {
+  /** True while connections are accepted. */
+  get isListening(): boolean {
+    return this.#server.listening;
+  }
+
+  /** Starts to accept connections at an address; one that is in use is tried again. */
+  async listen(options: Omit<ListenOptions, 'backlog'>): Promise<void> {
     this.#admission?.start();
-    return listenAt(this.#server, ip, port, CALLER_BACKLOG);
+    await listen(this.#server, { ...options, backlog: CALLER_BACKLOG });
   }
 
   /** From now on, responses close their connections; see {@link CallerConnections.drain}. */
@@ -99,14 +106,3 @@
     this.#connections.closeIdle(this.#server);
   }
 }
-
-/** Resolves when the server listens, with a queue of `backlog` connections; rejects with the error if it cannot. */
-export function listenAt(server: Server, ip: string, port: number, backlog: number): Promise<void> {
-  return new Promise((resolve, reject) => {
-    server.once('error', reject);
-    server.listen({ host: ip, port, backlog }, () => {
-      server.removeListener('error', reject);
-      resolve();
-    });
-  });
-}
--- a/packages/entry/src/server/connection-shedding.test.ts
+++ b/packages/entry/src/server/connection-shedding.test.ts
@@ -120,7 +120,7 @@
     };
     const server = new CallerServer(handle, openGuard(), shedding);
     const port = await freePort();
-    await server.listen('127.0.0.1', port);
+    await server.listen({ name: 'callers', host: '127.0.0.1', port });
     expect(await answerOf(port)).to.contain('served');
     offer(4, 3 * SECOND);
     expect(await answerOf(port)).to.equal('');
--- a/packages/entry/src/server/host-servers.ts
+++ b/packages/entry/src/server/host-servers.ts
@@ -31,6 +31,7 @@
   readonly callers: CallerServer;
   readonly #options: HostServersOptions;
   readonly #sideServers: Server[] = [];
+  readonly #abort = new AbortController();
 
   constructor(options: HostServersOptions) {
     this.#options = options;
@@ -40,21 +41,22 @@
     this.callers = new CallerServer(handle, this.guard.forCallers, shedding);
   }
 
-  /** Begins to accept connections of callers. */
-  listen(): Promise<void> {
-    const { ip, port } = this.#options.settings.callers;
-    return this.callers.listen(ip, port);
-  }
-
-  /** Starts the other servers. */
-  async startSideServers(sources: Pick<SideServerSources, 'isReady' | 'lists'>): Promise<void> {
-    const { settings, metrics } = this.#options;
-    const all = { ...sources, metrics, guard: this.guard };
-    this.#sideServers.push(...(await startSideServers(settings, all)));
+  /** Resolves when connections of callers and questions for readiness are accepted, or after {@link close}. */
+  async listen(sources: Pick<SideServerSources, 'isReady' | 'lists'>): Promise<void> {
+    const { settings, metrics, log } = this.#options;
+    const { signal } = this.#abort;
+    const { ip: host, port } = settings.callers;
+    const all = { ...sources, metrics, guard: this.guard, log, signal };
+    const [sideServers] = await Promise.all([
+      startSideServers(settings, all),
+      this.callers.listen({ name: 'callers', host, port, log, signal }),
+    ]);
+    this.#sideServers.push(...sideServers);
   }
 
   /** Closes all servers. */
   close(): void {
+    this.#abort.abort();
     this.callers.close();
     this.#sideServers.forEach(server => server.close());
   }
--- a/packages/entry/src/server/settings-change.ts
+++ b/packages/entry/src/server/settings-change.ts
@@ -1,5 +1,6 @@
-/** Compares reloaded settings with those in force. Pure functions. */
+/** Compares reloaded settings with those in force. */
 import type { EntryBounds, EntrySettings } from './entry-settings.js';
+import type { Log } from './log.js';
 
 /** Names of changed settings: `bounds.FIELD` for bounds, the bare field name for all others. */
 export type SettingsChange = {
@@ -35,6 +36,13 @@
   };
 }
 
+/** Logs which settings differ, and when each change takes effect. */
+export function logSettingsChange(log: Log, before: EntrySettings, after: EntrySettings): void {
+  const { changed, afterRestart } = changedSettings(before, after);
+  const fields = { changed: changed.join(','), afterRestart: afterRestart.join(',') };
+  log.info('settings reloaded', fields);
+}
+
 function boundsFieldName(name: string): string {
   return `bounds.${name}`;
 }
--- a/packages/entry/src/server/side-servers.ts
+++ b/packages/entry/src/server/side-servers.ts
@@ -4,12 +4,15 @@
 
 import type { HttpGuardOptions } from '@hingescale/runtime/http-guard';
 import { declaredLength, GUARDED_SERVER_OPTIONS, HttpGuard } from '@hingescale/runtime/http-guard';
+import type { ListenOptions } from '@hingescale/runtime/listen';
+import { listen } from '@hingescale/runtime/listen';
 
 import type { CallerGuard } from './caller-guard.js';
-import { listenAt } from './caller-server.js';
 import type { EntrySettings, SocketAddress } from './entry-settings.js';
+import type { Log } from './log.js';
 import type { Metrics } from './metrics.js';
 import { metricsText } from './metrics.js';
+import { runTask } from './run-task.js';
 
 /** Sources of the data that the side servers return. */
 export type SideServerSources = {
@@ -17,6 +20,9 @@
   readonly metrics: Metrics;
   readonly lists: OperatorLists;
   readonly guard: CallerGuard;
+  readonly log: Log;
+  /** Aborted when the servers are no longer needed. */
+  readonly signal: AbortSignal;
 };
 
 /** Time without anything sent or received after which a connection is closed, in milliseconds. */
@@ -28,28 +34,34 @@
 /** Largest head that is accepted, in bytes. */
 const MAX_HEAD_BYTES = 16 * 1024;
 
-/** Starts the readiness server and, if the settings contain an address for it, the metrics server. */
+/**
+ * Starts the readiness server and, if the settings contain an address for it, the metrics server. Callers can be served without
+ * the latter, so its address is tried again in the background for as long as it is in use.
+ */
 export async function startSideServers(
   { readiness, metrics }: Pick<EntrySettings, 'readiness' | 'metrics'>,
   offer: SideServerSources,
 ): Promise<readonly Server[]> {
-  const readinessServer = serveReadiness(offer.isReady);
-  await listen(readinessServer, readiness, offer.guard.forSide('readiness'));
-  if (metrics === undefined) {
-    return [readinessServer];
+  const { guard, log, signal } = offer;
+  const servers: Server[] = [];
+  const start = (
+    server: Server,
+    { ip, port }: SocketAddress,
+    options: Pick<ListenOptions, 'name' | 'retryMs'>,
+    limits: HttpGuardOptions,
+  ): Promise<void> => {
+    servers.push(server);
+    new HttpGuard(server, limits);
+    return listen(server, { host: ip, port, backlog: BACKLOG, log, signal, ...options });
+  };
+  if (metrics !== undefined) {
+    const server = serveMetrics(offer.metrics, offer.lists);
+    const options = { name: 'metrics', retryMs: Infinity };
+    runTask(log, 'listen', start(server, metrics, options, guard.forSide('metrics')));
   }
-  const metricsServer = serveMetrics(offer.metrics, offer.lists);
-  await listen(metricsServer, metrics, offer.guard.forSide('metrics'));
-  return [readinessServer, metricsServer];
-}
-
-async function listen(
-  server: Server,
-  { ip, port }: SocketAddress,
-  guard: HttpGuardOptions,
-): Promise<void> {
-  new HttpGuard(server, guard);
-  await listenAt(server, ip, port, BACKLOG);
+  const server = serveReadiness(offer.isReady);
+  await start(server, readiness, { name: 'readiness' }, guard.forSide('readiness'));
+  return servers;
 }
 
 function createSideServer(
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -206,6 +206,7 @@
     this.#server = new LinkServer({
       listen: links.listen,
       key: links.key,
+      log: this.#log,
       handlers: {
         [LINK_REQUESTS.claim]: request => keys.answerClaim(request),
         [LINK_REQUESTS.settle]: request => keys.answerSettle(request),
@@ -320,6 +321,7 @@
       maxConnections: callers['max-connections'],
       tls: tlsFiles(callers['tls-certificate'], callers['tls-key']),
       guard: { metrics: this.#metrics },
+      log: this.#log,
     });
   }
 
--- a/packages/link/src/link-server.ts
+++ b/packages/link/src/link-server.ts
@@ -3,6 +3,8 @@
 import { createServer } from 'node:net';
 
 import { splitAddress, Task } from '@hingescale/runtime';
+import type { ListenLog } from '@hingescale/runtime/listen';
+import { listen } from '@hingescale/runtime/listen';
 
 import { encodeFrame, FrameReader } from './frames.js';
 import type { Confirmation, Greeting, LinkIdentity } from './handshake.js';
@@ -30,6 +32,7 @@
   readonly key: string;
   readonly handlers: Readonly<Record<string, LinkHandler>>;
   readonly maxConnections?: number;
+  readonly log?: ListenLog;
 };
 
 /** Events that a link server emits. */
@@ -49,7 +52,7 @@
     this.#options = options;
   }
 
-  /** Starts listening and returns the bound `ip:port`. */
+  /** Starts listening and returns the bound `ip:port`; an address in use is tried again. */
   async listen(): Promise<string> {
     const { host, port } = splitAddress(this.#options.listen);
     const server = createServer({ noDelay: true }, socket => {
@@ -57,11 +60,10 @@
     });
     server.maxConnections = this.#options.maxConnections ?? DEFAULT_MAX_CONNECTIONS;
     this.#server = server;
-    await new Promise<void>((resolve, reject) => {
-      server.once('error', reject);
-      server.listen(port, host, resolve);
-    });
-    return `${host}:${(server.address() as AddressInfo).port}`;
+    const { log } = this.#options;
+    await listen(server, { name: 'links', host, port, log, signal: this.signal });
+    const bound = server.address() as AddressInfo | null;
+    return `${host}:${bound?.port ?? port}`;
   }
 
   protected override async close(): Promise<void> {
--- a/packages/runtime/src/http-server.ts
+++ b/packages/runtime/src/http-server.ts
@@ -13,6 +13,8 @@
 import { splitAddress } from './address.js';
 import { CallerConnections } from './caller-connections.js';
 import { HttpGuard, InputTurns, MemoryBudget } from './http-guard/index.js';
+import type { ListenLog } from './listen.js';
+import { listen as listenAt } from './listen.js';
 import type { Metrics } from './metrics.js';
 import type { TlsFiles } from './tls.js';
 import { readTlsFiles, reloadOnChange } from './tls.js';
@@ -28,6 +30,7 @@
   readonly guard?: { readonly metrics: Pick<Metrics, 'count'> };
   /** Certificate and key files; without them the server speaks plain HTTP. */
   readonly tls?: TlsFiles;
+  readonly log?: ListenLog;
 };
 
 /** Default limits, for servers whose settings name no others. */
@@ -99,10 +102,7 @@
   const stopReloading = tls === undefined ? undefined : reloadOnChange(server as TlsServer, tls);
   server.maxConnections = limits.maxConnections;
   server.on('clientError', answerClientError);
-  await new Promise<void>((resolve, reject) => {
-    server.once('error', reject);
-    server.listen(port, host, resolve);
-  });
+  await listenAt(server, { name: 'http', host, port, log: limits.log });
   const boundAddress = server.address() as AddressInfo;
   return {
     server,
