Outgoing connections keep no other process from listening at their port

With addresses in use tried again, a process still waited for a minute where a connection of another entry process had held one of its ports, and did not serve meanwhile.

Cause: while a connection is open, and in TIME_WAIT for a minute after, the operating system lets no process listen at its source port, unless the connection was bound with SO_REUSEADDR.

Evidence: /proc/net/tcp named connections in TIME_WAIT for the ports that were in use after 15 s; a connection that is bound first blocks neither way.

Change: connections of entry hosts to upstreams, store and peers, links and probes of ports are bound to the wildcard address of their family, for which Node.js sets SO_REUSEADDR. Left: connections of the HTTP client library.

--- a/packages/link/src/link-client.ts
+++ b/packages/link/src/link-client.ts
@@ -4,6 +4,7 @@
 
 import type { Log } from '@hingescale/runtime';
 import { afterTurn, splitAddress } from '@hingescale/runtime';
+import { reusableSource } from '@hingescale/runtime/reusable-source';
 
 import { encodeFrame, FrameReader } from './frames.js';
 import type { Challenge, Greeting, LinkIdentity } from './handshake.js';
@@ -113,7 +114,8 @@
   }
 
   #connect(): Promise<Socket> {
-    const socket = connect({ ...splitAddress(this.address), noDelay: true });
+    const { host, port } = splitAddress(this.address);
+    const socket = connect({ host, port, noDelay: true, ...reusableSource(host) });
     const reader = new FrameReader();
     const { key, identity } = this.#options;
     const greeting: Greeting = {
--- a/packages/runtime/src/answer-socket.ts
+++ b/packages/runtime/src/answer-socket.ts
@@ -5,6 +5,7 @@
 import { AnswerHeadCheck } from './answer-head-check.js';
 import type { Received } from './answer-input.js';
 import { AnswerInput } from './answer-input.js';
+import { reusableSource } from './reusable-source.js';
 
 /** Options of a connection; a timeout is the time in milliseconds without traffic after which it emits `timeout`. */
 export type ConnectOptions = TcpNetConnectOpts &
@@ -80,6 +81,6 @@
   if (options.timeout !== undefined) {
     socket.setTimeout(options.timeout);
   }
-  socket.connect(options);
+  socket.connect({ ...reusableSource(options.host), ...options });
   return socket;
 }
--- a/packages/runtime/src/port-probe.ts
+++ b/packages/runtime/src/port-probe.ts
@@ -2,6 +2,7 @@
 import { connect } from 'node:net';
 
 import { afterTurn } from './clock.js';
+import { reusableSource } from './reusable-source.js';
 
 /** The address of a port. */
 export type PortAddress = { readonly host: string; readonly port: number };
@@ -36,7 +37,7 @@
   { limitMs, settleMs }: ProbeTimes,
 ): Promise<PortState> {
   return new Promise(resolve => {
-    const socket = connect(address);
+    const socket = connect({ ...address, ...reusableSource(address.host) });
     let settled = { cancel: (): void => undefined };
     const finish = (state: PortState): void => {
       limit.cancel();
