--- a/packages/entry/src/forwarding/forwarding-service.ts
+++ b/packages/entry/src/forwarding/forwarding-service.ts
@@ -73,7 +73,7 @@
       .some(service => this.forwarding?.directory.hasPeerFor(service) === true);
   }
 
-  /** Starts to accept forwarded requests. Its callers are served meanwhile, for as long as the address is in use. */
+  /** Starts to accept forwarded requests; while the address is in use, this host serves its own callers only. */
   start(): void {
     if (this.#address !== undefined) {
       const { ip: host, port } = this.#address;
--- a/packages/entry/src/server/host-servers.ts
+++ b/packages/entry/src/server/host-servers.ts
@@ -9,7 +9,7 @@
 import type { EntrySettings } from './entry-settings.js';
 import type { Log } from './log.js';
 import type { Metrics } from './metrics.js';
-import type { SideServerSources } from './side-servers.js';
+import type { SideServerOptions } from './side-servers.js';
 import { startSideServers } from './side-servers.js';
 
 /** What the servers work with. */
@@ -42,7 +42,7 @@
   }
 
   /** Resolves when connections of callers and questions for readiness are accepted, or after {@link close}. */
-  async listen(sources: Pick<SideServerSources, 'isReady' | 'lists'>): Promise<void> {
+  async listen(sources: Pick<SideServerOptions, 'isReady' | 'lists'>): Promise<void> {
     const { settings, metrics, log } = this.#options;
     const { signal } = this.#abort;
     const { ip: host, port } = settings.callers;
--- a/packages/entry/src/server/side-servers.ts
+++ b/packages/entry/src/server/side-servers.ts
@@ -2,20 +2,18 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import { createServer } from 'node:http';
 
-import type { HttpGuardOptions } from '@hingescale/runtime/http-guard';
 import { declaredLength, GUARDED_SERVER_OPTIONS, HttpGuard } from '@hingescale/runtime/http-guard';
-import type { ListenOptions } from '@hingescale/runtime/listen';
 import { listen } from '@hingescale/runtime/listen';
 
 import type { CallerGuard } from './caller-guard.js';
-import type { EntrySettings, SocketAddress } from './entry-settings.js';
+import type { EntrySettings } from './entry-settings.js';
 import type { Log } from './log.js';
 import type { Metrics } from './metrics.js';
 import { metricsText } from './metrics.js';
 import { runTask } from './run-task.js';
 
-/** Sources of the data that the side servers return. */
-export type SideServerSources = {
+/** The data that the side servers return, and what they share with the other servers. */
+export type SideServerOptions = {
   readonly isReady: () => boolean;
   readonly metrics: Metrics;
   readonly lists: OperatorLists;
@@ -40,27 +38,24 @@
  */
 export async function startSideServers(
   { readiness, metrics }: Pick<EntrySettings, 'readiness' | 'metrics'>,
-  offer: SideServerSources,
+  options: SideServerOptions,
 ): Promise<readonly Server[]> {
-  const { guard, log, signal } = offer;
+  const { guard, log, signal } = options;
+  const common = { backlog: BACKLOG, log, signal };
   const servers: Server[] = [];
-  const start = (
-    server: Server,
-    { ip, port }: SocketAddress,
-    options: Pick<ListenOptions, 'name' | 'retryMs'>,
-    limits: HttpGuardOptions,
-  ): Promise<void> => {
-    servers.push(server);
-    new HttpGuard(server, limits);
-    return listen(server, { host: ip, port, backlog: BACKLOG, log, signal, ...options });
-  };
   if (metrics !== undefined) {
-    const server = serveMetrics(offer.metrics, offer.lists);
-    const options = { name: 'metrics', retryMs: Infinity };
-    runTask(log, 'listen', start(server, metrics, options, guard.forSide('metrics')));
+    const { ip: host, port } = metrics;
+    const server = serveMetrics(options.metrics, options.lists);
+    new HttpGuard(server, guard.forSide('metrics'));
+    servers.push(server);
+    const listening = listen(server, { name: 'metrics', host, port, retryMs: Infinity, ...common });
+    runTask(log, 'listen', listening);
   }
-  const server = serveReadiness(offer.isReady);
-  await start(server, readiness, { name: 'readiness' }, guard.forSide('readiness'));
+  const { ip: host, port } = readiness;
+  const server = serveReadiness(options.isReady);
+  new HttpGuard(server, guard.forSide('readiness'));
+  servers.push(server);
+  await listen(server, { name: 'readiness', host, port, ...common });
   return servers;
 }
 
