--- a/packages/entry/src/peers/peers.test.ts
+++ b/packages/entry/src/peers/peers.test.ts
@@ -82,8 +82,9 @@
       value,
     }));
     follower.membership.observer.listed({ objects, revision: 1 });
-    await holder.start();
-    await follower.start();
+    await Promise.all([holder.listen(), follower.listen()]);
+    holder.start();
+    follower.start();
     follower.readers.choose();
     follower.suspect('lm', GROUP);
     await new Promise(resolve => setTimeout(resolve, 200));
