--- a/packages/core/src/requests/sse.test.ts
+++ b/packages/core/src/requests/sse.test.ts
@@ -26,7 +26,7 @@
     );
   });
 
-  // Guards against an event loop that stands still while all of an incomplete event is searched for each piece.
+  // Guards against an event loop that is blocked while all of an incomplete event is searched for each piece.
   it('takes a long event in time that rises with its length, however small the pieces are', () => {
     const reader = new SseReader();
     const startedAt = performance.now();
--- a/packages/entry/src/requests/event-splitter.test.ts
+++ b/packages/entry/src/requests/event-splitter.test.ts
@@ -177,7 +177,7 @@
     });
   });
 
-  // Guards against an event loop that stands still while the end of the event is searched for each id.
+  // Guards against an event loop that is blocked while the end of the event is searched for each id.
   it('takes an event with many ids in time that rises with its length', () => {
     const event = Buffer.from(`${'id: 5\n'.repeat(170_000)}data: a\n\n`);
     const splitter = new EventSplitter(undefined);
--- a/packages/entry/src/requests/exchange.test.ts
+++ b/packages/entry/src/requests/exchange.test.ts
@@ -227,7 +227,7 @@
       });
     }
 
-    // Guards against an event loop that stands still while each byte of a stream is searched and written by itself.
+    // Guards against an event loop that is blocked while each byte of a stream is searched and written by itself.
     it('passes on together what arrives together', async () => {
       const end = await endOf(socket => {
         socket.write(`${head}${'1\r\nx\r\n'.repeat(5_000)}0\r\n\r\n`);
--- a/packages/entry/src/requests/incomplete-event.test.ts
+++ b/packages/entry/src/requests/incomplete-event.test.ts
@@ -32,7 +32,7 @@
     );
   });
 
-  // Guards against an event loop that stands still while all that is held is copied for each piece.
+  // Guards against an event loop that is blocked while all that is held is copied for each piece.
   it('is collected in time that rises with its length, however small the pieces are', () => {
     const event = new IncompleteEvent();
     const heldBack = new HeldBackEvents<string>();
--- a/packages/entry/src/server/side-servers.ts
+++ b/packages/entry/src/server/side-servers.ts
@@ -19,7 +19,7 @@
   readonly lists: OperatorLists;
   readonly guard: CallerGuard;
   readonly log: Log;
-  /** Aborted when the servers are no longer needed. */
+  /** Aborted when the servers are to be closed. */
   readonly signal: AbortSignal;
 };
 
--- a/packages/link/src/frames.test.ts
+++ b/packages/link/src/frames.test.ts
@@ -24,7 +24,7 @@
     );
   });
 
-  // Guards against an event loop that stands still while all of a long frame is copied for each read.
+  // Guards against an event loop that is blocked while all of a long frame is copied for each read.
   it('are collected in time that rises with their length, however small the reads are', () => {
     const reader = new FrameReader();
     reader.allowFullFrames();
--- a/packages/runtime/src/answer-input.ts
+++ b/packages/runtime/src/answer-input.ts
@@ -69,7 +69,7 @@
     turns.remove(this);
   }
 
-  // The piece is no longer among those that wait while it is delivered: with the last one, reading may go on.
+  // The piece is removed before its delivery, so that the delivery of the last one can resume reading.
   #deliverNext(): void {
     const [first = null, ...others] = this.#waiting;
     const rest = first?.subarray(PIECE_BYTES);
--- a/packages/runtime/src/byte-collector.ts
+++ b/packages/runtime/src/byte-collector.ts
@@ -51,7 +51,7 @@
     this.#copy(piece.subarray(split));
   }
 
-  /** Returns the bytes, and starts anew without any. */
+  /** Returns the bytes and clears the collector. */
   take(): Buffer {
     const last = this.#lastBlock.subarray(0, this.#lastLength);
     const bytes =
--- a/packages/runtime/src/listen.test.ts
+++ b/packages/runtime/src/listen.test.ts
@@ -69,7 +69,7 @@
     expect(monotonicMs() - startedAt).to.be.below(IN_USE_MS);
   });
 
-  it('gives up without an error when it is no longer needed', async () => {
+  it('stops waiting without an error when it is to be closed', async () => {
     const abort = new AbortController();
     const listening = listen(server, { name: 'callers', host: HOST, port, signal: abort.signal });
     await sleep(IN_USE_MS);
--- a/packages/runtime/src/listen.ts
+++ b/packages/runtime/src/listen.ts
@@ -32,7 +32,7 @@
   /** Time for which it is tried again, in milliseconds; may be infinite. */
   readonly retryMs?: number;
   readonly log?: ListenLog;
-  /** Aborted when the server is no longer needed. */
+  /** Aborted when the server is to be closed. */
   readonly signal?: AbortSignal;
 };
 
